--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/admit/Admissions.java
@@ -0,0 +1,27 @@
+package org.wingstall.core.admit;
+
+import org.wingstall.schema.settings.Policy;
+
+/**
+ * Makes the admission that the settings name.
+ *
+ * <p>{@code Admission admission = Admissions.of(settings.getPolicy());}
+ *
+ * @since 0.1
+ */
+public final class Admissions {
+    private Admissions() {}
+
+    /**
+     * Returns an admission.
+     *
+     * @param policy settings of the policy
+     * @return the admission
+     */
+    public static Admission of(Policy policy) {
+        return switch (policy.getAdmission()) {
+            case ALL -> new AdmitAll();
+            case DEADLINE -> new DeadlineAdmission();
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/config/ConfigSnapshot.java
@@ -0,0 +1,159 @@
+package org.wingstall.core.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.wingstall.schema.table.BoxClassRow;
+import org.wingstall.schema.table.ConfigCell;
+import org.wingstall.schema.table.PipelineRow;
+import org.wingstall.schema.table.WorkspaceRow;
+
+/**
+ * An immutable configuration at one revision.
+ *
+ * <p>{@code PipelineRow row = snapshot.pipeline("menu-plan").orElseThrow();}
+ *
+ * @since 0.1
+ */
+public final class ConfigSnapshot {
+    /** The configuration of a gateway that has heard of none. */
+    public static final ConfigSnapshot EMPTY = new ConfigSnapshot(0, Map.of(), Map.of(), Map.of(), Map.of());
+
+    private final long revision;
+    private final Map<String, JsonNode> cells;
+    private final Map<String, PipelineRow> pipelines;
+    private final Map<String, WorkspaceRow> workspaces;
+    private final Map<String, BoxClassRow> boxClasses;
+
+    private ConfigSnapshot(
+            long revision,
+            Map<String, JsonNode> cells,
+            Map<String, PipelineRow> pipelines,
+            Map<String, WorkspaceRow> workspaces,
+            Map<String, BoxClassRow> boxClasses) {
+        this.revision = revision;
+        this.cells = cells;
+        this.pipelines = pipelines;
+        this.workspaces = workspaces;
+        this.boxClasses = boxClasses;
+    }
+
+    /** Returns the revision; 0 when there is no configuration. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the pipeline of a name. */
+    public Optional<PipelineRow> pipeline(String name) {
+        return Optional.ofNullable(pipelines.get(name));
+    }
+
+    /** Returns the workspace of a name. */
+    public Optional<WorkspaceRow> workspace(String name) {
+        return Optional.ofNullable(workspaces.get(name));
+    }
+
+    /** Returns the box class of a name. */
+    public Optional<BoxClassRow> boxClass(String name) {
+        return Optional.ofNullable(boxClasses.get(name));
+    }
+
+    /** Returns all pipelines by name. */
+    public Map<String, PipelineRow> pipelines() {
+        return pipelines;
+    }
+
+    /** Returns all workspaces by name. */
+    public Map<String, WorkspaceRow> workspaces() {
+        return workspaces;
+    }
+
+    /** Returns every row in the order of the keys. */
+    public List<ConfigCell> cells() {
+        return new TreeMap<>(cells)
+                .entrySet().stream()
+                        .map(e -> new ConfigCell(e.getKey(), e.getValue()))
+                        .toList();
+    }
+
+    /**
+     * Returns this configuration with some rows replaced.
+     *
+     * <p>A row that breaks its schema keeps its last good value and is handed to the listener.
+     *
+     * @param newRevision revision of the result
+     * @param changed rows as they now stand; a null value removes the row
+     * @param rejected told of each row that was left as it was
+     * @return the new configuration
+     */
+    public ConfigSnapshot with(long newRevision, List<ConfigCell> changed, RejectedRows rejected) {
+        Builder builder = new Builder(this, newRevision);
+        for (ConfigCell cell : changed) {
+            try {
+                builder.put(cell);
+            } catch (InvalidRowException e) {
+                rejected.rejected(e);
+            }
+        }
+        return builder.build();
+    }
+
+    /** Told of rows that a gateway left as they were. */
+    @FunctionalInterface
+    public interface RejectedRows {
+        /** Takes the failure of one row. */
+        void rejected(InvalidRowException failure);
+    }
+
+    private static final class Builder {
+        private final long revision;
+        private final Map<String, JsonNode> cells;
+        private final Map<String, PipelineRow> pipelines;
+        private final Map<String, WorkspaceRow> workspaces;
+        private final Map<String, BoxClassRow> boxClasses;
+
+        Builder(ConfigSnapshot from, long revision) {
+            this.revision = revision;
+            this.cells = new HashMap<>(from.cells);
+            this.pipelines = new HashMap<>(from.pipelines);
+            this.workspaces = new HashMap<>(from.workspaces);
+            this.boxClasses = new HashMap<>(from.boxClasses);
+        }
+
+        void put(ConfigCell cell) throws InvalidRowException {
+            ConfigKey key = ConfigKey.parse(cell.getKey());
+            boolean removed = cell.getValue() == null || cell.getValue().isNull();
+            Object row = removed ? null : ConfigRows.read(key, cell.getValue());
+            place(key, row);
+            if (removed) {
+                cells.remove(cell.getKey());
+            } else {
+                cells.put(cell.getKey(), cell.getValue());
+            }
+        }
+
+        private void place(ConfigKey key, Object row) {
+            switch (key.kind()) {
+                case PIPELINE -> replace(pipelines, key.name(), (PipelineRow) row);
+                case WORKSPACE -> replace(workspaces, key.name(), (WorkspaceRow) row);
+                case BOX_CLASS -> replace(boxClasses, key.name(), (BoxClassRow) row);
+                default -> throw new AssertionError(key.kind());
+            }
+        }
+
+        private static <T> void replace(Map<String, T> rows, String name, T row) {
+            if (row == null) {
+                rows.remove(name);
+            } else {
+                rows.put(name, row);
+            }
+        }
+
+        ConfigSnapshot build() {
+            return new ConfigSnapshot(revision, cells, pipelines, workspaces, boxClasses);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/limit/ArrivalRate.java
@@ -0,0 +1,46 @@
+package org.wingstall.core.limit;
+
+import org.wingstall.core.time.MonotonicClock;
+
+/**
+ * Arrivals a second, averaged over the last few seconds.
+ *
+ * <p>{@code rate.arrived(); double perSecond = rate.perSecond();}
+ *
+ * @since 0.1
+ */
+public final class ArrivalRate {
+    private static final double TIME_CONSTANT_MS = 2000;
+
+    private final MonotonicClock clock;
+    private double perSecond;
+    private long updatedAtMs;
+
+    /**
+     * Creates a rate of zero.
+     *
+     * @param clock clock that it decays by
+     */
+    public ArrivalRate(MonotonicClock clock) {
+        this.clock = clock;
+        this.updatedAtMs = clock.nowMs();
+    }
+
+    /** Takes note of an arrival. */
+    public synchronized void arrived() {
+        decay();
+        perSecond += 1000 / TIME_CONSTANT_MS;
+    }
+
+    /** Returns arrivals a second. */
+    public synchronized double perSecond() {
+        decay();
+        return perSecond;
+    }
+
+    private void decay() {
+        long nowMs = clock.nowMs();
+        perSecond *= Math.exp((updatedAtMs - nowMs) / TIME_CONSTANT_MS);
+        updatedAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
@@ -0,0 +1,101 @@
+package org.wingstall.core.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wingstall.core.answer.Reason;
+import org.wingstall.core.answer.RefusedException;
+import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.schema.peer.WorkspaceDemand;
+import org.wingstall.schema.table.WorkspaceRow;
+
+/**
+ * Holds workspaces to their fleet-wide limits by this gateway's share of each.
+ *
+ * <p>{@code limiter.admit(workspaceRow);}
+ *
+ * @since 0.1
+ */
+public final class WorkspaceLimiter {
+    /** Limits at or above this are no limit. */
+    public static final double NO_LIMIT_PER_SECOND = 1_000_000;
+
+    private static final int MOST_REPORTED = 8;
+
+    private final MonotonicClock clock;
+    private final RetryAfter retryAfter;
+    private final Map<String, Meter> meters = new ConcurrentHashMap<>();
+    private volatile Fleet fleet = new Fleet(1, 1, Map.of());
+
+    private record Meter(TokenBucket bucket, ArrivalRate arrivals) {}
+
+    private record Fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond) {}
+
+    /**
+     * Creates a limiter that knows of no other gateway.
+     *
+     * @param clock clock of buckets and rates
+     * @param retryAfter spread of the hints
+     */
+    public WorkspaceLimiter(MonotonicClock clock, RetryAfter retryAfter) {
+        this.clock = clock;
+        this.retryAfter = retryAfter;
+    }
+
+    /**
+     * Takes note of the fleet as heartbeats tell it.
+     *
+     * @param knownBoxes entry boxes in the fleet, this one included
+     * @param heardBoxes entry boxes heard lately, this one included
+     * @param othersPerSecond arrivals a second by workspace at the other boxes heard
+     */
+    public void fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond) {
+        fleet = new Fleet(knownBoxes, heardBoxes, Map.copyOf(othersPerSecond));
+    }
+
+    /**
+     * Counts an arrival and refuses it when the workspace's share is used up.
+     *
+     * @param row the workspace
+     * @throws RefusedException if the share is used up
+     */
+    public void admit(WorkspaceRow row) throws RefusedException {
+        if (row.getRequestsPerSecond() >= NO_LIMIT_PER_SECOND) {
+            return;
+        }
+        Meter meter = meters.computeIfAbsent(
+                row.getName(), name -> new Meter(new TokenBucket(clock), new ArrivalRate(clock)));
+        meter.arrivals().arrived();
+        double share = shareOf(row, meter);
+        if (!meter.bucket().tryTake(share)) {
+            String detail = "workspace '" + row.getName() + "' is at its limit of " + row.getRequestsPerSecond()
+                    + " requests a second";
+            throw new RefusedException(
+                    Reason.WORKSPACE_LIMIT,
+                    detail,
+                    retryAfter.spreadMs(meter.bucket().waitMs(share)));
+        }
+    }
+
+    private double shareOf(WorkspaceRow row, Meter meter) {
+        Fleet now = fleet;
+        double own = meter.arrivals().perSecond();
+        double heard = own + now.othersPerSecond().getOrDefault(row.getName(), 0.0);
+        return WorkspaceShares.share(row.getRequestsPerSecond(), now.knownBoxes(), now.heardBoxes(), own, heard);
+    }
+
+    /** Returns the busiest limited workspaces and their arrivals a second here, for heartbeats. */
+    public List<WorkspaceDemand> demand() {
+        List<WorkspaceDemand> demand = new ArrayList<>();
+        meters.forEach((name, meter) -> {
+            double perSecond = meter.arrivals().perSecond();
+            if (perSecond >= 0.05) {
+                demand.add(new WorkspaceDemand(name, Math.round(perSecond * 10) / 10.0));
+            }
+        });
+        demand.sort((a, b) -> Double.compare(b.getPerSecond(), a.getPerSecond()));
+        return List.copyOf(demand.subList(0, Math.min(MOST_REPORTED, demand.size())));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
@@ -0,0 +1,126 @@
+package org.wingstall.core.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.wingstall.core.route.EndpointIdentity;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.schema.platform.Member;
+
+/**
+ * The endpoints of all services, joined from the membership list, the endpoints' own answers and peers' hints.
+ *
+ * <p>An incarnation that was once said to be leaving stays so, whatever a list that lags says later.
+ *
+ * <p>{@code List<EndpointState> engines = registry.endpointsOf("wingstall-llm");}
+ *
+ * @since 0.1
+ */
+public final class EndpointRegistry {
+    private final MonotonicClock clock;
+    private final Map<String, Long> leavingIncarnations = new ConcurrentHashMap<>();
+    private volatile Map<String, EndpointState> byMember = Map.of();
+    private volatile Map<String, List<EndpointState>> byService = Map.of();
+    private volatile boolean known;
+
+    /**
+     * Creates a registry without endpoints.
+     *
+     * @param clock clock of the endpoints' states
+     */
+    public EndpointRegistry(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /** Returns whether a membership list has been seen. */
+    public boolean known() {
+        return known;
+    }
+
+    /** Returns the endpoints of a service; an immutable list. */
+    public List<EndpointState> endpointsOf(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Returns all endpoints. */
+    public Collection<EndpointState> all() {
+        return byMember.values();
+    }
+
+    /**
+     * Takes in a membership list.
+     *
+     * @param members members of all kinds
+     */
+    public synchronized void applyList(List<Member> members) {
+        Map<String, EndpointState> next = new HashMap<>();
+        for (Member member : members) {
+            if (member.getKind() == Member.Kind.ENDPOINT) {
+                next.put(member.getMemberId(), stateOf(member));
+            }
+        }
+        leavingIncarnations.keySet().removeIf(id -> byMember.containsKey(id) && !next.containsKey(id));
+        publish(next);
+        known = true;
+    }
+
+    /**
+     * Takes note that an endpoint is leaving.
+     *
+     * @param memberId the endpoint
+     * @param incarnation its incarnation
+     * @return whether that was news
+     */
+    public synchronized boolean markLeaving(String memberId, long incarnation) {
+        Long before = leavingIncarnations.get(memberId);
+        if (before != null && before >= incarnation) {
+            return false;
+        }
+        leavingIncarnations.put(memberId, incarnation);
+        EndpointState state = byMember.get(memberId);
+        if (state != null && state.identity().incarnation() <= incarnation) {
+            state.markLeaving();
+        }
+        return true;
+    }
+
+    private EndpointState stateOf(Member member) {
+        EndpointState before = byMember.get(member.getMemberId());
+        boolean same = before != null && before.identity().incarnation() == member.getIncarnation();
+        boolean older = before != null && before.identity().incarnation() > member.getIncarnation();
+        EndpointState state = same || older ? before : new EndpointState(identityOf(member), clock);
+        long incarnation = state.identity().incarnation();
+        if (!older && member.getState() == Member.State.LEAVING) {
+            leavingIncarnations.merge(member.getMemberId(), incarnation, Math::max);
+        }
+        if (leavingIncarnations.getOrDefault(member.getMemberId(), -1L) >= incarnation) {
+            state.markLeaving();
+        }
+        return state;
+    }
+
+    private static EndpointIdentity identityOf(Member member) {
+        return new EndpointIdentity(
+                member.getMemberId(),
+                member.getIncarnation(),
+                member.getFailureDomain(),
+                member.getService(),
+                member.getBoxClass() == null ? "" : member.getBoxClass(),
+                Addresses.parse(member.getAddress()));
+    }
+
+    private void publish(Map<String, EndpointState> next) {
+        Map<String, List<EndpointState>> services = new HashMap<>();
+        for (EndpointState state : next.values()) {
+            services.computeIfAbsent(state.identity().service(), service -> new ArrayList<>())
+                    .add(state);
+        }
+        services.replaceAll((service, states) -> List.copyOf(states));
+        byMember = Map.copyOf(next);
+        byService = Map.copyOf(services);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/peer/LinkPlan.java
@@ -0,0 +1,66 @@
+package org.wingstall.core.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Says which gateways keep links: all within a failure domain, and two of each across every pair of domains.
+ *
+ * <p>{@code Set<String> links = LinkPlan.linksOf(self, boxes);}
+ *
+ * @since 0.1
+ */
+public final class LinkPlan {
+    private static final int LINK_BOXES = 2;
+
+    private LinkPlan() {}
+
+    /**
+     * A gateway that may take part.
+     *
+     * @param boxId its box
+     * @param failureDomain its failure domain
+     */
+    public record Box(String boxId, String failureDomain) {}
+
+    /**
+     * Returns the boxes that a gateway keeps links to.
+     *
+     * @param self the gateway
+     * @param boxes gateways thought to be alive
+     * @return identifiers of the boxes
+     */
+    public static Set<String> linksOf(Box self, Collection<Box> boxes) {
+        Map<String, List<String>> domains = new TreeMap<>();
+        domains.computeIfAbsent(self.failureDomain(), domain -> new ArrayList<>())
+                .add(self.boxId());
+        for (Box box : boxes) {
+            if (!box.boxId().equals(self.boxId())) {
+                domains.computeIfAbsent(box.failureDomain(), domain -> new ArrayList<>())
+                        .add(box.boxId());
+            }
+        }
+        Set<String> links = new HashSet<>(domains.get(self.failureDomain()));
+        links.remove(self.boxId());
+        domains.forEach((domain, ids) -> {
+            if (!domain.equals(self.failureDomain()) && isLinkBox(self, domain, domains.get(self.failureDomain()))) {
+                links.addAll(Rendezvous.top(pair(self.failureDomain(), domain), ids, LINK_BOXES));
+            }
+        });
+        return links;
+    }
+
+    private static boolean isLinkBox(Box self, String otherDomain, Collection<String> own) {
+        return Rendezvous.top(pair(self.failureDomain(), otherDomain), own, LINK_BOXES)
+                .contains(self.boxId());
+    }
+
+    private static String pair(String one, String other) {
+        return one.compareTo(other) < 0 ? one + "|" + other : other + "|" + one;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/queue/ArrivalQueue.java
@@ -0,0 +1,40 @@
+package org.wingstall.core.queue;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+
+/** First come, first served; a baseline. */
+final class ArrivalQueue<W extends Waiter> implements WaitQueue<W> {
+    private final LinkedHashSet<W> waiters = new LinkedHashSet<>();
+
+    @Override
+    public void add(W waiter) {
+        waiters.add(waiter);
+    }
+
+    @Override
+    public W poll() {
+        Iterator<W> first = waiters.iterator();
+        if (!first.hasNext()) {
+            return null;
+        }
+        W waiter = first.next();
+        first.remove();
+        return waiter;
+    }
+
+    @Override
+    public boolean remove(W waiter) {
+        return waiters.remove(waiter);
+    }
+
+    @Override
+    public int size() {
+        return waiters.size();
+    }
+
+    @Override
+    public int aheadOf(int precedence) {
+        return waiters.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
@@ -0,0 +1,46 @@
+package org.wingstall.core.retry;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Allows retries as a share of calls, so that a failing service is not buried under its own retries.
+ *
+ * <p>{@code budget.called(); if (budget.tryRetry()) { retry(); }}
+ *
+ * @since 0.1
+ */
+public final class RetryBudget {
+    private static final long RETRY_COST = 1000;
+    private static final long MOST_RETRIES_SAVED = 50;
+    private static final long RETRIES_AT_START = 10;
+
+    private final AtomicLong balance = new AtomicLong(RETRIES_AT_START * RETRY_COST);
+    private final long gainPerCall;
+
+    /**
+     * Creates a budget.
+     *
+     * @param percent retries for a hundred calls
+     */
+    public RetryBudget(double percent) {
+        this.gainPerCall = Math.round(percent / 100 * RETRY_COST);
+    }
+
+    /** Takes note of a first call. */
+    public void called() {
+        balance.accumulateAndGet(gainPerCall, (now, gain) -> Math.min(now + gain, MOST_RETRIES_SAVED * RETRY_COST));
+    }
+
+    /** Takes one retry out of the budget, if it has one left. */
+    public boolean tryRetry() {
+        while (true) {
+            long now = balance.get();
+            if (now < RETRY_COST) {
+                return false;
+            }
+            if (balance.compareAndSet(now, now - RETRY_COST)) {
+                return true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/wingstall/ctl/Command.java
@@ -0,0 +1,16 @@
+package org.wingstall.ctl;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import org.wingstall.core.config.InvalidRowException;
+import org.wingstall.platform.EditConflictException;
+import org.wingstall.platform.PlatformException;
+import org.wingstall.schema.check.InvalidDocumentException;
+
+/** One command of the client. */
+@FunctionalInterface
+interface Command {
+    void run(PrintStream out)
+            throws InvalidDocumentException, InvalidRowException, UsageException, EditConflictException,
+                    NotFoundException, PlatformException, UnreachableException, IOException, InterruptedException;
+}
--- /dev/null
+++ b/ctl/src/main/java/org/wingstall/ctl/ConfigCheck.java
@@ -0,0 +1,36 @@
+package org.wingstall.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.wingstall.core.config.ConfigRows;
+import org.wingstall.core.config.InvalidRowException;
+import org.wingstall.platform.Edit;
+import org.wingstall.schema.check.InvalidDocumentException;
+import org.wingstall.schema.check.Json;
+import org.wingstall.schema.check.SchemaCheck;
+import org.wingstall.schema.settings.GatewaySettings;
+
+/** Checks a file without using it: a gateway's settings, or rows to import. */
+final class ConfigCheck {
+    private ConfigCheck() {}
+
+    static void check(String file, PrintStream out) throws IOException, InvalidDocumentException, InvalidRowException {
+        JsonNode tree = Json.readYaml(Files.readString(Path.of(file)));
+        if (tree.has("boxId")) {
+            SchemaCheck.of(GatewaySettings.class).read(tree);
+            out.println("valid settings of a gateway");
+            return;
+        }
+        Map<String, JsonNode> rows = new HashMap<>();
+        for (Edit edit : ImportFile.read(file)) {
+            rows.put(edit.key().toString(), ((Edit.Row) edit).value());
+        }
+        ConfigRows.checkAcross(rows);
+        out.println("valid rows: " + rows.size());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -0,0 +1,269 @@
+package org.wingstall.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.admit.Admissions;
+import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.config.ConfigStore;
+import org.wingstall.core.limit.WorkspaceLimiter;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.gateway.api.CallerApi;
+import org.wingstall.gateway.api.OperatorApi;
+import org.wingstall.gateway.claim.ClaimKeeper;
+import org.wingstall.gateway.claim.ClaimKeepers;
+import org.wingstall.gateway.control.ConfigFollower;
+import org.wingstall.gateway.control.ControlCpu;
+import org.wingstall.gateway.control.ControlHost;
+import org.wingstall.gateway.control.MemberFollower;
+import org.wingstall.gateway.control.Prober;
+import org.wingstall.gateway.run.RecentRequests;
+import org.wingstall.gateway.run.RetryBudgets;
+import org.wingstall.gateway.run.RunParts;
+import org.wingstall.gateway.run.ServiceGates;
+import org.wingstall.gateway.run.StageTimesTable;
+import org.wingstall.net.BindException;
+import org.wingstall.net.EventLoops;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.HttpLimits;
+import org.wingstall.net.http.HttpServer;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerOptions;
+import org.wingstall.platform.ConfigTable;
+import org.wingstall.platform.HttpPlatform;
+import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.platform.Member;
+import org.wingstall.schema.settings.CallerLimits;
+import org.wingstall.schema.settings.GatewaySettings;
+import org.wingstall.schema.settings.Peering;
+import org.wingstall.schema.settings.PlatformClient;
+
+/**
+ * One gateway: puts its parts together, starts and stops them.
+ *
+ * <p>{@code Gateway gateway = new Gateway(settings); gateway.start(); ... gateway.stop();}
+ *
+ * @since 0.1
+ */
+public final class Gateway {
+    private static final Logger LOG = LogManager.getLogger(Gateway.class);
+    private static final int OPERATOR_BODY_BYTES = 65_536;
+    private static final int OPERATOR_CONNECTIONS = 256;
+    private static final long DRAIN_CHECK_MS = 20;
+
+    private final MonotonicClock clock = System::nanoTime;
+    private final GatewaySettings settings;
+    private final long incarnation = System.currentTimeMillis();
+    private final Metrics metrics = new Metrics();
+    private final RetryAfter retryAfter =
+            new RetryAfter(() -> ThreadLocalRandom.current().nextDouble());
+    private final EventLoop control = EventLoops.group("control", 1).next();
+    private final EventLoopGroup operators = EventLoops.group("operators", 1);
+    private final EventLoopGroup requests;
+    private final HttpClient client = new HttpClient();
+    private final ConfigStore config;
+    private final EndpointRegistry registry = new EndpointRegistry(clock);
+    private final WorkspaceLimiter limiter = new WorkspaceLimiter(clock, retryAfter);
+    private final GatewayState state;
+    private final HttpPlatform platform;
+    private final PeerMesh mesh;
+    private final ServiceGates gates;
+    private final MemberFollower members;
+    private final ConfigFollower follower;
+    private final ClaimKeeper claims;
+    private final Prober prober;
+    private final CallerApi callerApi;
+    private final OperatorApi operatorApi;
+    private HttpServer callerServer;
+
+    /**
+     * Puts a gateway together.
+     *
+     * @param settings settings of the process
+     */
+    public Gateway(GatewaySettings settings) {
+        this.settings = settings;
+        this.requests = EventLoops.group("requests", settings.getEventLoopThreads());
+        this.config = new ConfigStore(failure -> {
+            metrics.rowRejected();
+            LogEvent.warn("config-row-rejected").cause(failure).to(LOG);
+        });
+        this.state = new GatewayState(config, registry, retryAfter);
+        PlatformClient platformSettings = settings.getPlatformClient();
+        this.platform = new HttpPlatform(
+                client,
+                control,
+                Addresses.parse(settings.getPlatformAddress()),
+                platformSettings.getCallTimeoutMs(),
+                clock);
+        ControlHost host = new ControlHost(config, registry, limiter, clock, state::isStopping, this::endpointsChanged);
+        this.mesh = new PeerMesh(peerOptions(), host, control, clock);
+        this.gates = new ServiceGates(
+                registry,
+                config,
+                settings.getPolicy(),
+                settings.getFailureDomain(),
+                mesh::heardInDomain,
+                mesh::knownBoxes);
+        this.members =
+                new MemberFollower(platform, control, platformSettings.getMemberIntervalMs(), this::membersChanged);
+        this.follower = new ConfigFollower(
+                new ConfigTable(platform),
+                config,
+                control,
+                platformSettings.getPollIntervalMs(),
+                () -> !settings.getPeerSeeds().isEmpty(),
+                this::endpointsChanged);
+        this.claims = createClaims(platformSettings);
+        host.attach(mesh, members, claims);
+        this.prober =
+                new Prober(registry, config, client, control, settings.getPolicy(), idPrefix(), this::endpointsChanged);
+        RunParts parts = runParts(host);
+        this.callerApi = new CallerApi(parts, config, limiter, state, idPrefix());
+        this.operatorApi =
+                new OperatorApi(settings, state, config, registry, mesh, platform, parts.recent(), metrics, clock);
+    }
+
+    private ClaimKeeper createClaims(PlatformClient platformSettings) {
+        ClaimKeeper.Parts parts =
+                new ClaimKeeper.Parts(idPrefix(), platform, platform::suspect, platform, control, retryAfter, metrics);
+        return ClaimKeepers.create(
+                parts,
+                clock,
+                mesh,
+                settings.getBoxId(),
+                platformSettings.getBatchIntervalMs(),
+                platformSettings.getCallTimeoutMs());
+    }
+
+    private RunParts runParts(ControlHost host) {
+        return new RunParts(
+                settings,
+                clock,
+                client,
+                gates,
+                new StageTimesTable(),
+                Admissions.of(settings.getPolicy()),
+                new RetryBudgets(settings.getPolicy().getRetryBudgetPercent()),
+                claims,
+                retryAfter,
+                metrics,
+                new RecentRequests(),
+                host::endpointSaysLeaving);
+    }
+
+    private PeerOptions peerOptions() {
+        Peering peering = settings.getPeering();
+        Hello hello =
+                new Hello(settings.getBoxId(), settings.getFailureDomain(), settings.getPeerAddress(), incarnation);
+        return new PeerOptions(
+                hello,
+                Addresses.parse(settings.getPeerAddress()),
+                settings.getPeerSeeds().stream().map(Addresses::parse).toList(),
+                peering.getHeartbeatMs(),
+                peering.getSilentAfterMs(),
+                peering.getBudgetBytesPerSecond());
+    }
+
+    private String idPrefix() {
+        return settings.getBoxId() + "." + Long.toString(incarnation, Character.MAX_RADIX);
+    }
+
+    private void membersChanged(List<Member> list) {
+        registry.applyList(list);
+        mesh.applyList(list);
+        endpointsChanged();
+    }
+
+    private void endpointsChanged() {
+        gates.drainAll();
+    }
+
+    /**
+     * Starts the gateway.
+     *
+     * @throws BindException if an address can't be had
+     */
+    public void start() throws BindException {
+        Warmup.run();
+        CallerLimits limits = settings.getCallerLimits();
+        HttpServer.start(
+                operators,
+                Addresses.parse(settings.getOperatorAddress()),
+                new HttpLimits(
+                        OPERATOR_BODY_BYTES,
+                        OPERATOR_CONNECTIONS,
+                        limits.getRequestReadMs(),
+                        limits.getIdleConnectionMs()),
+                operatorApi::handle,
+                rejection -> new byte[0]);
+        callerServer = HttpServer.start(
+                requests,
+                Addresses.parse(settings.getCallerAddress()),
+                new HttpLimits(
+                        limits.getMaxBodyBytes(),
+                        limits.getMaxConnections(),
+                        limits.getRequestReadMs(),
+                        limits.getIdleConnectionMs()),
+                callerApi::handle,
+                callerApi::rejected);
+        showGauges();
+        mesh.start();
+        members.start();
+        follower.start();
+        prober.start();
+        LogEvent.info("started")
+                .with("box", settings.getBoxId())
+                .with("failureDomain", settings.getFailureDomain())
+                .to(LOG);
+    }
+
+    private void showGauges() {
+        ControlCpu cpu = new ControlCpu(control);
+        metrics.gauge("wingstall.control.cpu.seconds", cpu::seconds);
+        metrics.gauge("wingstall.config.revision", () -> config.current().revision());
+        metrics.gauge("wingstall.platform.revision", follower::platformRevision);
+        metrics.gauge("wingstall.requests.in.flight", callerApi::inFlight);
+        metrics.gauge("wingstall.stages.waiting", gates::waiting);
+        metrics.gauge("wingstall.caller.connections", callerServer::connections);
+        metrics.gauge("wingstall.claims.pending", claims::pending);
+        metrics.gauge("wingstall.peers.heard.in.domain", mesh::heardInDomain);
+        metrics.gauge("wingstall.peer.sent.bytes", mesh::sentBytes);
+        metrics.gauge("wingstall.peer.received.bytes", mesh::receivedBytes);
+        metrics.gauge("wingstall.platform.body.bytes", platform::bodyBytes);
+        metrics.gauge("wingstall.platform.heard.age.ms", platform::heardAgeMs);
+    }
+
+    /** Stops as planned: tells balancer and peers, serves what is in flight, then closes; bounded by the settings. */
+    public void stop() {
+        LogEvent.info("stopping").with("inFlight", callerApi.inFlight()).to(LOG);
+        state.stopping();
+        mesh.beatNow();
+        long untilMs = clock.nowMs() + settings.getShutdownGraceMs();
+        waitUntil(clock.nowMs() + settings.getShutdownNoticeMs(), () -> false);
+        callerServer.close();
+        callerServer.drain();
+        waitUntil(untilMs, () -> callerApi.inFlight() == 0 && claims.pending() == 0);
+        state.refusing();
+        LogEvent.info("stopped")
+                .with("inFlight", callerApi.inFlight())
+                .with("claimsPending", claims.pending())
+                .to(LOG);
+        mesh.close();
+        LogManager.shutdown();
+    }
+
+    private void waitUntil(long untilMs, java.util.function.BooleanSupplier done) {
+        while (clock.nowMs() < untilMs && !done.getAsBoolean()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRAIN_CHECK_MS));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
@@ -0,0 +1,43 @@
+package org.wingstall.gateway.claim;
+
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.peer.PeerMesh;
+
+/**
+ * Puts a claim keeper together from the writers that the settings ask for.
+ *
+ * <p>{@code ClaimKeeper keeper = ClaimKeepers.create(parts, mesh, "kgn-a-1", 50, 400);}
+ *
+ * @since 0.1
+ */
+public final class ClaimKeepers {
+    private ClaimKeepers() {}
+
+    /**
+     * Creates a keeper.
+     *
+     * @param parts what it works with
+     * @param clock clock of the batches
+     * @param mesh links to the box that commits for the failure domain
+     * @param boxId this box
+     * @param batchIntervalMs least time between two transactions, in ms; 0 commits each change alone, here
+     * @param forwardTimeoutMs longest wait for the committing box, in ms
+     * @return the keeper
+     */
+    public static ClaimKeeper create(
+            ClaimKeeper.Parts parts,
+            MonotonicClock clock,
+            PeerMesh mesh,
+            String boxId,
+            long batchIntervalMs,
+            long forwardTimeoutMs) {
+        if (batchIntervalMs == 0) {
+            ClaimWriter single = new SingleClaimWriter(parts.table(), parts.metrics());
+            return new ClaimKeeper(parts, single, single);
+        }
+        ClaimWriter local =
+                new BatchingClaimWriter(parts.table(), parts.loop(), clock, batchIntervalMs, parts.metrics());
+        ClaimWriter writer = new ForwardingClaimWriter(boxId, mesh, local, forwardTimeoutMs, parts.metrics());
+        return new ClaimKeeper(parts, writer, local);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -0,0 +1,182 @@
+package org.wingstall.gateway.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.config.ConfigStore;
+import org.wingstall.core.limit.WorkspaceLimiter;
+import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.gateway.claim.ClaimKeeper;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.PeerHost;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerState;
+import org.wingstall.schema.peer.ClaimReply;
+import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.schema.peer.ConfigReply;
+import org.wingstall.schema.peer.DomainSummary;
+import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.LeavingHint;
+import org.wingstall.schema.peer.WorkspaceDemand;
+import org.wingstall.schema.table.ConfigCell;
+
+/**
+ * Joins a gateway's state with what its peers tell.
+ *
+ * <p>{@code ControlHost host = new ControlHost(parts); host.attach(mesh, members, claims);}
+ *
+ * @since 0.1
+ */
+public final class ControlHost implements PeerHost {
+    private static final Logger LOG = LogManager.getLogger(ControlHost.class);
+
+    private final ConfigStore config;
+    private final EndpointRegistry registry;
+    private final WorkspaceLimiter limiter;
+    private final BooleanSupplier stopping;
+    private final LeavingHints hints;
+    private final Runnable endpointsChanged;
+    private PeerMesh mesh;
+    private MemberFollower members;
+    private ClaimKeeper claims;
+
+    /**
+     * Creates the host.
+     *
+     * @param config the configuration in force
+     * @param registry endpoints
+     * @param limiter limits of workspaces
+     * @param clock clock of hints
+     * @param stopping whether a planned stop has begun
+     * @param endpointsChanged told when endpoints or limits changed
+     */
+    public ControlHost(
+            ConfigStore config,
+            EndpointRegistry registry,
+            WorkspaceLimiter limiter,
+            MonotonicClock clock,
+            BooleanSupplier stopping,
+            Runnable endpointsChanged) {
+        this.config = config;
+        this.registry = registry;
+        this.limiter = limiter;
+        this.stopping = stopping;
+        this.hints = new LeavingHints(clock);
+        this.endpointsChanged = endpointsChanged;
+    }
+
+    /** Connects the host with the parts that were made from it. */
+    public void attach(PeerMesh peerMesh, MemberFollower memberFollower, ClaimKeeper claimKeeper) {
+        mesh = peerMesh;
+        members = memberFollower;
+        claims = claimKeeper;
+    }
+
+    @Override
+    public long revision() {
+        return config.current().revision();
+    }
+
+    @Override
+    public boolean starting() {
+        return revision() == 0 || !registry.known();
+    }
+
+    @Override
+    public Heartbeat heartbeat() {
+        updateLimits();
+        return new Heartbeat(revision(), stopping.getAsBoolean(), hints.current(), limiter.demand(), List.of());
+    }
+
+    private void updateLimits() {
+        Map<String, Double> others = new HashMap<>();
+        int heard = 1;
+        for (PeerState peer : mesh.peers()) {
+            boolean inDomain = mesh.inOwnDomain(peer);
+            if (inDomain && mesh.heard(peer)) {
+                heard++;
+                add(others, peer.demand());
+            }
+        }
+        for (DomainSummary domain : mesh.domains()) {
+            heard += domain.getBoxes();
+            add(others, domain.getDemand());
+        }
+        limiter.fleet(mesh.knownBoxes(), heard, others);
+    }
+
+    private static void add(Map<String, Double> sums, List<WorkspaceDemand> demand) {
+        if (demand != null) {
+            demand.forEach(entry -> sums.merge(entry.getWorkspace(), entry.getPerSecond(), Double::sum));
+        }
+    }
+
+    @Override
+    public boolean heard(Heartbeat heartbeat) {
+        boolean news = false;
+        if (heartbeat.getLeaving() != null) {
+            for (LeavingHint hint : heartbeat.getLeaving()) {
+                news |= learnLeaving(hint.getMemberId(), hint.getIncarnation(), "peer");
+            }
+        }
+        return news;
+    }
+
+    /** Takes note of an endpoint whose own answer says that it is leaving, and tells peers at once. */
+    public void endpointSaysLeaving(EndpointState endpoint) {
+        if (learnLeaving(endpoint.identity().memberId(), endpoint.identity().incarnation(), "endpoint")) {
+            mesh.beatNow();
+        }
+    }
+
+    private boolean learnLeaving(String memberId, long incarnation, String from) {
+        if (!registry.markLeaving(memberId, incarnation)) {
+            return false;
+        }
+        hints.add(memberId, incarnation);
+        LogEvent.info("endpoint-leaving")
+                .with("endpoint", memberId)
+                .with("from", from)
+                .to(LOG);
+        endpointsChanged.run();
+        return true;
+    }
+
+    @Override
+    public ConfigReply configAfter(long revision) {
+        long mine = config.current().revision();
+        Optional<List<ConfigCell>> delta = revision == 0 ? Optional.empty() : config.cellsAfter(revision);
+        if (delta.isPresent()) {
+            return new ConfigReply(mine, false, delta.get(), null);
+        }
+        return new ConfigReply(mine, true, config.current().cells(), members.last());
+    }
+
+    @Override
+    public void configReceived(long afterRevision, ConfigReply reply) {
+        List<ConfigCell> cells = reply.getCells() == null ? List.of() : reply.getCells();
+        boolean taken = reply.isComplete()
+                ? config.offerComplete(reply.getRevision(), cells)
+                : config.offerPeerDelta(afterRevision, reply.getRevision(), cells);
+        members.offerFromPeer(reply.getMembers());
+        if (taken) {
+            LogEvent.info("config-in-force")
+                    .with("revision", revision())
+                    .with("from", "peer")
+                    .to(LOG);
+            endpointsChanged.run();
+        }
+    }
+
+    @Override
+    public CompletableFuture<ClaimReply> commit(ClaimRequest request) {
+        return claims.commitForPeer(request);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
@@ -0,0 +1,132 @@
+package org.wingstall.gateway.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.config.ConfigStore;
+import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.OutgoingRequest;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.schema.check.Json;
+import org.wingstall.schema.endpoint.StageCall;
+import org.wingstall.schema.settings.Policy;
+import org.wingstall.schema.table.PipelineRow;
+import org.wingstall.schema.table.StageRow;
+
+/**
+ * Lets ejected endpoints run one small call each, and gives them work again when they answer it.
+ *
+ * <p>A health page is asked only where a call may not be repeated: an endpoint can answer its page and run nothing (Ramjet
+ * on DeepSeek-V4.1-Flash, "A replica that answered health checks but no requests").
+ *
+ * <p>{@code prober.start();}
+ *
+ * @since 0.1
+ */
+public final class Prober {
+    private static final Logger LOG = LogManager.getLogger(Prober.class);
+    private static final JsonNode PROBE_INPUT = Json.MAPPER.createObjectNode().put("text", "probe");
+
+    private final EndpointRegistry registry;
+    private final ConfigStore config;
+    private final HttpClient client;
+    private final EventLoop loop;
+    private final Policy policy;
+    private final Runnable recovered;
+    private final String idPrefix;
+    private final AtomicLong lastProbe = new AtomicLong();
+
+    /**
+     * Creates a prober.
+     *
+     * @param registry endpoints
+     * @param config tells of what kind a service is
+     * @param client HTTP client
+     * @param loop the control loop
+     * @param policy settings of the policy
+     * @param idPrefix first part of the probes' request identifiers
+     * @param recovered told when an endpoint gets work again
+     */
+    public Prober(
+            EndpointRegistry registry,
+            ConfigStore config,
+            HttpClient client,
+            EventLoop loop,
+            Policy policy,
+            String idPrefix,
+            Runnable recovered) {
+        this.registry = registry;
+        this.config = config;
+        this.client = client;
+        this.loop = loop;
+        this.policy = policy;
+        this.idPrefix = idPrefix;
+        this.recovered = recovered;
+    }
+
+    /** Begins to probe. */
+    public void start() {
+        loop.scheduleWithFixedDelay(
+                this::probeEjected, policy.getProbeIntervalMs(), policy.getProbeIntervalMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private void probeEjected() {
+        Map<String, StageRow> stages = stagesByService();
+        for (EndpointState endpoint : registry.all()) {
+            if (endpoint.ejected() && !endpoint.leaving()) {
+                probe(endpoint, stages.get(endpoint.identity().service()));
+            }
+        }
+    }
+
+    private Map<String, StageRow> stagesByService() {
+        Map<String, StageRow> stages = new HashMap<>();
+        for (PipelineRow pipeline : config.current().pipelines().values()) {
+            for (StageRow stage : pipeline.getStages()) {
+                StageRow other = stages.get(stage.getService());
+                if (other == null || other.isRepeatable()) {
+                    stages.put(stage.getService(), stage);
+                }
+            }
+        }
+        return stages;
+    }
+
+    private void probe(EndpointState endpoint, StageRow stage) {
+        boolean runs = stage != null && stage.isRepeatable() && stage.getKind() != StageRow.Kind.PLAIN;
+        OutgoingRequest request = runs
+                ? OutgoingRequest.post(endpoint.address(), "/v1/stage", Json.write(probeCall(stage)))
+                : OutgoingRequest.get(endpoint.address(), "/healthz");
+        client.call(loop, request.fresh(), policy.getProbeTimeoutMs()).thenAccept(reply -> {
+            if (reply.ok()) {
+                endpoint.probeSucceeded();
+                LogEvent.info("endpoint-recovered")
+                        .with("endpoint", endpoint.identity().memberId())
+                        .to(LOG);
+                recovered.run();
+            }
+        });
+    }
+
+    private StageCall probeCall(StageRow stage) {
+        String requestId = idPrefix + ".probe" + lastProbe.incrementAndGet();
+        return new StageCall(
+                requestId,
+                stage.getName(),
+                1,
+                "wingstall-probe",
+                null,
+                0,
+                policy.getProbeTimeoutMs(),
+                1,
+                0,
+                PROBE_INPUT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -0,0 +1,48 @@
+package org.wingstall.gateway.run;
+
+import org.wingstall.core.admit.Admission;
+import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.gateway.Metrics;
+import org.wingstall.gateway.claim.ClaimKeeper;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.schema.settings.GatewaySettings;
+
+/**
+ * What all requests of a gateway share.
+ *
+ * @param settings settings of the process
+ * @param clock clock of deadlines
+ * @param client HTTP client towards endpoints
+ * @param gates slots at endpoints
+ * @param times measured times of stages
+ * @param admission decides whether a deadline can be met
+ * @param budgets retry budgets by service
+ * @param claims claims of non-repeatable requests
+ * @param retryAfter spread of hints
+ * @param metrics counters
+ * @param recent requests that ended lately
+ * @param leaving told of an endpoint that says it is leaving
+ * @since 0.1
+ */
+public record RunParts(
+        GatewaySettings settings,
+        MonotonicClock clock,
+        HttpClient client,
+        ServiceGates gates,
+        StageTimesTable times,
+        Admission admission,
+        RetryBudgets budgets,
+        ClaimKeeper claims,
+        RetryAfter retryAfter,
+        Metrics metrics,
+        RecentRequests recent,
+        LeavingListener leaving) {
+    /** Told of endpoints that say they are leaving. */
+    @FunctionalInterface
+    public interface LeavingListener {
+        /** Takes note of an endpoint. */
+        void leaving(EndpointState endpoint);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -0,0 +1,178 @@
+package org.wingstall.gateway.run;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.wingstall.core.queue.WaitQueue;
+import org.wingstall.core.route.Candidate;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.route.RouteRequest;
+import org.wingstall.core.route.Router;
+
+/**
+ * Grants slots at the endpoints of one service: at once while there are free ones and nobody waits, else in the order of
+ * the queue.
+ */
+final class ServiceGate {
+    private final Supplier<List<Candidate>> candidates;
+    private final Router router;
+    private final String failureDomain;
+    private final boolean spillover;
+    private final WaitQueue<StageWaiter> queue;
+    private volatile int waiting;
+
+    ServiceGate(
+            Supplier<List<Candidate>> candidates,
+            Router router,
+            String failureDomain,
+            boolean spillover,
+            WaitQueue<StageWaiter> queue) {
+        this.candidates = candidates;
+        this.router = router;
+        this.failureDomain = failureDomain;
+        this.spillover = spillover;
+        this.queue = queue;
+    }
+
+    /** Grants a slot now or later, or tells the waiter that there is no endpoint. */
+    void request(StageWaiter waiter) {
+        if (waiting == 0 && serve(waiter)) {
+            return;
+        }
+        synchronized (queue) {
+            queue.add(waiter);
+            waiting = queue.size();
+        }
+        drain();
+    }
+
+    /** Takes back a waiter that gave up; returns whether it was still waiting. */
+    boolean withdraw(StageWaiter waiter) {
+        synchronized (queue) {
+            boolean removed = queue.remove(waiter);
+            waiting = queue.size();
+            return removed;
+        }
+    }
+
+    /** Serves those who wait, after a slot was given back or an endpoint changed. */
+    void drain() {
+        if (waiting == 0) {
+            return;
+        }
+        synchronized (queue) {
+            List<StageWaiter> unserved = new ArrayList<>();
+            while (queue.size() > 0 && anyFreeSlot()) {
+                StageWaiter next = queue.poll();
+                if (!serve(next)) {
+                    unserved.add(next);
+                }
+            }
+            unserved.forEach(queue::add);
+            waiting = queue.size();
+        }
+    }
+
+    /** Returns the time that a new waiter of the precedence would wait, given the time of one call, in ms. */
+    double expectedWaitMs(int precedence, double callMs) {
+        if (waiting == 0) {
+            return 0;
+        }
+        int ahead;
+        synchronized (queue) {
+            ahead = queue.aheadOf(precedence);
+        }
+        return (ahead + 1) * callMs / Math.max(1, slots());
+    }
+
+    int waiting() {
+        return waiting;
+    }
+
+    private int slots() {
+        int slots = 0;
+        for (Candidate candidate : candidates.get()) {
+            if (candidate.endpoint().serving()) {
+                slots += candidate.window();
+            }
+        }
+        return slots;
+    }
+
+    private boolean anyFreeSlot() {
+        boolean anyServing = false;
+        for (Candidate candidate : candidates.get()) {
+            boolean serving = candidate.endpoint().serving();
+            anyServing |= serving;
+            if (serving && candidate.endpoint().inFlight() < candidate.window()) {
+                return true;
+            }
+        }
+        return !anyServing;
+    }
+
+    /** Returns whether the waiter need not wait any longer. */
+    private boolean serve(StageWaiter waiter) {
+        List<Candidate> possible = new ArrayList<>();
+        for (Candidate candidate : candidates.get()) {
+            boolean usable = candidate.endpoint().serving() && !waiter.excludes(candidate.endpoint());
+            if (usable) {
+                possible.add(candidate);
+            }
+        }
+        if (possible.isEmpty()) {
+            waiter.noEndpoint();
+            return true;
+        }
+        EndpointState endpoint = acquire(possible, waiter);
+        if (endpoint == null) {
+            return false;
+        }
+        waiter.granted(endpoint);
+        return true;
+    }
+
+    private EndpointState acquire(List<Candidate> possible, StageWaiter waiter) {
+        RouteRequest request = new RouteRequest(failureDomain, waiter.expectedMs(), waiter.prefixDigests());
+        List<Candidate> free = freeOf(possible, true);
+        if (free.isEmpty() && (spillover || !hasLocal(possible))) {
+            free = freeOf(possible, false);
+        }
+        while (!free.isEmpty()) {
+            EndpointState chosen = router.choose(free, request);
+            if (chosen.tryAcquire(windowOf(free, chosen))) {
+                return chosen;
+            }
+            free.removeIf(candidate -> candidate.endpoint() == chosen);
+        }
+        return null;
+    }
+
+    private List<Candidate> freeOf(List<Candidate> possible, boolean local) {
+        List<Candidate> free = new ArrayList<>();
+        for (Candidate candidate : possible) {
+            boolean matches = isLocal(candidate) == local;
+            if (matches && candidate.endpoint().inFlight() < candidate.window()) {
+                free.add(candidate);
+            }
+        }
+        return free;
+    }
+
+    private boolean hasLocal(List<Candidate> possible) {
+        return possible.stream().anyMatch(this::isLocal);
+    }
+
+    private boolean isLocal(Candidate candidate) {
+        return candidate.endpoint().identity().failureDomain().equals(failureDomain);
+    }
+
+    private static int windowOf(List<Candidate> candidates, EndpointState endpoint) {
+        for (Candidate candidate : candidates) {
+            if (candidate.endpoint() == endpoint) {
+                return candidate.window();
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -0,0 +1,76 @@
+package org.wingstall.net.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+
+/** Passes the answer on a connection to the exchange that the connection carries at the moment. */
+final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private HttpExchange current;
+    private InetSocketAddress address;
+    private HttpClient client;
+
+    void begin(HttpExchange exchange, InetSocketAddress to, HttpClient owner) {
+        current = exchange;
+        address = to;
+        client = owner;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (current == null) {
+            ctx.close();
+            return;
+        }
+        if (!message.decoderResult().isSuccess()) {
+            fail(TransportException.Kind.PROTOCOL, "the answer is no HTTP");
+            ctx.close();
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            current.head(head);
+        }
+        if (message instanceof HttpContent part && part.content().isReadable()) {
+            current.content(part);
+        }
+        if (message instanceof LastHttpContent) {
+            finish(ctx);
+        }
+    }
+
+    private void finish(ChannelHandlerContext ctx) {
+        HttpExchange done = current;
+        current = null;
+        if (done.complete() && ctx.channel().isActive()) {
+            client.keep(ctx.channel(), address);
+        } else {
+            ctx.close();
+        }
+    }
+
+    private void fail(TransportException.Kind kind, String detail) {
+        HttpExchange broken = current;
+        current = null;
+        if (broken != null) {
+            broken.failed(kind, detail);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (client != null) {
+            client.forget(ctx.channel(), address);
+        }
+        fail(TransportException.Kind.RESET, "the connection closed before the answer was whole");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        fail(TransportException.Kind.RESET, String.valueOf(cause.getMessage()));
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/wingstall/net/http/HttpCall.java
@@ -0,0 +1,198 @@
+package org.wingstall.net.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.wingstall.schema.check.Json;
+
+/**
+ * One HTTP request and the means to answer it; all methods are for the event loop of its connection.
+ *
+ * <p>{@code call.respond(200, HttpCall.JSON, Json.write(answer));}
+ *
+ * @since 0.1
+ */
+public final class HttpCall {
+    /** Content type of JSON bodies. */
+    public static final String JSON = "application/json";
+
+    /** Content type of event streams. */
+    public static final String EVENT_STREAM = "text/event-stream";
+
+    private final Channel channel;
+    private final String method;
+    private final QueryStringDecoder uri;
+    private final HttpHeaders headers;
+    private final byte[] body;
+    private final boolean keepAlive;
+    private final Runnable whenAnswered;
+    private final AtomicBoolean draining;
+    private Runnable onDisconnect = () -> {};
+    private boolean streaming;
+    private boolean answered;
+
+    HttpCall(Channel channel, FullHttpRequest request, Runnable whenAnswered, AtomicBoolean draining) {
+        this.channel = channel;
+        this.method = request.method().name();
+        this.uri = new QueryStringDecoder(request.uri());
+        this.headers = request.headers();
+        this.body = ByteBufUtil.getBytes(request.content());
+        this.draining = draining;
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.whenAnswered = whenAnswered;
+    }
+
+    /** Returns the method in capitals. */
+    public String method() {
+        return method;
+    }
+
+    /** Returns the path without its query. */
+    public String path() {
+        return uri.path();
+    }
+
+    /** Returns the first value of a query parameter, or the default. */
+    public String query(String name, String otherwise) {
+        List<String> values = uri.parameters().get(name);
+        return values == null ? otherwise : values.get(0);
+    }
+
+    /** Returns a header's value, or null. */
+    public String header(String name) {
+        return headers.get(name);
+    }
+
+    /** Returns the body's bytes. */
+    public byte[] body() {
+        return body;
+    }
+
+    /** Returns the event loop that the call belongs to. */
+    public EventLoop eventLoop() {
+        return channel.eventLoop();
+    }
+
+    /** Returns whether an answer was given whole. */
+    public boolean answered() {
+        return answered;
+    }
+
+    /** Sets what to do when the client goes away before it has its answer. */
+    public void onDisconnect(Runnable action) {
+        onDisconnect = action;
+    }
+
+    void disconnected() {
+        if (!answered) {
+            answered = true;
+            onDisconnect.run();
+        }
+    }
+
+    /** Answers with a whole body. */
+    public void respond(int status, String contentType, byte[] content) {
+        respond(status, contentType, content, Map.of());
+    }
+
+    /** Answers with a whole body and headers of its own. */
+    public void respond(int status, String contentType, byte[] content, Map<String, String> extraHeaders) {
+        if (answered) {
+            return;
+        }
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
+        HttpUtil.setContentLength(response, content.length);
+        setHeaders(response, contentType);
+        extraHeaders.forEach((name, value) -> response.headers().set(name, value));
+        finish(response);
+    }
+
+    /** Answers with a JSON body. */
+    public void respondJson(int status, Object document) {
+        respond(status, JSON, Json.write(document));
+    }
+
+    /** Returns whether an event stream was begun. */
+    public boolean streaming() {
+        return streaming;
+    }
+
+    /** Begins an event stream. */
+    public void beginEvents() {
+        if (answered || streaming) {
+            return;
+        }
+        streaming = true;
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpUtil.setTransferEncodingChunked(head, true);
+        setHeaders(head, EVENT_STREAM);
+        channel.writeAndFlush(head, channel.voidPromise());
+    }
+
+    /** Sends one event of a stream. */
+    public void event(String name, byte[] data) {
+        if (answered) {
+            return;
+        }
+        ByteBuf text = channel.alloc().buffer(name.length() + data.length + 16);
+        text.writeCharSequence("event: " + name + "\ndata: ", StandardCharsets.UTF_8);
+        text.writeBytes(data);
+        text.writeCharSequence("\n\n", StandardCharsets.US_ASCII);
+        channel.writeAndFlush(new DefaultHttpContent(text), channel.voidPromise());
+    }
+
+    /** Ends an event stream. */
+    public void endEvents() {
+        if (!answered) {
+            finish(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    /** Closes the connection without an answer. */
+    public void abort() {
+        answered = true;
+        channel.close();
+    }
+
+    private void setHeaders(HttpResponse response, String contentType) {
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        if (!keepsConnection()) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private boolean keepsConnection() {
+        return keepAlive && !draining.get();
+    }
+
+    private void finish(Object last) {
+        answered = true;
+        var written = channel.writeAndFlush(last);
+        if (!keepsConnection()) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        whenAnswered.run();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -0,0 +1,67 @@
+package org.wingstall.net.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Collects an answer whole, within a time. */
+final class ReplyCollector implements ResponseListener {
+    private final EventLoop loop;
+    private final long timeoutMs;
+    private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpExchange exchange;
+    private ScheduledFuture<?> timer;
+    private int status;
+
+    ReplyCollector(EventLoop loop, long timeoutMs) {
+        this.loop = loop;
+        this.timeoutMs = timeoutMs;
+    }
+
+    CompletableFuture<HttpReply> reply() {
+        return reply;
+    }
+
+    void begin(HttpClient client, OutgoingRequest request) {
+        timer = loop.schedule(this::expire, timeoutMs, TimeUnit.MILLISECONDS);
+        exchange = client.send(loop, request, (int) Math.min(Integer.MAX_VALUE, timeoutMs), this);
+    }
+
+    private void expire() {
+        boolean written = exchange != null && exchange.requestWritten();
+        if (exchange != null) {
+            exchange.cancel();
+        }
+        String detail = "no whole answer within " + timeoutMs + " ms";
+        reply.completeExceptionally(new TransportException(TransportException.Kind.TIMEOUT, written, detail));
+    }
+
+    @Override
+    public void head(int code, HttpHeaders headers) {
+        status = code;
+    }
+
+    @Override
+    public void content(ByteBuf part) {
+        byte[] bytes = new byte[part.readableBytes()];
+        part.getBytes(part.readerIndex(), bytes);
+        body.writeBytes(bytes);
+    }
+
+    @Override
+    public void complete() {
+        timer.cancel(false);
+        reply.complete(new HttpReply(status, body.toByteArray()));
+    }
+
+    @Override
+    public void failed(TransportException failure) {
+        timer.cancel(false);
+        reply.completeExceptionally(failure);
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -0,0 +1,103 @@
+package org.wingstall.net.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Bounds the number of connections, the time that a request takes to arrive, and idle time. */
+final class RequestGuard extends ChannelDuplexHandler {
+    private final HttpLimits limits;
+    private final Rejection.Body rejections;
+    private final AtomicInteger connections;
+    private ScheduledFuture<?> timer;
+    private int unanswered;
+
+    RequestGuard(HttpLimits limits, Rejection.Body rejections, AtomicInteger connections) {
+        this.limits = limits;
+        this.rejections = rejections;
+        this.connections = connections;
+    }
+
+    static void reject(ChannelHandlerContext ctx, Rejection rejection, Rejection.Body rejections) {
+        byte[] body = rejections.of(rejection);
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        HttpUtil.setContentLength(response, body.length);
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        if (connections.incrementAndGet() > limits.maxConnections()) {
+            reject(ctx, Rejection.TOO_MANY_CONNECTIONS, rejections);
+            return;
+        }
+        arm(ctx, limits.requestReadMs(), Rejection.SLOW_REQUEST);
+        ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        connections.decrementAndGet();
+        disarm();
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof HttpRequest) {
+            unanswered++;
+            arm(ctx, limits.requestReadMs(), Rejection.SLOW_REQUEST);
+        }
+        if (message instanceof LastHttpContent) {
+            disarm();
+        }
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        if (message instanceof LastHttpContent) {
+            unanswered--;
+            if (unanswered <= 0) {
+                arm(ctx, limits.idleMs(), null);
+            }
+        }
+        ctx.write(message, promise);
+    }
+
+    private void arm(ChannelHandlerContext ctx, long afterMs, Rejection rejection) {
+        disarm();
+        timer = ctx.executor().schedule(() -> expire(ctx, rejection), afterMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void disarm() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void expire(ChannelHandlerContext ctx, Rejection rejection) {
+        if (rejection == null) {
+            ctx.close();
+        } else {
+            reject(ctx, rejection, rejections);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/wingstall/net/http/ResponseListener.java
@@ -0,0 +1,27 @@
+package org.wingstall.net.http;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Told of the parts of an answer, on the event loop of the call; ends with exactly one of the last two methods.
+ *
+ * <p>{@code client.send(loop, request, connectTimeoutMs, listener);}
+ *
+ * @since 0.1
+ */
+public interface ResponseListener {
+    /** The request is about to be handed to the connection; from here on it may run. */
+    default void requestWritten() {}
+
+    /** The head of the answer came. */
+    void head(int status, io.netty.handler.codec.http.HttpHeaders headers);
+
+    /** Some of the body came; the buffer is the caller's only during the call. */
+    void content(ByteBuf part);
+
+    /** The answer is whole. */
+    void complete();
+
+    /** There will be no whole answer. */
+    void failed(TransportException failure);
+}
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -0,0 +1,83 @@
+package org.wingstall.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.LinkPlan;
+import org.wingstall.schema.platform.Member;
+
+/** The gateways known from the membership list and from hellos, and which of them can't be reached. */
+final class Directory {
+    private static final int FAILURES_TO_COUNT_AS_GONE = 3;
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<InetSocketAddress, Integer> failures = new HashMap<>();
+
+    record Entry(LinkPlan.Box box, InetSocketAddress address) {}
+
+    void applyList(List<Member> members, String selfId) {
+        Map<String, Entry> listed = new HashMap<>();
+        for (Member member : members) {
+            boolean peer = member.getKind() == Member.Kind.GATEWAY
+                    && !member.getMemberId().equals(selfId);
+            if (peer) {
+                LinkPlan.Box box = new LinkPlan.Box(member.getMemberId(), member.getFailureDomain());
+                listed.put(member.getMemberId(), new Entry(box, Addresses.parse(member.getAddress())));
+            }
+        }
+        entries.clear();
+        entries.putAll(listed);
+    }
+
+    void learned(LinkPlan.Box box, InetSocketAddress address) {
+        entries.put(box.boxId(), new Entry(box, address));
+        failures.remove(address);
+    }
+
+    void dialFailed(InetSocketAddress address) {
+        failures.merge(address, 1, Integer::sum);
+    }
+
+    void dialSucceeded(InetSocketAddress address) {
+        failures.remove(address);
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    Entry entry(String boxId) {
+        return entries.get(boxId);
+    }
+
+    boolean knows(InetSocketAddress address) {
+        return entries.values().stream().anyMatch(entry -> entry.address().equals(address));
+    }
+
+    /** Returns all boxes that can be reached as far as is known. */
+    List<LinkPlan.Box> reachable() {
+        List<LinkPlan.Box> boxes = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (failures.getOrDefault(entry.address(), 0) < FAILURES_TO_COUNT_AS_GONE) {
+                boxes.add(entry.box());
+            }
+        }
+        return boxes;
+    }
+
+    /** Returns all boxes. */
+    List<LinkPlan.Box> all() {
+        return entries.values().stream().map(Entry::box).toList();
+    }
+
+    /** Returns all boxes of a failure domain, whether they can be reached or not. */
+    List<LinkPlan.Box> inDomain(String failureDomain) {
+        return entries.values().stream()
+                .map(Entry::box)
+                .filter(box -> box.failureDomain().equals(failureDomain))
+                .toList();
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -0,0 +1,92 @@
+package org.wingstall.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.PeerFrame;
+
+/** One connection to a peer; says hello first and passes on what comes after the peer's hello. */
+final class PeerLink extends SimpleChannelInboundHandler<PeerFrame> {
+    private final LinkEvents events;
+    private final Hello self;
+    private final boolean dialled;
+    private Channel channel;
+    private Hello peer;
+
+    /** Told of what happens on a link. */
+    interface LinkEvents {
+        void opened(PeerLink link);
+
+        void closed(PeerLink link);
+
+        void frame(PeerLink link, PeerFrame frame);
+    }
+
+    PeerLink(LinkEvents events, Hello self, boolean dialled) {
+        this.events = events;
+        this.self = self;
+        this.dialled = dialled;
+    }
+
+    Hello peer() {
+        return peer;
+    }
+
+    /** Returns the box that opened the connection. */
+    String initiator() {
+        return dialled ? self.getBoxId() : peer.getBoxId();
+    }
+
+    boolean dialled() {
+        return dialled;
+    }
+
+    boolean active() {
+        return channel != null && channel.isActive();
+    }
+
+    void send(PeerFrame frame) {
+        channel.writeAndFlush(frame, channel.voidPromise());
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        send(Frames.hello(self));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, PeerFrame frame) {
+        if (peer != null) {
+            events.frame(this, frame);
+            return;
+        }
+        boolean stranger =
+                frame.getHello() == null || frame.getHello().getBoxId().equals(self.getBoxId());
+        if (stranger) {
+            ctx.close();
+            return;
+        }
+        peer = frame.getHello();
+        events.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (peer != null) {
+            events.closed(this);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -0,0 +1,375 @@
+package org.wingstall.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.HeartbeatPacer;
+import org.wingstall.core.peer.LinkPlan;
+import org.wingstall.core.peer.Rendezvous;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.BindException;
+import org.wingstall.net.EventLoops;
+import org.wingstall.net.frame.FrameCodec;
+import org.wingstall.net.frame.MessagePack;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.schema.peer.ClaimReply;
+import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.schema.peer.DomainSummary;
+import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.platform.Member;
+
+/**
+ * The links of a gateway to its peers: all in its failure domain, a few across. Runs on one event loop, the control loop.
+ *
+ * <p>{@code mesh.start(); ... mesh.batcher().ifPresent(box -> mesh.forward(box, request));}
+ *
+ * @since 0.1
+ */
+public final class PeerMesh implements PeerLink.LinkEvents {
+    private static final Logger LOG = LogManager.getLogger(PeerMesh.class);
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final double JITTER = 0.1;
+
+    private final PeerOptions options;
+    private final PeerHost host;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final HeartbeatPacer pacer;
+    private final LinkPlan.Box self;
+    private final ByteCounter bytes = new ByteCounter();
+    private final Directory directory = new Directory();
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final Set<InetSocketAddress> dialling = new HashSet<>();
+    private final ForwardedClaims forwarded;
+    private final DomainTable domains;
+    private volatile Map<String, PeerState> peers = Map.of();
+    private volatile int knownBoxes = 1;
+    private Channel listener;
+    private int lastHeartbeatBytes = 100;
+
+    /**
+     * Creates the mesh.
+     *
+     * @param options how the gateway takes part
+     * @param host the gateway
+     * @param loop the control loop
+     * @param clock clock of silence and ages
+     */
+    public PeerMesh(PeerOptions options, PeerHost host, EventLoop loop, MonotonicClock clock) {
+        this.options = options;
+        this.host = host;
+        this.loop = loop;
+        this.clock = clock;
+        this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
+        this.self = new LinkPlan.Box(options.hello().getBoxId(), options.hello().getFailureDomain());
+        this.forwarded = new ForwardedClaims(loop);
+        this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
+    }
+
+    /**
+     * Takes links and starts to dial.
+     *
+     * @throws BindException if the address can't be had
+     */
+    public void start() throws BindException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loop)
+                .channel(EventLoops.serverChannel())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(false));
+        ChannelFuture bound = bootstrap.bind(options.listenAddress()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new BindException(options.listenAddress(), bound.cause());
+        }
+        listener = bound.channel();
+        loop.execute(this::tick);
+    }
+
+    /** Takes in a membership list. */
+    public void applyList(List<Member> members) {
+        loop.execute(() -> {
+            directory.applyList(members, self.boxId());
+            links.values().forEach(this::learn);
+            knownBoxes = directory.size() + 1;
+        });
+    }
+
+    /** Returns the peers by box, heard or not. */
+    public Collection<PeerState> peers() {
+        return peers.values();
+    }
+
+    /** Returns whether a peer was heard lately. */
+    public boolean heard(PeerState peer) {
+        return peer.heardSince(clock.nowMs() - options.silentAfterMs());
+    }
+
+    /** Returns whether a peer is in this gateway's failure domain. */
+    public boolean inOwnDomain(PeerState peer) {
+        return peer.hello().getFailureDomain().equals(self.failureDomain());
+    }
+
+    /** Returns the summaries of other failure domains. */
+    public List<DomainSummary> domains() {
+        return domains.fresh();
+    }
+
+    /** Returns the entry boxes in the fleet, this one included. */
+    public int knownBoxes() {
+        return knownBoxes;
+    }
+
+    /** Returns the entry boxes of this failure domain that are heard, this one included. */
+    public int heardInDomain() {
+        return 1 + (int) inDomain().stream().filter(this::heard).count();
+    }
+
+    /** Returns bytes sent over all links, without headers of IP and TCP. */
+    public long sentBytes() {
+        return bytes.sentBytes();
+    }
+
+    /** Returns bytes received over all links, without headers of IP and TCP. */
+    public long receivedBytes() {
+        return bytes.receivedBytes();
+    }
+
+    /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
+    public String batcher() {
+        List<String> boxes = new ArrayList<>();
+        boxes.add(self.boxId());
+        for (PeerState peer : inDomain()) {
+            if (heard(peer) && !peer.stopping()) {
+                boxes.add(peer.hello().getBoxId());
+            }
+        }
+        return Rendezvous.top("claims", boxes, 1).get(0);
+    }
+
+    /** Sends a change of a claim to the box that commits it; the result is unanswered when no answer comes in time. */
+    public CompletableFuture<ClaimReply> forward(String boxId, ClaimRequest request, long timeoutMs) {
+        CompletableFuture<ClaimReply> reply = new CompletableFuture<>();
+        loop.execute(() -> {
+            PeerLink link = links.get(boxId);
+            if (link == null || !link.active()) {
+                reply.complete(ForwardedClaims.notSent());
+            } else {
+                link.send(Frames.claimRequest(forwarded.expect(reply, timeoutMs), request));
+            }
+        });
+        return reply;
+    }
+
+    /** Sends a heartbeat to every peer now, because something changed that can't wait. */
+    public void beatNow() {
+        loop.execute(this::sendHeartbeats);
+    }
+
+    /** Stops taking links. */
+    public void close() {
+        listener.close();
+        loop.execute(() -> List.copyOf(links.values()).forEach(PeerLink::close));
+    }
+
+    private List<PeerState> inDomain() {
+        return peers.values().stream().filter(this::inOwnDomain).toList();
+    }
+
+    private void tick() {
+        dialMissing();
+        sendHeartbeats();
+        long intervalMs = pacer.intervalMs(links.size(), lastHeartbeatBytes);
+        double jitter = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() * 2 - 1);
+        loop.schedule(this::tick, (long) (intervalMs * jitter), TimeUnit.MILLISECONDS);
+    }
+
+    private void sendHeartbeats() {
+        Heartbeat own = host.heartbeat();
+        DomainSummary ownDomain = domains.summarize(own, inDomain(), this::heard);
+        Heartbeat inside = withDomains(own, domains.direct());
+        Heartbeat across = withDomains(own, List.of(ownDomain));
+        lastHeartbeatBytes = MessagePack.write(inside).length;
+        for (PeerLink link : List.copyOf(links.values())) {
+            boolean local = link.peer().getFailureDomain().equals(self.failureDomain());
+            link.send(Frames.heartbeat(local ? inside : across));
+        }
+    }
+
+    private static Heartbeat withDomains(Heartbeat own, List<DomainSummary> summaries) {
+        return new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), own.getDemand(), summaries);
+    }
+
+    private void dialMissing() {
+        Set<String> planned = LinkPlan.linksOf(self, directory.reachable());
+        directory.inDomain(self.failureDomain()).forEach(box -> planned.add(box.boxId()));
+        planned.remove(self.boxId());
+        for (String boxId : planned) {
+            if (!links.containsKey(boxId)) {
+                dial(directory.entry(boxId).address());
+            }
+        }
+        for (InetSocketAddress seed : options.seeds()) {
+            boolean linked = links.values().stream()
+                    .anyMatch(link ->
+                            Addresses.parse(link.peer().getPeerAddress()).equals(seed));
+            if (!linked && !directory.knows(seed)) {
+                dial(seed);
+            }
+        }
+        closeUnplanned(planned);
+        retryUnreachable(planned);
+    }
+
+    /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
+    private void retryUnreachable(Set<String> planned) {
+        Set<String> reachable = new HashSet<>();
+        directory.reachable().forEach(box -> reachable.add(box.boxId()));
+        boolean soon = ThreadLocalRandom.current().nextInt(4) == 0;
+        for (LinkPlan.Box box : directory.all()) {
+            if (soon
+                    && !reachable.contains(box.boxId())
+                    && !links.containsKey(box.boxId())
+                    && !planned.contains(box.boxId())) {
+                dial(directory.entry(box.boxId()).address());
+            }
+        }
+    }
+
+    private void closeUnplanned(Set<String> planned) {
+        for (PeerLink link : List.copyOf(links.values())) {
+            boolean known = directory.entry(link.peer().getBoxId()) != null;
+            if (known && link.dialled() && !planned.contains(link.peer().getBoxId())) {
+                link.close();
+            }
+        }
+    }
+
+    private void dial(InetSocketAddress address) {
+        if (!dialling.add(address)) {
+            return;
+        }
+        new Bootstrap()
+                .group(loop)
+                .channel(EventLoops.clientChannel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(initializer(true))
+                .connect(address)
+                .addListener((ChannelFuture connected) -> {
+                    dialling.remove(address);
+                    if (connected.isSuccess()) {
+                        directory.dialSucceeded(address);
+                    } else {
+                        directory.dialFailed(address);
+                    }
+                });
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(boolean dialled) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(bytes);
+                FrameCodec.addTo(channel.pipeline(), PeerFrame.class);
+                channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialled));
+            }
+        };
+    }
+
+    @Override
+    public void opened(PeerLink link) {
+        String boxId = link.peer().getBoxId();
+        PeerLink other = links.get(boxId);
+        if (other != null && other.active() && keeps(other, link)) {
+            link.close();
+            return;
+        }
+        links.put(boxId, link);
+        learn(link);
+        knownBoxes = directory.size() + 1;
+        if (other != null) {
+            other.close();
+        }
+        LogEvent.info("peer-linked")
+                .with("peer", boxId)
+                .with("revision", host.revision())
+                .to(LOG);
+        sendHeartbeats();
+    }
+
+    /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
+    private static boolean keeps(PeerLink older, PeerLink newer) {
+        if (older.peer().getIncarnation() != newer.peer().getIncarnation()) {
+            return older.peer().getIncarnation() > newer.peer().getIncarnation();
+        }
+        return older.initiator().compareTo(newer.initiator()) < 0;
+    }
+
+    private void learn(PeerLink link) {
+        LinkPlan.Box box = new LinkPlan.Box(link.peer().getBoxId(), link.peer().getFailureDomain());
+        directory.learned(box, Addresses.parse(link.peer().getPeerAddress()));
+    }
+
+    @Override
+    public void closed(PeerLink link) {
+        if (links.remove(link.peer().getBoxId(), link)) {
+            LogEvent.info("peer-unlinked").with("peer", link.peer().getBoxId()).to(LOG);
+        }
+    }
+
+    @Override
+    public void frame(PeerLink link, PeerFrame frame) {
+        if (frame.getHeartbeat() != null) {
+            heartbeat(link, frame.getHeartbeat());
+        } else if (frame.getConfigRequest() != null) {
+            long after = frame.getConfigRequest().getAfterRevision();
+            link.send(Frames.configReply(after, host.configAfter(after)));
+        } else if (frame.getConfigReply() != null) {
+            host.configReceived(frame.getCorrelation(), frame.getConfigReply());
+        } else if (frame.getClaimRequest() != null) {
+            host.commit(frame.getClaimRequest())
+                    .thenAccept(reply -> link.send(Frames.claimReply(frame.getCorrelation(), reply)));
+        } else if (frame.getClaimReply() != null) {
+            forwarded.answered(frame.getCorrelation(), frame.getClaimReply());
+        }
+    }
+
+    private void heartbeat(PeerLink link, Heartbeat heartbeat) {
+        Map<String, PeerState> next = new HashMap<>(peers);
+        List<org.wingstall.schema.peer.WorkspaceDemand> demand =
+                heartbeat.getDemand() == null ? List.of() : heartbeat.getDemand();
+        next.put(
+                link.peer().getBoxId(),
+                new PeerState(link.peer(), clock.nowMs(), heartbeat.getRevision(), heartbeat.isStopping(), demand));
+        peers = Map.copyOf(next);
+        boolean across = !link.peer().getFailureDomain().equals(self.failureDomain());
+        domains.heard(heartbeat.getDomains(), across);
+        if (heartbeat.getRevision() > host.revision() || host.starting()) {
+            link.send(Frames.configRequest(host.starting() ? 0 : host.revision()));
+        }
+        if (host.heard(heartbeat)) {
+            sendHeartbeats();
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/PeerState.java
@@ -0,0 +1,22 @@
+package org.wingstall.peer;
+
+import java.util.List;
+import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.WorkspaceDemand;
+
+/**
+ * What is known of a peer; an immutable picture for readers on any thread.
+ *
+ * @param hello who it is
+ * @param heardAtMs when it was last heard, in ms of the monotonic clock
+ * @param revision its configuration revision in force
+ * @param stopping whether it is in a planned stop
+ * @param demand requests a second by limited workspace there
+ * @since 0.1
+ */
+public record PeerState(Hello hello, long heardAtMs, long revision, boolean stopping, List<WorkspaceDemand> demand) {
+    /** Returns whether the peer was heard lately. */
+    boolean heardSince(long sinceMs) {
+        return heardAtMs >= sinceMs;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
@@ -0,0 +1,39 @@
+package org.wingstall.standin.endpoint;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Faults that an endpoint shows at the moment.
+ *
+ * @param slowFactor by which its work takes longer
+ * @param hang calls are taken and never answered
+ * @param refuse calls are refused with the statement that they did not run
+ * @param fail calls run and fail
+ * @param wrongId answers carry another request's identifier
+ * @param twice answers and tokens come twice
+ * @param dieAfterTokens streams break after this many tokens; 0 for never
+ * @param leaving answers say that the endpoint is leaving
+ */
+public record EndpointFaults(
+        double slowFactor,
+        boolean hang,
+        boolean refuse,
+        boolean fail,
+        boolean wrongId,
+        boolean twice,
+        int dieAfterTokens,
+        boolean leaving) {
+    static final EndpointFaults NONE = new EndpointFaults(1, false, false, false, false, false, 0, false);
+
+    static EndpointFaults read(JsonNode tree) {
+        return new EndpointFaults(
+                tree.path("slowFactor").asDouble(1),
+                tree.path("hang").asBoolean(),
+                tree.path("refuse").asBoolean(),
+                tree.path("fail").asBoolean(),
+                tree.path("wrongId").asBoolean(),
+                tree.path("twice").asBoolean(),
+                tree.path("dieAfterTokens").asInt(),
+                tree.path("leaving").asBoolean());
+    }
+}
