--- a/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
+++ b/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
@@ -14,6 +14,9 @@
 /**
  * Holds workspaces to their fleet-wide limits by this gateway's share of each.
  *
+ * <p>A share follows demand once heartbeats have carried it everywhere; until then every box takes an equal part, since
+ * boxes that each know only their own demand would each take nearly the whole limit.
+ *
  * <p>{@code limiter.admit(workspaceRow);}
  *
  * @since 0.1
@@ -24,12 +27,42 @@
 
     private static final int MOST_REPORTED = 8;
 
+    /** Time until the demand of a workspace that became active is known everywhere: a few heartbeats, in ms. */
+    private static final long SETTLE_MS = 6_000;
+
+    /** A workspace without arrivals for this long has to settle anew, in ms. */
+    private static final long IDLE_MS = 10_000;
+
     private final MonotonicClock clock;
     private final RetryAfter retryAfter;
     private final Map<String, Meter> meters = new ConcurrentHashMap<>();
     private volatile Fleet fleet = new Fleet(1, 1, Map.of());
 
-    private record Meter(TokenBucket bucket, ArrivalRate arrivals) {}
+    private static final class Meter {
+        private final TokenBucket bucket;
+        private final ArrivalRate arrivals;
+        private volatile long activeSinceMs;
+        private volatile long lastArrivalMs;
+
+        Meter(MonotonicClock clock) {
+            this.bucket = new TokenBucket(clock);
+            this.arrivals = new ArrivalRate(clock);
+            this.activeSinceMs = clock.nowMs();
+            this.lastArrivalMs = activeSinceMs;
+        }
+
+        void arrived(long nowMs) {
+            if (nowMs - lastArrivalMs > IDLE_MS) {
+                activeSinceMs = nowMs;
+            }
+            lastArrivalMs = nowMs;
+            arrivals.arrived();
+        }
+
+        boolean settled(long nowMs) {
+            return nowMs - activeSinceMs > SETTLE_MS;
+        }
+    }
 
     private record Fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond) {}
 
@@ -65,23 +98,22 @@
         if (row.getRequestsPerSecond() >= NO_LIMIT_PER_SECOND) {
             return;
         }
-        Meter meter = meters.computeIfAbsent(
-                row.getName(), name -> new Meter(new TokenBucket(clock), new ArrivalRate(clock)));
-        meter.arrivals().arrived();
+        Meter meter = meters.computeIfAbsent(row.getName(), name -> new Meter(clock));
+        meter.arrived(clock.nowMs());
         double share = shareOf(row, meter);
-        if (!meter.bucket().tryTake(share)) {
+        if (!meter.bucket.tryTake(share)) {
             String detail = "workspace '" + row.getName() + "' is at its limit of " + row.getRequestsPerSecond()
                     + " requests a second";
-            throw new RefusedException(
-                    Reason.WORKSPACE_LIMIT,
-                    detail,
-                    retryAfter.spreadMs(meter.bucket().waitMs(share)));
+            throw new RefusedException(Reason.WORKSPACE_LIMIT, detail, retryAfter.spreadMs(meter.bucket.waitMs(share)));
         }
     }
 
     private double shareOf(WorkspaceRow row, Meter meter) {
         Fleet now = fleet;
-        double own = meter.arrivals().perSecond();
+        if (!meter.settled(clock.nowMs())) {
+            return WorkspaceShares.share(row.getRequestsPerSecond(), now.knownBoxes(), now.heardBoxes(), 0, 0);
+        }
+        double own = meter.arrivals.perSecond();
         double heard = own + now.othersPerSecond().getOrDefault(row.getName(), 0.0);
         return WorkspaceShares.share(row.getRequestsPerSecond(), now.knownBoxes(), now.heardBoxes(), own, heard);
     }
@@ -90,7 +122,7 @@
     public List<WorkspaceDemand> demand() {
         List<WorkspaceDemand> demand = new ArrayList<>();
         meters.forEach((name, meter) -> {
-            double perSecond = meter.arrivals().perSecond();
+            double perSecond = meter.arrivals.perSecond();
             if (perSecond >= 0.05) {
                 demand.add(new WorkspaceDemand(name, Math.round(perSecond * 10) / 10.0));
             }
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -162,8 +162,9 @@
 
     private PeerOptions peerOptions() {
         Peering peering = settings.getPeering();
-        Hello hello =
-                new Hello(settings.getBoxId(), settings.getFailureDomain(), settings.getPeerAddress(), incarnation);
+        String advertised = settings.getAdvertisedPeerAddress();
+        String told = advertised == null ? settings.getPeerAddress() : advertised;
+        Hello hello = new Hello(settings.getBoxId(), settings.getFailureDomain(), told, incarnation);
         return new PeerOptions(
                 hello,
                 Addresses.parse(settings.getPeerAddress()),
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -316,6 +316,16 @@
         }
     }
 
+    /** Replaces a row, whatever it was. */
+    public void overwrite(String key, String row) throws EditConflictException, PlatformException {
+        try {
+            Edit edit = new Edit.Row(ConfigKey.parse(key), tree(row));
+            editor().edit("test", UUID.randomUUID().toString(), System.currentTimeMillis(), List.of(edit));
+        } catch (InvalidRowException | InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private void importRows(String yaml) {
         try {
             List<Edit> edits = new ArrayList<>();
--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,17 +13,21 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bounds the number of connections, the time that a request takes to arrive, and idle time. */
 final class RequestGuard extends ChannelDuplexHandler {
+    private static final long LINGER_MS = 1000;
+
     private final HttpLimits limits;
     private final Rejection.Body rejections;
     private final AtomicInteger connections;
     private ScheduledFuture<?> timer;
     private int unanswered;
+    private boolean rejected;
 
     RequestGuard(HttpLimits limits, Rejection.Body rejections, AtomicInteger connections) {
         this.limits = limits;
@@ -31,14 +35,27 @@
         this.connections = connections;
     }
 
+    /**
+     * Answers, then reads and drops what the client still sends for a while: closing with unread bytes would reset the
+     * connection and could take the answer with it.
+     */
     static void reject(ChannelHandlerContext ctx, Rejection rejection, Rejection.Body rejections) {
+        RequestGuard guard = ctx.pipeline().get(RequestGuard.class);
+        if (guard.rejected) {
+            return;
+        }
+        guard.rejected = true;
+        guard.disarm();
         byte[] body = rejections.of(rejection);
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         HttpUtil.setContentLength(response, body.length);
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        ctx.writeAndFlush(response).addListener(written -> {
+            ((SocketChannel) ctx.channel()).shutdownOutput();
+            ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     @Override
@@ -60,6 +77,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (rejected) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpRequest) {
             unanswered++;
             arm(ctx, limits.requestReadMs(), Rejection.SLOW_REQUEST);
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -15,6 +15,7 @@
 
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<InetSocketAddress, Integer> failures = new HashMap<>();
+    private final Map<InetSocketAddress, String> boxesBehind = new HashMap<>();
 
     record Entry(LinkPlan.Box box, InetSocketAddress address) {}
 
@@ -37,6 +38,16 @@
         failures.remove(address);
     }
 
+    /** Takes note of the box that answered at an address, which may not be the address that the box gives itself. */
+    void answered(InetSocketAddress address, String boxId) {
+        boxesBehind.put(address, boxId);
+    }
+
+    /** Returns the box that last answered at an address, or null. */
+    String boxBehind(InetSocketAddress address) {
+        return boxesBehind.get(address);
+    }
+
     void dialFailed(InetSocketAddress address) {
         failures.merge(address, 1, Integer::sum);
     }
--- a/peer/src/main/java/org/wingstall/peer/PeerLink.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.PeerFrame;
 
@@ -10,7 +11,7 @@
 final class PeerLink extends SimpleChannelInboundHandler<PeerFrame> {
     private final LinkEvents events;
     private final Hello self;
-    private final boolean dialled;
+    private final InetSocketAddress dialledAddress;
     private Channel channel;
     private Hello peer;
 
@@ -23,10 +24,11 @@
         void frame(PeerLink link, PeerFrame frame);
     }
 
-    PeerLink(LinkEvents events, Hello self, boolean dialled) {
+    /** Creates a link; the dialled address is null when the peer opened it. */
+    PeerLink(LinkEvents events, Hello self, InetSocketAddress dialledAddress) {
         this.events = events;
         this.self = self;
-        this.dialled = dialled;
+        this.dialledAddress = dialledAddress;
     }
 
     Hello peer() {
@@ -35,11 +37,15 @@
 
     /** Returns the box that opened the connection. */
     String initiator() {
-        return dialled ? self.getBoxId() : peer.getBoxId();
+        return dialled() ? self.getBoxId() : peer.getBoxId();
     }
 
     boolean dialled() {
-        return dialled;
+        return dialledAddress != null;
+    }
+
+    InetSocketAddress dialledAddress() {
+        return dialledAddress;
     }
 
     boolean active() {
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -97,7 +97,7 @@
                 .channel(EventLoops.serverChannel())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer(false));
+                .childHandler(initializer(null));
         ChannelFuture bound = bootstrap.bind(options.listenAddress()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new BindException(options.listenAddress(), bound.cause());
@@ -230,10 +230,8 @@
             }
         }
         for (InetSocketAddress seed : options.seeds()) {
-            boolean linked = links.values().stream()
-                    .anyMatch(link ->
-                            Addresses.parse(link.peer().getPeerAddress()).equals(seed));
-            if (!linked && !directory.knows(seed)) {
+            boolean needed = !directory.knows(seed) && !links.containsKey(directory.boxBehind(seed));
+            if (needed) {
                 dial(seed);
             }
         }
@@ -275,7 +273,7 @@
                 .channel(EventLoops.clientChannel())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(initializer(true))
+                .handler(initializer(address))
                 .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0))
                 .connect(address)
                 .addListener((ChannelFuture connected) -> {
@@ -288,13 +286,13 @@
                 });
     }
 
-    private ChannelInitializer<SocketChannel> initializer(boolean dialled) {
+    private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(bytes);
                 FrameCodec.addTo(channel.pipeline(), PeerFrame.class);
-                channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialled));
+                channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialledAddress));
             }
         };
     }
@@ -302,6 +300,9 @@
     @Override
     public void opened(PeerLink link) {
         String boxId = link.peer().getBoxId();
+        if (link.dialled()) {
+            directory.answered(link.dialledAddress(), boxId);
+        }
         PeerLink other = links.get(boxId);
         if (other != null && other.active() && keeps(other, link)) {
             link.close();
--- a/standin/src/main/java/org/wingstall/standin/endpoint/CallWorker.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/CallWorker.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.wingstall.net.http.HttpCall;
-import org.wingstall.schema.check.Json;
 import org.wingstall.schema.endpoint.EndpointLoad;
 import org.wingstall.schema.endpoint.StageAnswer;
 import org.wingstall.schema.endpoint.StageCall;
@@ -20,6 +19,7 @@
     private final Supplier<EndpointFaults> faults;
     private final ArrayDeque<Job> waiting = new ArrayDeque<>();
     private int running;
+    private StageAnswer previous;
 
     private record Job(HttpCall call, StageCall stageCall) {}
 
@@ -73,13 +73,11 @@
         JsonNode output = options.kind().equals("plain")
                 ? Outputs.plain(options.service(), stageCall.getInput(), options.name() + "#" + number)
                 : Outputs.pool(options.service(), stageCall.getInput());
-        String requestId = now.wrongId() ? "another-request" : stageCall.getRequestId();
         EndpointLoad load = new EndpointLoad(running + waiting.size(), now.leaving());
-        job.call()
-                .respond(
-                        200,
-                        HttpCall.JSON,
-                        Json.write(new StageAnswer(
-                                requestId, stageCall.getStage(), stageCall.getAttempt(), output, load)));
+        StageAnswer answer =
+                new StageAnswer(stageCall.getRequestId(), stageCall.getStage(), stageCall.getAttempt(), output, load);
+        boolean foreign = now.wrongId() && previous != null;
+        job.call().respondJson(200, foreign ? previous : answer);
+        previous = answer;
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
@@ -9,8 +9,8 @@
  * @param hang calls are taken and never answered
  * @param refuse calls are refused with the statement that they did not run
  * @param fail calls run and fail
- * @param wrongId answers carry another request's identifier
- * @param twice answers and tokens come twice
+ * @param wrongId answers and tokens are those of another request, with its identifier
+ * @param twice tokens come twice
  * @param dieAfterTokens streams break after this many tokens; 0 for never
  * @param leaving answers say that the endpoint is leaving
  */
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EngineWorker.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EngineWorker.java
@@ -1,5 +1,6 @@
 package org.wingstall.standin.endpoint;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,6 +19,8 @@
 
 /** A model engine: batches continuously, reads cold prompt blocks first, streams tokens, honours precedence. */
 final class EngineWorker implements Worker {
+    private static final JsonNode ANOTHER_PROMPT =
+            Json.MAPPER.createObjectNode().put("text", "another");
     private static final int REPORT_EVERY_TOKENS = 8;
 
     private final EndpointOptions options;
@@ -127,7 +130,8 @@
             sequence.call.endEvents();
             return;
         }
-        String token = Outputs.token(sequence.stageCall.getInput(), sequence.next);
+        JsonNode prompt = now.wrongId() ? ANOTHER_PROMPT : sequence.stageCall.getInput();
+        String token = Outputs.token(prompt, sequence.next);
         send(sequence, token, false);
         if (now.twice()) {
             send(sequence, token, false);
