--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -33,7 +33,7 @@
   local name=$1; shift
   "$@" >"$run/$name.out" 2>"$run/$name.log" &
   pids+=($!)
-  declare -g "pid_${name//-/_}=$!"
+  
 }
 
 wait_for() { # what, command
