Halve heartbeats, run TestNG for sure, and measure slopes of the gateway's state

Cause: (1) heartbeats of 79 to 436 bytes: MessagePack maps repeat the names of all properties; with 20 peers and 8 limited workspaces the pacer would have stretched the interval to 9 s, past the 6 s after which a peer counts as silent. (2) After the plot library came in, no integration test ran and the build was green: the library brings JUnit to the class path, and Surefire then prefers its provider (ruled out: the test selection and compile errors). (3) PlannedStopTest passed with the drain taken away: every request was shorter than the notice.

--- a/it/src/test/java/org/wingstall/it/PlannedStopTest.java
+++ b/it/src/test/java/org/wingstall/it/PlannedStopTest.java
@@ -2,16 +2,19 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.awaitility.Awaitility;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import org.wingstall.it.harness.Calls;
 import org.wingstall.it.harness.Fleets;
 import org.wingstall.it.harness.Pauses;
+import org.wingstall.it.harness.Rows;
 import org.wingstall.it.harness.TestFleet;
 
 /** Promise 6: a planned stop cuts no request that is in flight. */
@@ -28,7 +31,7 @@
         fleet.close();
     }
 
-    @Test
+    @Test(dependsOnMethods = "aStreamLongerThanTheNoticeIsServedToItsEnd")
     public void aRollingRestartCutsNothing() throws InterruptedException {
         Calls calls = new Calls();
         AtomicBoolean over = new AtomicBoolean();
@@ -48,6 +51,30 @@
         assertEquals(outcomes.keySet(), java.util.Set.of("complete"), outcomes.toString());
     }
 
+    @Test
+    public void aStreamLongerThanTheNoticeIsServedToItsEnd() {
+        TestFleet.Box box = fleet.box("box-a");
+        fleet.endpoints("briza").forEach(engine -> fleet.endpointFaults(engine, "{\"slowFactor\": 80}"));
+        Calls calls = new Calls();
+        calls.send(box, "plan", "long stream", null, true);
+        Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> engineCalls() >= 1);
+        box.process().terminate();
+        Calls.Call call = calls.await().get(0);
+        fleet.endpoints("briza").forEach(engine -> fleet.endpointFaults(engine, "{}"));
+        box.process().awaitExit(30);
+        box.process().restart();
+        fleet.awaitReady(box);
+        assertEquals(call.outcome(), "complete");
+        assertEquals(call.streamedText(), Rows.plan("long stream"));
+    }
+
+    private long engineCalls() {
+        return fleet.runs("briza").stream()
+                .filter(run -> run.path("workspace").asText().equals("crew"))
+                .filter(run -> run.path("requestId").asText().startsWith("box-a."))
+                .count();
+    }
+
     /** Sends like a balancer that asks every box for its readiness now and then. */
     private void sendUntil(Calls calls, AtomicBoolean over) {
         List<TestFleet.Box> ready = new ArrayList<>(fleet.boxes());
--- a/load/src/main/java/org/wingstall/load/LoadMain.java
+++ b/load/src/main/java/org/wingstall/load/LoadMain.java
@@ -1,9 +1,11 @@
 package org.wingstall.load;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,10 +40,10 @@
         ArgumentParser parser = parser();
         try {
             Namespace options = parser.parseArgs(args);
-            if (options.getString("command").equals("direct")) {
-                DirectRun.run(options, System.out);
-            } else {
-                compare(options);
+            switch (options.getString("command")) {
+                case "direct" -> DirectRun.run(options, System.out);
+                case "slopes" -> Slopes.print(System.out);
+                default -> compare(options);
             }
             System.exit(0);
         } catch (ArgumentParserException e) {
@@ -74,6 +76,7 @@
             command.addArgument("--repeats").type(Integer.class).setDefault(name.equals("run") ? 1 : 3);
             command.addArgument("--out").metavar("FOLDER").help("write report.json and report.html there");
         }
+        commands.addParser("slopes").help("memory, bytes and times of the gateway's state at growing sizes");
         Subparser direct = commands.addParser("direct").help("closed-loop calls, for the gateway's own cost");
         direct.addArgument("--target").required(true).metavar("ADDRESS");
         direct.addArgument("--path").required(true);
@@ -83,6 +86,26 @@
         return parser;
     }
 
+    /** Runs all once uncounted, so that nobody goes first on cold processes; then in turn, every other time backwards. */
+    private static List<LoadReport> runInTurn(
+            Scenario scenario, List<Target> targets, Map<String, InetSocketAddress> endpoints, long seed, int repeats)
+            throws InterruptedException {
+        for (Target target : targets) {
+            new LoadRun(Scenarios.shortened(scenario), target, Map.of(), seed).run();
+        }
+        List<LoadReport> reports = new ArrayList<>();
+        for (int repeat = 0; repeat < repeats; repeat++) {
+            List<Target> order = new ArrayList<>(targets);
+            if (repeat % 2 == 1) {
+                Collections.reverse(order);
+            }
+            for (Target target : order) {
+                reports.add(new LoadRun(scenario, target, endpoints, seed + repeat).run());
+            }
+        }
+        return reports;
+    }
+
     private static void compare(Namespace options) throws IOException, InvalidDocumentException, InterruptedException {
         String text = Files.readString(Path.of(options.getString("scenario")));
         Scenario scenario = SchemaCheck.of(Scenario.class).read(Json.readYaml(text));
@@ -91,18 +114,13 @@
             Target target = Target.parse(policy);
             targets.put(target.policy(), target);
         }
-        Map<String, java.net.InetSocketAddress> endpoints = new LinkedHashMap<>();
+        Map<String, InetSocketAddress> endpoints = new LinkedHashMap<>();
         for (String endpoint : options.<String>getList("endpoint")) {
             int equals = endpoint.indexOf('=');
             endpoints.put(endpoint.substring(0, equals), Addresses.parse(endpoint.substring(equals + 1)));
         }
-        List<LoadReport> reports = new ArrayList<>();
-        for (int repeat = 0; repeat < options.getInt("repeats"); repeat++) {
-            for (Target target : targets.values()) {
-                long seed = options.getLong("seed") + repeat;
-                reports.add(new LoadRun(scenario, target, endpoints, seed).run());
-            }
-        }
+        List<LoadReport> reports = runInTurn(
+                scenario, List.copyOf(targets.values()), endpoints, options.getLong("seed"), options.getInt("repeats"));
         Comparison comparison = new Comparison(List.copyOf(targets.keySet()), reports);
         comparison.print(System.out);
         if (options.getString("out") != null) {
--- a/net/src/main/java/org/wingstall/net/frame/MessagePack.java
+++ b/net/src/main/java/org/wingstall/net/frame/MessagePack.java
@@ -1,15 +1,17 @@
 package org.wingstall.net.frame;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.cfg.MapperBuilder;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 import org.wingstall.schema.check.InvalidDocumentException;
-import org.wingstall.schema.check.Json;
 
 /**
- * Reads and writes generated classes as MessagePack.
+ * Reads and writes generated classes as MessagePack arrays of their properties in the schema's order, which keeps
+ * heartbeats small; a new property goes to the end of its schema.
  *
  * <p>{@code byte[] bytes = MessagePack.write(frame);}
  *
@@ -20,12 +22,12 @@
 
     private MessagePack() {}
 
-    @SuppressWarnings({"unchecked", "rawtypes"})
     private static ObjectMapper mapper() {
-        MapperBuilder builder = MessagePackMapper.builder();
-        return (ObjectMapper) Json.configure(builder)
-                .serializationInclusion(com.fasterxml.jackson.annotation.JsonInclude.Include.NON_EMPTY)
-                .build();
+        ObjectMapper mapper = new MessagePackMapper();
+        mapper.setAnnotationIntrospector(new JsonArrayFormat());
+        mapper.configure(MapperFeature.INFER_CREATOR_FROM_CONSTRUCTOR_PROPERTIES, false);
+        mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+        return mapper;
     }
 
     /** Writes an object of a generated class. */
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,6 +19,12 @@
   scripts/model-check.sh --broken && tests=$((tests + 1)) || { model=$((model + 1)); tests=$((tests + 1)); }
 fi
 bad=$((failures + errors + model))
+# A module whose tests were not run at all has failed.
+for module in */src/test; do
+  module=${module%%/*}
+  ran=$(sed -n 's/.*<testsuite [^>]*tests="\([0-9]*\)".*/\1/p' "$module"/target/surefire-reports/TEST-*.xml 2>/dev/null | awk '{s+=$1} END {print s+0}')
+  [ "$ran" -gt 0 ] || { echo "no test of module $module was run"; bad=$((bad + 1)); tests=$((tests + 1)); }
+done
 echo "Tests run: $tests, Failures: $((failures + model)), Errors: $errors, Skipped: $skipped"
 if [ "$bad" -gt 0 ]; then
   grep -hoE '<testcase name="[^"]*" classname="[^"]*"|<failure|<error ' */target/surefire-reports/TEST-*.xml \
