--- a/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
@@ -27,6 +27,7 @@
     private final long intervalMs;
     private final Consumer<List<Member>> changed;
     private volatile List<Member> last = List.of();
+    private List<Member> lastRead;
 
     /**
      * Creates a follower.
@@ -79,6 +80,10 @@
     }
 
     private void takeFromPlatform(List<Member> members) {
+        if (members == lastRead) {
+            return;
+        }
+        lastRead = members;
         boolean lost = members.isEmpty() && !last.isEmpty();
         if (lost) {
             LogEvent.warn("member-list-empty").with("kept", last.size()).to(LOG);
--- a/it/src/test/java/org/wingstall/it/ConfigurationTest.java
+++ b/it/src/test/java/org/wingstall/it/ConfigurationTest.java
@@ -175,6 +175,24 @@
         System.out.println("by peers after ms: " + awaitInForce(revision, fleet.boxes()));
     }
 
+    @Test
+    public void staleReadsOfThePlatformTakeNothingBack() throws EditConflictException, PlatformException {
+        fleet.admin("/admin/snapshot", TestFleet.tree("{}"));
+        long revision = fleet.set("workspace/crew", "weight", "1", "8");
+        awaitInForce(revision, fleet.boxes());
+        fleet.platformFaults("{\"stale\": true}");
+        TestFleet.Box restarted = fleet.box("box-a");
+        restarted.process().kill();
+        restarted.process().restart();
+        fleet.awaitReady(restarted);
+        for (TestFleet.Box box : fleet.boxes()) {
+            Awaitility.await(box.id() + " has read the stale revision")
+                    .atMost(WITHIN)
+                    .until(() -> fleet.metric(box, "wingstall_platform_revision") == revision - 1);
+        }
+        awaitInForce(revision, fleet.boxes());
+    }
+
     @Test
     public void aGatewayRestartedWithoutThePlatformStartsFromItsPeers()
             throws EditConflictException, PlatformException {
--- a/net/src/main/java/org/wingstall/net/http/HttpReply.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpReply.java
@@ -7,9 +7,17 @@
  *
  * @param status HTTP status
  * @param body bytes of the body
+ * @param etag entity tag of the body, or null
  * @since 0.1
  */
-public record HttpReply(int status, byte[] body) {
+public record HttpReply(int status, byte[] body, String etag) {
+    private static final int NOT_MODIFIED = 304;
+
+    /** Returns whether the body is the one that the request named by its entity tag. */
+    public boolean notModified() {
+        return status == NOT_MODIFIED;
+    }
+
     /** Returns whether the status is in the 200s. */
     public boolean ok() {
         return status / 100 == 2;
--- a/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
@@ -17,6 +18,7 @@
     private HttpExchange exchange;
     private ScheduledFuture<?> timer;
     private int status;
+    private String etag;
 
     ReplyCollector(EventLoop loop, long timeoutMs) {
         this.loop = loop;
@@ -44,6 +46,7 @@
     @Override
     public void head(int code, HttpHeaders headers) {
         status = code;
+        etag = headers.get(HttpHeaderNames.ETAG);
     }
 
     @Override
@@ -56,7 +59,7 @@
     @Override
     public void complete() {
         timer.cancel(false);
-        reply.complete(new HttpReply(status, body.toByteArray()));
+        reply.complete(new HttpReply(status, body.toByteArray(), etag));
     }
 
     @Override
--- a/standin/src/main/java/org/wingstall/standin/platform/MemberStore.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/MemberStore.java
@@ -13,7 +13,8 @@
     private final ArrayDeque<Version> versions = new ArrayDeque<>();
     private long lagMs;
 
-    private record Version(long atMs, MemberList list) {}
+    /** The list as it was from a moment on. */
+    record Version(int number, long atMs, MemberList list) {}
 
     synchronized void lagMs(long lag) {
         lagMs = lag;
@@ -30,15 +31,17 @@
     }
 
     private void changed() {
-        versions.addLast(new Version(System.currentTimeMillis(), new MemberList(List.copyOf(members.values()))));
+        MemberList list = new MemberList(List.copyOf(members.values()));
+        versions.addLast(new Version(versions.size() + 1, System.currentTimeMillis(), list));
     }
 
-    synchronized MemberList list() {
+    /** Returns the list as it was before the lag. */
+    synchronized Version shown() {
         long asOfMs = System.currentTimeMillis() - lagMs;
-        MemberList shown = new MemberList(List.of());
+        Version shown = new Version(0, 0, new MemberList(List.of()));
         for (Version version : versions) {
             if (version.atMs() <= asOfMs) {
-                shown = version.list();
+                shown = version;
             }
         }
         return shown;
--- a/standin/src/main/java/org/wingstall/standin/platform/PlatformFaults.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/PlatformFaults.java
@@ -11,9 +11,17 @@
  * @param loseAnswerRate share of committed transactions whose answer is lost
  * @param lateRate share of transactions that land after their connection broke
  * @param lateMs how much later, in ms
+ * @param stale reads show the rows as they were at the last snapshot
  */
-record PlatformFaults(boolean down, boolean silent, long delayMs, double loseAnswerRate, double lateRate, long lateMs) {
-    static final PlatformFaults NONE = new PlatformFaults(false, false, 0, 0, 0, 0);
+record PlatformFaults(
+        boolean down,
+        boolean silent,
+        long delayMs,
+        double loseAnswerRate,
+        double lateRate,
+        long lateMs,
+        boolean stale) {
+    static final PlatformFaults NONE = new PlatformFaults(false, false, 0, 0, 0, 0, false);
 
     static PlatformFaults read(JsonNode tree) {
         return new PlatformFaults(
@@ -22,6 +30,7 @@
                 tree.path("delayMs").asLong(),
                 tree.path("loseAnswerRate").asDouble(),
                 tree.path("lateRate").asDouble(),
-                tree.path("lateMs").asLong());
+                tree.path("lateMs").asLong(),
+                tree.path("stale").asBoolean());
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/PlatformStandin.java
@@ -25,6 +25,7 @@
  * @since 0.1
  */
 public final class PlatformStandin {
+    private static final int NOT_MODIFIED = 304;
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
@@ -91,11 +92,12 @@
         if (path.equals("/v1/table/transaction")) {
             transact(call);
         } else if (path.equals("/v1/table/row")) {
-            call.respondJson(200, table.read(call.query("key", "")));
+            call.respondJson(200, table.read(call.query("key", ""), faults.stale()));
         } else if (path.equals("/v1/table/scan")) {
-            call.respondJson(200, new Rows(table.scan(call.query("prefix", ""), call.query("after", ""))));
+            call.respondJson(
+                    200, new Rows(table.scan(call.query("prefix", ""), call.query("after", ""), faults.stale())));
         } else if (path.equals("/v1/members")) {
-            call.respondJson(200, members.list());
+            listMembers(call);
         } else if (path.startsWith("/v1/objects/")) {
             object(call);
         } else {
@@ -103,6 +105,14 @@
         }
     }
 
+    private void listMembers(HttpCall call) {
+        MemberStore.Version shown = members.shown();
+        String etag = "\"" + shown.number() + "\"";
+        boolean known = etag.equals(call.header("if-none-match"));
+        byte[] body = known ? new byte[0] : Json.write(shown.list());
+        call.respond(known ? NOT_MODIFIED : 200, HttpCall.JSON, body, Map.of("etag", etag));
+    }
+
     private void transact(HttpCall call) throws InvalidDocumentException {
         TransactionResult result = table.transact(Json.read(call.body(), Transaction.class));
         if (result.isCommitted() && chance(faults.loseAnswerRate())) {
@@ -125,6 +135,7 @@
     private void admin(HttpCall call) throws InvalidDocumentException {
         switch (call.path()) {
             case "/admin/faults" -> faults = PlatformFaults.read(Json.readTree(call.body()));
+            case "/admin/snapshot" -> table.takeSnapshot();
             case "/admin/member" -> members.put(Json.read(call.body(), Member.class));
             case "/admin/member/remove" -> members.remove(call.query("id", ""));
             case "/admin/members/lag" -> members.lagMs(Long.parseLong(call.query("ms", "0")));
--- a/standin/src/main/java/org/wingstall/standin/platform/TableStore.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/TableStore.java
@@ -13,18 +13,25 @@
 /** A table in memory; transactions are serial. */
 final class TableStore {
     private final TreeMap<String, TableRow> rows = new TreeMap<>();
+    private TreeMap<String, TableRow> snapshot = new TreeMap<>();
     private long lastVersion;
 
-    synchronized TableRow read(String key) {
-        return rows.getOrDefault(key, new TableRow(key, null, 0));
+    /** Keeps the rows as they are now, for stale reads. */
+    synchronized void takeSnapshot() {
+        snapshot = new TreeMap<>(rows);
+    }
+
+    synchronized TableRow read(String key, boolean stale) {
+        return (stale ? snapshot : rows).getOrDefault(key, new TableRow(key, null, 0));
     }
 
     synchronized int size() {
         return rows.size();
     }
 
-    synchronized List<TableRow> scan(String prefix, String after) {
-        Map<String, TableRow> from = after.compareTo(prefix) > 0 ? rows.tailMap(after, false) : rows.tailMap(prefix);
+    synchronized List<TableRow> scan(String prefix, String after, boolean stale) {
+        TreeMap<String, TableRow> all = stale ? snapshot : rows;
+        Map<String, TableRow> from = after.compareTo(prefix) > 0 ? all.tailMap(after, false) : all.tailMap(prefix);
         List<TableRow> found = new ArrayList<>();
         for (Map.Entry<String, TableRow> row : from.entrySet()) {
             if (!row.getKey().startsWith(prefix)) {
@@ -38,7 +45,7 @@
     synchronized TransactionResult transact(Transaction transaction) {
         List<TableRow> conflicts = new ArrayList<>();
         for (Condition condition : transaction.getConditions()) {
-            TableRow row = read(condition.getKey());
+            TableRow row = read(condition.getKey(), false);
             if (row.getVersion() != condition.getVersion()) {
                 conflicts.add(row);
             }
