--- a/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
+++ b/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
@@ -25,10 +25,12 @@
     /** Limits at or above this are no limit. */
     public static final double NO_LIMIT_PER_SECOND = 1_000_000;
 
-    private static final int MOST_REPORTED = 8;
+    private static final int MOST_REPORTED = 3;
 
-    /** Time until the demand of a workspace that became active is known everywhere: a few heartbeats, in ms. */
-    private static final long SETTLE_MS = 6_000;
+    /** Demand is known everywhere after this many tellings: to link boxes, across, and to the boxes there. */
+    private static final int TELLINGS_TO_SETTLE = 4;
+
+    private static final long LEAST_SETTLE_MS = 6_000;
 
     /** A workspace without arrivals for this long has to settle anew, in ms. */
     private static final long IDLE_MS = 10_000;
@@ -36,7 +38,7 @@
     private final MonotonicClock clock;
     private final RetryAfter retryAfter;
     private final Map<String, Meter> meters = new ConcurrentHashMap<>();
-    private volatile Fleet fleet = new Fleet(1, 1, Map.of());
+    private volatile Fleet fleet = new Fleet(1, 1, Map.of(), LEAST_SETTLE_MS);
 
     private static final class Meter {
         private final TokenBucket bucket;
@@ -59,12 +61,12 @@
             arrivals.arrived();
         }
 
-        boolean settled(long nowMs) {
-            return nowMs - activeSinceMs > SETTLE_MS;
+        boolean settled(long nowMs, long settleMs) {
+            return nowMs - activeSinceMs > settleMs;
         }
     }
 
-    private record Fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond) {}
+    private record Fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond, long settleMs) {}
 
     /**
      * Creates a limiter that knows of no other gateway.
@@ -83,9 +85,11 @@
      * @param knownBoxes entry boxes in the fleet, this one included
      * @param heardBoxes entry boxes heard lately, this one included
      * @param othersPerSecond arrivals a second by workspace at the other boxes heard
+     * @param tellingMs time between two tellings of demand, in ms
      */
-    public void fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond) {
-        fleet = new Fleet(knownBoxes, heardBoxes, Map.copyOf(othersPerSecond));
+    public void fleet(int knownBoxes, int heardBoxes, Map<String, Double> othersPerSecond, long tellingMs) {
+        long settleMs = Math.max(LEAST_SETTLE_MS, TELLINGS_TO_SETTLE * tellingMs);
+        fleet = new Fleet(knownBoxes, heardBoxes, Map.copyOf(othersPerSecond), settleMs);
     }
 
     /**
@@ -110,7 +114,7 @@
 
     private double shareOf(WorkspaceRow row, Meter meter) {
         Fleet now = fleet;
-        if (!meter.settled(clock.nowMs())) {
+        if (!meter.settled(clock.nowMs(), now.settleMs())) {
             return WorkspaceShares.share(row.getRequestsPerSecond(), now.knownBoxes(), now.heardBoxes(), 0, 0);
         }
         double own = meter.arrivals.perSecond();
--- a/core/src/main/java/org/wingstall/core/peer/HeartbeatPacer.java
+++ b/core/src/main/java/org/wingstall/core/peer/HeartbeatPacer.java
@@ -1,9 +1,10 @@
 package org.wingstall.core.peer;
 
 /**
- * Stretches the time between heartbeats so that their bytes, both ways, stay within a budget.
+ * Spaces heartbeats so that their bytes, both ways, stay within a budget: plain ones are stretched a little, and what only
+ * efficiency needs (demand, other failure domains) goes along with every so many of them.
  *
- * <p>{@code long intervalMs = new HeartbeatPacer(1000, 2400).intervalMs(20, 60);}
+ * <p>{@code HeartbeatPacer.Plan plan = new HeartbeatPacer(1000, 2400).plan(23, 21, 250);}
  *
  * @since 0.1
  */
@@ -11,9 +12,24 @@
     /** Bytes of IP and TCP headers for a segment and its acknowledgement. */
     private static final int HEADER_BYTES = 2 * 52;
 
+    private static final double PLAIN_SHARE = 0.8;
+
     private final long shortestMs;
     private final double budgetBytesPerSecond;
 
+    /**
+     * When to send what.
+     *
+     * @param intervalMs time between heartbeats, in ms
+     * @param fullEvery how many heartbeats there are to each full one
+     */
+    public record Plan(long intervalMs, int fullEvery) {
+        /** Returns the time between two full heartbeats, in ms. */
+        public long fullIntervalMs() {
+            return intervalMs * fullEvery;
+        }
+    }
+
     /**
      * Creates a pacer.
      *
@@ -26,15 +42,20 @@
     }
 
     /**
-     * Returns the interval to keep.
+     * Plans the heartbeats.
      *
      * @param peers links that heartbeats go over
-     * @param heartbeatBytes size of the last heartbeat's frame, in bytes
-     * @return the interval, in ms
+     * @param plainBytes size of a plain heartbeat's frame, in bytes
+     * @param fullBytes size of a full heartbeat's frame, in bytes
+     * @return when to send what
      */
-    public long intervalMs(int peers, int heartbeatBytes) {
-        double bytesPerRound = 2.0 * peers * (heartbeatBytes + HEADER_BYTES);
-        long needed = (long) Math.ceil(bytesPerRound / budgetBytesPerSecond * 1000);
-        return Math.max(shortestMs, needed);
+    public Plan plan(int peers, int plainBytes, int fullBytes) {
+        double plainRound = 2.0 * peers * (plainBytes + HEADER_BYTES);
+        double extraRound = 2.0 * peers * Math.max(0, fullBytes - plainBytes);
+        long needed = (long) Math.ceil(plainRound / (PLAIN_SHARE * budgetBytesPerSecond) * 1000);
+        long intervalMs = Math.max(shortestMs, needed);
+        double left = budgetBytesPerSecond * intervalMs / 1000 - plainRound;
+        int fullEvery = (int) Math.max(1, Math.ceil(extraRound / Math.max(1, left)));
+        return new Plan(intervalMs, fullEvery);
     }
 }
--- a/core/src/main/java/org/wingstall/core/route/EndpointState.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointState.java
@@ -15,7 +15,7 @@
 public final class EndpointState {
     private static final double RUN_WEIGHT = 0.15;
     private static final double REPORT_HALF_LIFE_MS = 1000;
-    private static final int PREFIX_BLOCKS = 8192;
+    private static final int PREFIX_BLOCKS = 2048;
 
     private final EndpointIdentity identity;
     private final MonotonicClock clock;
--- a/core/src/test/java/org/wingstall/core/peer/LinkPlanTest.java
+++ b/core/src/test/java/org/wingstall/core/peer/LinkPlanTest.java
@@ -55,11 +55,21 @@
         assertTrue(top.equals("a") || top.equals(next));
     }
 
+    @DataProvider
+    Object[][] meshes() {
+        return new Object[][] {{2, 21, 60}, {8, 21, 118}, {23, 21, 218}, {23, 21, 652}, {40, 80, 3916}};
+    }
+
+    @Test(dataProvider = "meshes")
+    public void heartbeatsStayInTheirBudget(int peers, int plainBytes, int fullBytes) {
+        HeartbeatPacer.Plan plan = new HeartbeatPacer(1000, 2400).plan(peers, plainBytes, fullBytes);
+        double extra = (double) (fullBytes - plainBytes) / plan.fullEvery();
+        double perSecond = 2.0 * peers * (plainBytes + 104 + extra) * 1000 / plan.intervalMs();
+        assertTrue(perSecond <= 2400.1, perSecond + " bytes a second");
+    }
+
     @Test
-    public void heartbeatsStretchToStayInTheirBudget() {
-        HeartbeatPacer pacer = new HeartbeatPacer(1000, 2400);
-        assertEquals(pacer.intervalMs(2, 60), 1000);
-        long interval = pacer.intervalMs(23, 80);
-        assertTrue(2.0 * 23 * (80 + 104) * 1000 / interval <= 2400.01);
+    public void aSmallMeshSendsEverythingEverySecond() {
+        assertEquals(new HeartbeatPacer(1000, 2400).plan(4, 21, 118), new HeartbeatPacer.Plan(1000, 1));
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -109,7 +109,7 @@
             heard += domain.getBoxes();
             add(others, domain.getDemand());
         }
-        limiter.fleet(mesh.knownBoxes(), heard, others);
+        limiter.fleet(mesh.knownBoxes(), heard, others, mesh.fullHeartbeatMs());
     }
 
     private static void add(Map<String, Double> sums, List<WorkspaceDemand> demand) {
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -20,6 +20,7 @@
     private final boolean spillover;
     private final WaitQueue<StageWaiter> queue;
     private volatile int waiting;
+    private boolean draining;
 
     ServiceGate(
             Supplier<List<Candidate>> candidates,
@@ -61,16 +62,26 @@
             return;
         }
         synchronized (queue) {
-            List<StageWaiter> unserved = new ArrayList<>();
-            while (queue.size() > 0 && anyFreeSlot()) {
-                StageWaiter next = queue.poll();
-                if (!serve(next)) {
-                    unserved.add(next);
-                }
+            if (draining) {
+                return;
+            }
+            draining = true;
+            serveWaiters();
+            draining = false;
+        }
+    }
+
+    /** A stage that gives its slot back at once drains again from within; the loop here sees that slot. */
+    private void serveWaiters() {
+        List<StageWaiter> unserved = new ArrayList<>();
+        while (queue.size() > 0 && anyFreeSlot()) {
+            StageWaiter next = queue.poll();
+            if (!serve(next)) {
+                unserved.add(next);
             }
-            unserved.forEach(queue::add);
-            waiting = queue.size();
         }
+        unserved.forEach(queue::add);
+        waiting = queue.size();
     }
 
     /** Returns the time that a new waiter of the precedence would wait, given the time of one call, in ms. */
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -209,6 +209,10 @@
                         1));
     }
 
+    public String platformAddress() {
+        return platform;
+    }
+
     public Box box(String id) {
         return boxes.get(id);
     }
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -45,6 +45,24 @@
         heartbeats(out);
         routing(out);
         limits(out);
+        prefixes(out);
+    }
+
+    /** Every endpoint remembers prompt blocks until its memory is full. */
+    private static void prefixes(PrintStream out) {
+        out.println("prompt blocks remembered: engines, heap bytes with full memories");
+        for (int count : new int[] {4, 16, 64}) {
+            EndpointRegistry registry = new EndpointRegistry(System::nanoTime);
+            registry.applyList(members(count));
+            long before = usedBytes();
+            for (EndpointState state : registry.all()) {
+                for (int prompt = 0; prompt < 64; prompt++) {
+                    state.prefixes().remember(PromptBlocks.digests(("prompt " + prompt + " ").repeat(2000)));
+                }
+            }
+            long heap = usedBytes() - before;
+            out.printf("  %4d %10d%n", registry.all().size(), heap);
+        }
     }
 
     private static long usedBytes() {
--- a/net/src/main/java/org/wingstall/net/frame/MessagePack.java
+++ b/net/src/main/java/org/wingstall/net/frame/MessagePack.java
@@ -23,11 +23,11 @@
     private MessagePack() {}
 
     private static ObjectMapper mapper() {
-        ObjectMapper mapper = new MessagePackMapper();
-        mapper.setAnnotationIntrospector(new JsonArrayFormat());
-        mapper.configure(MapperFeature.INFER_CREATOR_FROM_CONSTRUCTOR_PROPERTIES, false);
-        mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
-        return mapper;
+        return MessagePackMapper.builder()
+                .annotationIntrospector(new JsonArrayFormat())
+                .disable(MapperFeature.INFER_CREATOR_FROM_CONSTRUCTOR_PROPERTIES)
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .build();
     }
 
     /** Writes an object of a generated class. */
--- a/peer/src/main/java/org/wingstall/peer/DomainTable.java
+++ b/peer/src/main/java/org/wingstall/peer/DomainTable.java
@@ -13,7 +13,8 @@
 
 /** What is known of other failure domains, by the newest summary of each. */
 final class DomainTable {
-    private static final int MOST_DEMANDS = 8;
+    private static final int MOST_DEMANDS = 3;
+    private static final int STALE_AFTER_SILENCES = 6;
 
     private final String own;
     private final long staleAfterMs;
@@ -24,7 +25,7 @@
 
     DomainTable(String own, long silentAfterMs, MonotonicClock clock) {
         this.own = own;
-        this.staleAfterMs = 2 * silentAfterMs;
+        this.staleAfterMs = STALE_AFTER_SILENCES * silentAfterMs;
         this.clock = clock;
     }
 
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -36,6 +36,7 @@
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
 
 /**
@@ -65,7 +66,8 @@
     private volatile Map<String, PeerState> peers = Map.of();
     private volatile int knownBoxes = 1;
     private Channel listener;
-    private int lastHeartbeatBytes = 100;
+    private volatile HeartbeatPacer.Plan plan = new HeartbeatPacer.Plan(0, 1);
+    private int sinceFull;
 
     /**
      * Creates the mesh.
@@ -145,6 +147,11 @@
         return 1 + (int) inDomain().stream().filter(this::heard).count();
     }
 
+    /** Returns the time between two tellings of demand, in ms. */
+    public long fullHeartbeatMs() {
+        return plan.fullIntervalMs();
+    }
+
     /** Returns bytes sent over all links, without headers of IP and TCP. */
     public long sentBytes() {
         return bytes.sentBytes();
@@ -183,7 +190,7 @@
 
     /** Sends a heartbeat to every peer now, because something changed that can't wait. */
     public void beatNow() {
-        loop.execute(this::sendHeartbeats);
+        loop.execute(() -> sendHeartbeats(false));
     }
 
     /** Stops taking links. */
@@ -198,24 +205,35 @@
 
     private void tick() {
         dialMissing();
-        sendHeartbeats();
-        long intervalMs = pacer.intervalMs(links.size(), lastHeartbeatBytes);
+        sinceFull++;
+        boolean full = sinceFull >= plan.fullEvery();
+        sendHeartbeats(full);
+        if (full) {
+            sinceFull = 0;
+        }
         double jitter = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() * 2 - 1);
-        loop.schedule(this::tick, (long) (intervalMs * jitter), TimeUnit.MILLISECONDS);
+        loop.schedule(this::tick, (long) (plan.intervalMs() * jitter), TimeUnit.MILLISECONDS);
     }
 
-    private void sendHeartbeats() {
+    /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
+    private void sendHeartbeats(boolean full) {
         Heartbeat own = host.heartbeat();
-        DomainSummary ownDomain = domains.summarize(own, inDomain(), this::heard);
+        Heartbeat plain = new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), null, null);
         Heartbeat inside = withDomains(own, domains.direct());
+        DomainSummary ownDomain = domains.summarize(own, inDomain(), this::heard);
         Heartbeat across = withDomains(own, List.of(ownDomain));
-        lastHeartbeatBytes = MessagePack.write(inside).length;
+        plan = pacer.plan(links.size(), frameBytes(plain), Math.max(frameBytes(inside), frameBytes(across)));
         for (PeerLink link : List.copyOf(links.values())) {
             boolean local = link.peer().getFailureDomain().equals(self.failureDomain());
-            link.send(Frames.heartbeat(local ? inside : across));
+            Heartbeat whole = local ? inside : across;
+            link.send(Frames.heartbeat(full ? whole : plain));
         }
     }
 
+    private static int frameBytes(Heartbeat heartbeat) {
+        return MessagePack.write(Frames.heartbeat(heartbeat)).length + FrameCodec.LENGTH_BYTES;
+    }
+
     private static Heartbeat withDomains(Heartbeat own, List<DomainSummary> summaries) {
         return new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), own.getDemand(), summaries);
     }
@@ -318,7 +336,7 @@
                 .with("peer", boxId)
                 .with("revision", host.revision())
                 .to(LOG);
-        sendHeartbeats();
+        sendHeartbeats(true);
     }
 
     /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
@@ -360,8 +378,9 @@
 
     private void heartbeat(PeerLink link, Heartbeat heartbeat) {
         Map<String, PeerState> next = new HashMap<>(peers);
-        List<org.wingstall.schema.peer.WorkspaceDemand> demand =
-                heartbeat.getDemand() == null ? List.of() : heartbeat.getDemand();
+        PeerState before = peers.get(link.peer().getBoxId());
+        List<WorkspaceDemand> known = before == null ? List.of() : before.demand();
+        List<WorkspaceDemand> demand = heartbeat.getDemand() == null ? known : heartbeat.getDemand();
         next.put(
                 link.peer().getBoxId(),
                 new PeerState(link.peer(), clock.nowMs(), heartbeat.getRevision(), heartbeat.isStopping(), demand));
@@ -372,7 +391,7 @@
             link.send(Frames.configRequest(host.starting() ? 0 : host.revision()));
         }
         if (host.heard(heartbeat)) {
-            sendHeartbeats();
+            sendHeartbeats(false);
         }
     }
 }
