Carry an engine's streams over when it dies on a fresh box; put twin logic together

Cause: with an engine killed under 60 streams, the gateway beside it ended some of its 20 as retries-exhausted. Its log shows that reason alone; ruled out: no endpoint left (the other engine served), the deadline (8 s). The retry budget began with 10 and had gained 4, while one endpoint's death asks for as many retries as it had calls.

Change: the budget is full (50) from the start; what it gains and how much it saves stay, so a storm is bounded as before. The tests get an engine killed in mid-stream and answers that come late.

--- a/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
@@ -12,9 +12,10 @@
 public final class RetryBudget {
     private static final long RETRY_COST = 1000;
     private static final long MOST_RETRIES_SAVED = 50;
-    private static final long RETRIES_AT_START = 10;
 
-    private final AtomicLong balance = new AtomicLong(RETRIES_AT_START * RETRY_COST);
+    /** Full from the start, so that a box that has just started can carry one endpoint's calls over to others. */
+    private final AtomicLong balance = new AtomicLong(MOST_RETRIES_SAVED * RETRY_COST);
+
     private final long gainPerCall;
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/time/Jitter.java
@@ -0,0 +1,25 @@
+package org.wingstall.core.time;
+
+/**
+ * Spreads periodic work, so that boxes that started together don't act together.
+ *
+ * <p>{@code long delayMs = Jitter.around(2000, random.nextDouble());} is between 1,800 and 2,200.
+ *
+ * @since 0.1
+ */
+public final class Jitter {
+    private static final double SHARE = 0.1;
+
+    private Jitter() {}
+
+    /**
+     * Returns a time near an interval.
+     *
+     * @param intervalMs the interval, in ms
+     * @param random a number in [0, 1)
+     * @return between 90% and 110% of the interval, in ms
+     */
+    public static long around(long intervalMs, double random) {
+        return (long) (intervalMs * (1 + SHARE * (random * 2 - 1)));
+    }
+}
--- a/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
+import org.wingstall.core.time.Jitter;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.platform.ConfigTable;
 
@@ -20,7 +21,6 @@
  */
 public final class ConfigFollower {
     private static final Logger LOG = LogManager.getLogger(ConfigFollower.class);
-    private static final double JITTER = 0.1;
     private static final long PEERS_FIRST_MS = 400;
 
     private final ConfigTable table;
@@ -129,7 +129,7 @@
         if (failure != null) {
             LogEvent.debug("config-poll-failed").cause(failure).to(LOG);
         }
-        double jitter = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() * 2 - 1);
-        loop.schedule(this::poll, (long) (intervalMs * jitter), TimeUnit.MILLISECONDS);
+        long delayMs = Jitter.around(intervalMs, ThreadLocalRandom.current().nextDouble());
+        loop.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -1,14 +1,13 @@
 package org.wingstall.gateway.control;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
+import org.wingstall.core.limit.DemandSums;
 import org.wingstall.core.limit.WorkspaceLimiter;
 import org.wingstall.core.member.EndpointRegistry;
 import org.wingstall.core.route.EndpointState;
@@ -24,7 +23,6 @@
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.LeavingHint;
-import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.table.ConfigCell;
 
 /**
@@ -96,26 +94,20 @@
     }
 
     private void updateLimits() {
-        Map<String, Double> others = new HashMap<>();
+        DemandSums others = new DemandSums();
         int heard = 1;
         for (PeerState peer : mesh.peers()) {
             boolean inDomain = mesh.inOwnDomain(peer);
             if (inDomain && mesh.heard(peer)) {
                 heard++;
-                add(others, peer.demand());
+                others.add(peer.demand());
             }
         }
         for (DomainSummary domain : mesh.domains()) {
             heard += domain.getBoxes();
-            add(others, domain.getDemand());
-        }
-        limiter.fleet(mesh.knownBoxes(), heard, others, mesh.fullHeartbeatMs());
-    }
-
-    private static void add(Map<String, Double> sums, List<WorkspaceDemand> demand) {
-        if (demand != null) {
-            demand.forEach(entry -> sums.merge(entry.getWorkspace(), entry.getPerSecond(), Double::sum));
+            others.add(domain.getDemand());
         }
+        limiter.fleet(mesh.knownBoxes(), heard, others.perSecond(), mesh.fullHeartbeatMs());
     }
 
     @Override
--- a/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.time.Jitter;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.platform.MembershipList;
 import org.wingstall.schema.platform.Member;
@@ -20,7 +21,6 @@
  */
 public final class MemberFollower {
     private static final Logger LOG = LogManager.getLogger(MemberFollower.class);
-    private static final double JITTER = 0.1;
 
     private final MembershipList list;
     private final EventLoop loop;
@@ -62,21 +62,17 @@
     }
 
     private void poll() {
-        list.read()
-                .whenCompleteAsync(
-                        (members, failure) -> {
-                            if (failure == null) {
-                                takeFromPlatform(members);
-                            } else {
-                                LogEvent.debug("member-poll-failed")
-                                        .cause(failure)
-                                        .to(LOG);
-                            }
-                            double jitter =
-                                    1 + JITTER * (ThreadLocalRandom.current().nextDouble() * 2 - 1);
-                            loop.schedule(this::poll, (long) (intervalMs * jitter), TimeUnit.MILLISECONDS);
-                        },
-                        loop);
+        list.read().whenCompleteAsync(this::polled, loop);
+    }
+
+    private void polled(List<Member> members, Throwable failure) {
+        if (failure == null) {
+            takeFromPlatform(members);
+        } else {
+            LogEvent.debug("member-poll-failed").cause(failure).to(LOG);
+        }
+        long delayMs = Jitter.around(intervalMs, ThreadLocalRandom.current().nextDouble());
+        loop.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void takeFromPlatform(List<Member> members) {
--- a/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
+++ b/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
@@ -4,9 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import org.awaitility.Awaitility;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
@@ -14,6 +18,7 @@
 import org.testng.annotations.Test;
 import org.wingstall.it.harness.Calls;
 import org.wingstall.it.harness.Fleets;
+import org.wingstall.it.harness.Http;
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.it.harness.Rows;
 import org.wingstall.it.harness.TestFleet;
@@ -55,6 +60,7 @@
             {"stage fails", "far-constanta-a-1", "{\"fail\": true}", "{}"},
             {"stage refuses unrun", "far-constanta-a-1", "{\"refuse\": true}", "{}"},
             {"pool answers nothing", "far-constanta-a-1", "{\"hang\": true}", "{}"},
+            {"answers come late", "far-constanta-a-1", "{\"slowFactor\": 120}", "{}"},
             {"reset in mid-body", "briza-constanta-b-0", "{}", "{\"resetAfterBytes\": 900}"},
             {"answers dropped", "far-constanta-a-0", "{}", "{\"dropAnswers\": true}"},
         };
@@ -93,6 +99,29 @@
         assertNothingRan(notRun);
     }
 
+    @Test
+    public void aKilledEngineCutsNoAnswer() {
+        TestFleet.Endpoint killed = fleet.endpoint("briza-constanta-b-0");
+        fleet.endpoints("briza").forEach(engine -> fleet.endpointFaults(engine, "{\"slowFactor\": 10}"));
+        Calls calls = new Calls();
+        for (int i = 0; i < 60; i++) {
+            calls.send(fleet.boxes().get(i % 3), "plan", "killed engine " + i, null, i % 2 == 0);
+        }
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> runsAt(killed) >= 5);
+        killed.process().kill();
+        List<Calls.Call> done = calls.await();
+        killed.process().restart();
+        Awaitility.await().atMost(Duration.ofSeconds(20)).ignoreExceptions().until(() -> runsAt(killed) >= 0);
+        assertEquals(Calls.outcomes(done), Map.of("complete", 60));
+        for (Calls.Call call : done) {
+            assertEquals(Rows.output(call.answer()), Rows.plan(call.text()));
+        }
+    }
+
+    private int runsAt(TestFleet.Endpoint endpoint) throws IOException {
+        return Http.get(endpoint.address(), "/admin/runs").json().size();
+    }
+
     private void assertNothingRan(Set<String> requestIds) {
         for (String service : List.of("far", "briza")) {
             for (JsonNode run : fleet.runs(service)) {
--- a/peer/src/main/java/org/wingstall/peer/DomainTable.java
+++ b/peer/src/main/java/org/wingstall/peer/DomainTable.java
@@ -1,15 +1,14 @@
 package org.wingstall.peer;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
+import org.wingstall.core.limit.DemandSums;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
-import org.wingstall.schema.peer.WorkspaceDemand;
 
 /** What is known of other failure domains, by the newest summary of each. */
 final class DomainTable {
@@ -75,29 +74,15 @@
     DomainSummary summarize(Heartbeat self, List<PeerState> peers, Predicate<PeerState> heard) {
         long lowest = self.getRevision();
         int boxes = 1;
-        Map<String, Double> demand = new HashMap<>();
-        add(demand, self.getDemand());
+        DemandSums demand = new DemandSums();
+        demand.add(self.getDemand());
         for (PeerState peer : peers) {
             if (heard.test(peer)) {
                 lowest = Math.min(lowest, peer.revision());
                 boxes++;
-                add(demand, peer.demand());
+                demand.add(peer.demand());
             }
         }
-        return new DomainSummary(own, lowest, boxes, 0, busiest(demand));
-    }
-
-    private static void add(Map<String, Double> sums, List<WorkspaceDemand> demand) {
-        if (demand != null) {
-            demand.forEach(entry -> sums.merge(entry.getWorkspace(), entry.getPerSecond(), Double::sum));
-        }
-    }
-
-    private static List<WorkspaceDemand> busiest(Map<String, Double> sums) {
-        return sums.entrySet().stream()
-                .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
-                .limit(MOST_DEMANDS)
-                .map(entry -> new WorkspaceDemand(entry.getKey(), entry.getValue()))
-                .toList();
+        return new DomainSummary(own, lowest, boxes, 0, demand.busiest(MOST_DEMANDS));
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -25,6 +25,7 @@
 import org.wingstall.core.peer.HeartbeatPacer;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.peer.Rendezvous;
+import org.wingstall.core.time.Jitter;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
@@ -49,7 +50,6 @@
 public final class PeerMesh implements PeerLink.LinkEvents {
     private static final Logger LOG = LogManager.getLogger(PeerMesh.class);
     private static final int CONNECT_TIMEOUT_MS = 500;
-    private static final double JITTER = 0.1;
 
     private final PeerOptions options;
     private final PeerHost host;
@@ -211,8 +211,9 @@
         if (full) {
             sinceFull = 0;
         }
-        double jitter = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() * 2 - 1);
-        loop.schedule(this::tick, (long) (plan.intervalMs() * jitter), TimeUnit.MILLISECONDS);
+        long delayMs =
+                Jitter.around(plan.intervalMs(), ThreadLocalRandom.current().nextDouble());
+        loop.schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
     }
 
     /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
