Commit claims through a peer while the table gives a box no answers

Cause: a box that was cut off from the platform alone refused every once-only request with 'table-unavailable', though its neighbours heard the table and already commit claims for others. The batcher was chosen among all boxes heard, whether the table answered them or not, and reads after a lost answer always went to the table directly. Ruled out: the claim rules themselves, which do not care who carries a write.

Change: heartbeats say whether the table answers their sender (a change is told at once); the committing box is chosen among those it answers, in the own failure domain first, then among linked boxes of others. A claim request without a row is a read. Requests are refused at once only when no linked box hears the table.

--- a/ctl/src/main/java/org/wingstall/ctl/Commands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/Commands.java
@@ -30,8 +30,8 @@
 
     private static TableCommands table(Namespace options, EventLoop loop) throws UsageException {
         String address = required(options, "platform", CtlParser.PLATFORM_VARIABLE);
-        HttpPlatform platform =
-                new HttpPlatform(new HttpClient(), loop, Addresses.parse(address), CALL_TIMEOUT_MS, System::nanoTime);
+        HttpPlatform platform = new HttpPlatform(
+                new HttpClient(), loop, Addresses.parse(address), CALL_TIMEOUT_MS, System::nanoTime, () -> {});
         return new TableCommands(options, platform);
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -103,8 +103,10 @@
                 control,
                 Addresses.parse(settings.getPlatformAddress()),
                 platformSettings.getCallTimeoutMs(),
-                clock);
-        ControlHost host = new ControlHost(config, registry, limiter, clock, state::isStopping, this::endpointsChanged);
+                clock,
+                this::suspicionChanged);
+        ControlHost host = new ControlHost(
+                config, registry, limiter, clock, state::isStopping, platform::suspect, this::endpointsChanged);
         this.mesh = new PeerMesh(peerOptions(), host, control, clock);
         this.gates = new ServiceGates(
                 registry,
@@ -133,8 +135,8 @@
     }
 
     private ClaimKeeper createClaims(PlatformClient platformSettings) {
-        ClaimKeeper.Parts parts =
-                new ClaimKeeper.Parts(idPrefix(), platform, platform::suspect, platform, control, retryAfter, metrics);
+        ClaimKeeper.Parts parts = new ClaimKeeper.Parts(
+                idPrefix(), platform, platform::suspect, mesh::tableReachable, platform, control, retryAfter, metrics);
         return ClaimKeepers.create(
                 parts,
                 clock,
@@ -184,6 +186,11 @@
         endpointsChanged();
     }
 
+    /** Peers are told at once, since one of them may commit claims for this box or wait for it to commit theirs. */
+    private void suspicionChanged() {
+        mesh.beatNow();
+    }
+
     private void endpointsChanged() {
         gates.drainAll();
     }
@@ -240,6 +247,7 @@
         metrics.gauge("wingstall.peer.sent.bytes", mesh::sentBytes);
         metrics.gauge("wingstall.peer.received.bytes", mesh::receivedBytes);
         metrics.gauge("wingstall.platform.body.bytes", platform::bodyBytes);
+        metrics.gauge("wingstall.table.unheard", () -> platform.suspect() ? 1 : 0);
         metrics.gauge("wingstall.platform.heard.age.ms", platform::heardAgeMs);
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimWriter.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimStore.java
@@ -26,7 +26,7 @@
  * Commits many changes of claims in one transaction. Two transactions begin at least an interval apart, and one follows on
  * the other; a change that alone is conflicted is answered as such and the rest are tried again.
  */
-final class BatchingClaimWriter implements ClaimWriter {
+final class BatchingClaimStore implements ClaimStore {
     private static final int MOST_IN_BATCH = 512;
 
     private final TableService table;
@@ -41,7 +41,7 @@
 
     private record Pending(ClaimRequest request, CompletableFuture<ClaimChange> change) {}
 
-    BatchingClaimWriter(TableService table, EventLoop loop, MonotonicClock clock, long intervalMs, Metrics metrics) {
+    BatchingClaimStore(TableService table, EventLoop loop, MonotonicClock clock, long intervalMs, Metrics metrics) {
         this.table = table;
         this.loop = loop;
         this.clock = clock;
@@ -50,6 +50,11 @@
         this.lastBeganMs = clock.nowMs() - intervalMs;
     }
 
+    @Override
+    public CompletableFuture<ClaimTable.Versioned> read(String key) {
+        return new ClaimTable(table).read(key);
+    }
+
     @Override
     public CompletableFuture<ClaimChange> write(ClaimRequest request) {
         CompletableFuture<ClaimChange> change = new CompletableFuture<>();
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
@@ -32,12 +32,12 @@
             long batchIntervalMs,
             long forwardTimeoutMs) {
         if (batchIntervalMs == 0) {
-            ClaimWriter single = new SingleClaimWriter(parts.table(), parts.metrics());
+            ClaimStore single = new SingleClaimStore(parts.table(), parts.metrics());
             return new ClaimKeeper(parts, single, single);
         }
-        ClaimWriter local =
-                new BatchingClaimWriter(parts.table(), parts.loop(), clock, batchIntervalMs, parts.metrics());
-        ClaimWriter writer = new ForwardingClaimWriter(boxId, mesh, local, forwardTimeoutMs, parts.metrics());
-        return new ClaimKeeper(parts, writer, local);
+        ClaimStore local = new BatchingClaimStore(parts.table(), parts.loop(), clock, batchIntervalMs, parts.metrics());
+        ClaimStore store =
+                new ForwardingClaimStore(boxId, mesh, local, forwardTimeoutMs, parts.tableUnheard(), parts.metrics());
+        return new ClaimKeeper(parts, store, local);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/SingleClaimWriter.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/SingleClaimStore.java
@@ -13,15 +13,20 @@
 import org.wingstall.schema.platform.Write;
 
 /** Commits each change in a transaction of its own; the baseline of the batches. */
-final class SingleClaimWriter implements ClaimWriter {
+final class SingleClaimStore implements ClaimStore {
     private final TableService table;
     private final Metrics metrics;
 
-    SingleClaimWriter(TableService table, Metrics metrics) {
+    SingleClaimStore(TableService table, Metrics metrics) {
         this.table = table;
         this.metrics = metrics;
     }
 
+    @Override
+    public CompletableFuture<ClaimTable.Versioned> read(String key) {
+        return new ClaimTable(table).read(key);
+    }
+
     @Override
     public CompletableFuture<ClaimChange> write(ClaimRequest request) {
         metrics.claimTransaction(1);
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -39,6 +39,7 @@
     private final EndpointRegistry registry;
     private final WorkspaceLimiter limiter;
     private final BooleanSupplier stopping;
+    private final BooleanSupplier tableUnheard;
     private final LeavingHints hints;
     private final Runnable endpointsChanged;
     private PeerMesh mesh;
@@ -53,6 +54,7 @@
      * @param limiter limits of workspaces
      * @param clock clock of hints
      * @param stopping whether a planned stop has begun
+     * @param tableUnheard whether the platform's table gives no answers
      * @param endpointsChanged told when endpoints or limits changed
      */
     public ControlHost(
@@ -61,11 +63,13 @@
             WorkspaceLimiter limiter,
             MonotonicClock clock,
             BooleanSupplier stopping,
+            BooleanSupplier tableUnheard,
             Runnable endpointsChanged) {
         this.config = config;
         this.registry = registry;
         this.limiter = limiter;
         this.stopping = stopping;
+        this.tableUnheard = tableUnheard;
         this.hints = new LeavingHints(clock);
         this.endpointsChanged = endpointsChanged;
     }
@@ -87,10 +91,16 @@
         return revision() == 0 || !registry.known();
     }
 
+    @Override
+    public boolean tableUnheard() {
+        return tableUnheard.getAsBoolean();
+    }
+
     @Override
     public Heartbeat heartbeat() {
         updateLimits();
-        return new Heartbeat(revision(), stopping.getAsBoolean(), hints.current(), limiter.demand(), List.of());
+        return new Heartbeat(
+                revision(), stopping.getAsBoolean(), hints.current(), limiter.demand(), List.of(), tableUnheard());
     }
 
     private void updateLimits() {
--- a/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
+++ b/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
@@ -120,7 +120,7 @@
             String value = Integer.toString(100 + 2 * step + racer);
             CompletableFuture.runAsync(() -> {
                 try {
-                    fleet.overwrite("workspace/crew", "{\"name\": \"crew\", \"weight\": " + value + "}");
+                    fleet.table().overwrite("workspace/crew", "{\"name\": \"crew\", \"weight\": " + value + "}");
                     accepted.incrementAndGet();
                 } catch (EditConflictException | PlatformException e) {
                     conflicts.incrementAndGet();
--- a/it/src/test/java/org/wingstall/it/ConfigurationTest.java
+++ b/it/src/test/java/org/wingstall/it/ConfigurationTest.java
@@ -59,7 +59,7 @@
         fleet.boxes().stream().filter(box -> !box.process().alive()).forEach(box -> box.process()
                 .restart());
         fleet.boxes().forEach(fleet::awaitReady);
-        fleet.overwrite("workspace/crew", "{\"name\": \"crew\", \"weight\": 1}");
+        fleet.table().overwrite("workspace/crew", "{\"name\": \"crew\", \"weight\": 1}");
         assertEquals(List.copyOf(reversions), List.of());
     }
 
@@ -96,7 +96,7 @@
     public void editsAreInForceEverywhereWithinSeconds() throws EditConflictException, PlatformException {
         List<Long> tookMs = new ArrayList<>();
         for (int i = 1; i <= 8; i++) {
-            long revision = fleet.set("workspace/crew", "weight", Integer.toString(i), Integer.toString(i + 1));
+            long revision = fleet.table().set("workspace/crew", "weight", Integer.toString(i), Integer.toString(i + 1));
             tookMs.add(awaitInForce(revision, fleet.boxes()));
         }
         System.out.println("in force everywhere after ms: " + tookMs);
@@ -127,7 +127,7 @@
 
     private String race(String before, String wanted) {
         try {
-            fleet.set("workspace/crew", "weight", before, wanted);
+            fleet.table().set("workspace/crew", "weight", before, wanted);
             return wanted;
         } catch (EditConflictException e) {
             return "conflict " + e.getMessage();
@@ -142,8 +142,14 @@
         long first = 0;
         for (int i = 1; i <= 8; i++) {
             String editId = UUID.randomUUID().toString();
-            long revision = fleet.set(
-                    fleet.editor(), editId, "workspace/crew", "weight", Integer.toString(i), Integer.toString(i + 1));
+            long revision = fleet.table()
+                    .set(
+                            fleet.table().editor(),
+                            editId,
+                            "workspace/crew",
+                            "weight",
+                            Integer.toString(i),
+                            Integer.toString(i + 1));
             assertTrue(first == 0 || revision == first + 1, "an edit took effect twice");
             first = revision;
         }
@@ -155,7 +161,7 @@
     public void aDomainCutOffGoesOnServingAndCatchesUpWhenJoined() throws EditConflictException, PlatformException {
         long before = fleet.revision(fleet.box("box-c"));
         fleet.cutDomain("mangalia", true);
-        long revision = fleet.set("workspace/crew", "weight", "1", "5");
+        long revision = fleet.table().set("workspace/crew", "weight", "1", "5");
         awaitInForce(revision, List.of(fleet.box("box-a"), fleet.box("box-b")));
         Calls calls = new Calls();
         for (int i = 0; i < 20; i++) {
@@ -171,14 +177,14 @@
     @Test
     public void aDomainCutOffFromThePlatformAloneFollowsItsPeers() throws EditConflictException, PlatformException {
         fleet.routeFaults(fleet.box("box-c").platformRoute(), "{\"cut\": true}");
-        long revision = fleet.set("workspace/crew", "weight", "1", "6");
+        long revision = fleet.table().set("workspace/crew", "weight", "1", "6");
         System.out.println("by peers after ms: " + awaitInForce(revision, fleet.boxes()));
     }
 
     @Test
     public void staleReadsOfThePlatformTakeNothingBack() throws EditConflictException, PlatformException {
         fleet.admin("/admin/snapshot", TestFleet.tree("{}"));
-        long revision = fleet.set("workspace/crew", "weight", "1", "8");
+        long revision = fleet.table().set("workspace/crew", "weight", "1", "8");
         awaitInForce(revision, fleet.boxes());
         fleet.platformFaults("{\"stale\": true}");
         TestFleet.Box restarted = fleet.box("box-a");
@@ -196,7 +202,7 @@
     @Test
     public void aGatewayRestartedWithoutThePlatformStartsFromItsPeers()
             throws EditConflictException, PlatformException {
-        long revision = fleet.set("workspace/crew", "weight", "1", "7");
+        long revision = fleet.table().set("workspace/crew", "weight", "1", "7");
         awaitInForce(revision, fleet.boxes());
         fleet.platformFaults("{\"down\": true}");
         TestFleet.Box box = fleet.box("box-b");
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -11,18 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.UUID;
 import org.awaitility.Awaitility;
-import org.wingstall.core.config.ConfigKey;
-import org.wingstall.core.config.InvalidRowException;
 import org.wingstall.gateway.GatewayMain;
-import org.wingstall.net.EventLoops;
-import org.wingstall.net.http.HttpClient;
-import org.wingstall.platform.ConfigEditor;
-import org.wingstall.platform.Edit;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.HttpPlatform;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.platform.Member;
@@ -42,6 +32,7 @@
     private final List<String> routes = new ArrayList<>();
     private final String platform = Ports.address("127.0.0.1");
     private final String proxyControls = Ports.address("127.0.0.1");
+    private final FleetTable table = new FleetTable(platform);
 
     /** An entry box with its gateway. */
     public record Box(
@@ -159,7 +150,7 @@
         processes.forEach(process -> process.awaitLine("listening"));
         endpoints.values().forEach(endpoint -> register(endpoint, Member.State.LIVE));
         boxes.values().forEach(this::register);
-        importRows(rows);
+        table.importRows(rows);
         proxy.awaitLine("listening");
         gatewayStarts.forEach(Runnable::run);
         boxes.values().forEach(this::awaitReady);
@@ -266,6 +257,17 @@
         }
     }
 
+    /** Cuts one box off from all its peers, but not from the platform, or heals the cut. */
+    public void cutFromPeers(Box alone, boolean cut) {
+        for (Box box : boxes.values()) {
+            List<String> ips = boxes.values().stream()
+                    .filter(other -> (box == alone) != (other == alone))
+                    .map(other -> "\"" + other.ip() + "\"")
+                    .toList();
+            routeFaults(box.peerRoute(), cut ? "{\"cutFrom\": " + ips + "}" : "{}");
+        }
+    }
+
     /** Returns every run that endpoints of a service have on record. */
     public List<JsonNode> runs(String service) {
         List<JsonNode> runs = new ArrayList<>();
@@ -294,67 +296,9 @@
                 .sum();
     }
 
-    public ConfigEditor editor() {
-        return editorAt(platform);
-    }
-
-    public ConfigEditor editorAt(String address) {
-        HttpPlatform client = new HttpPlatform(
-                new HttpClient(),
-                EventLoops.group("test", 1).next(),
-                org.wingstall.core.member.Addresses.parse(address),
-                1000,
-                System::nanoTime);
-        return new ConfigEditor(client, attempt -> Pauses.backOff(attempt));
-    }
-
-    public long set(String key, String column, String expected, String value)
-            throws EditConflictException, PlatformException {
-        return set(editor(), UUID.randomUUID().toString(), key, column, expected, value);
-    }
-
-    public long set(ConfigEditor editor, String editId, String key, String column, String expected, String value)
-            throws EditConflictException, PlatformException {
-        try {
-            Edit edit = new Edit.Columns(
-                    ConfigKey.parse(key), Map.of(column, new Edit.Change(tree(expected), tree(value))));
-            return editor.edit("test", editId, System.currentTimeMillis(), List.of(edit));
-        } catch (InvalidRowException | InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
-    /** Replaces a row, whatever it was. */
-    public void overwrite(String key, String row) throws EditConflictException, PlatformException {
-        try {
-            Edit edit = new Edit.Row(ConfigKey.parse(key), tree(row));
-            editor().edit("test", UUID.randomUUID().toString(), System.currentTimeMillis(), List.of(edit));
-        } catch (InvalidRowException | InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
-    private void importRows(String yaml) {
-        try {
-            List<Edit> edits = new ArrayList<>();
-            JsonNode rows = Json.readYaml(yaml);
-            rows.fieldNames().forEachRemaining(kind -> rows.get(kind).forEach(row -> edits.add(rowEdit(kind, row))));
-            editor().edit("test", UUID.randomUUID().toString(), System.currentTimeMillis(), edits);
-        } catch (InvalidDocumentException
-                | InvalidRowException
-                | EditConflictException
-                | PlatformException
-                | InterruptedException e) {
-            throw new AssertionError(e);
-        }
-    }
-
-    private static Edit rowEdit(String kind, JsonNode row) {
-        try {
-            return new Edit.Row(ConfigKey.parse(kind + "/" + row.path("name").asText()), row);
-        } catch (InvalidRowException e) {
-            throw new AssertionError(e);
-        }
+    /** Returns the operators' way to the table. */
+    public FleetTable table() {
+        return table;
     }
 
     public static JsonNode tree(String json) {
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -166,7 +166,7 @@
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
             PeerFrame frame = new PeerFrame(
-                    0, null, new Heartbeat(123_456, false, List.of(), demand, domains), null, null, null, null);
+                    0, null, new Heartbeat(123_456, false, List.of(), demand, domains, false), null, null, null, null);
             byte[] bytes = MessagePack.write(frame);
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -0,0 +1,112 @@
+package org.wingstall.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
+import org.wingstall.core.peer.LinkPlan;
+import org.wingstall.net.EventLoops;
+
+/** Opens and closes a gateway's links as the link plan and the seeds ask for; runs on the control loop. */
+final class Dialer {
+    private static final int CONNECT_TIMEOUT_MS = 500;
+
+    private final PeerOptions options;
+    private final LinkPlan.Box self;
+    private final EventLoop loop;
+    private final Directory directory;
+    private final Map<String, PeerLink> links;
+    private final Function<InetSocketAddress, ChannelInitializer<SocketChannel>> initializer;
+    private final Set<InetSocketAddress> dialling = new HashSet<>();
+
+    Dialer(
+            PeerOptions options,
+            LinkPlan.Box self,
+            EventLoop loop,
+            Directory directory,
+            Map<String, PeerLink> links,
+            Function<InetSocketAddress, ChannelInitializer<SocketChannel>> initializer) {
+        this.options = options;
+        this.self = self;
+        this.loop = loop;
+        this.directory = directory;
+        this.links = links;
+        this.initializer = initializer;
+    }
+
+    /** Dials every planned peer and every seed that has no link, and closes links that are not planned any more. */
+    void dialMissing() {
+        Set<String> planned = LinkPlan.linksOf(self, directory.reachable());
+        directory.inDomain(self.failureDomain()).forEach(box -> planned.add(box.boxId()));
+        planned.remove(self.boxId());
+        for (String boxId : planned) {
+            if (!links.containsKey(boxId)) {
+                dial(directory.entry(boxId).address());
+            }
+        }
+        for (InetSocketAddress seed : options.seeds()) {
+            boolean needed = !directory.knows(seed) && !links.containsKey(directory.boxBehind(seed));
+            if (needed) {
+                dial(seed);
+            }
+        }
+        closeUnplanned(planned);
+        retryUnreachable(planned);
+    }
+
+    /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
+    private void retryUnreachable(Set<String> planned) {
+        Set<String> reachable = new HashSet<>();
+        directory.reachable().forEach(box -> reachable.add(box.boxId()));
+        boolean soon = ThreadLocalRandom.current().nextInt(4) == 0;
+        for (LinkPlan.Box box : directory.all()) {
+            if (soon
+                    && !reachable.contains(box.boxId())
+                    && !links.containsKey(box.boxId())
+                    && !planned.contains(box.boxId())) {
+                dial(directory.entry(box.boxId()).address());
+            }
+        }
+    }
+
+    private void closeUnplanned(Set<String> planned) {
+        for (PeerLink link : List.copyOf(links.values())) {
+            boolean known = directory.entry(link.peer().getBoxId()) != null;
+            if (known && link.dialled() && !planned.contains(link.peer().getBoxId())) {
+                link.close();
+            }
+        }
+    }
+
+    /** Dials from the box's own IP address, so that the network can tell boxes apart. */
+    private void dial(InetSocketAddress address) {
+        if (!dialling.add(address)) {
+            return;
+        }
+        new Bootstrap()
+                .group(loop)
+                .channel(EventLoops.clientChannel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(initializer.apply(address))
+                .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0))
+                .connect(address)
+                .addListener((ChannelFuture connected) -> {
+                    dialling.remove(address);
+                    if (connected.isSuccess()) {
+                        directory.dialSucceeded(address);
+                    } else {
+                        directory.dialFailed(address);
+                    }
+                });
+    }
+}
--- a/peer/src/main/java/org/wingstall/peer/PeerHost.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerHost.java
@@ -20,6 +20,9 @@
     /** Returns whether configuration or membership list are still unknown, so that both are asked for whole. */
     boolean starting();
 
+    /** Returns whether the platform's table gives this gateway no answers; read on any thread. */
+    boolean tableUnheard();
+
     /** Returns what the next heartbeat says, but for the summaries of failure domains, which the mesh adds. */
     Heartbeat heartbeat();
 
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -1,6 +1,5 @@
 package org.wingstall.peer;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,10 +11,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -49,7 +46,6 @@
  */
 public final class PeerMesh implements PeerLink.LinkEvents {
     private static final Logger LOG = LogManager.getLogger(PeerMesh.class);
-    private static final int CONNECT_TIMEOUT_MS = 500;
 
     private final PeerOptions options;
     private final PeerHost host;
@@ -60,7 +56,7 @@
     private final ByteCounter bytes = new ByteCounter();
     private final Directory directory = new Directory();
     private final Map<String, PeerLink> links = new HashMap<>();
-    private final Set<InetSocketAddress> dialling = new HashSet<>();
+    private final Dialer dialer;
     private final ForwardedClaims forwarded;
     private final DomainTable domains;
     private volatile Map<String, PeerState> peers = Map.of();
@@ -85,6 +81,7 @@
         this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
         this.self = new LinkPlan.Box(options.hello().getBoxId(), options.hello().getFailureDomain());
         this.forwarded = new ForwardedClaims(loop);
+        this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
     }
 
@@ -164,14 +161,33 @@
 
     /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
     public String batcher() {
+        List<String> boxes = committing(true);
+        if (boxes.isEmpty()) {
+            boxes = committing(false);
+        }
+        return boxes.isEmpty()
+                ? self.boxId()
+                : Rendezvous.top("claims", boxes, 1).get(0);
+    }
+
+    /** Returns whether this box or a peer that it has a link to gets answers from the platform's table. */
+    public boolean tableReachable() {
+        return !committing(true).isEmpty() || !committing(false).isEmpty();
+    }
+
+    /** Returns the boxes, in this failure domain or in others, that get answers from the platform's table. */
+    private List<String> committing(boolean inOwnDomain) {
         List<String> boxes = new ArrayList<>();
-        boxes.add(self.boxId());
-        for (PeerState peer : inDomain()) {
-            if (heard(peer) && !peer.stopping()) {
+        if (inOwnDomain && !host.tableUnheard()) {
+            boxes.add(self.boxId());
+        }
+        for (PeerState peer : peers.values()) {
+            boolean commits = heard(peer) && !peer.stopping() && !peer.tableUnheard();
+            if (commits && inOwnDomain(peer) == inOwnDomain) {
                 boxes.add(peer.hello().getBoxId());
             }
         }
-        return Rendezvous.top("claims", boxes, 1).get(0);
+        return boxes;
     }
 
     /** Sends a change of a claim to the box that commits it; the result is unanswered when no answer comes in time. */
@@ -204,7 +220,7 @@
     }
 
     private void tick() {
-        dialMissing();
+        dialer.dialMissing();
         sinceFull++;
         boolean full = sinceFull >= plan.fullEvery();
         sendHeartbeats(full);
@@ -219,7 +235,8 @@
     /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
     private void sendHeartbeats(boolean full) {
         Heartbeat own = host.heartbeat();
-        Heartbeat plain = new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), null, null);
+        Heartbeat plain =
+                new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), null, null, own.isTableUnheard());
         Heartbeat inside = withDomains(own, domains.direct());
         DomainSummary ownDomain = domains.summarize(own, inDomain(), this::heard);
         Heartbeat across = withDomains(own, List.of(ownDomain));
@@ -236,73 +253,13 @@
     }
 
     private static Heartbeat withDomains(Heartbeat own, List<DomainSummary> summaries) {
-        return new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), own.getDemand(), summaries);
-    }
-
-    private void dialMissing() {
-        Set<String> planned = LinkPlan.linksOf(self, directory.reachable());
-        directory.inDomain(self.failureDomain()).forEach(box -> planned.add(box.boxId()));
-        planned.remove(self.boxId());
-        for (String boxId : planned) {
-            if (!links.containsKey(boxId)) {
-                dial(directory.entry(boxId).address());
-            }
-        }
-        for (InetSocketAddress seed : options.seeds()) {
-            boolean needed = !directory.knows(seed) && !links.containsKey(directory.boxBehind(seed));
-            if (needed) {
-                dial(seed);
-            }
-        }
-        closeUnplanned(planned);
-        retryUnreachable(planned);
-    }
-
-    /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
-    private void retryUnreachable(Set<String> planned) {
-        Set<String> reachable = new HashSet<>();
-        directory.reachable().forEach(box -> reachable.add(box.boxId()));
-        boolean soon = ThreadLocalRandom.current().nextInt(4) == 0;
-        for (LinkPlan.Box box : directory.all()) {
-            if (soon
-                    && !reachable.contains(box.boxId())
-                    && !links.containsKey(box.boxId())
-                    && !planned.contains(box.boxId())) {
-                dial(directory.entry(box.boxId()).address());
-            }
-        }
-    }
-
-    private void closeUnplanned(Set<String> planned) {
-        for (PeerLink link : List.copyOf(links.values())) {
-            boolean known = directory.entry(link.peer().getBoxId()) != null;
-            if (known && link.dialled() && !planned.contains(link.peer().getBoxId())) {
-                link.close();
-            }
-        }
-    }
-
-    /** Dials from the box's own IP address, so that the network can tell boxes apart. */
-    private void dial(InetSocketAddress address) {
-        if (!dialling.add(address)) {
-            return;
-        }
-        new Bootstrap()
-                .group(loop)
-                .channel(EventLoops.clientChannel())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(initializer(address))
-                .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0))
-                .connect(address)
-                .addListener((ChannelFuture connected) -> {
-                    dialling.remove(address);
-                    if (connected.isSuccess()) {
-                        directory.dialSucceeded(address);
-                    } else {
-                        directory.dialFailed(address);
-                    }
-                });
+        return new Heartbeat(
+                own.getRevision(),
+                own.isStopping(),
+                own.getLeaving(),
+                own.getDemand(),
+                summaries,
+                own.isTableUnheard());
     }
 
     private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
@@ -384,7 +341,13 @@
         List<WorkspaceDemand> demand = heartbeat.getDemand() == null ? known : heartbeat.getDemand();
         next.put(
                 link.peer().getBoxId(),
-                new PeerState(link.peer(), clock.nowMs(), heartbeat.getRevision(), heartbeat.isStopping(), demand));
+                new PeerState(
+                        link.peer(),
+                        clock.nowMs(),
+                        heartbeat.getRevision(),
+                        heartbeat.isStopping(),
+                        heartbeat.isTableUnheard(),
+                        demand));
         peers = Map.copyOf(next);
         boolean across = !link.peer().getFailureDomain().equals(self.failureDomain());
         domains.heard(heartbeat.getDomains(), across);
--- a/peer/src/main/java/org/wingstall/peer/PeerState.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerState.java
@@ -11,10 +11,17 @@
  * @param heardAtMs when it was last heard, in ms of the monotonic clock
  * @param revision its configuration revision in force
  * @param stopping whether it is in a planned stop
+ * @param tableUnheard whether the platform's table gives it no answers
  * @param demand requests a second by limited workspace there
  * @since 0.1
  */
-public record PeerState(Hello hello, long heardAtMs, long revision, boolean stopping, List<WorkspaceDemand> demand) {
+public record PeerState(
+        Hello hello,
+        long heardAtMs,
+        long revision,
+        boolean stopping,
+        boolean tableUnheard,
+        List<WorkspaceDemand> demand) {
     /** Returns whether the peer was heard lately. */
     boolean heardSince(long sinceMs) {
         return heardAtMs >= sinceMs;
--- a/spec/promela/claims.pml
+++ b/spec/promela/claims.pml
@@ -2,7 +2,8 @@
  *
  * The platform's table holds one row with a version. A write carries the version that it expects. A write may land late,
  * after its sender stopped waiting, or never; its answer may be lost. Reads are definite when they are answered. An attempt
- * may crash anywhere, and any pause is some interleaving. A batch is a write that lands together with others; each row of it
+ * may crash anywhere, and any pause is some interleaving: between a read and what follows on it too, so that a read by way
+ * of a peer, which comes late, is covered. A batch is a write that lands together with others; each row of it
  * is answered for itself.
  *
  * The rules are those of org.wingstall.core.claim.ClaimProtocol. With a BROKEN_ macro one guard is taken away, and the
