Mix faults over two boxes in each domain and a whole rolling restart

Cause: the combined run had three boxes, each alone in its failure domain, so a domain's own peers were never cut apart and claims were never handed to a neighbour under faults; planned stops came singly; one seed was run.

Change: six boxes in three domains, single boxes cut from their peers or from the platform, pools that refuse, and after the mixed faults a rolling restart of all boxes under load while platform and endpoints go on failing. Two seeds run with the tests, any other with -Dit.seed.

--- a/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
+++ b/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
@@ -36,18 +36,20 @@
     @DataProvider
     Object[][] seeds() {
         String wanted = System.getProperty("it.seed");
-        return new Object[][] {{wanted == null ? 20261202L : Long.parseLong(wanted)}};
+        return wanted == null ? new Object[][] {{20261202L}, {7L}} : new Object[][] {{Long.parseLong(wanted)}};
     }
 
     @Test(dataProvider = "seeds")
     public void noPromiseBreaksUnderMixedFaults(long seed) throws InterruptedException {
-        fleet = Fleets.three("combined", "shutdownNoticeMs: 600", "shutdownGraceMs: 8000");
+        fleet = Fleets.six("combined", "shutdownNoticeMs: 600", "shutdownGraceMs: 8000");
         try {
             Calls calls = new Calls();
             AtomicBoolean over = new AtomicBoolean();
             Thread load = new Thread(() -> sendUntil(calls, over, new Random(seed + 1)));
             load.start();
-            inject(new Random(seed));
+            Random faults = new Random(seed);
+            inject(faults);
+            restartInTurn(faults);
             over.set(true);
             load.join();
             List<Calls.Call> done = calls.await();
@@ -61,7 +63,7 @@
 
     private void sendUntil(Calls calls, AtomicBoolean over, Random random) {
         for (int i = 0; !over.get(); i++) {
-            TestFleet.Box box = fleet.boxes().get(random.nextInt(3));
+            TestFleet.Box box = anyBox(random);
             if (random.nextInt(3) == 0) {
                 int key = random.nextInt(120);
                 calls.send(box, "order", "order " + key, "mixed-" + key, false);
@@ -75,21 +77,14 @@
     private void inject(Random random) {
         for (int step = 0; step < STEPS; step++) {
             healAll();
-            TestFleet.Box box = fleet.boxes().get(random.nextInt(3));
-            TestFleet.Endpoint pool = fleet.endpoints("far").get(random.nextInt(2));
-            TestFleet.Endpoint engine = fleet.endpoints("briza").get(random.nextInt(2));
-            TestFleet.Endpoint ledger = fleet.endpoints("ledger").get(random.nextInt(2));
-            switch (random.nextInt(10)) {
+            TestFleet.Box box = anyBox(random);
+            switch (random.nextInt(13)) {
                 case 0 -> box.process().kill();
                 case 1 -> box.process().freeze();
                 case 2 -> box.process().terminate();
                 case 3 -> fleet.cutDomain(box.domain(), true);
-                case 4 -> fleet.platformFaults("{\"loseAnswerRate\": 0.5, \"lateRate\": 0.3, \"lateMs\": 900}");
-                case 5 -> fleet.platformFaults("{\"silent\": true}");
-                case 6 -> fleet.endpointFaults(engine, "{\"dieAfterTokens\": 4}");
-                case 7 -> fleet.routeFaults(ledger.route(), "{\"dropAnswers\": true}");
-                case 8 -> fleet.endpointFaults(pool, "{\"wrongId\": true}");
-                default -> fleet.endpointFaults(engine, "{\"hang\": true}");
+                case 4 -> fleet.cutFromPeers(box, true);
+                default -> injectOutsideBoxes(random);
             }
             raceOperators(step);
             Pauses.ofMs(STEP_MS);
@@ -98,9 +93,45 @@
         fleet.boxes().forEach(fleet::awaitReady);
     }
 
+    private TestFleet.Box anyBox(Random random) {
+        return fleet.boxes().get(random.nextInt(fleet.boxes().size()));
+    }
+
+    private void injectOutsideBoxes(Random random) {
+        TestFleet.Box box = anyBox(random);
+        TestFleet.Endpoint pool = fleet.endpoints("far").get(random.nextInt(2));
+        TestFleet.Endpoint engine = fleet.endpoints("briza").get(random.nextInt(2));
+        TestFleet.Endpoint ledger = fleet.endpoints("ledger").get(random.nextInt(2));
+        switch (random.nextInt(8)) {
+            case 0 -> fleet.platformFaults("{\"loseAnswerRate\": 0.5, \"lateRate\": 0.3, \"lateMs\": 900}");
+            case 1 -> fleet.platformFaults("{\"silent\": true}");
+            case 2 -> fleet.routeFaults(box.platformRoute(), "{\"cut\": true}");
+            case 3 -> fleet.endpointFaults(engine, "{\"dieAfterTokens\": 4}");
+            case 4 -> fleet.routeFaults(ledger.route(), "{\"dropAnswers\": true}");
+            case 5 -> fleet.endpointFaults(pool, "{\"wrongId\": true}");
+            case 6 -> fleet.endpointFaults(pool, "{\"refuse\": true}");
+            default -> fleet.endpointFaults(engine, "{\"hang\": true}");
+        }
+    }
+
+    /** A whole rolling restart, with faults of platform and endpoints that change from box to box. */
+    private void restartInTurn(Random random) {
+        for (TestFleet.Box box : fleet.boxes()) {
+            healAll();
+            injectOutsideBoxes(random);
+            box.process().terminate();
+            box.process().awaitExit(30);
+            healAll();
+            fleet.awaitReady(box);
+        }
+    }
+
     private void healAll() {
         fleet.platformFaults("{}");
-        fleet.boxes().forEach(box -> fleet.cutDomain(box.domain(), false));
+        fleet.boxes().forEach(box -> {
+            fleet.routeFaults(box.peerRoute(), "{}");
+            fleet.routeFaults(box.platformRoute(), "{}");
+        });
         for (String service : List.of("far", "briza", "ledger")) {
             for (TestFleet.Endpoint endpoint : fleet.endpoints(service)) {
                 fleet.endpointFaults(endpoint, "{}");
