Give engines orders under a lease with a growing token

Until now operators could not say what the model engines have loaded. Rows engine/SERVICE now hold model, version, adapters and role; one gateway of each failure domain brings its engines there, a few at once, under a lease in the platform's table. Tokens fence late orders at engines that check them; orders state targets, and engines are asked again, for those that do not. wingstallctl fleet engines shows how far it is. Counters by result.

--- a/core/src/main/java/org/wingstall/core/config/ConfigKey.java
+++ b/core/src/main/java/org/wingstall/core/config/ConfigKey.java
@@ -20,7 +20,9 @@
         /** A workspace. */
         WORKSPACE("workspace"),
         /** A class of endpoint boxes. */
-        BOX_CLASS("box-class");
+        BOX_CLASS("box-class"),
+        /** What the model engines of a service are to have loaded. */
+        ENGINE("engine");
 
         private final String prefix;
 
--- a/core/src/main/java/org/wingstall/core/config/ConfigRows.java
+++ b/core/src/main/java/org/wingstall/core/config/ConfigRows.java
@@ -9,6 +9,7 @@
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.table.BoxClassRow;
+import org.wingstall.schema.table.EngineRow;
 import org.wingstall.schema.table.PipelineRow;
 import org.wingstall.schema.table.StageRow;
 import org.wingstall.schema.table.WorkspaceRow;
@@ -40,6 +41,7 @@
                     checkName(key, SchemaCheck.of(WorkspaceRow.class).read(value), value);
                 case BOX_CLASS ->
                     checkName(key, SchemaCheck.of(BoxClassRow.class).read(value), value);
+                case ENGINE -> checkName(key, SchemaCheck.of(EngineRow.class).read(value), value);
             };
         } catch (InvalidDocumentException e) {
             throw new InvalidRowException(key.toString(), e.key(), e.value(), e.valid());
--- a/core/src/main/java/org/wingstall/core/config/ConfigSnapshot.java
+++ b/core/src/main/java/org/wingstall/core/config/ConfigSnapshot.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.wingstall.schema.table.BoxClassRow;
 import org.wingstall.schema.table.ConfigCell;
+import org.wingstall.schema.table.EngineRow;
 import org.wingstall.schema.table.PipelineRow;
 import org.wingstall.schema.table.WorkspaceRow;
 
@@ -20,25 +21,28 @@
  */
 public final class ConfigSnapshot {
     /** The configuration of a gateway that has heard of none. */
-    public static final ConfigSnapshot EMPTY = new ConfigSnapshot(0, Map.of(), Map.of(), Map.of(), Map.of());
+    public static final ConfigSnapshot EMPTY = new ConfigSnapshot(0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
 
     private final long revision;
     private final Map<String, JsonNode> cells;
     private final Map<String, PipelineRow> pipelines;
     private final Map<String, WorkspaceRow> workspaces;
     private final Map<String, BoxClassRow> boxClasses;
+    private final Map<String, EngineRow> engines;
 
     private ConfigSnapshot(
             long revision,
             Map<String, JsonNode> cells,
             Map<String, PipelineRow> pipelines,
             Map<String, WorkspaceRow> workspaces,
-            Map<String, BoxClassRow> boxClasses) {
+            Map<String, BoxClassRow> boxClasses,
+            Map<String, EngineRow> engines) {
         this.revision = revision;
         this.cells = cells;
         this.pipelines = pipelines;
         this.workspaces = workspaces;
         this.boxClasses = boxClasses;
+        this.engines = engines;
     }
 
     /** Returns the revision; 0 when there is no configuration. */
@@ -71,6 +75,11 @@
         return workspaces;
     }
 
+    /** Returns what engines are to have loaded, by service. */
+    public Map<String, EngineRow> engines() {
+        return engines;
+    }
+
     /** Returns every row in the order of the keys. */
     public List<ConfigCell> cells() {
         return new TreeMap<>(cells)
@@ -114,6 +123,7 @@
         private final Map<String, PipelineRow> pipelines;
         private final Map<String, WorkspaceRow> workspaces;
         private final Map<String, BoxClassRow> boxClasses;
+        private final Map<String, EngineRow> engines;
 
         Builder(ConfigSnapshot from, long revision) {
             this.revision = revision;
@@ -121,6 +131,7 @@
             this.pipelines = new HashMap<>(from.pipelines);
             this.workspaces = new HashMap<>(from.workspaces);
             this.boxClasses = new HashMap<>(from.boxClasses);
+            this.engines = new HashMap<>(from.engines);
         }
 
         void put(ConfigCell cell) throws InvalidRowException {
@@ -140,6 +151,7 @@
                 case PIPELINE -> replace(pipelines, key.name(), (PipelineRow) row);
                 case WORKSPACE -> replace(workspaces, key.name(), (WorkspaceRow) row);
                 case BOX_CLASS -> replace(boxClasses, key.name(), (BoxClassRow) row);
+                case ENGINE -> replace(engines, key.name(), (EngineRow) row);
                 default -> throw new AssertionError(key.kind());
             }
         }
@@ -153,7 +165,7 @@
         }
 
         ConfigSnapshot build() {
-            return new ConfigSnapshot(revision, cells, pipelines, workspaces, boxClasses);
+            return new ConfigSnapshot(revision, cells, pipelines, workspaces, boxClasses, engines);
         }
     }
 }
--- a/ctl/src/main/java/org/wingstall/ctl/Commands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/Commands.java
@@ -21,6 +21,7 @@
             case "table import" -> table(options, loop)::importFile;
             case "table export" -> table(options, loop)::export;
             case "table history" -> table(options, loop)::history;
+            case "fleet engines" -> fleet(options, loop)::engines;
             case "fleet status" -> fleet(options, loop)::status;
             case "request show" -> fleet(options, loop)::request;
             case "config check" -> out -> ConfigCheck.check(options.getString("file"), out);
--- a/ctl/src/main/java/org/wingstall/ctl/CtlParser.java
+++ b/ctl/src/main/java/org/wingstall/ctl/CtlParser.java
@@ -17,6 +17,7 @@
               wingstallctl table set workspace/school-contract weight=3 --expect weight=1
               wingstallctl table import pipelines.yaml
               wingstallctl fleet status
+              wingstallctl fleet engines
             exit codes: 0 done, 1 no answer, 2 not valid, 3 conflict with another edit, 4 not found""";
 
     private CtlParser() {}
@@ -49,7 +50,7 @@
     private static void addTable(Subparser table) {
         Subparsers commands = table.addSubparsers().dest("command");
         Subparser show = commands.addParser("show").help("show rows");
-        show.addArgument("kind").nargs("?").choices("pipeline", "workspace", "box-class");
+        show.addArgument("kind").nargs("?").choices("pipeline", "workspace", "box-class", "engine");
         Subparser set = commands.addParser("set").help("set columns of one row by compare-and-set");
         set.addArgument("key").help("such as workspace/school-contract");
         set.addArgument("assignment").nargs("+").help("column=value; a value is read as JSON, else as text");
@@ -64,7 +65,9 @@
     }
 
     private static void addFleet(Subparser fleet) {
-        fleet.addSubparsers().dest("command").addParser("status").help("revisions, peers, endpoints");
+        Subparsers commands = fleet.addSubparsers().dest("command");
+        commands.addParser("status").help("revisions, peers, endpoints");
+        commands.addParser("engines").help("what the engines of the gateway's failure domain have loaded");
     }
 
     private static void addRequest(Subparser request) {
--- a/ctl/src/main/java/org/wingstall/ctl/FleetCommands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/FleetCommands.java
@@ -15,6 +15,7 @@
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.operator.FleetStatus;
+import org.wingstall.schema.operator.OrderStatus;
 import org.wingstall.schema.operator.PeerStatus;
 import org.wingstall.schema.peer.DomainSummary;
 
@@ -71,6 +72,21 @@
                 "endpoint", status.getEndpoints().stream().map(Json::toTree).toList());
     }
 
+    void engines(PrintStream out)
+            throws UnreachableException, NotFoundException, InvalidDocumentException, InterruptedException {
+        OrderStatus status = Json.read(get("/v1/engines").body(), OrderStatus.class);
+        if (options.getString("format").equals("json")) {
+            out.println(Json.writeText(status));
+            return;
+        }
+        out.println(
+                status.isHolds()
+                        ? "holds the lease with token " + status.getToken() + " for " + status.getLeftMs() + " ms"
+                        : "does not hold the lease; ask the other gateways of its failure domain");
+        RowPrinter.of(options.getString("format"), out)
+                .rows("engine", status.getEngines().stream().map(Json::toTree).toList());
+    }
+
     private static List<JsonNode> domains(FleetStatus status) {
         List<JsonNode> rows = new ArrayList<>();
         long lowest = status.getRevision();
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import org.wingstall.gateway.control.ControlHost;
 import org.wingstall.gateway.control.MemberFollower;
 import org.wingstall.gateway.control.Prober;
+import org.wingstall.gateway.engine.EngineOrderGiver;
 import org.wingstall.gateway.run.RecentRequests;
 import org.wingstall.gateway.run.RetryBudgets;
 import org.wingstall.gateway.run.RunParts;
@@ -58,6 +59,7 @@
     private static final int OPERATOR_BODY_BYTES = 65_536;
     private static final int OPERATOR_CONNECTIONS = 256;
     private static final long DRAIN_CHECK_MS = 20;
+    private static final int ORDER_CANDIDATES = 2;
 
     private final MonotonicClock clock = System::nanoTime;
     private final GatewaySettings settings;
@@ -80,6 +82,7 @@
     private final ConfigFollower follower;
     private final ClaimKeeper claims;
     private final Prober prober;
+    private final EngineOrderGiver orders;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
     private HttpServer callerServer;
@@ -128,10 +131,11 @@
         host.attach(mesh, members, claims);
         this.prober =
                 new Prober(registry, config, client, control, settings.getPolicy(), idPrefix(), this::endpointsChanged);
+        this.orders = createOrders();
         RunParts parts = runParts(host);
         this.callerApi = new CallerApi(parts, config, limiter, state, idPrefix());
-        this.operatorApi =
-                new OperatorApi(settings, state, config, registry, mesh, platform, parts.recent(), metrics, clock);
+        this.operatorApi = new OperatorApi(
+                settings, state, config, registry, mesh, platform, parts.recent(), metrics, clock, orders);
     }
 
     private ClaimKeeper createClaims(PlatformClient platformSettings) {
@@ -146,6 +150,22 @@
                 platformSettings.getCallTimeoutMs());
     }
 
+    private EngineOrderGiver createOrders() {
+        return new EngineOrderGiver(new EngineOrderGiver.Parts(
+                idPrefix(),
+                settings.getFailureDomain(),
+                settings.getEngineOrders(),
+                config,
+                registry,
+                platform,
+                client,
+                control,
+                clock,
+                metrics,
+                state::isStopping,
+                () -> mesh.amongFirst("engine-orders", ORDER_CANDIDATES)));
+    }
+
     private RunParts runParts(ControlHost host) {
         return new RunParts(
                 settings,
@@ -228,6 +248,7 @@
         members.start();
         follower.start();
         prober.start();
+        orders.start();
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
                 .with("failureDomain", settings.getFailureDomain())
@@ -242,6 +263,7 @@
         metrics.gauge("wingstall.requests.in.flight", callerApi::inFlight);
         metrics.gauge("wingstall.stages.waiting", gates::waiting);
         metrics.gauge("wingstall.caller.connections", callerServer::connections);
+        metrics.gauge("wingstall.engine.lease.token", () -> orders.status().getToken());
         metrics.gauge("wingstall.claims.pending", claims::pending);
         metrics.gauge("wingstall.peers.heard.in.domain", mesh::heardInDomain);
         metrics.gauge("wingstall.peer.sent.bytes", mesh::sentBytes);
@@ -256,6 +278,7 @@
         LogEvent.info("stopping").with("inFlight", callerApi.inFlight()).to(LOG);
         state.stopping();
         mesh.beatNow();
+        orders.release();
         long untilMs = clock.nowMs() + settings.getShutdownGraceMs();
         waitUntil(clock.nowMs() + settings.getShutdownNoticeMs(), () -> false);
         callerServer.close();
--- a/gateway/src/main/java/org/wingstall/gateway/Metrics.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Metrics.java
@@ -8,6 +8,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -37,9 +38,24 @@
     private final Counter answersDropped;
     private final Counter ejections;
     private final Counter timeoutsKept;
+    private final Map<OrderResult, Counter> engineOrders = new EnumMap<>(OrderResult.class);
     private final Counter rowsRejected;
     private final Timer requestTime;
 
+    /** What became of an order to an engine. */
+    public enum OrderResult {
+        /** The engine took it. */
+        ACCEPTED,
+        /** The engine has seen a higher token. */
+        REFUSED,
+        /** The engine answered with another failure. */
+        FAILED,
+        /** No answer came. */
+        UNANSWERED,
+        /** Too little was left of the lease, so it was not sent. */
+        WITHHELD
+    }
+
     private record StageMeters(Counter runMs, Counter wastedMs, Counter tokens, Counter calls) {}
 
     /** Creates all meters at zero, so that every reason shows from the start. */
@@ -59,6 +75,10 @@
         repeated = registry.counter("wingstall.answers.repeated");
         answersDropped = registry.counter("wingstall.stage.answers.dropped");
         ejections = registry.counter("wingstall.endpoint.ejections");
+        for (OrderResult result : OrderResult.values()) {
+            String tag = result.name().toLowerCase(Locale.ROOT);
+            engineOrders.put(result, registry.counter("wingstall.engine.orders", "result", tag));
+        }
         timeoutsKept = registry.counter("wingstall.stage.timeouts.kept");
         rowsRejected = registry.counter("wingstall.config.rows.rejected");
         requestTime = Timer.builder("wingstall.request.time")
@@ -159,6 +179,11 @@
         timeoutsKept.increment();
     }
 
+    /** Counts an order to an engine. */
+    public void engineOrder(OrderResult result) {
+        engineOrders.get(result).increment();
+    }
+
     /** Counts an endpoint that was ejected. */
     public void ejected() {
         ejections.increment();
--- a/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
+++ b/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
@@ -9,6 +9,7 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.GatewayState;
 import org.wingstall.gateway.Metrics;
+import org.wingstall.gateway.engine.EngineOrderGiver;
 import org.wingstall.gateway.run.RecentRequests;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.peer.PeerMesh;
@@ -40,6 +41,7 @@
     private final RecentRequests recent;
     private final Metrics metrics;
     private final MonotonicClock clock;
+    private final EngineOrderGiver orders;
 
     /** Creates the API from the parts of a gateway. */
     public OperatorApi(
@@ -51,7 +53,8 @@
             HttpPlatform platform,
             RecentRequests recent,
             Metrics metrics,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            EngineOrderGiver orders) {
         this.settings = settings;
         this.state = state;
         this.config = config;
@@ -61,6 +64,7 @@
         this.recent = recent;
         this.metrics = metrics;
         this.clock = clock;
+        this.orders = orders;
     }
 
     /** Takes a call. */
@@ -73,10 +77,15 @@
             call.respond(200, "text/plain; version=0.0.4; charset=utf-8", text);
         } else if (call.path().equals("/v1/fleet")) {
             call.respondJson(200, status());
+        } else if (call.path().equals("/v1/engines")) {
+            call.respondJson(200, orders.status());
         } else if (call.path().startsWith(REQUESTS)) {
             request(call, call.path().substring(REQUESTS.length()));
         } else {
-            notFound(call, call.path() + " is not known; valid: /healthz, /readyz, /metrics, /v1/fleet, " + REQUESTS);
+            notFound(
+                    call,
+                    call.path() + " is not known; valid: /healthz, /readyz, /metrics, /v1/fleet, /v1/engines, "
+                            + REQUESTS);
         }
     }
 
--- a/load/src/main/java/org/wingstall/load/Comparison.java
+++ b/load/src/main/java/org/wingstall/load/Comparison.java
@@ -112,7 +112,7 @@
                 : (double) runMs / report.getTotal().getAttained();
     }
 
-    private static double wastedPercent(LoadReport report) {
+    static double wastedPercent(LoadReport report) {
         long runMs =
                 report.getStages().stream().mapToLong(StageReport::getRunMs).sum();
         long wastedMs =
--- a/load/src/main/java/org/wingstall/load/LoadRun.java
+++ b/load/src/main/java/org/wingstall/load/LoadRun.java
@@ -97,7 +97,7 @@
         void send() {
             ObjectNode body = Json.MAPPER.createObjectNode();
             body.put("workspace", arrival.stream().getWorkspace());
-            body.put("deadlineMs", arrival.stream().getDeadlineMs());
+            body.put("deadlineMs", Math.max(1, leftMs()));
             body.putObject("input").put("text", arrival.prompt());
             if (arrival.stream().isKeyed()) {
                 body.put("idempotencyKey", target.policy() + "-" + seed + "-" + arrival.number() + "-" + plannedNs);
@@ -114,9 +114,16 @@
             client.send(loop, request, CONNECT_TIMEOUT_MS, new CallerExchange(plannedNs, this));
         }
 
+        /** Returns the time left of the caller's patience, in ms; one that comes back says how much it still has. */
+        private long leftMs() {
+            return arrival.stream().getDeadlineMs() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - plannedNs);
+        }
+
         @Override
         public void answered(CallerExchange exchange) {
-            boolean comesBack = returns < arrival.stream().getObeyRetryAfter() && exchange.retryAfterMs() > 0;
+            boolean comesBack = returns < arrival.stream().getObeyRetryAfter()
+                    && exchange.retryAfterMs() > 0
+                    && exchange.retryAfterMs() < leftMs();
             if (comesBack) {
                 returns++;
                 loop.schedule(this::send, exchange.retryAfterMs(), TimeUnit.MILLISECONDS);
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -170,6 +170,15 @@
                 : Rendezvous.top("claims", boxes, 1).get(0);
     }
 
+    /** Returns whether this box is among the first few that its failure domain would choose for a purpose. */
+    public boolean amongFirst(String purpose, int count) {
+        List<String> boxes = new ArrayList<>(List.of(self.boxId()));
+        inDomain().stream()
+                .filter(this::heard)
+                .forEach(peer -> boxes.add(peer.hello().getBoxId()));
+        return Rendezvous.top(purpose, boxes, count).contains(self.boxId());
+    }
+
     /** Returns whether this box or a peer that it has a link to gets answers from the platform's table. */
     public boolean tableReachable() {
         return !committing(true).isEmpty() || !committing(false).isEmpty();
--- a/standin/src/main/java/org/wingstall/standin/StandinMain.java
+++ b/standin/src/main/java/org/wingstall/standin/StandinMain.java
@@ -67,6 +67,10 @@
         endpoint.addArgument("--compute")
                 .action(Arguments.storeTrue())
                 .help("answer at once instead of by a timer, for measuring the gateway");
+        endpoint.addArgument("--ignore-tokens")
+                .action(Arguments.storeTrue())
+                .help("engines: take orders without looking at their token");
+        endpoint.addArgument("--load-ms").type(Long.class).setDefault(300L).help("engines: time to load a model");
         Subparser proxy = commands.addParser("faultproxy").help("TCP proxy that cuts, delays, freezes and resets");
         proxy.addArgument("--listen").required(true).help("IP address and port of its controls");
         proxy.addArgument("--route").nargs("+").required(true).help("listen=target pairs of IP addresses and ports");
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointOptions.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointOptions.java
@@ -13,7 +13,9 @@
         double slowDown,
         int cacheBlocks,
         double jitter,
-        boolean compute) {
+        boolean compute,
+        boolean checksToken,
+        long loadMs) {
     static EndpointOptions of(Namespace options, String address) {
         return new EndpointOptions(
                 address,
@@ -25,6 +27,8 @@
                 options.getDouble("slow_down"),
                 options.getInt("cache_blocks"),
                 options.getDouble("jitter"),
-                options.getBoolean("compute"));
+                options.getBoolean("compute"),
+                !options.getBoolean("ignore_tokens"),
+                options.getLong("load_ms"));
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
@@ -30,9 +30,11 @@
 
     private final Worker worker;
     private final RunLog log = new RunLog();
+    private final EngineOrderBook orders;
     private volatile EndpointFaults faults = EndpointFaults.NONE;
 
     private EndpointStandin(EndpointOptions options, EventLoopGroup group) {
+        this.orders = new EngineOrderBook(group.next(), options.checksToken(), options.loadMs());
         this.worker = options.kind().equals("engine")
                 ? new EngineWorker(options, log, group.next(), () -> faults)
                 : new CallWorker(options, log, group.next(), () -> faults);
@@ -74,6 +76,9 @@
                     faults = EndpointFaults.read(Json.readTree(call.body()));
                     call.respondJson(200, faults);
                 }
+                case "/v1/engine" -> orders.show(call);
+                case "/v1/engine/order" -> orders.take(call);
+                case "/admin/orders" -> call.respondJson(200, orders.entries());
                 case "/admin/runs" -> call.respondJson(200, log.runs());
                 case "/admin/stats" -> call.respondJson(200, log.stats());
                 default -> call.respond(404, "text/plain", new byte[0]);
@@ -87,7 +92,7 @@
         StageCall stageCall = Json.read(call.body(), StageCall.class);
         EndpointFaults now = faults;
         log.arrived(stageCall);
-        if (now.refuse()) {
+        if (now.refuse() || orders.loading()) {
             call.respond(UNAVAILABLE, HttpCall.JSON, new byte[0], java.util.Map.of("wingstall-not-run", "true"));
             return;
         }
