--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -63,6 +63,11 @@
 done
 
 for scenario in "${scenarios[@]}"; do
+  if [ "$scenario" = goodput ]; then
+    "$home/bin/wingstall-load" sweep --scenario "$home/config/bench/goodput.yaml" --policy "${targets[@]}" \
+      --factors 0.5 0.75 1 1.5 2 3 --repeats 1 --seed 7 || fail "$scenario failed"
+    continue
+  fi
   out=()
   [ -n "${WINGSTALL_OUT:-}" ] && out=(--out "$WINGSTALL_OUT/$scenario")
   "$home/bin/wingstall-load" compare --scenario "$home/config/bench/$scenario.yaml" --policy "${targets[@]}" \
