Spill over into spare room only, and estimate waits by the measured pace

(1) The boxes of an endpoint's own failure domain may use all its slots and every box elsewhere a share besides, so up to twice as many calls stood at an endpoint as it has slots and waited there, where no order of a gateway holds. (2) A wait was reckoned from slots and the time of one call; a precedence that others starve was told a short wait, was taken in and ran late or gave up later.

Change: a call goes to another domain's endpoint only if the load that this one reports leaves a slot; those who wait are looked at every 50 ms, since an old report wakes nobody. GrantPace measures the gaps between grants by precedence, an open gap included, and waits are estimated from that.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -59,6 +59,10 @@
     private static final int OPERATOR_BODY_BYTES = 65_536;
     private static final int OPERATOR_CONNECTIONS = 256;
     private static final long DRAIN_CHECK_MS = 20;
+
+    /** Room at endpoints of other failure domains shows by reports that grow old; nothing else wakes those who wait. */
+    private static final long DRAIN_EVERY_MS = 50;
+
     private static final int ORDER_CANDIDATES = 2;
 
     private final MonotonicClock clock = System::nanoTime;
@@ -117,7 +121,8 @@
                 settings.getPolicy(),
                 settings.getFailureDomain(),
                 mesh::heardInDomain,
-                mesh::knownBoxes);
+                mesh::knownBoxes,
+                clock);
         this.members =
                 new MemberFollower(platform, control, platformSettings.getMemberIntervalMs(), this::membersChanged);
         this.follower = new ConfigFollower(
@@ -248,6 +253,7 @@
         members.start();
         follower.start();
         prober.start();
+        control.scheduleWithFixedDelay(gates::drainAll, DRAIN_EVERY_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
         orders.start();
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.wingstall.core.queue.GrantPace;
 import org.wingstall.core.queue.WaitQueue;
 import org.wingstall.core.route.Candidate;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.route.RouteRequest;
 import org.wingstall.core.route.Router;
+import org.wingstall.core.time.MonotonicClock;
 
 /**
  * Grants slots at the endpoints of one service: at once while there are free ones and nobody waits, else in the order of
@@ -19,6 +21,7 @@
     private final String failureDomain;
     private final boolean spillover;
     private final WaitQueue<StageWaiter> queue;
+    private final GrantPace pace;
     private volatile int waiting;
     private boolean draining;
 
@@ -27,12 +30,14 @@
             Router router,
             String failureDomain,
             boolean spillover,
-            WaitQueue<StageWaiter> queue) {
+            WaitQueue<StageWaiter> queue,
+            MonotonicClock clock) {
         this.candidates = candidates;
         this.router = router;
         this.failureDomain = failureDomain;
         this.spillover = spillover;
         this.queue = queue;
+        this.pace = new GrantPace(clock);
     }
 
     /** Grants a slot now or later, or tells the waiter that there is no endpoint. */
@@ -42,6 +47,7 @@
         }
         synchronized (queue) {
             queue.add(waiter);
+            pace.waiting(waiter.precedence());
             waiting = queue.size();
         }
         drain();
@@ -51,6 +57,9 @@
     boolean withdraw(StageWaiter waiter) {
         synchronized (queue) {
             boolean removed = queue.remove(waiter);
+            if (removed) {
+                pace.gaveUp(waiter.precedence());
+            }
             waiting = queue.size();
             return removed;
         }
@@ -76,7 +85,9 @@
         List<StageWaiter> unserved = new ArrayList<>();
         while (queue.size() > 0 && anyFreeSlot()) {
             StageWaiter next = queue.poll();
-            if (!serve(next)) {
+            if (serve(next)) {
+                pace.granted(next.precedence());
+            } else {
                 unserved.add(next);
             }
         }
@@ -84,13 +95,20 @@
         waiting = queue.size();
     }
 
-    /** Returns the time that a new waiter of the precedence would wait, given the time of one call, in ms. */
+    /**
+     * Returns the time that a new waiter of the precedence would wait, in ms: by the measured pace of its precedence, or
+     * while there is none by the slots and the time of one call.
+     */
     double expectedWaitMs(int precedence, double callMs) {
         if (waiting == 0) {
             return 0;
         }
         int ahead;
         synchronized (queue) {
+            double measuredMs = pace.waitMs(precedence);
+            if (measuredMs >= 0) {
+                return measuredMs;
+            }
             ahead = queue.aheadOf(precedence);
         }
         return (ahead + 1) * callMs / Math.max(1, slots());
@@ -126,7 +144,7 @@
         for (Candidate candidate : candidates.get()) {
             boolean serving = candidate.endpoint().serving();
             anyServing |= serving;
-            if (serving && candidate.endpoint().inFlight() < candidate.window()) {
+            if (serving && hasRoom(candidate)) {
                 return true;
             }
         }
@@ -174,13 +192,22 @@
         List<Candidate> free = new ArrayList<>();
         for (Candidate candidate : possible) {
             boolean matches = isLocal(candidate) == local;
-            if (matches && candidate.endpoint().inFlight() < candidate.window()) {
+            if (matches && hasRoom(candidate)) {
                 free.add(candidate);
             }
         }
         return free;
     }
 
+    /**
+     * Calls spill over only into room that another failure domain's endpoint says it has: its own boxes may use all of its
+     * slots, and calls beyond them would wait at the endpoint, where no order of this gateway holds.
+     */
+    private boolean hasRoom(Candidate candidate) {
+        boolean spare = isLocal(candidate) || candidate.endpoint().estimatedLoad() + 1 <= candidate.slots();
+        return spare && candidate.endpoint().inFlight() < candidate.window();
+    }
+
     private boolean hasLocal(List<Candidate> possible) {
         return possible.stream().anyMatch(this::isLocal);
     }
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGates.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGates.java
@@ -12,6 +12,7 @@
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.route.Router;
 import org.wingstall.core.route.Routers;
+import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.schema.settings.Policy;
 import org.wingstall.schema.table.BoxClassRow;
 
@@ -34,6 +35,7 @@
     private final String failureDomain;
     private final IntSupplier boxesInDomain;
     private final IntSupplier boxesInFleet;
+    private final MonotonicClock clock;
     private final Router router;
     private final Map<String, ServiceGate> gates = new ConcurrentHashMap<>();
 
@@ -46,6 +48,7 @@
      * @param failureDomain failure domain of this gateway
      * @param boxesInDomain entry boxes heard in the failure domain
      * @param boxesInFleet entry boxes known in the fleet
+     * @param clock monotonic clock
      */
     public ServiceGates(
             EndpointRegistry registry,
@@ -53,13 +56,15 @@
             Policy policy,
             String failureDomain,
             IntSupplier boxesInDomain,
-            IntSupplier boxesInFleet) {
+            IntSupplier boxesInFleet,
+            MonotonicClock clock) {
         this.registry = registry;
         this.config = config;
         this.policy = policy;
         this.failureDomain = failureDomain;
         this.boxesInDomain = boxesInDomain;
         this.boxesInFleet = boxesInFleet;
+        this.clock = clock;
         this.router = Routers.of(policy, RandomGenerator.of("SplittableRandom"));
     }
 
@@ -79,7 +84,7 @@
 
     private ServiceGate newGate(String service) {
         return new ServiceGate(
-                () -> candidatesOf(service), router, failureDomain, policy.isSpillover(), WaitQueue.of(policy));
+                () -> candidatesOf(service), router, failureDomain, policy.isSpillover(), WaitQueue.of(policy), clock);
     }
 
     private List<Candidate> candidatesOf(String service) {
--- a/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
@@ -23,7 +23,8 @@
             Routers.of(policy, new Random(1)),
             "d",
             true,
-            WaitQueue.of(policy));
+            WaitQueue.of(policy),
+            System::nanoTime);
     private final List<Integer> served = new ArrayList<>();
 
     /** A stage that holds its slot, or gives it back as soon as it has it, as one that can't land any more does. */
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the scenarios of both fleets on several policies in turn and prints the comparison; bounded to about ten minutes.
 # Arguments: names of scenarios (files in config/bench); all of both fleets when there are none.
-# WINGSTALL_REPEATS: runs of each policy (2). WINGSTALL_POLICIES: policies to run. WINGSTALL_OUT: folder for reports.
+# WINGSTALL_REPEATS: runs of each policy (2). WINGSTALL_POLICIES: policies to run; "previous" takes gateways from
+# WINGSTALL_PREVIOUS_LIB, a copy of an earlier version's it/target/lib. WINGSTALL_OUT: folder for reports.
 set -u
 . "$(dirname "$0")/lib.sh"
 base=${WINGSTALL_BASE_PORT:-23000}
@@ -20,6 +21,7 @@
   [least-in-flight]="policy: {routing: least-in-flight, $baseline}"
   [power-of-two]="policy: {routing: power-of-two, $baseline}"
   [wingstall]=""
+  [previous]=""
   [no-affinity]="policy: {prefixAffinity: false}"
   [no-admission]="policy: {admission: all}"
   [arrival-order]="policy: {ordering: arrival}"
@@ -34,12 +36,12 @@
 endpoints encoder pool menu-encoder kgn-a pool 2 $port --run-ms 6 --slots 8 --jitter 0.3
 endpoints retriever pool menu-retriever kgn-b pool 2 $port --run-ms 10 --slots 8 --jitter 0.3
 llm=$port
-endpoints llm-new engine wingstall-llm kgn-a new 2 $port --slots 16 --run-ms 4 --slow-down 0.05
-endpoints llm-old engine wingstall-llm kgn-b old 2 $port --slots 8 --run-ms 9 --slow-down 0.05
+endpoints llm-new engine wingstall-llm kgn-a new 2 $port --slots 16 --run-ms 10 --prefill-ms 5 --slow-down 0.05
+endpoints llm-old engine wingstall-llm kgn-b old 2 $port --slots 8 --run-ms 20 --prefill-ms 5 --slow-down 0.05
 endpoints arhiva plain arhiva kgn-a pool 2 $port --run-ms 8 --slots 8
 endpoints far pool far kgn-b pool 2 $port --run-ms 8 --slots 8
-endpoints briza-new engine briza kgn-a new 1 $port --slots 16 --run-ms 4 --slow-down 0.05
-endpoints briza-old engine briza spt-c old 2 $port --slots 8 --run-ms 9 --slow-down 0.05
+endpoints briza-new engine briza kgn-a new 1 $port --slots 16 --run-ms 10 --prefill-ms 5 --slow-down 0.05
+endpoints briza-old engine briza spt-c old 2 $port --slots 8 --run-ms 20 --prefill-ms 5 --slow-down 0.05
 endpoint_members=("${members[@]}")
 
 targets=()
@@ -52,7 +54,12 @@
   wait_for "the platform's start" grep -q listening "$run/platform-$policy.out"
   i=0
   for domain in kgn-a kgn-b spt-c; do
-    i=$((i + 1)); start_gateway "$policy-$i" $domain $((p + 10 * i)) "${settings[$policy]}"
+    i=$((i + 1))
+    lib=$home/it/target/lib
+    [ "$policy" = previous ] && lib=${WINGSTALL_PREVIOUS_LIB:?names the programs of an earlier version}
+    export WINGSTALL_LIB=$lib
+    start_gateway "$policy-$i" $domain $((p + 10 * i)) "${settings[$policy]}"
+    unset WINGSTALL_LIB
   done
   register_members
   table=$home/config/bench/table.yaml
