Make the wait estimate a setting, by slots as before unless pace is set

One fleet weighs attainment, the other cost: a setting, not a fork. Ruled out: reports that fade too slowly (250 ms instead of 1,000 ms made no difference that could be told, reverted).

Change: policy.waitEstimate, slots or pace. Spare-room spill-over stays on.

--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -21,6 +21,7 @@
     private final String failureDomain;
     private final boolean spillover;
     private final WaitQueue<StageWaiter> queue;
+    private final boolean byPace;
     private final GrantPace pace;
     private volatile int waiting;
     private boolean draining;
@@ -31,12 +32,14 @@
             String failureDomain,
             boolean spillover,
             WaitQueue<StageWaiter> queue,
+            boolean byPace,
             MonotonicClock clock) {
         this.candidates = candidates;
         this.router = router;
         this.failureDomain = failureDomain;
         this.spillover = spillover;
         this.queue = queue;
+        this.byPace = byPace;
         this.pace = new GrantPace(clock);
     }
 
@@ -96,8 +99,8 @@
     }
 
     /**
-     * Returns the time that a new waiter of the precedence would wait, in ms: by the measured pace of its precedence, or
-     * while there is none by the slots and the time of one call.
+     * Returns the time that a new waiter of the precedence would wait, in ms: by the slots and the time of one call, or if
+     * that is set and measured by the pace of its precedence.
      */
     double expectedWaitMs(int precedence, double callMs) {
         if (waiting == 0) {
@@ -105,7 +108,7 @@
         }
         int ahead;
         synchronized (queue) {
-            double measuredMs = pace.waitMs(precedence);
+            double measuredMs = byPace ? pace.waitMs(precedence) : -1;
             if (measuredMs >= 0) {
                 return measuredMs;
             }
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGates.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGates.java
@@ -84,7 +84,13 @@
 
     private ServiceGate newGate(String service) {
         return new ServiceGate(
-                () -> candidatesOf(service), router, failureDomain, policy.isSpillover(), WaitQueue.of(policy), clock);
+                () -> candidatesOf(service),
+                router,
+                failureDomain,
+                policy.isSpillover(),
+                WaitQueue.of(policy),
+                policy.getWaitEstimate() == Policy.WaitEstimate.PACE,
+                clock);
     }
 
     private List<Candidate> candidatesOf(String service) {
--- a/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
@@ -24,6 +24,7 @@
             "d",
             true,
             WaitQueue.of(policy),
+            false,
             System::nanoTime);
     private final List<Integer> served = new ArrayList<>();
 
--- a/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
@@ -48,6 +48,7 @@
                 "here",
                 true,
                 WaitQueue.of(policy),
+                false,
                 System::nanoTime);
         List<String> granted = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -24,6 +24,7 @@
   [previous]=""
   [no-affinity]="policy: {prefixAffinity: false}"
   [no-admission]="policy: {admission: all}"
+  [pace]="policy: {waitEstimate: pace}"
   [arrival-order]="policy: {ordering: arrival}"
   [quantile-90]="policy: {admissionQuantile: 0.9}"
   [p2c-routing]="policy: {routing: power-of-two}"
