Edit both services' rows in one edit before the holder is frozen

Cause, found by reading: the late-order test made two edits; when the holder's poll fell between them, the first order timed out before the second was sent, its connection was closed, and no late order could come. Change: one edit of both rows.

--- a/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
+++ b/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterClass;
@@ -62,11 +64,15 @@
         }
     }
 
-    private void want(String service, long version) throws EditConflictException, PlatformException {
-        fleet.table()
-                .overwrite(
-                        "engine/" + service,
-                        "{\"name\": \"" + service + "\", \"model\": \"m\", \"version\": " + version + "}");
+    /** Edits what services want, all in one edit. */
+    private void want(long version, String... services) throws EditConflictException, PlatformException {
+        Map<String, String> rows = new HashMap<>();
+        for (String service : services) {
+            rows.put(
+                    "engine/" + service,
+                    "{\"name\": \"" + service + "\", \"model\": \"m\", \"version\": " + version + "}");
+        }
+        fleet.table().overwrite(rows);
     }
 
     @Test
@@ -75,9 +81,9 @@
         AtomicBoolean over = new AtomicBoolean();
         Thread load = new Thread(() -> sendUntil(calls, over));
         load.start();
-        want("briza", 1);
+        want(1, "briza");
         awaitLoaded("briza", 1);
-        want("briza", 2);
+        want(2, "briza");
         awaitLoaded("briza", 2);
         over.set(true);
         load.join();
@@ -117,7 +123,7 @@
         } else {
             holder.process().terminate();
         }
-        want("briza", version);
+        want(version, "briza");
         TestFleet.Box successor = awaitHolder(holder);
         assertTrue(status(successor).path("token").asLong() > before);
         awaitLoaded("briza", version);
@@ -127,14 +133,13 @@
     /** The order of the old holder is on its way when the holder is frozen; it comes after the successor's. */
     @Test(dependsOnMethods = "aSuccessorGoesOnWithAHigherToken")
     public void aLateOrderOfAPausedHolderChangesNothingForGood() throws Exception {
-        want("lumina", 1);
+        want(1, "lumina");
         awaitLoaded("lumina", 1);
         TestFleet.Box holder = awaitHolder(null);
         for (String service : List.of("briza", "lumina")) {
             fleet.endpoints(service).forEach(engine -> fleet.routeFaults(engine.route(), "{\"delayMs\": 9000}"));
         }
-        want("briza", 41);
-        want("lumina", 41);
+        want(41, "briza", "lumina");
         Awaitility.await("orders under way")
                 .atMost(BOUND)
                 .pollInterval(Duration.ofMillis(20))
@@ -143,8 +148,7 @@
         for (String service : List.of("briza", "lumina")) {
             fleet.endpoints(service).forEach(engine -> fleet.routeFaults(engine.route(), "{}"));
         }
-        want("briza", 42);
-        want("lumina", 42);
+        want(42, "briza", "lumina");
         TestFleet.Box successor = awaitHolder(holder);
         long token = status(successor).path("token").asLong();
         awaitLoaded("briza", 42);
--- a/it/src/test/java/org/wingstall/it/harness/FleetTable.java
+++ b/it/src/test/java/org/wingstall/it/harness/FleetTable.java
@@ -60,9 +60,17 @@
 
     /** Replaces a row, whatever it was. */
     public void overwrite(String key, String row) throws EditConflictException, PlatformException {
+        overwrite(Map.of(key, row));
+    }
+
+    /** Replaces rows in one edit, whatever they were. */
+    public void overwrite(Map<String, String> rows) throws EditConflictException, PlatformException {
         try {
-            Edit edit = new Edit.Row(ConfigKey.parse(key), TestFleet.tree(row));
-            editor().edit("test", UUID.randomUUID().toString(), System.currentTimeMillis(), List.of(edit));
+            List<Edit> edits = new ArrayList<>();
+            for (Map.Entry<String, String> row : rows.entrySet()) {
+                edits.add(new Edit.Row(ConfigKey.parse(row.getKey()), TestFleet.tree(row.getValue())));
+            }
+            editor().edit("test", UUID.randomUUID().toString(), System.currentTimeMillis(), edits);
         } catch (InvalidRowException | InterruptedException e) {
             throw new AssertionError(e);
         }
