--- a/core/src/main/java/org/wingstall/core/lease/LeaseCandidate.java
+++ b/core/src/main/java/org/wingstall/core/lease/LeaseCandidate.java
@@ -11,7 +11,7 @@
  * box begins to write, unless the holder is paused between looking at {@link #leftMs()} and acting: that is what the token
  * is for.
  *
- * <p>{@code LeaseStep step = candidate.next(version, row); ... candidate.written(write, sentAtMs, newVersion);}
+ * <p>{@code LeaseStep step = candidate.next(version, row); ... candidate.written(write, sentAtMs);}
  *
  * @since 0.1
  */
