Take no answer from before an order for an answer to it

Cause, found by reading: the holder of the lease asks an engine for its state and may order it while that answer is still on its way. The answer, from before the order, set the engine back to "not loading", so that the next look could order another engine beside it, over atOnce. Ruled out: orders to the same engine, which do no harm.

Change: EngineView.heard takes the time at which the engine was asked and ignores what was asked before the last order.

Test anAnswerToAQuestionFromBeforeTheOrderDoesNotSayThatTheOrderIsDone: failed before (one engine ordered, none expected), passes; OrderPlanTest and LeaseCandidateTest 14 of 14.

--- a/core/src/main/java/org/wingstall/core/engine/EngineView.java
+++ b/core/src/main/java/org/wingstall/core/engine/EngineView.java
@@ -23,8 +23,18 @@
         return new EngineView(memberId, incarnation, null, NEVER, NEVER);
     }
 
-    /** Returns this view after the engine's answer. */
-    public EngineView heard(EngineState newState, long nowMs) {
+    /**
+     * Returns this view after an answer of the engine; one to a question from before the last order says nothing new.
+     *
+     * @param newState what the engine says
+     * @param sentAtMs when it was asked or ordered, in ms of the monotonic clock
+     * @param nowMs time of the monotonic clock, in ms
+     * @return the view
+     */
+    public EngineView heard(EngineState newState, long sentAtMs, long nowMs) {
+        if (sentAtMs < orderedAtMs) {
+            return this;
+        }
         return new EngineView(memberId, incarnation, newState, nowMs, orderedAtMs);
     }
 
--- a/core/src/test/java/org/wingstall/core/engine/OrderPlanTest.java
+++ b/core/src/test/java/org/wingstall/core/engine/OrderPlanTest.java
@@ -1,6 +1,7 @@
 package org.wingstall.core.engine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,7 @@
     }
 
     private static EngineView said(String id, EngineTarget loaded, boolean loading, long agoMs) {
-        return EngineView.unknown(id, 1).heard(new EngineState(loaded, loading, 1), NOW_MS - agoMs);
+        return EngineView.unknown(id, 1).heard(new EngineState(loaded, loading, 1), NOW_MS - agoMs, NOW_MS - agoMs);
     }
 
     @DataProvider
@@ -53,6 +54,17 @@
         assertEquals(ordered, expected, name);
     }
 
+    @Test
+    public void anAnswerToAQuestionFromBeforeTheOrderDoesNotSayThatTheOrderIsDone() {
+        EngineView asked = said("asked", OLD, false, 10);
+        long askedAtMs = NOW_MS;
+        EngineView ordered = asked.ordered(NOW_MS + 1);
+        EngineView late = ordered.heard(new EngineState(OLD, false, 1), askedAtMs, NOW_MS + 5);
+        assertEquals(plan.toOrder(row(1), List.of(late, said("other", OLD, false, 0)), view -> 0), List.of());
+        EngineView answered = ordered.heard(new EngineState(OLD, true, 1), NOW_MS + 1, NOW_MS + 5);
+        assertTrue(answered.state().isLoading());
+    }
+
     @Test
     public void enginesThatHaveWhatIsWantedAreAskedNowAndThenTheLongestUnheardFirst() {
         List<EngineView> views = List.of(
--- a/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
@@ -173,12 +173,13 @@
 
     private void ask(EndpointState engine, long token) {
         OutgoingRequest request = OutgoingRequest.get(engine.address(), "/v1/engine");
+        long sentAtMs = parts.clock().nowMs();
         parts.client()
                 .call(parts.loop(), request, parts.settings().getCallTimeoutMs())
                 .whenCompleteAsync(
                         (reply, failure) -> {
                             if (failure == null && reply.ok()) {
-                                heard(engine, token, reply);
+                                heard(engine, token, sentAtMs, reply);
                             }
                         },
                         parts.loop());
@@ -192,12 +193,11 @@
             parts.metrics().engineOrder(Metrics.OrderResult.WITHHELD);
             return;
         }
-        views.computeIfPresent(
-                engine.identity().memberId(),
-                (id, view) -> view.ordered(parts.clock().nowMs()));
+        long sentAtMs = parts.clock().nowMs();
+        views.computeIfPresent(engine.identity().memberId(), (id, view) -> view.ordered(sentAtMs));
         parts.client()
                 .call(parts.loop(), request, parts.settings().getCallTimeoutMs())
-                .whenCompleteAsync((reply, failure) -> ordered(engine, token, reply, failure), parts.loop());
+                .whenCompleteAsync((reply, failure) -> ordered(engine, token, sentAtMs, reply, failure), parts.loop());
         LogEvent.info("engine-ordered")
                 .with("engine", engine.identity().memberId())
                 .with("token", token)
@@ -206,12 +206,12 @@
                 .to(LOG);
     }
 
-    private void ordered(EndpointState engine, long token, HttpReply reply, Throwable failure) {
+    private void ordered(EndpointState engine, long token, long sentAtMs, HttpReply reply, Throwable failure) {
         if (failure != null) {
             parts.metrics().engineOrder(Metrics.OrderResult.UNANSWERED);
         } else if (reply.ok()) {
             parts.metrics().engineOrder(Metrics.OrderResult.ACCEPTED);
-            heard(engine, token, reply);
+            heard(engine, token, sentAtMs, reply);
         } else if (reply.status() == REFUSED_OLDER_TOKEN) {
             parts.metrics().engineOrder(Metrics.OrderResult.REFUSED);
             lease.superseded();
@@ -220,7 +220,7 @@
         }
     }
 
-    private void heard(EndpointState engine, long token, HttpReply reply) {
+    private void heard(EndpointState engine, long token, long sentAtMs, HttpReply reply) {
         if (token != viewsToken) {
             return;
         }
@@ -228,7 +228,7 @@
             EngineState state = Json.read(reply.body(), EngineState.class);
             views.computeIfPresent(
                     engine.identity().memberId(),
-                    (id, view) -> view.heard(state, parts.clock().nowMs()));
+                    (id, view) -> view.heard(state, sentAtMs, parts.clock().nowMs()));
         } catch (InvalidDocumentException e) {
             LogEvent.warn("engine-state-unreadable")
                     .with("engine", engine.identity().memberId())
