Refuse at once without a table also where a box commits alone

Cause, found by reading: whether a claim can reach the table was asked of the mesh of peers, whatever the settings. With batchIntervalMs 0 a box forwards nothing, so one that was cut off waited out the whole claim budget (1.5 s by default) before it refused, since its peers heard the table.

Change: each ClaimStore says itself whether it has a way to the table; the keeper no longer needs to know of peers.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -144,8 +144,8 @@
     }
 
     private ClaimKeeper createClaims(PlatformClient platformSettings) {
-        ClaimKeeper.Parts parts = new ClaimKeeper.Parts(
-                idPrefix(), platform, platform::suspect, mesh::tableReachable, platform, control, retryAfter, metrics);
+        ClaimKeeper.Parts parts =
+                new ClaimKeeper.Parts(idPrefix(), platform, platform::suspect, platform, control, retryAfter, metrics);
         return ClaimKeepers.create(
                 parts,
                 clock,
--- a/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimStore.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.wingstall.core.claim.ClaimChange;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.Metrics;
@@ -30,6 +31,7 @@
     private static final int MOST_IN_BATCH = 512;
 
     private final TableService table;
+    private final BooleanSupplier tableUnheard;
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final long intervalMs;
@@ -41,8 +43,15 @@
 
     private record Pending(ClaimRequest request, CompletableFuture<ClaimChange> change) {}
 
-    BatchingClaimStore(TableService table, EventLoop loop, MonotonicClock clock, long intervalMs, Metrics metrics) {
+    BatchingClaimStore(
+            TableService table,
+            BooleanSupplier tableUnheard,
+            EventLoop loop,
+            MonotonicClock clock,
+            long intervalMs,
+            Metrics metrics) {
         this.table = table;
+        this.tableUnheard = tableUnheard;
         this.loop = loop;
         this.clock = clock;
         this.intervalMs = intervalMs;
@@ -50,6 +59,11 @@
         this.lastBeganMs = clock.nowMs() - intervalMs;
     }
 
+    @Override
+    public boolean reachable() {
+        return !tableUnheard.getAsBoolean();
+    }
+
     @Override
     public CompletableFuture<ClaimTable.Versioned> read(String key) {
         return new ClaimTable(table).read(key);
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeeper.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeeper.java
@@ -36,7 +36,6 @@
             String attemptPrefix,
             TableService table,
             BooleanSupplier tableUnheard,
-            BooleanSupplier tableReachable,
             ObjectStore objects,
             EventLoop loop,
             RetryAfter retryAfter,
@@ -75,7 +74,7 @@
      * @return what the attempt got; always comes
      */
     public CompletableFuture<ClaimOutcome> acquire(Claim claim, long budgetMs) {
-        if (!parts.tableReachable().getAsBoolean()) {
+        if (!store.reachable()) {
             ClaimOutcome refused = parts.tableUnavailable("the platform's table gives no answers");
             return CompletableFuture.completedFuture(refused);
         }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
@@ -32,10 +32,11 @@
             long batchIntervalMs,
             long forwardTimeoutMs) {
         if (batchIntervalMs == 0) {
-            ClaimStore single = new SingleClaimStore(parts.table(), parts.metrics());
+            ClaimStore single = new SingleClaimStore(parts.table(), parts.tableUnheard(), parts.metrics());
             return new ClaimKeeper(parts, single, single);
         }
-        ClaimStore local = new BatchingClaimStore(parts.table(), parts.loop(), clock, batchIntervalMs, parts.metrics());
+        ClaimStore local = new BatchingClaimStore(
+                parts.table(), parts.tableUnheard(), parts.loop(), clock, batchIntervalMs, parts.metrics());
         ClaimStore store =
                 new ForwardingClaimStore(boxId, mesh, local, forwardTimeoutMs, parts.tableUnheard(), parts.metrics());
         return new ClaimKeeper(parts, store, local);
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
@@ -36,6 +36,11 @@
         this.metrics = metrics;
     }
 
+    @Override
+    public boolean reachable() {
+        return mesh.tableReachable();
+    }
+
     @Override
     public CompletableFuture<ClaimChange> write(ClaimRequest request) {
         String batcher = mesh.batcher();
--- a/gateway/src/main/java/org/wingstall/gateway/claim/SingleClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/SingleClaimStore.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.wingstall.core.claim.ClaimChange;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.platform.TableService;
@@ -15,13 +16,20 @@
 /** Commits each change in a transaction of its own; the baseline of the batches. */
 final class SingleClaimStore implements ClaimStore {
     private final TableService table;
+    private final BooleanSupplier tableUnheard;
     private final Metrics metrics;
 
-    SingleClaimStore(TableService table, Metrics metrics) {
+    SingleClaimStore(TableService table, BooleanSupplier tableUnheard, Metrics metrics) {
         this.table = table;
+        this.tableUnheard = tableUnheard;
         this.metrics = metrics;
     }
 
+    @Override
+    public boolean reachable() {
+        return !tableUnheard.getAsBoolean();
+    }
+
     @Override
     public CompletableFuture<ClaimTable.Versioned> read(String key) {
         return new ClaimTable(table).read(key);
