Write one conditional row by one method, and claims' reads in one place

Cause, found by reading: lease and single claims each built the same transaction of one condition and one write; both local claim stores carried the table, what is known of it and the same two methods; the forwarding one was handed what its local one knows; the lease row was parsed in two ways; giving up a claim nested five deep.

Change: TableService.replace; ClaimTable holds the table as this box reaches it; LeaseKeeper and ClaimSettlements go step by step. Behaviour as before, but that a lease row which can't be read while the lease is given back is logged.

--- a/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/BatchingClaimStore.java
@@ -10,11 +10,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.wingstall.core.claim.ClaimChange;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.Metrics;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.platform.Condition;
@@ -30,8 +28,7 @@
 final class BatchingClaimStore implements ClaimStore {
     private static final int MOST_IN_BATCH = 512;
 
-    private final TableService table;
-    private final BooleanSupplier tableUnheard;
+    private final ClaimTable claims;
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final long intervalMs;
@@ -43,15 +40,8 @@
 
     private record Pending(ClaimRequest request, CompletableFuture<ClaimChange> change) {}
 
-    BatchingClaimStore(
-            TableService table,
-            BooleanSupplier tableUnheard,
-            EventLoop loop,
-            MonotonicClock clock,
-            long intervalMs,
-            Metrics metrics) {
-        this.table = table;
-        this.tableUnheard = tableUnheard;
+    BatchingClaimStore(ClaimTable claims, EventLoop loop, MonotonicClock clock, long intervalMs, Metrics metrics) {
+        this.claims = claims;
         this.loop = loop;
         this.clock = clock;
         this.intervalMs = intervalMs;
@@ -61,12 +51,12 @@
 
     @Override
     public boolean reachable() {
-        return !tableUnheard.getAsBoolean();
+        return claims.reachable();
     }
 
     @Override
     public CompletableFuture<ClaimTable.Versioned> read(String key) {
-        return new ClaimTable(table).read(key);
+        return claims.read(key);
     }
 
     @Override
@@ -117,7 +107,8 @@
 
     private void commit(Map<String, Pending> batch) {
         metrics.claimTransaction(batch.size());
-        table.transact(transactionOf(batch))
+        claims.rows()
+                .transact(transactionOf(batch))
                 .whenCompleteAsync((result, failure) -> committed(batch, result, failure), loop);
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeepers.java
@@ -31,14 +31,13 @@
             String boxId,
             long batchIntervalMs,
             long forwardTimeoutMs) {
+        ClaimTable claims = new ClaimTable(parts.table(), parts.tableUnheard());
         if (batchIntervalMs == 0) {
-            ClaimStore single = new SingleClaimStore(parts.table(), parts.tableUnheard(), parts.metrics());
+            ClaimStore single = new SingleClaimStore(claims, parts.metrics());
             return new ClaimKeeper(parts, single, single);
         }
-        ClaimStore local = new BatchingClaimStore(
-                parts.table(), parts.tableUnheard(), parts.loop(), clock, batchIntervalMs, parts.metrics());
-        ClaimStore store =
-                new ForwardingClaimStore(boxId, mesh, local, forwardTimeoutMs, parts.tableUnheard(), parts.metrics());
+        ClaimStore local = new BatchingClaimStore(claims, parts.loop(), clock, batchIntervalMs, parts.metrics());
+        ClaimStore store = new ForwardingClaimStore(boxId, mesh, local, forwardTimeoutMs, parts.metrics());
         return new ClaimKeeper(parts, store, local);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimSettlements.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimSettlements.java
@@ -105,30 +105,34 @@
         store.read(claim.key())
                 .whenCompleteAsync(
                         (found, failure) -> {
-                            if (failure != null) {
+                            if (failure == null) {
+                                writeAbandoned(claim, found);
+                            } else {
                                 retryLater(() -> tryAbandon(claim));
-                                return;
                             }
-                            ClaimDecision decision = ClaimProtocol.abandon(claim.row(), found.version(), found.row());
-                            if (!(decision instanceof ClaimDecision.Write write)) {
-                                pending.decrementAndGet();
-                                return;
-                            }
-                            store.write(new ClaimRequest(claim.key(), write.expectedVersion(), write.row()))
-                                    .whenCompleteAsync(
-                                            (change, lost) -> {
-                                                if (change.result() == ClaimChange.Result.COMMITTED) {
-                                                    parts.metrics().claimAbandoned();
-                                                    pending.decrementAndGet();
-                                                } else {
-                                                    retryLater(() -> tryAbandon(claim));
-                                                }
-                                            },
-                                            parts.loop());
                         },
                         parts.loop());
     }
 
+    private void writeAbandoned(Claim claim, ClaimTable.Versioned found) {
+        ClaimDecision decision = ClaimProtocol.abandon(claim.row(), found.version(), found.row());
+        if (!(decision instanceof ClaimDecision.Write write)) {
+            pending.decrementAndGet();
+            return;
+        }
+        store.write(new ClaimRequest(claim.key(), write.expectedVersion(), write.row()))
+                .whenCompleteAsync((change, failure) -> abandoned(claim, change), parts.loop());
+    }
+
+    private void abandoned(Claim claim, ClaimChange change) {
+        if (change.result() == ClaimChange.Result.COMMITTED) {
+            parts.metrics().claimAbandoned();
+            pending.decrementAndGet();
+        } else {
+            retryLater(() -> tryAbandon(claim));
+        }
+    }
+
     /** Waits longer the more is pending, so that an outage's end brings no wave. */
     private void retryLater(Runnable action) {
         long spreadMs = RETRY_MS + 2L * pending.get();
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimTable.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimTable.java
@@ -2,20 +2,24 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.platform.TableRow;
 import org.wingstall.schema.table.ClaimRow;
 
-/** Where claims lie in the platform's table, and how to read them. */
+/** Claims in the platform's table, as this box reaches it: where they lie and how to read them. */
 final class ClaimTable {
     private static final String PREFIX = "claim/";
 
     private final TableService table;
+    private final BooleanSupplier unheard;
 
-    ClaimTable(TableService table) {
+    /** Creates the view; {@code unheard} tells whether the table gives this box no answers. */
+    ClaimTable(TableService table, BooleanSupplier unheard) {
         this.table = table;
+        this.unheard = unheard;
     }
 
     /** A claim row as the table holds it; the row is null when it is absent. */
@@ -25,6 +29,14 @@
         return PREFIX + workspace + "/" + idempotencyKey;
     }
 
+    TableService rows() {
+        return table;
+    }
+
+    boolean reachable() {
+        return !unheard.getAsBoolean();
+    }
+
     CompletableFuture<Versioned> read(String key) {
         return table.read(key).thenApply(ClaimTable::versioned);
     }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
@@ -1,7 +1,6 @@
 package org.wingstall.gateway.claim;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import org.wingstall.core.claim.ClaimChange;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.peer.PeerMesh;
@@ -18,21 +17,13 @@
     private final PeerMesh mesh;
     private final ClaimStore local;
     private final long timeoutMs;
-    private final BooleanSupplier tableUnheard;
     private final Metrics metrics;
 
-    ForwardingClaimStore(
-            String self,
-            PeerMesh mesh,
-            ClaimStore local,
-            long timeoutMs,
-            BooleanSupplier tableUnheard,
-            Metrics metrics) {
+    ForwardingClaimStore(String self, PeerMesh mesh, ClaimStore local, long timeoutMs, Metrics metrics) {
         this.self = self;
         this.mesh = mesh;
         this.local = local;
         this.timeoutMs = timeoutMs;
-        this.tableUnheard = tableUnheard;
         this.metrics = metrics;
     }
 
@@ -57,7 +48,7 @@
     @Override
     public CompletableFuture<ClaimTable.Versioned> read(String key) {
         String batcher = mesh.batcher();
-        if (!tableUnheard.getAsBoolean() || batcher.equals(self)) {
+        if (local.reachable() || batcher.equals(self)) {
             return local.read(key);
         }
         metrics.claimForwarded();
--- a/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
@@ -1,8 +1,6 @@
 package org.wingstall.gateway.engine;
 
 import io.netty.channel.EventLoop;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.lease.LeaseCandidate;
@@ -12,11 +10,8 @@
 import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
-import org.wingstall.schema.platform.Condition;
 import org.wingstall.schema.platform.TableRow;
-import org.wingstall.schema.platform.Transaction;
 import org.wingstall.schema.platform.TransactionResult;
-import org.wingstall.schema.platform.Write;
 import org.wingstall.schema.table.LeaseRow;
 
 /** Takes, renews and gives back the lease under which a failure domain's engines get orders; on the control loop. */
@@ -65,27 +60,31 @@
     }
 
     private void read(TableRow row, Throwable failure) {
-        if (failure != null) {
+        LeaseStep step = failure == null ? stepAfter(row) : null;
+        if (step instanceof LeaseStep.Write write) {
+            write(write);
+        } else {
             busy = false;
-            return;
         }
+    }
+
+    /** Returns what is due, or null when the row can't be read. */
+    private LeaseStep stepAfter(TableRow row) {
         try {
-            boolean absent = row.getVersion() == 0;
-            LeaseRow lease = absent ? null : Json.convert(row.getValue(), LeaseRow.class);
-            LeaseStep step = candidate.next(row.getVersion(), lease);
-            if (step instanceof LeaseStep.Write write) {
-                write(write);
-                return;
-            }
+            return candidate.next(row.getVersion(), leaseOf(row));
         } catch (InvalidDocumentException e) {
             LogEvent.warn("lease-row-unreadable").cause(e).to(LOG);
+            return null;
         }
-        busy = false;
+    }
+
+    private static LeaseRow leaseOf(TableRow row) throws InvalidDocumentException {
+        return row.getVersion() == 0 ? null : Json.convert(row.getValue(), LeaseRow.class);
     }
 
     private void write(LeaseStep.Write write) {
         long sentAtMs = clock.nowMs();
-        put(write.expectedVersion(), write.row())
+        table.replace(key, write.expectedVersion(), Json.toTree(write.row()))
                 .whenCompleteAsync((result, failure) -> written(write, sentAtMs, result, failure), loop);
     }
 
@@ -114,19 +113,17 @@
         LeaseRow released = candidate.released();
         candidate.drop();
         notBeforeMs = Long.MAX_VALUE;
-        table.read(key)
-                .thenAcceptAsync(
-                        row -> {
-                            LeaseRow now = Json.MAPPER.convertValue(row.getValue(), LeaseRow.class);
-                            if (now != null && now.getToken() == released.getToken()) {
-                                put(row.getVersion(), released);
-                            }
-                        },
-                        loop);
+        table.read(key).thenAcceptAsync(row -> giveBack(row, released), loop);
     }
 
-    private CompletableFuture<TransactionResult> put(long expectedVersion, LeaseRow row) {
-        return table.transact(new Transaction(
-                List.of(new Condition(key, expectedVersion)), List.of(new Write(key, Json.toTree(row)))));
+    private void giveBack(TableRow row, LeaseRow released) {
+        try {
+            LeaseRow now = leaseOf(row);
+            if (now != null && now.getToken() == released.getToken()) {
+                table.replace(key, row.getVersion(), Json.toTree(released));
+            }
+        } catch (InvalidDocumentException e) {
+            LogEvent.warn("lease-row-unreadable").cause(e).to(LOG);
+        }
     }
 }
