Make the wait estimate an interface with two small implementations

Cause, found by reading: the gate branched on a flag, measured the pace whether it was used or not, and the pace spoke in negative numbers when it had nothing to say. An answer was noted as a sign of life by the caller of completed(), apart from it.

Change: WaitEstimate with SlotEstimate and PaceEstimate (before: GrantPace), chosen by settings; the slots' figure is what both fall back on. completed() notes the sign of life itself. The test of the pace asks for the fallback's very value where it asked for a negative number. Behaviour as before; unit tests of core and gateway passed (98).

--- a/core/src/main/java/org/wingstall/core/queue/PaceEstimate.java
+++ b/core/src/main/java/org/wingstall/core/queue/PaceEstimate.java
@@ -3,17 +3,13 @@
 import org.wingstall.core.time.MonotonicClock;
 
 /**
- * Measures how fast the waiters of each precedence are served, and estimates the wait of a new one from that.
+ * Measures how fast the waiters of each precedence are served, and reckons with that.
  *
  * <p>A precedence that higher ones starve shows as a growing gap since its last grant, which no count of slots would tell; the
- * open gap counts as a sample of its own.
- * Not safe for several threads.
- *
- * <p>{@code pace.waiting(3); pace.granted(3); double waitMs = pace.waitMs(3, ahead);}
- *
- * @since 0.1
+ * open gap counts as a sample of its own. Until something has been measured, and while nobody of the precedence waits, it
+ * is the slots that count.
  */
-public final class GrantPace {
+final class PaceEstimate implements WaitEstimate {
     private static final int LEVELS = 10;
     private static final double WEIGHT = 0.1;
 
@@ -22,28 +18,23 @@
     private final long[] lastMs = new long[LEVELS];
     private final int[] waiting = new int[LEVELS];
 
-    /**
-     * Creates a pace without measurements.
-     *
-     * @param clock monotonic clock
-     */
-    public GrantPace(MonotonicClock clock) {
+    PaceEstimate(MonotonicClock clock) {
         this.clock = clock;
     }
 
-    /** Takes note of a new waiter. */
+    @Override
     public void waiting(int precedence) {
         if (waiting[precedence]++ == 0) {
             lastMs[precedence] = clock.nowMs();
         }
     }
 
-    /** Takes note that a waiter gave up. */
+    @Override
     public void gaveUp(int precedence) {
         waiting[precedence]--;
     }
 
-    /** Takes note that a waiter was served. */
+    @Override
     public void granted(int precedence) {
         long nowMs = clock.nowMs();
         double gap = nowMs - lastMs[precedence];
@@ -53,15 +44,10 @@
         waiting[precedence]--;
     }
 
-    /**
-     * Estimates the wait of a new waiter behind those of its own precedence.
-     *
-     * @param precedence its precedence
-     * @return the wait in ms, or a negative number when nothing has been measured or nobody of its precedence waits
-     */
-    public double waitMs(int precedence) {
+    @Override
+    public double waitMs(int precedence, double bySlotsMs) {
         if (waiting[precedence] == 0 || gapMs[precedence] == 0) {
-            return -1;
+            return bySlotsMs;
         }
         double overdueMs = Math.max(0, clock.nowMs() - lastMs[precedence] - gapMs[precedence]);
         return (waiting[precedence] + 1) * (gapMs[precedence] + WEIGHT * overdueMs);
--- a/core/src/main/java/org/wingstall/core/route/EndpointState.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointState.java
@@ -86,6 +86,7 @@
      * @param runMs time from call to answer, in ms
      */
     public void completed(double runMs) {
+        signOfLife();
         failuresInRow.set(0);
         lastCompletionMs.set(clock.nowMs());
         ejected = false;
@@ -107,7 +108,7 @@
         return eject;
     }
 
-    /** Takes note of a token or an answer, to whichever call. */
+    /** Takes note of a token, to whichever call; {@link #completed} does so for an answer. */
     public void signOfLife() {
         lastSignMs.set(clock.nowMs());
     }
--- a/core/src/test/java/org/wingstall/core/queue/PaceEstimateTest.java
+++ b/core/src/test/java/org/wingstall/core/queue/PaceEstimateTest.java
@@ -1,20 +1,21 @@
 package org.wingstall.core.queue;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public class GrantPaceTest {
+public class PaceEstimateTest {
+    private static final double BY_SLOTS_MS = 777;
+
     private final AtomicLong nowMs = new AtomicLong();
-    private GrantPace pace;
+    private PaceEstimate pace;
 
     @BeforeMethod
     public void create() {
-        pace = new GrantPace(() -> TimeUnit.MILLISECONDS.toNanos(nowMs.get()));
+        pace = new PaceEstimate(() -> TimeUnit.MILLISECONDS.toNanos(nowMs.get()));
     }
 
     private void serve(int precedence, int grants, long gapMs) {
@@ -25,10 +26,10 @@
     }
 
     @Test
-    public void nothingIsSaidUntilSomethingWasMeasured() {
+    public void theSlotsCountUntilSomethingWasMeasured() {
         pace.waiting(3);
-        assertTrue(pace.waitMs(3) < 0);
-        assertTrue(pace.waitMs(7) < 0);
+        assertEquals(pace.waitMs(3, BY_SLOTS_MS), BY_SLOTS_MS);
+        assertEquals(pace.waitMs(7, BY_SLOTS_MS), BY_SLOTS_MS);
     }
 
     @Test
@@ -37,8 +38,8 @@
             pace.waiting(3);
         }
         serve(3, 10, 20);
-        assertEquals(pace.waitMs(3), 11 * 20.0, 1e-6);
-        assertTrue(pace.waitMs(7) < 0, "another precedence has a pace of its own");
+        assertEquals(pace.waitMs(3, BY_SLOTS_MS), 11 * 20.0, 1e-6);
+        assertEquals(pace.waitMs(7, BY_SLOTS_MS), BY_SLOTS_MS, "another precedence has a pace of its own");
     }
 
     @Test
@@ -47,9 +48,9 @@
             pace.waiting(3);
         }
         serve(3, 10, 20);
-        double before = pace.waitMs(3);
+        double before = pace.waitMs(3, BY_SLOTS_MS);
         nowMs.addAndGet(1020);
-        assertEquals(pace.waitMs(3), before + 11 * 100.0, 1e-6);
+        assertEquals(pace.waitMs(3, BY_SLOTS_MS), before + 11 * 100.0, 1e-6);
     }
 
     @Test
@@ -60,6 +61,6 @@
         pace.waiting(3);
         serve(3, 1, 20);
         pace.waiting(3);
-        assertEquals(pace.waitMs(3), 2 * 20.0, 1e-6);
+        assertEquals(pace.waitMs(3, BY_SLOTS_MS), 2 * 20.0, 1e-6);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -3,13 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
-import org.wingstall.core.queue.GrantPace;
+import org.wingstall.core.queue.WaitEstimate;
 import org.wingstall.core.queue.WaitQueue;
 import org.wingstall.core.route.Candidate;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.route.RouteRequest;
 import org.wingstall.core.route.Router;
-import org.wingstall.core.time.MonotonicClock;
 
 /**
  * Grants slots at the endpoints of one service: at once while there are free ones and nobody waits, else in the order of
@@ -21,8 +20,7 @@
     private final String failureDomain;
     private final boolean spillover;
     private final WaitQueue<StageWaiter> queue;
-    private final boolean byPace;
-    private final GrantPace pace;
+    private final WaitEstimate estimate;
     private volatile int waiting;
     private boolean draining;
 
@@ -32,15 +30,13 @@
             String failureDomain,
             boolean spillover,
             WaitQueue<StageWaiter> queue,
-            boolean byPace,
-            MonotonicClock clock) {
+            WaitEstimate estimate) {
         this.candidates = candidates;
         this.router = router;
         this.failureDomain = failureDomain;
         this.spillover = spillover;
         this.queue = queue;
-        this.byPace = byPace;
-        this.pace = new GrantPace(clock);
+        this.estimate = estimate;
     }
 
     /** Grants a slot now or later, or tells the waiter that there is no endpoint. */
@@ -50,7 +46,7 @@
         }
         synchronized (queue) {
             queue.add(waiter);
-            pace.waiting(waiter.precedence());
+            estimate.waiting(waiter.precedence());
             waiting = queue.size();
         }
         drain();
@@ -61,7 +57,7 @@
         synchronized (queue) {
             boolean removed = queue.remove(waiter);
             if (removed) {
-                pace.gaveUp(waiter.precedence());
+                estimate.gaveUp(waiter.precedence());
             }
             waiting = queue.size();
             return removed;
@@ -89,7 +85,7 @@
         while (queue.size() > 0 && anyFreeSlot()) {
             StageWaiter next = queue.poll();
             if (serve(next)) {
-                pace.granted(next.precedence());
+                estimate.granted(next.precedence());
             } else {
                 unserved.add(next);
             }
@@ -98,23 +94,16 @@
         waiting = queue.size();
     }
 
-    /**
-     * Returns the time that a new waiter of the precedence would wait, in ms: by the slots and the time of one call, or if
-     * that is set and measured by the pace of its precedence.
-     */
+    /** Returns the time that a new waiter of the precedence would wait, given the time of one call, in ms. */
     double expectedWaitMs(int precedence, double callMs) {
         if (waiting == 0) {
             return 0;
         }
-        int ahead;
+        int slots = Math.max(1, slots());
         synchronized (queue) {
-            double measuredMs = byPace ? pace.waitMs(precedence) : -1;
-            if (measuredMs >= 0) {
-                return measuredMs;
-            }
-            ahead = queue.aheadOf(precedence);
+            double bySlotsMs = (queue.aheadOf(precedence) + 1) * callMs / slots;
+            return estimate.waitMs(precedence, bySlotsMs);
         }
-        return (ahead + 1) * callMs / Math.max(1, slots());
     }
 
     /** Returns whether an endpoint other than this one serves and is not excluded by the waiter. */
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -246,7 +246,6 @@
         ended = true;
         long ranMs = from.ranMs();
         settle(from, false);
-        from.endpoint().signOfLife();
         from.endpoint().completed(ranMs);
         parts.times().whole(context.pipeline(), stage).record(ranMs);
         listener.output(output);
--- a/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.core.queue.WaitEstimate;
 import org.wingstall.core.queue.WaitQueue;
 import org.wingstall.core.route.Candidate;
 import org.wingstall.core.route.EndpointIdentity;
@@ -48,8 +49,7 @@
                 "here",
                 true,
                 WaitQueue.of(policy),
-                false,
-                System::nanoTime);
+                WaitEstimate.of(policy, System::nanoTime));
         List<String> granted = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             gate.request(new HoldingWaiter(granted));
