Heal test fleets, fake waiters and print JSON in one place each

Cause, found by reading and by a search for repeated lines: five process tests healed faults and revived boxes each in its own way, two tests of the gate had the same waiter, three commands of wingstallctl the same branch.

Change: TestFleet.healFaults and reviveBoxes, TestWaiter, printedAsJson.

--- a/ctl/src/main/java/org/wingstall/ctl/FleetCommands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/FleetCommands.java
@@ -52,11 +52,19 @@
         }
     }
 
+    /** Prints a document as it came when that is asked for; returns whether it was. */
+    private boolean printedAsJson(Object document, PrintStream out) {
+        boolean json = options.getString("format").equals("json");
+        if (json) {
+            out.println(Json.writeText(document));
+        }
+        return json;
+    }
+
     void status(PrintStream out)
             throws UnreachableException, NotFoundException, InvalidDocumentException, InterruptedException {
         FleetStatus status = Json.read(get("/v1/fleet").body(), FleetStatus.class);
-        if (options.getString("format").equals("json")) {
-            out.println(Json.writeText(status));
+        if (printedAsJson(status, out)) {
             return;
         }
         String ready = status.isReady() ? "ready" : "not ready, " + status.getNotReadyReason();
@@ -75,8 +83,7 @@
     void engines(PrintStream out)
             throws UnreachableException, NotFoundException, InvalidDocumentException, InterruptedException {
         OrderStatus status = Json.read(get("/v1/engines").body(), OrderStatus.class);
-        if (options.getString("format").equals("json")) {
-            out.println(Json.writeText(status));
+        if (printedAsJson(status, out)) {
             return;
         }
         out.println(
@@ -116,8 +123,7 @@
     void request(PrintStream out)
             throws UnreachableException, NotFoundException, InvalidDocumentException, InterruptedException {
         Answer answer = Json.read(get("/v1/requests/" + options.getString("id")).body(), Answer.class);
-        if (options.getString("format").equals("json")) {
-            out.println(Json.writeText(answer));
+        if (printedAsJson(answer, out)) {
             return;
         }
         String reason = answer.getReason() == null ? "" : ", " + answer.getReason() + ": " + answer.getDetail();
--- a/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/ServiceGateTest.java
@@ -29,19 +29,18 @@
     private final List<Integer> served = new ArrayList<>();
 
     /** A stage that holds its slot, or gives it back as soon as it has it, as one that can't land any more does. */
-    private final class TestWaiter implements StageWaiter {
-        private final int precedence;
+    private final class CountedWaiter extends TestWaiter {
         private final boolean holds;
         private int noEndpoints;
 
-        TestWaiter(int precedence, boolean holds) {
-            this.precedence = precedence;
+        CountedWaiter(int precedence, boolean holds) {
+            super(precedence);
             this.holds = holds;
         }
 
         @Override
         public void granted(EndpointState granted) {
-            served.add(precedence);
+            served.add(precedence());
             if (!holds) {
                 granted.release();
                 gate.drain();
@@ -52,49 +51,14 @@
         public void noEndpoint() {
             noEndpoints++;
         }
-
-        @Override
-        public boolean excludes(EndpointState candidate) {
-            return false;
-        }
-
-        @Override
-        public double expectedMs() {
-            return 10;
-        }
-
-        @Override
-        public long[] prefixDigests() {
-            return new long[0];
-        }
-
-        @Override
-        public int precedence() {
-            return precedence;
-        }
-
-        @Override
-        public String workspace() {
-            return "w";
-        }
-
-        @Override
-        public double weight() {
-            return 1;
-        }
-
-        @Override
-        public long deadlineMs() {
-            return 1000;
-        }
     }
 
     @Test
     public void manyWaitersThatGiveTheirSlotBackAtOnceDontNest() {
-        gate.request(new TestWaiter(5, true));
+        gate.request(new CountedWaiter(5, true));
         int waiters = 50_000;
         for (int i = 0; i < waiters; i++) {
-            gate.request(new TestWaiter(5, false));
+            gate.request(new CountedWaiter(5, false));
         }
         endpoint.release();
         gate.drain();
@@ -106,14 +70,14 @@
     @Test(dependsOnMethods = "manyWaitersThatGiveTheirSlotBackAtOnceDontNest")
     public void waitersAreServedByPrecedenceAndToldWhenNoEndpointIsLeft() {
         served.clear();
-        gate.request(new TestWaiter(9, true));
-        gate.request(new TestWaiter(1, false));
-        gate.request(new TestWaiter(7, false));
+        gate.request(new CountedWaiter(9, true));
+        gate.request(new CountedWaiter(1, false));
+        gate.request(new CountedWaiter(7, false));
         endpoint.release();
         gate.drain();
         assertEquals(served, List.of(9, 7, 1));
         endpoint.markLeaving();
-        TestWaiter late = new TestWaiter(3, false);
+        CountedWaiter late = new CountedWaiter(3, false);
         gate.request(late);
         assertEquals(late.noEndpoints, 1);
     }
--- a/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/run/SpilloverTest.java
@@ -59,7 +59,14 @@
     }
 
     /** Takes a slot and keeps it. */
-    private record HoldingWaiter(List<String> granted) implements StageWaiter {
+    private static final class HoldingWaiter extends TestWaiter {
+        private final List<String> granted;
+
+        HoldingWaiter(List<String> granted) {
+            super(5);
+            this.granted = granted;
+        }
+
         @Override
         public void granted(EndpointState endpoint) {
             granted.add(endpoint.identity().memberId());
@@ -69,40 +76,5 @@
         public void noEndpoint() {
             throw new AssertionError("there are endpoints");
         }
-
-        @Override
-        public boolean excludes(EndpointState candidate) {
-            return false;
-        }
-
-        @Override
-        public double expectedMs() {
-            return 10;
-        }
-
-        @Override
-        public long[] prefixDigests() {
-            return new long[0];
-        }
-
-        @Override
-        public int precedence() {
-            return 5;
-        }
-
-        @Override
-        public String workspace() {
-            return "w";
-        }
-
-        @Override
-        public double weight() {
-            return 1;
-        }
-
-        @Override
-        public long deadlineMs() {
-            return 1000;
-        }
     }
 }
--- a/it/src/test/java/org/wingstall/it/AtMostOnceTest.java
+++ b/it/src/test/java/org/wingstall/it/AtMostOnceTest.java
@@ -39,19 +39,9 @@
 
     @AfterMethod(alwaysRun = true)
     public void heal() {
-        fleet.platformFaults("{}");
-        fleet.boxes().forEach(box -> fleet.routeFaults(box.platformRoute(), "{}"));
-        fleet.endpoints("ledger").forEach(endpoint -> {
-            fleet.endpointFaults(endpoint, "{}");
-            fleet.routeFaults(endpoint.route(), "{}");
-        });
-        for (TestFleet.Box box : fleet.boxes()) {
-            box.process().thaw();
-            if (!box.process().alive()) {
-                box.process().restart();
-            }
-            fleet.awaitReady(box);
-        }
+        fleet.healFaults();
+        fleet.reviveBoxes();
+        fleet.boxes().forEach(fleet::awaitReady);
     }
 
     private interface Fault {
--- a/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
+++ b/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
@@ -127,23 +127,8 @@
     }
 
     private void healAll() {
-        fleet.platformFaults("{}");
-        fleet.boxes().forEach(box -> {
-            fleet.routeFaults(box.peerRoute(), "{}");
-            fleet.routeFaults(box.platformRoute(), "{}");
-        });
-        for (String service : List.of("far", "briza", "ledger")) {
-            for (TestFleet.Endpoint endpoint : fleet.endpoints(service)) {
-                fleet.endpointFaults(endpoint, "{}");
-                fleet.routeFaults(endpoint.route(), "{}");
-            }
-        }
-        for (TestFleet.Box box : fleet.boxes()) {
-            box.process().thaw();
-            if (!box.process().alive()) {
-                box.process().restart();
-            }
-        }
+        fleet.healFaults();
+        fleet.reviveBoxes();
     }
 
     private void raceOperators(int step) {
--- a/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
+++ b/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
@@ -52,16 +52,9 @@
 
     @AfterMethod(alwaysRun = true)
     public void heal() {
-        for (String service : List.of("briza", "lumina")) {
-            fleet.endpoints(service).forEach(engine -> fleet.routeFaults(engine.route(), "{}"));
-        }
-        for (TestFleet.Box box : fleet.boxes()) {
-            box.process().thaw();
-            if (!box.process().alive()) {
-                box.process().restart();
-            }
-            fleet.awaitReady(box);
-        }
+        fleet.healFaults();
+        fleet.reviveBoxes();
+        fleet.boxes().forEach(fleet::awaitReady);
     }
 
     /** Edits what services want, all in one edit. */
@@ -145,9 +138,7 @@
                 .pollInterval(Duration.ofMillis(20))
                 .until(() -> ordersSent(holder, 41) >= 2);
         holder.process().freeze();
-        for (String service : List.of("briza", "lumina")) {
-            fleet.endpoints(service).forEach(engine -> fleet.routeFaults(engine.route(), "{}"));
-        }
+        fleet.healFaults();
         want(42, "briza", "lumina");
         TestFleet.Box successor = awaitHolder(holder);
         long token = status(successor).path("token").asLong();
--- a/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
+++ b/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
@@ -43,12 +43,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void heal() {
-        for (String service : List.of("far", "briza")) {
-            for (TestFleet.Endpoint endpoint : fleet.endpoints(service)) {
-                fleet.endpointFaults(endpoint, "{}");
-                fleet.routeFaults(endpoint.route(), "{}");
-            }
-        }
+        fleet.healFaults();
     }
 
     @DataProvider
--- a/it/src/test/java/org/wingstall/it/PeerCutTest.java
+++ b/it/src/test/java/org/wingstall/it/PeerCutTest.java
@@ -36,10 +36,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void heal() {
-        fleet.boxes().forEach(box -> {
-            fleet.routeFaults(box.platformRoute(), "{}");
-            fleet.routeFaults(box.peerRoute(), "{}");
-        });
+        fleet.healFaults();
         fleet.boxes().forEach(box -> awaitPeers(box, 2));
         fleet.boxes().forEach(this::awaitTable);
     }
--- a/it/src/test/java/org/wingstall/it/PlatformOutageTest.java
+++ b/it/src/test/java/org/wingstall/it/PlatformOutageTest.java
@@ -35,7 +35,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void heal() {
-        fleet.platformFaults("{}");
+        fleet.healFaults();
     }
 
     @DataProvider
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -268,6 +268,29 @@
         }
     }
 
+    /** Takes every fault of the platform, of endpoints and of the network away. */
+    public void healFaults() {
+        platformFaults("{}");
+        boxes.values().forEach(box -> {
+            routeFaults(box.peerRoute(), "{}");
+            routeFaults(box.platformRoute(), "{}");
+        });
+        endpoints.values().forEach(endpoint -> {
+            endpointFaults(endpoint, "{}");
+            routeFaults(endpoint.route(), "{}");
+        });
+    }
+
+    /** Thaws every box and starts again those whose process has ended. */
+    public void reviveBoxes() {
+        for (Box box : boxes.values()) {
+            box.process().thaw();
+            if (!box.process().alive()) {
+                box.process().restart();
+            }
+        }
+    }
+
     /** Returns every run that endpoints of a service have on record. */
     public List<JsonNode> runs(String service) {
         List<JsonNode> runs = new ArrayList<>();
