Keep request work off the control loop, and ask for reachability without lists

Cause, found by reading: the look at waiting requests every 50 ms ran on the control loop, whose processor time is the budget of control; and whether a claim can reach the table, asked for each once-only request, built two lists of peers.

Change: a request loop does the look; tableReachable stops at the first box that hears the table. Decisions as before.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -253,7 +253,7 @@
         members.start();
         follower.start();
         prober.start();
-        control.scheduleWithFixedDelay(gates::drainAll, DRAIN_EVERY_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
+        requests.next().scheduleWithFixedDelay(gates::drainAll, DRAIN_EVERY_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
         orders.start();
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -181,7 +181,11 @@
 
     /** Returns whether this box or a peer that it has a link to gets answers from the platform's table. */
     public boolean tableReachable() {
-        return !committing(true).isEmpty() || !committing(false).isEmpty();
+        return !host.tableUnheard() || peers.values().stream().anyMatch(this::commits);
+    }
+
+    private boolean commits(PeerState peer) {
+        return heard(peer) && !peer.stopping() && !peer.tableUnheard();
     }
 
     /** Returns the boxes, in this failure domain or in others, that get answers from the platform's table. */
@@ -191,8 +195,7 @@
             boxes.add(self.boxId());
         }
         for (PeerState peer : peers.values()) {
-            boolean commits = heard(peer) && !peer.stopping() && !peer.tableUnheard();
-            if (commits && inOwnDomain(peer) == inOwnDomain) {
+            if (commits(peer) && inOwnDomain(peer) == inOwnDomain) {
                 boxes.add(peer.hello().getBoxId());
             }
         }
