Let two boxes of a domain read the list for all, and tell peers whom it says is leaving

Each box learned of the list by its own reads alone: one read answered later than the call timeout (500 ms) was repeated only a whole interval later, 3.4 to 4.9 s after the change, and a box cut off from the platform alone never learned of it. Ruled out: the stand-in's list (versions and tags are in order), hints (sent for endpoints' own answers only), probes (leaving endpoints get none). Looking for it also showed that a listener's exception would have ended the following of list and configuration for good, and a waiter's the draining of a service's queue.

Poller, shared by both followers, repeats a failed read after 250 ms and goes on after any exception. What the list newly says is leaving is told to peers at once, like endpoints' own answers. Two boxes of a failure domain, other ones each minute, read the list and pass its changes on; the others read it only when no heartbeat vouches for the list they have. PeerTable is taken out of PeerMesh (373 lines before, 312 after).

Before: aBoxThatCantReadTheListLearnsWhoLeavesFromItsPeers failed 2 of 2, MemberListTest 3 of 3 tests; with every read late for 2.3 s the last arrival came after 3,582 and 3,384 ms. After: all 12 tests of LeavingEndpointTest, MemberListTest and PeerCutTest passed, last arrival 2,997 ms in one run.

Conclusion: a lost read costs 0.25 s instead of 2, and a box needs the platform no longer to learn of the list.

--- a/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
+++ b/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
@@ -55,9 +55,12 @@
      * Takes in a membership list.
      *
      * @param members members of all kinds
+     * @return endpoints that were known and serving, and are leaving by this list
      */
-    public synchronized void applyList(List<Member> members) {
+    public synchronized List<EndpointState> applyList(List<Member> members) {
         Map<String, EndpointState> next = new HashMap<>();
+        List<EndpointState> staying =
+                all().stream().filter(endpoint -> !endpoint.leaving()).toList();
         for (Member member : members) {
             if (member.getKind() == Member.Kind.ENDPOINT) {
                 next.put(member.getMemberId(), stateOf(member));
@@ -66,6 +69,7 @@
         leavingIncarnations.keySet().removeIf(id -> byMember.containsKey(id) && !next.containsKey(id));
         publish(next);
         known = true;
+        return staying.stream().filter(EndpointState::leaving).toList();
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/wingstall/core/member/MemberChangesTest.java
@@ -0,0 +1,58 @@
+package org.wingstall.core.member;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.schema.peer.MemberNews;
+import org.wingstall.schema.platform.Member;
+
+public class MemberChangesTest {
+    private static Member member(String id, long incarnation) {
+        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, incarnation);
+    }
+
+    private static MemberSnapshot list(String tag, Member... members) {
+        return new MemberSnapshot(tag, List.of(members));
+    }
+
+    @DataProvider
+    Object[][] changes() {
+        MemberSnapshot two = list("1", member("a", 1), member("b", 1));
+        return new Object[][] {
+            {"nothing but the tag", two, list("2", member("a", 1), member("b", 1)), 0, 0},
+            {"a new member", two, list("2", member("a", 1), member("b", 1), member("c", 1)), 1, 0},
+            {"a new incarnation", two, list("2", member("a", 2), member("b", 1)), 1, 0},
+            {"a member gone", two, list("2", member("b", 1)), 0, 1},
+            {"all replaced", two, list("2", member("c", 1), member("d", 1)), 2, 2},
+        };
+    }
+
+    @Test(dataProvider = "changes")
+    public void theChangeTurnsTheOlderListIntoTheNewer(
+            String name, MemberSnapshot before, MemberSnapshot after, int changed, int removed) {
+        MemberNews news = MemberChanges.between(before, after);
+        assertEquals(news.getChanged().size(), changed);
+        assertEquals(news.getRemoved().size(), removed);
+        MemberSnapshot applied = MemberChanges.apply(before, news).orElseThrow();
+        assertEquals(applied.tag(), after.tag());
+        assertEquals(Set.copyOf(applied.members()), Set.copyOf(after.members()));
+    }
+
+    @Test
+    public void aChangeOfAnotherListIsNotApplied() {
+        MemberNews news = MemberChanges.between(list("1"), list("2", member("a", 1)));
+        assertEquals(MemberChanges.apply(list("3"), news), Optional.empty());
+        assertEquals(MemberChanges.apply(MemberSnapshot.NONE, news), Optional.empty());
+    }
+
+    @Test
+    public void onlyATagOfThePlatformHasAShortForm() {
+        assertEquals(MemberSnapshot.NONE.shortTag(), 0);
+        assertTrue(list("\"17\"").shortTag() > 0);
+    }
+}
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.limit.WorkspaceLimiter;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.api.CallerApi;
 import org.wingstall.gateway.api.OperatorApi;
@@ -22,6 +23,7 @@
 import org.wingstall.gateway.control.ConfigFollower;
 import org.wingstall.gateway.control.ControlCpu;
 import org.wingstall.gateway.control.ControlHost;
+import org.wingstall.gateway.control.DomainListReaders;
 import org.wingstall.gateway.control.MemberFollower;
 import org.wingstall.gateway.control.Prober;
 import org.wingstall.gateway.engine.EngineOrderGiver;
@@ -80,6 +82,7 @@
     private final WorkspaceLimiter limiter = new WorkspaceLimiter(clock, retryAfter);
     private final GatewayState state;
     private final HttpPlatform platform;
+    private final ControlHost host;
     private final PeerMesh mesh;
     private final ServiceGates gates;
     private final MemberFollower members;
@@ -112,7 +115,7 @@
                 platformSettings.getCallTimeoutMs(),
                 clock,
                 this::suspicionChanged);
-        ControlHost host = new ControlHost(
+        this.host = new ControlHost(
                 config, registry, limiter, clock, state::isStopping, platform::suspect, this::endpointsChanged);
         this.mesh = new PeerMesh(peerOptions(), host, control, clock);
         this.gates = new ServiceGates(
@@ -120,11 +123,17 @@
                 config,
                 settings.getPolicy(),
                 settings.getFailureDomain(),
-                mesh::heardInDomain,
+                () -> mesh.peers().heardInDomain(),
                 mesh::knownBoxes,
                 clock);
-        this.members =
-                new MemberFollower(platform, control, platformSettings.getMemberIntervalMs(), this::membersChanged);
+        this.members = new MemberFollower(
+                platform,
+                new DomainListReaders(mesh, System::currentTimeMillis),
+                control,
+                platformSettings.getMemberIntervalMs(),
+                clock,
+                metrics,
+                this::membersChanged);
         this.follower = new ConfigFollower(
                 new ConfigTable(platform),
                 config,
@@ -137,7 +146,7 @@
         this.prober =
                 new Prober(registry, config, client, control, settings.getPolicy(), idPrefix(), this::endpointsChanged);
         this.orders = createOrders();
-        RunParts parts = runParts(host);
+        RunParts parts = runParts();
         this.callerApi = new CallerApi(parts, config, limiter, state, idPrefix());
         this.operatorApi = new OperatorApi(
                 settings, state, config, registry, mesh, platform, parts.recent(), metrics, clock, orders);
@@ -168,10 +177,10 @@
                 clock,
                 metrics,
                 state::isStopping,
-                () -> mesh.amongFirst("engine-orders", ORDER_CANDIDATES)));
+                () -> mesh.peers().amongFirst("engine-orders", ORDER_CANDIDATES)));
     }
 
-    private RunParts runParts(ControlHost host) {
+    private RunParts runParts() {
         return new RunParts(
                 settings,
                 clock,
@@ -206,8 +215,9 @@
     }
 
     private void membersChanged(List<Member> list) {
-        registry.applyList(list);
+        List<EndpointState> leaving = registry.applyList(list);
         mesh.applyList(list);
+        host.listSaysLeaving(leaving);
         endpointsChanged();
     }
 
@@ -271,7 +281,7 @@
         metrics.gauge("wingstall.caller.connections", callerServer::connections);
         metrics.gauge("wingstall.engine.lease.token", () -> orders.status().getToken());
         metrics.gauge("wingstall.claims.pending", claims::pending);
-        metrics.gauge("wingstall.peers.heard.in.domain", mesh::heardInDomain);
+        metrics.gauge("wingstall.peers.heard.in.domain", () -> mesh.peers().heardInDomain());
         metrics.gauge("wingstall.peer.sent.bytes", mesh::sentBytes);
         metrics.gauge("wingstall.peer.received.bytes", mesh::receivedBytes);
         metrics.gauge("wingstall.platform.body.bytes", platform::bodyBytes);
--- a/gateway/src/main/java/org/wingstall/gateway/Metrics.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Metrics.java
@@ -38,6 +38,7 @@
     private final Counter answersDropped;
     private final Counter ejections;
     private final Counter timeoutsKept;
+    private final Map<ListSource, Counter> memberLists = new EnumMap<>(ListSource.class);
     private final Map<OrderResult, Counter> engineOrders = new EnumMap<>(OrderResult.class);
     private final Counter rowsRejected;
     private final Timer requestTime;
@@ -58,6 +59,14 @@
 
     private record StageMeters(Counter runMs, Counter wastedMs, Counter tokens, Counter calls) {}
 
+    /** Where a state of the membership list came from. */
+    public enum ListSource {
+        /** This box read it. */
+        PLATFORM,
+        /** A peer read it and passed it on. */
+        PEER
+    }
+
     /** Creates all meters at zero, so that every reason shows from the start. */
     public Metrics() {
         complete = registry.counter("wingstall.outcomes", "outcome", "complete", "reason", "none");
@@ -79,6 +88,10 @@
             String tag = result.name().toLowerCase(Locale.ROOT);
             engineOrders.put(result, registry.counter("wingstall.engine.orders", "result", tag));
         }
+        for (ListSource source : ListSource.values()) {
+            String tag = source.name().toLowerCase(Locale.ROOT);
+            memberLists.put(source, registry.counter("wingstall.members.lists", "from", tag));
+        }
         timeoutsKept = registry.counter("wingstall.stage.timeouts.kept");
         rowsRejected = registry.counter("wingstall.config.rows.rejected");
         requestTime = Timer.builder("wingstall.request.time")
@@ -184,6 +197,11 @@
         engineOrders.get(result).increment();
     }
 
+    /** Counts a state of the membership list that was taken in. */
+    public void memberList(ListSource source) {
+        memberLists.get(source).increment();
+    }
+
     /** Counts an endpoint that was ejected. */
     public void ejected() {
         ejections.increment();
--- a/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
+++ b/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
@@ -116,14 +116,14 @@
     }
 
     private List<PeerStatus> peers() {
-        return mesh.peers().stream().map(this::peer).toList();
+        return mesh.peers().all().stream().map(this::peer).toList();
     }
 
     private PeerStatus peer(PeerState peer) {
         return new PeerStatus(
                 peer.hello().getBoxId(),
                 peer.hello().getFailureDomain(),
-                mesh.heard(peer),
+                mesh.peers().heard(peer),
                 clock.nowMs() - peer.heardAtMs(),
                 peer.revision());
     }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
@@ -29,12 +29,12 @@
 
     @Override
     public boolean reachable() {
-        return mesh.tableReachable();
+        return mesh.peers().tableReachable();
     }
 
     @Override
     public CompletableFuture<ClaimChange> write(ClaimRequest request) {
-        String batcher = mesh.batcher();
+        String batcher = mesh.peers().batcher();
         if (batcher.equals(self)) {
             return local.write(request);
         }
@@ -47,7 +47,7 @@
 
     @Override
     public CompletableFuture<ClaimTable.Versioned> read(String key) {
-        String batcher = mesh.batcher();
+        String batcher = mesh.peers().batcher();
         if (local.reachable() || batcher.equals(self)) {
             return local.read(key);
         }
--- a/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
@@ -3,12 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
-import org.wingstall.core.time.Jitter;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.platform.ConfigTable;
 
@@ -26,7 +24,7 @@
     private final ConfigTable table;
     private final ConfigStore store;
     private final EventLoop loop;
-    private final long intervalMs;
+    private final Poller poller;
     private final BooleanSupplier peersExpected;
     private final Runnable changed;
     private volatile long platformRevision;
@@ -51,7 +49,7 @@
         this.table = table;
         this.store = store;
         this.loop = loop;
-        this.intervalMs = intervalMs;
+        this.poller = new Poller("config", loop, intervalMs, this::poll);
         this.peersExpected = peersExpected;
         this.changed = changed;
     }
@@ -61,7 +59,7 @@
         long firstMs = peersExpected.getAsBoolean()
                 ? PEERS_FIRST_MS + ThreadLocalRandom.current().nextLong(PEERS_FIRST_MS)
                 : 0;
-        loop.schedule(this::poll, firstMs, TimeUnit.MILLISECONDS);
+        poller.start(firstMs);
     }
 
     /** Returns the revision last read from the platform; 0 when none was. */
@@ -69,10 +67,8 @@
         return platformRevision;
     }
 
-    private void poll() {
-        table.revision()
-                .thenComposeAsync(this::follow, loop)
-                .whenCompleteAsync((done, failure) -> again(failure), loop);
+    private CompletableFuture<?> poll() {
+        return table.revision().thenComposeAsync(this::follow, loop);
     }
 
     private CompletableFuture<Void> follow(long revision) {
@@ -124,12 +120,4 @@
             changed.run();
         }
     }
-
-    private void again(Throwable failure) {
-        if (failure != null) {
-            LogEvent.debug("config-poll-failed").cause(failure).to(LOG);
-        }
-        long delayMs = Jitter.around(intervalMs, ThreadLocalRandom.current().nextDouble());
-        loop.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
-    }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -10,6 +10,7 @@
 import org.wingstall.core.limit.DemandSums;
 import org.wingstall.core.limit.WorkspaceLimiter;
 import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.member.MemberSnapshot;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.claim.ClaimKeeper;
@@ -23,6 +24,7 @@
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.LeavingHint;
+import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.table.ConfigCell;
 
 /**
@@ -100,15 +102,21 @@
     public Heartbeat heartbeat() {
         updateLimits();
         return new Heartbeat(
-                revision(), stopping.getAsBoolean(), hints.current(), limiter.demand(), List.of(), tableUnheard());
+                revision(),
+                stopping.getAsBoolean(),
+                hints.current(),
+                limiter.demand(),
+                List.of(),
+                tableUnheard(),
+                members.tagReadLately());
     }
 
     private void updateLimits() {
         DemandSums others = new DemandSums();
         int heard = 1;
-        for (PeerState peer : mesh.peers()) {
-            boolean inDomain = mesh.inOwnDomain(peer);
-            if (inDomain && mesh.heard(peer)) {
+        for (PeerState peer : mesh.peers().all()) {
+            boolean inDomain = mesh.peers().inOwnDomain(peer);
+            if (inDomain && mesh.peers().heard(peer)) {
                 heard++;
                 others.add(peer.demand());
             }
@@ -138,17 +146,31 @@
         }
     }
 
+    /** Takes note of endpoints that the list newly says are leaving; a peer may not be able to read the list. */
+    public void listSaysLeaving(List<EndpointState> endpoints) {
+        for (EndpointState endpoint : endpoints) {
+            tellLeaving(endpoint.identity().memberId(), endpoint.identity().incarnation(), "list");
+        }
+        if (!endpoints.isEmpty()) {
+            mesh.beatNow();
+        }
+    }
+
     private boolean learnLeaving(String memberId, long incarnation, String from) {
         if (!registry.markLeaving(memberId, incarnation)) {
             return false;
         }
+        tellLeaving(memberId, incarnation, from);
+        endpointsChanged.run();
+        return true;
+    }
+
+    private void tellLeaving(String memberId, long incarnation, String from) {
         hints.add(memberId, incarnation);
         LogEvent.info("endpoint-leaving")
                 .with("endpoint", memberId)
                 .with("from", from)
                 .to(LOG);
-        endpointsChanged.run();
-        return true;
     }
 
     @Override
@@ -156,9 +178,10 @@
         long mine = config.current().revision();
         Optional<List<ConfigCell>> delta = revision == 0 ? Optional.empty() : config.cellsAfter(revision);
         if (delta.isPresent()) {
-            return new ConfigReply(mine, false, delta.get(), null);
+            return new ConfigReply(mine, false, delta.get(), null, null);
         }
-        return new ConfigReply(mine, true, config.current().cells(), members.last());
+        MemberSnapshot list = members.last();
+        return new ConfigReply(mine, true, config.current().cells(), list.members(), list.tag());
     }
 
     @Override
@@ -167,7 +190,7 @@
         boolean taken = reply.isComplete()
                 ? config.offerComplete(reply.getRevision(), cells)
                 : config.offerPeerDelta(afterRevision, reply.getRevision(), cells);
-        members.offerFromPeer(reply.getMembers());
+        members.offerFromPeer(listOf(reply));
         if (taken) {
             LogEvent.info("config-in-force")
                     .with("revision", revision())
@@ -177,6 +200,19 @@
         }
     }
 
+    private static MemberSnapshot listOf(ConfigReply reply) {
+        if (reply.getMembers() == null) {
+            return MemberSnapshot.NONE;
+        }
+        String tag = reply.getMemberTag() == null ? "" : reply.getMemberTag();
+        return new MemberSnapshot(tag, reply.getMembers());
+    }
+
+    @Override
+    public void membersChanged(MemberNews news) {
+        members.newsFromPeer(news);
+    }
+
     @Override
     public CompletableFuture<ClaimReply> commit(ClaimRequest request) {
         return claims.commitForPeer(request);
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -74,8 +74,11 @@
                 return;
             }
             draining = true;
-            serveWaiters();
-            draining = false;
+            try {
+                serveWaiters();
+            } finally {
+                draining = false;
+            }
         }
     }
 
--- a/it/src/test/java/org/wingstall/it/LeavingEndpointTest.java
+++ b/it/src/test/java/org/wingstall/it/LeavingEndpointTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -19,6 +21,9 @@
 /** Promise 5: an endpoint that is leaving receives no new work after a few seconds. */
 public class LeavingEndpointTest {
     private static final long FEW_SECONDS_MS = 4000;
+    /** One read by each box falls into this time. */
+    private static final long SLOW_MS = 2300;
+
     private static final long LOAD_MS = 7000;
 
     private TestFleet fleet;
@@ -50,8 +55,16 @@
             fleet.cutDomain("constanta-a", true);
             fleet.endpointFaults(endpoint, "{\"leaving\": true}");
         };
+        Situation listedWhilePlatformIsSlow = (fleet, endpoint) -> {
+            fleet.platformFaults("{\"delayMs\": 700}");
+            fleet.register(endpoint, Member.State.LEAVING);
+            CompletableFuture.delayedExecutor(SLOW_MS, TimeUnit.MILLISECONDS).execute(() -> fleet.platformFaults("{}"));
+        };
         return new Object[][] {
-            {"the list says so", listed}, {"the list lags", listLags}, {"its domain is cut off", domainCut},
+            {"the list says so", listed},
+            {"the list lags", listLags},
+            {"its domain is cut off", domainCut},
+            {"the list says so, and for a moment comes too late", listedWhilePlatformIsSlow},
         };
     }
 
@@ -84,6 +97,21 @@
         }
     }
 
+    @Test
+    public void aBoxThatCantReadTheListLearnsWhoLeavesFromItsPeers() {
+        fleet.routeFaults(fleet.box("box-a").platformRoute(), "{\"cut\": true}");
+        fleet.register(leaving, Member.State.LEAVING);
+        awaitLeavingEverywhere();
+    }
+
+    private void awaitLeavingEverywhere() {
+        for (TestFleet.Box box : fleet.boxes()) {
+            Awaitility.await(box.id() + " knows")
+                    .atMost(Duration.ofMillis(FEW_SECONDS_MS))
+                    .until(() -> fleet.stateAt(box, leaving.id()).equals("leaving"));
+        }
+    }
+
     @Test
     public void aGatewayThatNeverCalledItLearnsFromItsPeers() {
         fleet.admin("/admin/members/lag?ms=600000", TestFleet.tree("{}"));
@@ -93,11 +121,7 @@
             first.send(fleet.box("box-a"), "plan", "first " + i, null, false);
         }
         first.await();
-        for (TestFleet.Box box : fleet.boxes()) {
-            Awaitility.await(box.id() + " knows")
-                    .atMost(Duration.ofMillis(FEW_SECONDS_MS))
-                    .until(() -> stateAt(box).equals("leaving"));
-        }
+        awaitLeavingEverywhere();
         long before = stat("arrived");
         Calls second = new Calls();
         for (int i = 0; i < 20; i++) {
@@ -106,17 +130,4 @@
         second.await();
         assertEquals(stat("arrived"), before);
     }
-
-    private String stateAt(TestFleet.Box box) {
-        try {
-            for (var endpoint : Http.get(box.operator(), "/v1/fleet").json().path("endpoints")) {
-                if (endpoint.path("memberId").asText().equals(leaving.id())) {
-                    return endpoint.path("state").asText();
-                }
-            }
-            return "";
-        } catch (java.io.IOException e) {
-            return "";
-        }
-    }
 }
--- a/it/src/test/java/org/wingstall/it/harness/Fleets.java
+++ b/it/src/test/java/org/wingstall/it/harness/Fleets.java
@@ -24,6 +24,16 @@
                 .begin(Rows.ROWS);
     }
 
+    /** Starts four gateways in one failure domain. */
+    public static TestFleet fourInOneDomain(String name, String... settings) {
+        return endpoints(name)
+                .gateway("box-1", "constanta-a", settings)
+                .gateway("box-2", "constanta-a", settings)
+                .gateway("box-3", "constanta-a", settings)
+                .gateway("box-4", "constanta-a", settings)
+                .begin(Rows.ROWS);
+    }
+
     private static TestFleet endpoints(String name) {
         return new TestFleet(name)
                 .endpoints("pool", "far", "constanta-a", 2, "--run-ms", "4", "--slots", "32")
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -310,6 +310,21 @@
         }
     }
 
+    /** Returns the state in which a box has an endpoint; empty when it doesn't know it. */
+    public String stateAt(Box box, String endpointId) {
+        try {
+            for (JsonNode endpoint :
+                    Http.get(box.operator(), "/v1/fleet").json().path("endpoints")) {
+                if (endpoint.path("memberId").asText().equals(endpointId)) {
+                    return endpoint.path("state").asText();
+                }
+            }
+            return "";
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     /** Reads one metric of a gateway; labels are part of the name. */
     public double metric(Box box, String name) {
         String text = must(() -> Http.get(box.operator(), "/metrics")).body();
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -112,7 +112,7 @@
                         List.of(new ConfigChange(next, "edit-" + next, "ann", 0, List.of(workspace(7, next % 9 + 1)))));
             });
             int bytes =
-                    MessagePack.write(new ConfigReply(1, true, store.current().cells(), List.of())).length;
+                    MessagePack.write(new ConfigReply(1, true, store.current().cells(), List.of(), "")).length;
             out.printf("  %6d %10d %8.0f %9d%n", count, heap, editMicros, bytes);
         }
     }
@@ -166,7 +166,14 @@
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
             PeerFrame frame = new PeerFrame(
-                    0, null, new Heartbeat(123_456, false, List.of(), demand, domains, false), null, null, null, null);
+                    0,
+                    null,
+                    new Heartbeat(123_456, false, List.of(), demand, domains, false, 0),
+                    null,
+                    null,
+                    null,
+                    null,
+                    null);
             byte[] bytes = MessagePack.write(frame);
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
--- a/peer/src/main/java/org/wingstall/peer/PeerHost.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerHost.java
@@ -5,6 +5,7 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.MemberNews;
 
 /**
  * What a gateway lends to its links with other gateways; called on the control loop.
@@ -40,6 +41,9 @@
     /** Takes in a peer's configuration, given in answer to a request after a revision. */
     void configReceived(long afterRevision, ConfigReply reply);
 
+    /** Takes in a change of the membership list that a box of this failure domain read. */
+    void membersChanged(MemberNews news);
+
     /** Commits a change of a claim for a peer. */
     CompletableFuture<ClaimReply> commit(ClaimRequest request);
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -8,8 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +19,6 @@
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.HeartbeatPacer;
 import org.wingstall.core.peer.LinkPlan;
-import org.wingstall.core.peer.Rendezvous;
 import org.wingstall.core.time.Jitter;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
@@ -33,6 +30,7 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
 import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
@@ -40,7 +38,7 @@
 /**
  * The links of a gateway to its peers: all in its failure domain, a few across. Runs on one event loop, the control loop.
  *
- * <p>{@code mesh.start(); ... mesh.batcher().ifPresent(box -> mesh.forward(box, request));}
+ * <p>{@code mesh.start(); ... mesh.forward(mesh.peers().batcher(), request, 400);}
  *
  * @since 0.1
  */
@@ -59,7 +57,7 @@
     private final Dialer dialer;
     private final ForwardedClaims forwarded;
     private final DomainTable domains;
-    private volatile Map<String, PeerState> peers = Map.of();
+    private final PeerTable peers;
     private volatile int knownBoxes = 1;
     private Channel listener;
     private volatile HeartbeatPacer.Plan plan = new HeartbeatPacer.Plan(0, 1);
@@ -82,6 +80,7 @@
         this.self = new LinkPlan.Box(options.hello().getBoxId(), options.hello().getFailureDomain());
         this.forwarded = new ForwardedClaims(loop);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
+        this.peers = new PeerTable(self, options.silentAfterMs(), host::tableUnheard, clock);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
     }
 
@@ -114,19 +113,9 @@
         });
     }
 
-    /** Returns the peers by box, heard or not. */
-    public Collection<PeerState> peers() {
-        return peers.values();
-    }
-
-    /** Returns whether a peer was heard lately. */
-    public boolean heard(PeerState peer) {
-        return peer.heardSince(clock.nowMs() - options.silentAfterMs());
-    }
-
-    /** Returns whether a peer is in this gateway's failure domain. */
-    public boolean inOwnDomain(PeerState peer) {
-        return peer.hello().getFailureDomain().equals(self.failureDomain());
+    /** Returns what is known of the peers. */
+    public PeerTable peers() {
+        return peers;
     }
 
     /** Returns the summaries of other failure domains. */
@@ -139,11 +128,6 @@
         return knownBoxes;
     }
 
-    /** Returns the entry boxes of this failure domain that are heard, this one included. */
-    public int heardInDomain() {
-        return 1 + (int) inDomain().stream().filter(this::heard).count();
-    }
-
     /** Returns the time between two tellings of demand, in ms. */
     public long fullHeartbeatMs() {
         return plan.fullIntervalMs();
@@ -159,49 +143,6 @@
         return bytes.receivedBytes();
     }
 
-    /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
-    public String batcher() {
-        List<String> boxes = committing(true);
-        if (boxes.isEmpty()) {
-            boxes = committing(false);
-        }
-        return boxes.isEmpty()
-                ? self.boxId()
-                : Rendezvous.top("claims", boxes, 1).get(0);
-    }
-
-    /** Returns whether this box is among the first few that its failure domain would choose for a purpose. */
-    public boolean amongFirst(String purpose, int count) {
-        List<String> boxes = new ArrayList<>(List.of(self.boxId()));
-        inDomain().stream()
-                .filter(this::heard)
-                .forEach(peer -> boxes.add(peer.hello().getBoxId()));
-        return Rendezvous.top(purpose, boxes, count).contains(self.boxId());
-    }
-
-    /** Returns whether this box or a peer that it has a link to gets answers from the platform's table. */
-    public boolean tableReachable() {
-        return !host.tableUnheard() || peers.values().stream().anyMatch(this::commits);
-    }
-
-    private boolean commits(PeerState peer) {
-        return heard(peer) && !peer.stopping() && !peer.tableUnheard();
-    }
-
-    /** Returns the boxes, in this failure domain or in others, that get answers from the platform's table. */
-    private List<String> committing(boolean inOwnDomain) {
-        List<String> boxes = new ArrayList<>();
-        if (inOwnDomain && !host.tableUnheard()) {
-            boxes.add(self.boxId());
-        }
-        for (PeerState peer : peers.values()) {
-            if (commits(peer) && inOwnDomain(peer) == inOwnDomain) {
-                boxes.add(peer.hello().getBoxId());
-            }
-        }
-        return boxes;
-    }
-
     /** Sends a change of a claim to the box that commits it; the result is unanswered when no answer comes in time. */
     public CompletableFuture<ClaimReply> forward(String boxId, ClaimRequest request, long timeoutMs) {
         CompletableFuture<ClaimReply> reply = new CompletableFuture<>();
@@ -216,6 +157,17 @@
         return reply;
     }
 
+    /** Passes a change of the membership list on to every peer of this failure domain. */
+    public void tellDomain(MemberNews news) {
+        loop.execute(() -> {
+            for (PeerLink link : links.values()) {
+                if (isLocal(link)) {
+                    link.send(Frames.memberNews(news));
+                }
+            }
+        });
+    }
+
     /** Sends a heartbeat to every peer now, because something changed that can't wait. */
     public void beatNow() {
         loop.execute(() -> sendHeartbeats(false));
@@ -227,10 +179,6 @@
         loop.execute(() -> List.copyOf(links.values()).forEach(PeerLink::close));
     }
 
-    private List<PeerState> inDomain() {
-        return peers.values().stream().filter(this::inOwnDomain).toList();
-    }
-
     private void tick() {
         dialer.dialMissing();
         sinceFull++;
@@ -247,31 +195,34 @@
     /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
     private void sendHeartbeats(boolean full) {
         Heartbeat own = host.heartbeat();
-        Heartbeat plain =
-                new Heartbeat(own.getRevision(), own.isStopping(), own.getLeaving(), null, null, own.isTableUnheard());
-        Heartbeat inside = withDomains(own, domains.direct());
-        DomainSummary ownDomain = domains.summarize(own, inDomain(), this::heard);
-        Heartbeat across = withDomains(own, List.of(ownDomain));
+        Heartbeat plain = with(own, null, null);
+        Heartbeat inside = with(own, own.getDemand(), domains.direct());
+        DomainSummary ownDomain = domains.summarize(own, peers.inDomain(), peers::heard);
+        Heartbeat across = with(own, own.getDemand(), List.of(ownDomain));
         plan = pacer.plan(links.size(), frameBytes(plain), Math.max(frameBytes(inside), frameBytes(across)));
         for (PeerLink link : List.copyOf(links.values())) {
-            boolean local = link.peer().getFailureDomain().equals(self.failureDomain());
-            Heartbeat whole = local ? inside : across;
+            Heartbeat whole = isLocal(link) ? inside : across;
             link.send(Frames.heartbeat(full ? whole : plain));
         }
     }
 
+    private boolean isLocal(PeerLink link) {
+        return link.peer().getFailureDomain().equals(self.failureDomain());
+    }
+
     private static int frameBytes(Heartbeat heartbeat) {
         return MessagePack.write(Frames.heartbeat(heartbeat)).length + FrameCodec.LENGTH_BYTES;
     }
 
-    private static Heartbeat withDomains(Heartbeat own, List<DomainSummary> summaries) {
+    private static Heartbeat with(Heartbeat own, List<WorkspaceDemand> demand, List<DomainSummary> summaries) {
         return new Heartbeat(
                 own.getRevision(),
                 own.isStopping(),
                 own.getLeaving(),
-                own.getDemand(),
+                demand,
                 summaries,
-                own.isTableUnheard());
+                own.isTableUnheard(),
+                own.getListTag());
     }
 
     private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
@@ -343,26 +294,14 @@
                     .thenAccept(reply -> link.send(Frames.claimReply(frame.getCorrelation(), reply)));
         } else if (frame.getClaimReply() != null) {
             forwarded.answered(frame.getCorrelation(), frame.getClaimReply());
+        } else if (frame.getMemberNews() != null) {
+            host.membersChanged(frame.getMemberNews());
         }
     }
 
     private void heartbeat(PeerLink link, Heartbeat heartbeat) {
-        Map<String, PeerState> next = new HashMap<>(peers);
-        PeerState before = peers.get(link.peer().getBoxId());
-        List<WorkspaceDemand> known = before == null ? List.of() : before.demand();
-        List<WorkspaceDemand> demand = heartbeat.getDemand() == null ? known : heartbeat.getDemand();
-        next.put(
-                link.peer().getBoxId(),
-                new PeerState(
-                        link.peer(),
-                        clock.nowMs(),
-                        heartbeat.getRevision(),
-                        heartbeat.isStopping(),
-                        heartbeat.isTableUnheard(),
-                        demand));
-        peers = Map.copyOf(next);
-        boolean across = !link.peer().getFailureDomain().equals(self.failureDomain());
-        domains.heard(heartbeat.getDomains(), across);
+        peers.heard(link.peer(), heartbeat);
+        domains.heard(heartbeat.getDomains(), !isLocal(link));
         if (heartbeat.getRevision() > host.revision() || host.starting()) {
             link.send(Frames.configRequest(host.starting() ? 0 : host.revision()));
         }
--- a/peer/src/main/java/org/wingstall/peer/PeerState.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerState.java
@@ -12,6 +12,7 @@
  * @param revision its configuration revision in force
  * @param stopping whether it is in a planned stop
  * @param tableUnheard whether the platform's table gives it no answers
+ * @param listTag tag of the membership list that it read lately; 0 when it read none
  * @param demand requests a second by limited workspace there
  * @since 0.1
  */
@@ -21,6 +22,7 @@
         long revision,
         boolean stopping,
         boolean tableUnheard,
+        int listTag,
         List<WorkspaceDemand> demand) {
     /** Returns whether the peer was heard lately. */
     boolean heardSince(long sinceMs) {
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -0,0 +1,144 @@
+package org.wingstall.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.wingstall.core.peer.LinkPlan;
+import org.wingstall.core.peer.Rendezvous;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.WorkspaceDemand;
+
+/**
+ * What is known of the peers, by their last heartbeats, and whom that makes the choice for a purpose.
+ *
+ * <p>Read on any thread; an immutable map is swapped with each heartbeat. A wrong or late choice costs efficiency only.
+ *
+ * <p>{@code if (peers.amongFirst("engine-orders", 2)) { takeLease(); }}
+ *
+ * @since 0.1
+ */
+public final class PeerTable {
+    private final LinkPlan.Box self;
+    private final long silentAfterMs;
+    private final BooleanSupplier tableUnheard;
+    private final MonotonicClock clock;
+    private volatile Map<String, PeerState> byBox = Map.of();
+
+    PeerTable(LinkPlan.Box self, long silentAfterMs, BooleanSupplier tableUnheard, MonotonicClock clock) {
+        this.self = self;
+        this.silentAfterMs = silentAfterMs;
+        this.tableUnheard = tableUnheard;
+        this.clock = clock;
+    }
+
+    /** Takes in a heartbeat, on the control loop. */
+    void heard(Hello hello, Heartbeat heartbeat) {
+        Map<String, PeerState> next = new HashMap<>(byBox);
+        PeerState before = next.get(hello.getBoxId());
+        List<WorkspaceDemand> known = before == null ? List.of() : before.demand();
+        List<WorkspaceDemand> demand = heartbeat.getDemand() == null ? known : heartbeat.getDemand();
+        PeerState state = new PeerState(
+                hello,
+                clock.nowMs(),
+                heartbeat.getRevision(),
+                heartbeat.isStopping(),
+                heartbeat.isTableUnheard(),
+                heartbeat.getListTag(),
+                demand);
+        next.put(hello.getBoxId(), state);
+        byBox = Map.copyOf(next);
+    }
+
+    /** Returns the peers, heard lately or not. */
+    public Collection<PeerState> all() {
+        return byBox.values();
+    }
+
+    /** Returns whether a peer was heard lately. */
+    public boolean heard(PeerState peer) {
+        return peer.heardSince(clock.nowMs() - silentAfterMs);
+    }
+
+    /** Returns whether a peer is in this gateway's failure domain. */
+    public boolean inOwnDomain(PeerState peer) {
+        return peer.hello().getFailureDomain().equals(self.failureDomain());
+    }
+
+    /** Returns the peers of this failure domain, heard lately or not. */
+    List<PeerState> inDomain() {
+        return all().stream().filter(this::inOwnDomain).toList();
+    }
+
+    /** Returns the entry boxes of this failure domain that are heard, this one included. */
+    public int heardInDomain() {
+        return heardBoxesInDomain().size();
+    }
+
+    /** Returns whether this box is among the first few that its failure domain would choose for a purpose. */
+    public boolean amongFirst(String purpose, int count) {
+        return Rendezvous.top(purpose, heardBoxesInDomain(), count).contains(self.boxId());
+    }
+
+    /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
+    public String batcher() {
+        List<String> boxes = committing(true);
+        if (boxes.isEmpty()) {
+            boxes = committing(false);
+        }
+        return boxes.isEmpty()
+                ? self.boxId()
+                : Rendezvous.top("claims", boxes, 1).get(0);
+    }
+
+    /** Returns whether this box or a peer that it has a link to gets answers from the platform's table. */
+    public boolean tableReachable() {
+        return !tableUnheard.getAsBoolean() || all().stream().anyMatch(this::commits);
+    }
+
+    /** Returns the tags of the membership lists that boxes of this failure domain read lately. */
+    public Set<Integer> listTags() {
+        Set<Integer> tags = new HashSet<>();
+        for (PeerState peer : inDomain()) {
+            if (heard(peer) && peer.listTag() != 0) {
+                tags.add(peer.listTag());
+            }
+        }
+        return tags;
+    }
+
+    private List<String> heardBoxesInDomain() {
+        List<String> boxes = new ArrayList<>();
+        boxes.add(self.boxId());
+        for (PeerState peer : inDomain()) {
+            if (heard(peer)) {
+                boxes.add(peer.hello().getBoxId());
+            }
+        }
+        return boxes;
+    }
+
+    private boolean commits(PeerState peer) {
+        return heard(peer) && !peer.stopping() && !peer.tableUnheard();
+    }
+
+    /** Returns the boxes, in this failure domain or in others, that get answers from the platform's table. */
+    private List<String> committing(boolean inOwnDomain) {
+        List<String> boxes = new ArrayList<>();
+        if (inOwnDomain && !tableUnheard.getAsBoolean()) {
+            boxes.add(self.boxId());
+        }
+        for (PeerState peer : all()) {
+            if (commits(peer) && inOwnDomain(peer) == inOwnDomain) {
+                boxes.add(peer.hello().getBoxId());
+            }
+        }
+        return boxes;
+    }
+}
