--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -142,8 +142,18 @@
         return listen;
     }
 
-    /** Starts proxy and gateways, imports the rows and waits until every gateway is ready. */
+    /** Starts proxy and gateways, imports the rows and waits until every gateway is ready; ends all if that fails. */
     public TestFleet begin(String rows) {
+        try {
+            startAll(rows);
+            return this;
+        } catch (RuntimeException | Error e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void startAll(String rows) {
         List<String> args = new ArrayList<>(List.of("faultproxy", "--listen", proxyControls, "--route"));
         args.addAll(routes);
         TestProcess proxy = start("proxy", StandinMain.class, args.toArray(String[]::new));
@@ -154,7 +164,6 @@
         proxy.awaitLine("listening");
         gatewayStarts.forEach(Runnable::run);
         boxes.values().forEach(this::awaitReady);
-        return this;
     }
 
     public void awaitReady(Box box) {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -33,7 +33,6 @@
   local name=$1; shift
   "$@" >"$run/$name.out" 2>"$run/$name.log" &
   pids+=($!)
-  
 }
 
 wait_for() { # what, command
--- a/scripts/model-check.sh
+++ b/scripts/model-check.sh
@@ -81,7 +81,7 @@
   check_broken_liveness lease -DCHECKS=0 -DBROKEN_ORDER_ONCE
 else
   check claims
-  check claims -DATTEMPTS=3 -DTRIES=1 -DWRITES=1 -DABANDONS=1
+  check claims -DATTEMPTS=3 -DTRIES=2 -DWRITES=1 -DABANDONS=1
   check config
   check lease -DCHECKS=1
   check_liveness lease -DCHECKS=1
--- a/standin/src/main/java/org/wingstall/standin/platform/MemberStore.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/MemberStore.java
@@ -21,7 +21,11 @@
     }
 
     synchronized void put(Member member) {
-        members.put(member.getMemberId(), member);
+        putAll(List.of(member));
+    }
+
+    synchronized void putAll(List<Member> several) {
+        several.forEach(member -> members.put(member.getMemberId(), member));
         changed();
     }
 
--- a/standin/src/main/java/org/wingstall/standin/platform/PlatformStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/platform/PlatformStandin.java
@@ -12,6 +12,7 @@
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.platform.Member;
+import org.wingstall.schema.platform.MemberList;
 import org.wingstall.schema.platform.Rows;
 import org.wingstall.schema.platform.Transaction;
 import org.wingstall.schema.platform.TransactionResult;
@@ -137,6 +138,8 @@
             case "/admin/faults" -> faults = PlatformFaults.read(Json.readTree(call.body()));
             case "/admin/snapshot" -> table.takeSnapshot();
             case "/admin/member" -> members.put(Json.read(call.body(), Member.class));
+            case "/admin/members" ->
+                members.putAll(Json.read(call.body(), MemberList.class).getMembers());
             case "/admin/member/remove" -> members.remove(call.query("id", ""));
             case "/admin/members/lag" -> members.lagMs(Long.parseLong(call.query("ms", "0")));
             default -> {}
