Call a late stage at a second endpoint as well, as a setting; off by default

A call without a sign of an answer was broken off after three times the 0.9 quantile and only then tried elsewhere, so when an engine fell silent the first token's tail was 198 ms against 75 with a slow engine.

HedgePolicy (none, or after a quantile) and a budget by service; a second endpoint is called only if one has room at once and nobody waits, never for a stage that runs at most once. The first sign of an answer decides, the other call is cancelled and its time counts as wasted.

--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/retry/HedgeAfterQuantile.java
@@ -0,0 +1,23 @@
+package org.wingstall.core.retry;
+
+import java.util.OptionalLong;
+import org.wingstall.core.admit.StageTimes;
+
+/** Calls a second endpoint when a call takes longer than a quantile of recent ones; never while nothing is measured. */
+final class HedgeAfterQuantile implements HedgePolicy {
+    private static final long LEAST_MS = 10;
+
+    private final double quantile;
+
+    HedgeAfterQuantile(double quantile) {
+        this.quantile = quantile;
+    }
+
+    @Override
+    public OptionalLong delayMs(StageTimes times) {
+        if (!times.measured()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(Math.max(LEAST_MS, (long) times.quantileMs(quantile)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wingstall/core/retry/HedgePolicyTest.java
@@ -0,0 +1,39 @@
+package org.wingstall.core.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.OptionalLong;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.core.admit.StageTimes;
+
+public class HedgePolicyTest {
+    private static StageTimes times(int samples) {
+        StageTimes times = new StageTimes(100);
+        for (int i = 0; i < samples; i++) {
+            times.record(i < samples * 9 / 10 ? 40 : 400);
+        }
+        return times;
+    }
+
+    @DataProvider
+    Object[][] policiesWithoutSecondCalls() {
+        return new Object[][] {
+            {"switched off", new NoHedge(), times(100)}, {"nothing measured", new HedgeAfterQuantile(0.95), times(3)},
+        };
+    }
+
+    @Test(dataProvider = "policiesWithoutSecondCalls")
+    public void thereIsNoSecondCall(String name, HedgePolicy policy, StageTimes times) {
+        assertEquals(policy.delayMs(times), OptionalLong.empty());
+    }
+
+    @Test
+    public void theSecondCallComesAfterTheQuantileOfRecentTimes() {
+        long usualMs = new HedgeAfterQuantile(0.5).delayMs(times(100)).orElseThrow();
+        long lateMs = new HedgeAfterQuantile(0.95).delayMs(times(100)).orElseThrow();
+        assertTrue(usualMs >= 40 && usualMs < 60, "after " + usualMs + " ms");
+        assertTrue(lateMs >= 400 && lateMs < 600, "after " + lateMs + " ms");
+    }
+}
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.limit.WorkspaceLimiter;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.retry.HedgePolicy;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.api.CallerApi;
@@ -189,6 +190,8 @@
                 new StageTimesTable(),
                 Admissions.of(settings.getPolicy()),
                 new RetryBudgets(settings.getPolicy().getRetryBudgetPercent()),
+                HedgePolicy.of(settings.getPolicy()),
+                new RetryBudgets(settings.getPolicy().getHedgeBudgetPercent()),
                 claims,
                 retryAfter,
                 metrics,
--- a/gateway/src/main/java/org/wingstall/gateway/Metrics.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Metrics.java
@@ -27,6 +27,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Counter complete;
     private final Map<Reason, Counter> reasons = new EnumMap<>(Reason.class);
+    private final Map<String, Counter> hedges = new ConcurrentHashMap<>();
     private final Map<String, Counter> retries = new ConcurrentHashMap<>();
     private final Map<String, StageMeters> stages = new ConcurrentHashMap<>();
     private final DistributionSummary claimBatch;
@@ -133,6 +134,23 @@
                 .increment();
     }
 
+    /** Counts a second call made while the first may still answer. */
+    public void hedged(String service) {
+        hedge(service, "called");
+    }
+
+    /** Counts a second call that answered before the first. */
+    public void hedgeWon(String service) {
+        hedge(service, "answered-first");
+    }
+
+    private void hedge(String service, String result) {
+        hedges.computeIfAbsent(
+                        service + "|" + result,
+                        key -> registry.counter("wingstall.hedges", "service", service, "result", result))
+                .increment();
+    }
+
     /** Adds what a stage of a request cost. */
     public void stage(String pipeline, StageCost cost) {
         StageMeters meters =
--- a/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -2,6 +2,7 @@
 
 import org.wingstall.core.admit.Admission;
 import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.retry.HedgePolicy;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.Metrics;
@@ -19,6 +20,8 @@
  * @param times measured times of stages
  * @param admission decides whether a deadline can be met
  * @param budgets retry budgets by service
+ * @param hedging says when a second endpoint is called
+ * @param hedgeBudgets budgets of such calls by service
  * @param claims claims of non-repeatable requests
  * @param retryAfter spread of hints
  * @param metrics counters
@@ -34,6 +37,8 @@
         StageTimesTable times,
         Admission admission,
         RetryBudgets budgets,
+        HedgePolicy hedging,
+        RetryBudgets hedgeBudgets,
         ClaimKeeper claims,
         RetryAfter retryAfter,
         Metrics metrics,
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -52,6 +52,11 @@
         drain();
     }
 
+    /** Grants a slot if nobody waits and one is free at once; else returns null. */
+    EndpointState grantSpare(StageWaiter waiter) {
+        return waiting == 0 ? acquire(usableBy(waiter), waiter) : null;
+    }
+
     /** Takes back a waiter that gave up; returns whether it was still waiting. */
     boolean withdraw(StageWaiter waiter) {
         synchronized (queue) {
@@ -148,13 +153,7 @@
 
     /** Returns whether the waiter need not wait any longer. */
     private boolean serve(StageWaiter waiter) {
-        List<Candidate> possible = new ArrayList<>();
-        for (Candidate candidate : candidates.get()) {
-            boolean usable = candidate.endpoint().serving() && !waiter.excludes(candidate.endpoint());
-            if (usable) {
-                possible.add(candidate);
-            }
-        }
+        List<Candidate> possible = usableBy(waiter);
         if (possible.isEmpty()) {
             waiter.noEndpoint();
             return true;
@@ -167,6 +166,16 @@
         return true;
     }
 
+    private List<Candidate> usableBy(StageWaiter waiter) {
+        List<Candidate> usable = new ArrayList<>();
+        for (Candidate candidate : candidates.get()) {
+            if (candidate.endpoint().serving() && !waiter.excludes(candidate.endpoint())) {
+                usable.add(candidate);
+            }
+        }
+        return usable;
+    }
+
     private EndpointState acquire(List<Candidate> possible, StageWaiter waiter) {
         RouteRequest request = new RouteRequest(failureDomain, waiter.expectedMs(), waiter.prefixDigests());
         List<Candidate> free = freeOf(possible, true);
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
@@ -50,7 +50,7 @@
         void handedOver();
 
         /** A token came; indexes may repeat or leave gaps. Returns whether the stream may go on. */
-        boolean token(int index, String text);
+        boolean token(StageAttempt attempt, int index, String text);
 
         /** The stage's output is whole. */
         void answered(StageAttempt attempt, JsonNode output);
@@ -93,6 +93,11 @@
         return endpoint;
     }
 
+    /** Returns whether a first sign of an answer came. */
+    boolean progressed() {
+        return progressed;
+    }
+
     long ranMs() {
         return parts.clock().nowMs() - beganMs;
     }
@@ -206,7 +211,7 @@
             return;
         }
         armProgress(AttemptTimeouts.BETWEEN_TOKENS_MS);
-        if (!owner.token(event.getIndex(), event.getToken())) {
+        if (!owner.token(this, event.getIndex(), event.getToken())) {
             cancelExchange(AttemptEnd.MISMATCHED, "a token is missing before index " + event.getIndex());
         }
     }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -1,10 +1,13 @@
 package org.wingstall.gateway.run;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.wingstall.core.admit.StageTimes;
 import org.wingstall.core.retry.AttemptTimeouts;
 import org.wingstall.core.retry.RetryBudget;
 import org.wingstall.core.retry.RetryRules;
@@ -15,7 +18,10 @@
 import org.wingstall.schema.endpoint.StageCall;
 import org.wingstall.schema.table.StageRow;
 
-/** One stage of a request: waits for a slot, calls an endpoint, calls others when that gives no answer. */
+/**
+ * One stage of a request: waits for a slot, calls an endpoint, calls others when that gives no answer. A repeatable stage
+ * whose answer is late may be called at a second endpoint as well; the first sign of an answer decides between the two.
+ */
 final class StageRun implements StageWaiter, StageAttempt.Owner {
     private static final long[] NO_DIGESTS = {};
 
@@ -26,20 +32,17 @@
     private final JsonNode input;
     private final Listener listener;
     private final ServiceGate gate;
+    private final EndpointJudge judge;
     private final RetryBudget budget;
+    private final RetryBudget hedgeBudget;
     private final long[] prefixDigests;
     private final Set<String> excluded = new HashSet<>();
-    private final StringBuilder text = new StringBuilder();
-    private StageAttempt attempt;
+    private final StageTokens tokens = new StageTokens();
+    private final StageAccount account;
+    private final List<StageAttempt> live = new ArrayList<>();
     private ScheduledFuture<?> waitTimer;
     private boolean ended;
-    private int attempts;
-    private int nextToken;
     private long askedMs;
-    private long waitMs;
-    private long runMs;
-    private long wastedMs;
-    private volatile String lastEndpoint;
 
     /** Why a stage gave no output. */
     enum StageEnd {
@@ -73,7 +76,10 @@
         this.input = input;
         this.listener = listener;
         this.gate = parts.gates().of(stage.getService());
+        this.judge = new EndpointJudge(parts, gate);
         this.budget = parts.budgets().of(stage.getService());
+        this.hedgeBudget = parts.hedgeBudgets().of(stage.getService());
+        this.account = new StageAccount(stage);
         this.prefixDigests = isEngine() ? PromptBlocks.digests(promptOf(input)) : NO_DIGESTS;
     }
 
@@ -92,37 +98,30 @@
 
     /** Returns what the stage has cost so far. */
     StageCost cost() {
-        return new StageCost(
-                stage.getName(),
-                stage.getService(),
-                lastEndpoint == null ? "" : lastEndpoint,
-                attempts,
-                waitMs,
-                runMs,
-                wastedMs,
-                nextToken);
+        return account.cost(tokens.count());
     }
 
     boolean called() {
-        return attempts > 0;
+        return account.attempts() > 0;
     }
 
     void begin() {
         budget.called();
+        hedgeBudget.called();
         ask();
     }
 
     private void ask() {
         askedMs = parts.clock().nowMs();
         gate.request(this);
-        if (attempt == null && !ended) {
+        if (live.isEmpty() && !ended) {
             long hopelessInMs = remainingMs() - (long) leftMs();
             waitTimer = context.loop().schedule(this::waitedTooLong, Math.max(1, hopelessInMs), TimeUnit.MILLISECONDS);
         }
     }
 
     private void waitedTooLong() {
-        boolean hopeless = attempt == null && !ended && !canLand();
+        boolean hopeless = live.isEmpty() && !ended && !canLand();
         if (hopeless && gate.withdraw(this)) {
             noOutput(StageEnd.DEADLINE_UNREACHABLE, "no slot at service '" + stage.getService() + "' came in time");
         }
@@ -148,9 +147,15 @@
         }
         ended = true;
         gate.withdraw(this);
-        if (attempt != null) {
-            attempt.cancel();
-            settle(attempt, true);
+        dropAllBut(null);
+    }
+
+    private void dropAllBut(StageAttempt kept) {
+        for (StageAttempt attempt : List.copyOf(live)) {
+            if (attempt != kept) {
+                attempt.cancel();
+                settle(attempt, true);
+            }
         }
     }
 
@@ -167,31 +172,67 @@
         if (waitTimer != null) {
             waitTimer.cancel(false);
         }
-        waitMs += parts.clock().nowMs() - askedMs;
+        account.waited(parts.clock().nowMs() - askedMs);
         if (ended || !canLand()) {
-            endpoint.release();
-            gate.drain();
+            endpointFree(endpoint);
             noOutput(StageEnd.DEADLINE_UNREACHABLE, "the answer can't land within the deadline any more");
             return;
         }
-        attempts++;
-        lastEndpoint = endpoint.identity().memberId();
+        begin(endpoint);
+        armHedge();
+    }
+
+    private void begin(EndpointState endpoint) {
+        account.called(endpoint.identity().memberId());
         endpoint.prefixes().remember(prefixDigests);
-        attempt = new StageAttempt(parts, context, endpoint, stageCall(), isEngine(), stage.isRepeatable(), this);
+        StageAttempt attempt =
+                new StageAttempt(parts, context, endpoint, stageCall(), isEngine(), stage.isRepeatable(), this);
+        live.add(attempt);
         attempt.begin();
     }
 
+    private void armHedge() {
+        if (stage.isRepeatable() && live.size() == 1) {
+            StageTimes times = parts.times().firstProgress(context.pipeline(), stage);
+            parts.hedging().delayMs(times).ifPresent(delayMs -> context.loop()
+                    .schedule(this::hedge, delayMs, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Calls a second endpoint if one has room at once; those who wait go before it. */
+    private void hedge() {
+        boolean late = !ended && live.size() == 1 && !live.get(0).progressed();
+        if (!late || !canLand() || !RetryRules.retryLeft(account.attempts(), hedgeBudget)) {
+            return;
+        }
+        EndpointState second = gate.grantSpare(this);
+        if (second == null) {
+            return;
+        }
+        if (!hedgeBudget.tryRetry()) {
+            endpointFree(second);
+            return;
+        }
+        parts.metrics().hedged(stage.getService());
+        begin(second);
+    }
+
+    private void endpointFree(EndpointState endpoint) {
+        endpoint.release();
+        gate.drain();
+    }
+
     private StageCall stageCall() {
         return new StageCall(
                 context.requestId(),
                 stage.getName(),
-                attempts,
+                account.attempts(),
                 context.workspace().getName(),
                 context.idempotencyKey(),
                 context.pipeline().getPrecedence(),
                 remainingMs(),
                 stage.getMaxTokens(),
-                nextToken,
+                tokens.count(),
                 input);
     }
 
@@ -205,7 +246,7 @@
     }
 
     private void noEndpointHere() {
-        StageEnd end = attempts > 0 ? StageEnd.EXHAUSTED : StageEnd.NO_ENDPOINT;
+        StageEnd end = called() ? StageEnd.EXHAUSTED : StageEnd.NO_ENDPOINT;
         noOutput(end, "no further endpoint of service '" + stage.getService() + "' takes work");
     }
 
@@ -215,26 +256,27 @@
     }
 
     @Override
-    public boolean token(int tokenIndex, String token) {
-        if (tokenIndex < nextToken) {
-            parts.metrics().answerDropped();
-            return true;
+    public boolean token(StageAttempt from, int tokenIndex, String token) {
+        if (live.size() > 1) {
+            dropAllBut(from);
         }
-        if (tokenIndex > nextToken) {
-            return false;
+        switch (tokens.take(tokenIndex, token)) {
+            case NEXT -> listener.token(tokenIndex, token);
+            case REPEATED -> parts.metrics().answerDropped();
+            case AFTER_A_GAP -> {
+                return false;
+            }
         }
-        nextToken++;
-        text.append(token);
-        listener.token(tokenIndex, token);
         return true;
     }
 
     @Override
-    public void streamEnded(StageAttempt from, int tokens) {
-        if (tokens == nextToken) {
-            answered(from, StageAttempt.textOutput(text.toString()));
+    public void streamEnded(StageAttempt from, int sentTokens) {
+        if (sentTokens == tokens.count()) {
+            answered(from, StageAttempt.textOutput(tokens.text()));
         } else {
-            ended(from, AttemptEnd.MISMATCHED, "the stream ended at token " + tokens + ", not " + nextToken);
+            String detail = "the stream ended at token " + sentTokens + ", not " + tokens.count();
+            ended(from, AttemptEnd.MISMATCHED, detail);
         }
     }
 
@@ -245,7 +287,11 @@
         }
         ended = true;
         long ranMs = from.ranMs();
+        if (live.size() > 1 && from != live.get(0)) {
+            parts.metrics().hedgeWon(stage.getService());
+        }
         settle(from, false);
+        dropAllBut(null);
         from.endpoint().completed(ranMs);
         parts.times().whole(context.pipeline(), stage).record(ranMs);
         listener.output(output);
@@ -256,15 +302,18 @@
         if (ended) {
             return;
         }
-        boolean wasted = !isEngine() || nextToken == 0;
+        boolean wasted = !isEngine() || tokens.count() == 0;
         settle(from, wasted);
-        judge(from, end);
+        judge.ended(from, end);
         excluded.add(from.endpoint().identity().memberId());
         if (end == AttemptEnd.REFUSED_UNRUN) {
             listener.provedUnrun();
         }
-        attempt = null;
-        switch (RetryRules.decide(end, stage.isRepeatable(), attempts, budget)) {
+        boolean otherGoesOn = !live.isEmpty();
+        if (otherGoesOn) {
+            return;
+        }
+        switch (RetryRules.decide(end, stage.isRepeatable(), account.attempts(), budget)) {
             case RETRY -> retry(end);
             case UNKNOWN -> noOutput(StageEnd.UNANSWERED, detail);
             case FAILED -> noOutput(StageEnd.STAGE_FAILED, detail);
@@ -274,10 +323,10 @@
 
     @Override
     public boolean moves(StageAttempt from) {
-        boolean moves = RetryRules.retryLeft(attempts, budget) && gate.offersOther(this, from.endpoint());
+        boolean moves = RetryRules.retryLeft(account.attempts(), budget) && gate.offersOther(this, from.endpoint());
         if (!moves) {
             parts.metrics().timeoutKept();
-            judgeKept(from);
+            judge.kept(from);
         }
         return moves;
     }
@@ -287,35 +336,10 @@
         ask();
     }
 
-    /** An endpoint that answers other calls meanwhile is slow, not silent. */
-    private void judge(StageAttempt from, AttemptEnd end) {
-        boolean slow = end == AttemptEnd.TIMED_OUT && from.endpoint().signAgeMs() < from.ranMs();
-        if (end != AttemptEnd.REFUSED_UNRUN && !slow) {
-            countFailure(from.endpoint());
-        }
-    }
-
-    private void judgeKept(StageAttempt from) {
-        if (Math.min(from.ranMs(), from.endpoint().signAgeMs()) >= AttemptTimeouts.SILENT_MS) {
-            countFailure(from.endpoint());
-        }
-    }
-
-    private void countFailure(EndpointState endpoint) {
-        if (endpoint.failed(parts.settings().getPolicy().getEjectAfterFailures())) {
-            parts.metrics().ejected();
-            gate.drain();
-        }
-    }
-
     private void settle(StageAttempt done, boolean wasted) {
-        long ranMs = done.ranMs();
-        runMs += ranMs;
-        if (wasted) {
-            wastedMs += ranMs;
-        }
-        done.endpoint().release();
-        gate.drain();
+        live.remove(done);
+        account.ran(done.ranMs(), wasted);
+        endpointFree(done.endpoint());
     }
 
     private void noOutput(StageEnd end, String detail) {
@@ -338,7 +362,8 @@
 
     @Override
     public boolean excludes(EndpointState endpoint) {
-        return excluded.contains(endpoint.identity().memberId());
+        boolean called = live.stream().anyMatch(attempt -> attempt.endpoint() == endpoint);
+        return called || excluded.contains(endpoint.identity().memberId());
     }
 
     @Override
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,14 +1,15 @@
 #!/usr/bin/env bash
 # Runs the scenarios of both fleets on several policies in turn and prints the comparison; bounded to about ten minutes.
 # Arguments: names of scenarios (files in config/bench); all of both fleets when there are none.
-# WINGSTALL_REPEATS: runs of each policy (2). WINGSTALL_POLICIES: policies to run; "previous" takes gateways from
+# WINGSTALL_REPEATS: runs of each policy (2). WINGSTALL_FACTORS: arrival rates of the goodput sweep (0.5 1 1.5 2 3).
+# WINGSTALL_POLICIES: policies to run; "previous" takes gateways from
 # WINGSTALL_PREVIOUS_LIB, a copy of an earlier version's it/target/lib. WINGSTALL_OUT: folder for reports.
 set -u
 . "$(dirname "$0")/lib.sh"
 base=${WINGSTALL_BASE_PORT:-23000}
 repeats=${WINGSTALL_REPEATS:-2}
 scenarios=("$@")
-[ ${#scenarios[@]} -gt 0 ] || scenarios=(lunch dawn slow-endpoint silent-endpoint overload-2x workspace-burst)
+[ ${#scenarios[@]} -gt 0 ] || scenarios=(lunch dawn slow-endpoint silent-endpoint lost-domain overload-2x workspace-burst)
 policies=(${WINGSTALL_POLICIES:-round-robin least-in-flight power-of-two wingstall})
 need_tools
 build
@@ -26,6 +27,7 @@
   [no-admission]="policy: {admission: all}"
   [pace]="policy: {waitEstimate: pace}"
   [arrival-order]="policy: {ordering: arrival}"
+  [hedge]="policy: {hedgeBudgetPercent: 5}"
   [quantile-90]="policy: {admissionQuantile: 0.9}"
   [p2c-routing]="policy: {routing: power-of-two}"
 )
@@ -42,6 +44,7 @@
 endpoints arhiva plain arhiva kgn-a pool 2 $port --run-ms 8 --slots 8
 endpoints far pool far kgn-b pool 2 $port --run-ms 8 --slots 8
 endpoints briza-new engine briza kgn-a new 1 $port --slots 16 --run-ms 10 --prefill-ms 5 --slow-down 0.05
+briza=$port
 endpoints briza-old engine briza spt-c old 2 $port --slots 8 --run-ms 20 --prefill-ms 5 --slow-down 0.05
 endpoint_members=("${members[@]}")
 
@@ -73,11 +76,11 @@
 for scenario in "${scenarios[@]}"; do
   if [ "$scenario" = goodput ]; then
     "$home/bin/wingstall-load" sweep --scenario "$home/config/bench/goodput.yaml" --policy "${targets[@]}" \
-      --factors 0.5 0.75 1 1.5 2 3 --repeats 1 --seed 7 || fail "$scenario failed"
+      --factors ${WINGSTALL_FACTORS:-0.5 1 1.5 2 3} --repeats "$repeats" --seed 7 || fail "$scenario failed"
     continue
   fi
   out=()
   [ -n "${WINGSTALL_OUT:-}" ] && out=(--out "$WINGSTALL_OUT/$scenario")
   "$home/bin/wingstall-load" compare --scenario "$home/config/bench/$scenario.yaml" --policy "${targets[@]}" \
-    --endpoint llm-new-0=127.0.0.1:$llm --repeats "$repeats" --seed 7 "${out[@]}" || fail "$scenario failed"
+    --endpoint llm-new-0=127.0.0.1:$llm briza-old-0=127.0.0.1:$briza briza-old-1=127.0.0.1:$((briza + 1)) --repeats "$repeats" --seed 7 "${out[@]}" || fail "$scenario failed"
 done
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Measures the slopes behind docs/CAPACITY.md on this machine. Bounded to about eight minutes; with names of parts
-# (gateway, claims, peers, lists, state) only those.
+# (gateway, tokens, claims, peers, lists, state) only those.
 set -u
 . "$(dirname "$0")/lib.sh"
 base=${WINGSTALL_BASE_PORT:-26000}
@@ -18,6 +18,7 @@
   cat >"$run/table.yaml" <<YAML
 pipeline:
   - {name: echo, deadlineMs: 2000, stages: [{name: echo, service: echo, kind: pool, expectedMs: 2}]}
+  - {name: generate, deadlineMs: 10000, stages: [{name: generate, service: llm, kind: engine, maxTokens: 64, expectedMs: 600}]}
   - {name: order, deadlineMs: 3000, stages: [{name: charge, service: ledger, kind: plain, repeatable: false, expectedMs: 5}]}
 workspace: [{name: w}]
 box-class: [{name: pool, maxInFlight: 2000}]
@@ -32,6 +33,7 @@
   start_platform "127.0.0.1:$base"
   start_endpoints echo pool echo d pool 1 $((base + 500)) --compute
   start_endpoints ledger plain ledger d pool 2 $((base + 510)) --run-ms 5 --slots 500
+  start_endpoints llm engine llm d pool 2 $((base + 520)) --run-ms 8 --slots 1000
   start_gateway gw-1 d $((base + 10)) "eventLoopThreads: 2"
   gateway_pid=${pids[-1]}
   register_members; import; wait_ready "127.0.0.1:$((base + 11))"
@@ -90,6 +92,28 @@
   stop_all; members=()
 }
 
+measure_tokens() {
+  echo "== processor time of one gateway for a streamed token: requests of 64 tokens, after a warm-up of 4 s"
+  start_one_gateway
+  for rate in 10 25 50 100; do
+    cat >"$run/tokens.yaml" <<YAML
+name: tokens
+durationMs: 10000
+warmupMs: 2000
+streams: [{pipeline: generate, workspace: w, perSecond: $rate, deadlineMs: 10000, streamed: true}]
+YAML
+    cpu0=$(awk '{print $14 + $15}' "/proc/$gateway_pid/stat")
+    tokens0=$(metric "127.0.0.1:$((base + 11))" 'wingstall_stage_tokens_total{pipeline="generate",stage="generate"}')
+    "$home/bin/wingstall-load" run --scenario "$run/tokens.yaml" --policy "one=127.0.0.1:$((base + 10))" --seed "$rate" >"$run/tokens.out"
+    cpu1=$(awk '{print $14 + $15}' "/proc/$gateway_pid/stat")
+    tokens1=$(metric "127.0.0.1:$((base + 11))" 'wingstall_stage_tokens_total{pipeline="generate",stage="generate"}')
+    awk -v r="$rate" -v c="$((cpu1 - cpu0))" -v t0="${tokens0:-0}" -v t1="$tokens1" \
+      'BEGIN {printf "%d requests/s: %.0f tokens, %.1f us of processor time by token, requests included\n", r, t1-t0, c*10000/(t1-t0)}'
+    awk '/one:/ || $1 == "one"' "$run/tokens.out"
+  done
+  stop_all; members=()
+}
+
 measure_claims() {
   echo "== table writes against claims, 50 ms batches"
   start_one_gateway
@@ -110,7 +134,7 @@
 
 measure_peers() {
   echo "== control against peers in one failure domain: bytes of heartbeats both ways and processor time of the control loop"
-  for count in 2 4 8 16; do
+  for count in 2 4 8 16 24; do
     start_domain "$count"
     operator=127.0.0.1:$((base + 721))
     wait_for "all peers heard" sh -c "[ \$(curl -s http://$operator/metrics | awk '\$1 == \"wingstall_peers_heard_in_domain\" {print int(\$2)}') = $count ]"
@@ -148,10 +172,10 @@
   WINGSTALL_JAVA_OPTS="-Xmx1g -XX:+UseSerialGC" "$home/bin/wingstall-load" slopes
 }
 
-parts=${*:-gateway claims peers lists state}
+parts=${*:-gateway tokens claims peers lists state}
 for part in $parts; do
   case $part in
-    gateway | claims | peers | lists | state) "measure_$part" ;;
-    *) fail "unknown part '$part'; valid are gateway, claims, peers, lists, state" ;;
+    gateway | tokens | claims | peers | lists | state) "measure_$part" ;;
+    *) fail "unknown part '$part'; valid are gateway, tokens, claims, peers, lists, state" ;;
   esac
 done
