Let no failing run end periodic work, and count hedges of streams that answered first

After the followers, the other periodic work was looked at: a run of the prober, of the drain of waiting stages, of heartbeats or of engine orders that threw an exception would have been the last one (the executors' periodic schedules stop then, and the hand-made ones did not schedule the next). A gateway would have gone silent to its peers until restarted. No such failure was seen; each was found by reading. Second calls of streams that answered first were never counted: the first call was dropped at the first token, before the count.

PeriodicTask runs all four and logs a failed run; the pause before the first heartbeat plan is the heartbeat interval, not 0. The count is taken where the other call is dropped.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import org.wingstall.gateway.run.StageTimesTable;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpLimits;
 import org.wingstall.net.http.HttpServer;
@@ -266,7 +267,7 @@
         members.start();
         follower.start();
         prober.start();
-        requests.next().scheduleWithFixedDelay(gates::drainAll, DRAIN_EVERY_MS, DRAIN_EVERY_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start(requests.next(), "drain", () -> DRAIN_EVERY_MS, gates::drainAll);
         orders.start();
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
--- a/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
@@ -4,13 +4,13 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
 import org.wingstall.core.member.EndpointRegistry;
 import org.wingstall.core.route.EndpointState;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.OutgoingRequest;
 import org.wingstall.net.log.LogEvent;
@@ -73,8 +73,7 @@
 
     /** Begins to probe. */
     public void start() {
-        loop.scheduleWithFixedDelay(
-                this::probeEjected, policy.getProbeIntervalMs(), policy.getProbeIntervalMs(), TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, "probe", policy::getProbeIntervalMs, this::probeEjected);
     }
 
     private void probeEjected() {
--- a/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,6 +18,7 @@
 import org.wingstall.core.time.Jitter;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.Metrics;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.http.OutgoingRequest;
@@ -105,7 +105,12 @@
 
     /** Begins to look after the engines. */
     public void start() {
-        parts.loop().execute(this::tick);
+        PeriodicTask.start(parts.loop(), "engine-orders", this::delayMs, this::tick);
+    }
+
+    private long delayMs() {
+        double random = ThreadLocalRandom.current().nextDouble();
+        return Jitter.around(parts.settings().getIntervalMs(), random);
     }
 
     /** Returns what this gateway knows of its failure domain's engines. */
@@ -130,9 +135,6 @@
             }
         }
         publish(rows);
-        long delayMs = Jitter.around(
-                parts.settings().getIntervalMs(), ThreadLocalRandom.current().nextDouble());
-        parts.loop().schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void lookAfter(Map<String, EngineRow> rows, long token) {
--- a/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
@@ -20,7 +20,7 @@
  * <p>Before a byte of any stage is handed to an endpoint the request can end as {@code not-run}; after it, never, unless
  * the endpoint itself states that it did not run the stage.
  */
-public final class RequestRun implements StageRun.Listener {
+public final class RequestRun implements StageListener {
     private static final long LATE_ANSWER_MS = 60_000;
     private static final long RETRY_SOON_MS = 200;
 
@@ -196,7 +196,7 @@
     }
 
     @Override
-    public void noOutput(StageRun.StageEnd end, String detail) {
+    public void noOutput(StageEnd end, String detail) {
         if (answered) {
             afterUnknown();
             return;
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.retry.RetryRules.AttemptEnd;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.route.PromptBlocks;
+import org.wingstall.gateway.run.StageListener.StageEnd;
 import org.wingstall.schema.caller.StageCost;
 import org.wingstall.schema.endpoint.StageCall;
 import org.wingstall.schema.table.StageRow;
@@ -30,7 +31,7 @@
     private final int index;
     private final StageRow stage;
     private final JsonNode input;
-    private final Listener listener;
+    private final StageListener listener;
     private final ServiceGate gate;
     private final EndpointJudge judge;
     private final RetryBudget budget;
@@ -44,31 +45,7 @@
     private boolean ended;
     private long askedMs;
 
-    /** Why a stage gave no output. */
-    enum StageEnd {
-        NO_ENDPOINT,
-        DEADLINE_UNREACHABLE,
-        STAGE_FAILED,
-        EXHAUSTED,
-        UNANSWERED
-    }
-
-    /** The request that the stage belongs to; told on its event loop. */
-    interface Listener {
-        /** The stage may run from here on. */
-        void handedOver();
-
-        /** The endpoint stated that the stage did not run after all. */
-        void provedUnrun();
-
-        void token(int tokenIndex, String token);
-
-        void output(JsonNode output);
-
-        void noOutput(StageEnd end, String detail);
-    }
-
-    StageRun(RunParts parts, RequestContext context, int index, JsonNode input, Listener listener) {
+    StageRun(RunParts parts, RequestContext context, int index, JsonNode input, StageListener listener) {
         this.parts = parts;
         this.context = context;
         this.index = index;
@@ -150,6 +127,17 @@
         dropAllBut(null);
     }
 
+    /** The first sign of an answer decides between two calls of the stage. */
+    private void keepOnly(StageAttempt from) {
+        if (live.size() > 1) {
+            boolean secondCall = from != live.get(0);
+            if (secondCall) {
+                parts.metrics().hedgeWon(stage.getService());
+            }
+            dropAllBut(from);
+        }
+    }
+
     private void dropAllBut(StageAttempt kept) {
         for (StageAttempt attempt : List.copyOf(live)) {
             if (attempt != kept) {
@@ -174,7 +162,7 @@
         }
         account.waited(parts.clock().nowMs() - askedMs);
         if (ended || !canLand()) {
-            endpointFree(endpoint);
+            giveBack(endpoint);
             noOutput(StageEnd.DEADLINE_UNREACHABLE, "the answer can't land within the deadline any more");
             return;
         }
@@ -210,14 +198,14 @@
             return;
         }
         if (!hedgeBudget.tryRetry()) {
-            endpointFree(second);
+            giveBack(second);
             return;
         }
         parts.metrics().hedged(stage.getService());
         begin(second);
     }
 
-    private void endpointFree(EndpointState endpoint) {
+    private void giveBack(EndpointState endpoint) {
         endpoint.release();
         gate.drain();
     }
@@ -257,9 +245,7 @@
 
     @Override
     public boolean token(StageAttempt from, int tokenIndex, String token) {
-        if (live.size() > 1) {
-            dropAllBut(from);
-        }
+        keepOnly(from);
         switch (tokens.take(tokenIndex, token)) {
             case NEXT -> listener.token(tokenIndex, token);
             case REPEATED -> parts.metrics().answerDropped();
@@ -287,11 +273,8 @@
         }
         ended = true;
         long ranMs = from.ranMs();
-        if (live.size() > 1 && from != live.get(0)) {
-            parts.metrics().hedgeWon(stage.getService());
-        }
+        keepOnly(from);
         settle(from, false);
-        dropAllBut(null);
         from.endpoint().completed(ranMs);
         parts.times().whole(context.pipeline(), stage).record(ranMs);
         listener.output(output);
@@ -339,7 +322,7 @@
     private void settle(StageAttempt done, boolean wasted) {
         live.remove(done);
         account.ran(done.ranMs(), wasted);
-        endpointFree(done.endpoint());
+        giveBack(done.endpoint());
     }
 
     private void noOutput(StageEnd end, String detail) {
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.Addresses;
@@ -23,6 +22,7 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.frame.FrameCodec;
 import org.wingstall.net.frame.MessagePack;
 import org.wingstall.net.log.LogEvent;
@@ -60,7 +60,7 @@
     private final PeerTable peers;
     private volatile int knownBoxes = 1;
     private Channel listener;
-    private volatile HeartbeatPacer.Plan plan = new HeartbeatPacer.Plan(0, 1);
+    private volatile HeartbeatPacer.Plan plan;
     private int sinceFull;
 
     /**
@@ -77,6 +77,7 @@
         this.loop = loop;
         this.clock = clock;
         this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
+        this.plan = new HeartbeatPacer.Plan(options.heartbeatMs(), 1);
         this.self = new LinkPlan.Box(options.hello().getBoxId(), options.hello().getFailureDomain());
         this.forwarded = new ForwardedClaims(loop);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
@@ -101,7 +102,7 @@
             throw new BindException(options.listenAddress(), bound.cause());
         }
         listener = bound.channel();
-        loop.execute(this::tick);
+        PeriodicTask.start(loop, "heartbeat", this::delayMs, this::tick);
     }
 
     /** Takes in a membership list. */
@@ -187,9 +188,10 @@
         if (full) {
             sinceFull = 0;
         }
-        long delayMs =
-                Jitter.around(plan.intervalMs(), ThreadLocalRandom.current().nextDouble());
-        loop.schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private long delayMs() {
+        return Jitter.around(plan.intervalMs(), ThreadLocalRandom.current().nextDouble());
     }
 
     /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
