--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures the slopes behind docs/CAPACITY.md on this machine. Bounded to about eight minutes; with names of parts
+# Measures the slopes behind docs/CAPACITY.md on this machine. Bounded to about ten minutes; with names of parts
 # (gateway, tokens, claims, peers, lists, state) only those.
 set -u
 . "$(dirname "$0")/lib.sh"
