--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -345,8 +345,17 @@
 
     @Override
     public boolean excludes(EndpointState endpoint) {
-        boolean called = live.stream().anyMatch(attempt -> attempt.endpoint() == endpoint);
-        return called || excluded.contains(endpoint.identity().memberId());
+        return calls(endpoint) || excluded.contains(endpoint.identity().memberId());
+    }
+
+    /** Asked for every candidate of every call; a loop over nothing costs nothing. */
+    private boolean calls(EndpointState endpoint) {
+        for (StageAttempt attempt : live) {
+            if (attempt.endpoint() == endpoint) {
+                return true;
+            }
+        }
+        return false;
     }
 
     @Override
