--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -22,6 +22,10 @@
     TOO_MANY_CONNECTIONS("too-many-connections", Answer.Outcome.NOT_RUN, 429),
     /** No pipeline has the name. */
     UNKNOWN_PIPELINE("unknown-pipeline", Answer.Outcome.NOT_RUN, 404),
+    /** No route takes requests of the host and path. */
+    UNKNOWN_ROUTE("unknown-route", Answer.Outcome.NOT_RUN, 404),
+    /** No workspace holds the key. */
+    UNKNOWN_KEY("unknown-key", Answer.Outcome.NOT_RUN, 401),
     /** No workspace has the name. */
     UNKNOWN_WORKSPACE("unknown-workspace", Answer.Outcome.NOT_RUN, 403),
     /** A pipeline with a stage that is not repeatable needs an idempotency key. */
@@ -38,6 +42,10 @@
     DEADLINE_PASSED_WAITING("deadline-passed-waiting", Answer.Outcome.NOT_RUN, 503),
     /** No endpoint of the first service can take the request. */
     NO_ENDPOINT("no-endpoint", Answer.Outcome.NOT_RUN, 503),
+    /** The endpoints turned the request away before running it. */
+    ENDPOINTS_BUSY("endpoints-busy", Answer.Outcome.NOT_RUN, 503),
+    /** A stage before the request made no result, so the request itself was never sent. */
+    STAGE_WITHOUT_RESULT("stage-without-result", Answer.Outcome.NOT_RUN, 503),
     /** The platform's table could not decide the claim in time. */
     TABLE_UNAVAILABLE("table-unavailable", Answer.Outcome.NOT_RUN, 503),
     /** The gateway has no configuration or no membership list yet. */
@@ -54,6 +62,8 @@
     ANSWER_UNREADABLE("answer-unreadable", Answer.Outcome.UNKNOWN, 503),
     /** A stage that is not repeatable was called and gave no answer. */
     STAGE_UNANSWERED("stage-unanswered", Answer.Outcome.UNKNOWN, 504),
+    /** The endpoint that the request was sent to gave no whole answer. */
+    ENDPOINT_LOST("endpoint-lost", Answer.Outcome.UNKNOWN, 502),
     /** An endpoint answered that the stage failed. */
     STAGE_FAILED("stage-failed", Answer.Outcome.FAILED, 502),
     /** No attempt at a repeatable stage gave an answer. */
--- a/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
@@ -13,9 +13,8 @@
     private static final long RETRY_COST = 1000;
     private static final long MOST_RETRIES_SAVED = 50;
 
-    /** Full from the start, so that a box that has just started can carry one endpoint's calls over to others. */
-    private final AtomicLong balance = new AtomicLong(MOST_RETRIES_SAVED * RETRY_COST);
-
+    private final AtomicLong balance;
+    private final long mostBalance;
     private final long gainPerCall;
 
     /**
@@ -24,12 +23,25 @@
      * @param percent retries for a hundred calls
      */
     public RetryBudget(double percent) {
+        this(percent, MOST_RETRIES_SAVED);
+    }
+
+    /**
+     * Creates a budget; it is full from the start, so that a box that has just started can carry one endpoint's calls over
+     * to others.
+     *
+     * @param percent retries for a hundred calls
+     * @param saved most retries saved up
+     */
+    public RetryBudget(double percent, long saved) {
         this.gainPerCall = Math.round(percent / 100 * RETRY_COST);
+        this.mostBalance = saved * RETRY_COST;
+        this.balance = new AtomicLong(mostBalance);
     }
 
     /** Takes note of a first call. */
     public void called() {
-        balance.accumulateAndGet(gainPerCall, (now, gain) -> Math.min(now + gain, MOST_RETRIES_SAVED * RETRY_COST));
+        balance.accumulateAndGet(gainPerCall, (now, gain) -> Math.min(now + gain, mostBalance));
     }
 
     /** Returns whether the budget has a retry left. */
--- a/ctl/src/main/java/org/wingstall/ctl/Command.java
+++ b/ctl/src/main/java/org/wingstall/ctl/Command.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import org.wingstall.core.config.InvalidRowException;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.check.InvalidDocumentException;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.PlatformException;
 
 /** One command of the client. */
 @FunctionalInterface
--- a/ctl/src/main/java/org/wingstall/ctl/Commands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/Commands.java
@@ -4,7 +4,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.http.HttpClient;
-import org.wingstall.platform.HttpPlatform;
+import org.wingstall.table.HttpPlatform;
 
 /** Finds the command that the arguments name. */
 final class Commands {
--- a/ctl/src/main/java/org/wingstall/ctl/ConfigCheck.java
+++ b/ctl/src/main/java/org/wingstall/ctl/ConfigCheck.java
@@ -9,11 +9,11 @@
 import java.util.Map;
 import org.wingstall.core.config.ConfigRows;
 import org.wingstall.core.config.InvalidRowException;
-import org.wingstall.platform.Edit;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.settings.GatewaySettings;
+import org.wingstall.table.Edit;
 
 /** Checks a file without using it: a gateway's settings, or rows to import. */
 final class ConfigCheck {
--- a/ctl/src/main/java/org/wingstall/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/wingstall/ctl/CtlMain.java
@@ -8,9 +8,9 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.wingstall.core.config.InvalidRowException;
 import org.wingstall.net.EventLoops;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.check.InvalidDocumentException;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.PlatformException;
 
 /**
  * The operators' client.
--- a/ctl/src/main/java/org/wingstall/ctl/ImportFile.java
+++ b/ctl/src/main/java/org/wingstall/ctl/ImportFile.java
@@ -16,10 +16,10 @@
 import org.wingstall.core.config.ConfigKey;
 import org.wingstall.core.config.ConfigRows;
 import org.wingstall.core.config.InvalidRowException;
-import org.wingstall.platform.Edit;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.table.ConfigCell;
+import org.wingstall.table.Edit;
 
 /** A YAML file of rows: a list under each kind of row. */
 final class ImportFile {
--- a/ctl/src/main/java/org/wingstall/ctl/TableCommands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/TableCommands.java
@@ -17,16 +17,16 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.wingstall.core.config.ConfigKey;
 import org.wingstall.core.config.InvalidRowException;
-import org.wingstall.platform.ConfigEditor;
-import org.wingstall.platform.ConfigTable;
-import org.wingstall.platform.Edit;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.HttpPlatform;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.table.ConfigCell;
 import org.wingstall.schema.table.ConfigChange;
+import org.wingstall.table.ConfigEditor;
+import org.wingstall.table.ConfigTable;
+import org.wingstall.table.Edit;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.HttpPlatform;
+import org.wingstall.table.PlatformException;
 
 /** The commands on the table. */
 final class TableCommands {
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -42,14 +42,14 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerOptions;
-import org.wingstall.platform.ConfigTable;
-import org.wingstall.platform.HttpPlatform;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.platform.Member;
 import org.wingstall.schema.settings.CallerLimits;
 import org.wingstall.schema.settings.GatewaySettings;
 import org.wingstall.schema.settings.Peering;
 import org.wingstall.schema.settings.PlatformClient;
+import org.wingstall.table.ConfigTable;
+import org.wingstall.table.HttpPlatform;
 
 /**
  * One gateway: puts its parts together, starts and stops them.
--- a/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
+++ b/gateway/src/main/java/org/wingstall/gateway/api/OperatorApi.java
@@ -14,12 +14,12 @@
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerState;
-import org.wingstall.platform.HttpPlatform;
 import org.wingstall.schema.caller.Answer;
 import org.wingstall.schema.operator.EndpointStatus;
 import org.wingstall.schema.operator.FleetStatus;
 import org.wingstall.schema.operator.PeerStatus;
 import org.wingstall.schema.settings.GatewaySettings;
+import org.wingstall.table.HttpPlatform;
 
 /**
  * The API for operators: metrics, health, what the gateway knows of the fleet, requests that ended lately.
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeeper.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimKeeper.java
@@ -8,12 +8,12 @@
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.core.claim.ClaimProtocol;
 import org.wingstall.gateway.Metrics;
-import org.wingstall.platform.ObjectStore;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.caller.Answer;
 import org.wingstall.schema.peer.ClaimReply;
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.table.ClaimRow;
+import org.wingstall.table.ObjectStore;
+import org.wingstall.table.TableService;
 
 /**
  * Takes, records and gives up claims by the rules of {@link ClaimProtocol}, on the control loop.
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ClaimTable.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ClaimTable.java
@@ -3,11 +3,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.platform.TableRow;
 import org.wingstall.schema.table.ClaimRow;
+import org.wingstall.table.TableService;
 
 /** Claims in the platform's table, as this box reaches it: where they lie and how to read them. */
 final class ClaimTable {
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
@@ -4,9 +4,9 @@
 import org.wingstall.core.claim.ClaimChange;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.peer.PeerMesh;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.peer.ClaimReply;
 import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.table.PlatformException;
 
 /**
  * Hands changes to the box that commits them for the failure domain, or commits them here when none is to be had. Reads
--- a/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ConfigFollower.java
@@ -8,7 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.platform.ConfigTable;
+import org.wingstall.table.ConfigTable;
 
 /**
  * Follows the configuration in the platform's table: reads the revision, fetches what is missing, never goes back.
--- a/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
@@ -13,9 +13,9 @@
 import org.wingstall.gateway.Metrics;
 import org.wingstall.gateway.Metrics.ListSource;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.platform.MembershipList;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.platform.Member;
+import org.wingstall.table.MembershipList;
 
 /**
  * Follows the platform's membership list; keeps the last one while the platform does not answer.
--- a/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/EngineOrderGiver.java
@@ -23,7 +23,6 @@
 import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.http.OutgoingRequest;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.endpoint.EngineOrder;
@@ -33,6 +32,7 @@
 import org.wingstall.schema.operator.OrderStatus;
 import org.wingstall.schema.settings.EngineOrders;
 import org.wingstall.schema.table.EngineRow;
+import org.wingstall.table.TableService;
 
 /**
  * Brings the model engines of a failure domain to what the operators' table wants of them.
--- a/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
@@ -7,12 +7,12 @@
 import org.wingstall.core.lease.LeaseStep;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.platform.TableRow;
 import org.wingstall.schema.platform.TransactionResult;
 import org.wingstall.schema.table.LeaseRow;
+import org.wingstall.table.TableService;
 
 /** Takes, renews and gives back the lease under which a failure domain's engines get orders; on the control loop. */
 final class LeaseKeeper {
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -0,0 +1,211 @@
+package org.wingstall.gateway.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.BindException;
+import org.wingstall.net.EventLoops;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.HttpLimits;
+import org.wingstall.net.http.HttpServer;
+import org.wingstall.net.http.Rejection;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.platform.PlatformCallerWire;
+import org.wingstall.platform.PlatformConfigSource;
+import org.wingstall.platform.PlatformEndpointSource;
+import org.wingstall.platform.PlatformEndpointWire;
+import org.wingstall.platform.StoreClient;
+import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.control.SourceFollower;
+import org.wingstall.relay.endpoint.LeastLoaded;
+import org.wingstall.relay.endpoint.PromptHome;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.log.RequestLog;
+import org.wingstall.relay.pool.PoolParts;
+import org.wingstall.relay.pool.StagePools;
+import org.wingstall.relay.run.RelayHandler;
+import org.wingstall.relay.run.RelayParts;
+import org.wingstall.relay.run.ServiceBudgets;
+import org.wingstall.relay.wire.EndpointWire;
+import org.wingstall.schema.settings.RelaySettings;
+
+/**
+ * One gateway on the users' platform: puts its parts together, starts and stops them.
+ *
+ * <p>{@code RelayGateway gateway = new RelayGateway(settings); gateway.start(); ... gateway.stop();}
+ *
+ * @since 0.2
+ */
+public final class RelayGateway {
+    private static final Logger LOG = LogManager.getLogger(RelayGateway.class);
+
+    /** Connections of callers at once; leaves descriptors for endpoints out of the platform's 4,100. */
+    private static final int MOST_CONNECTIONS = 2000;
+
+    private static final HttpLimits INSIDE_LIMITS = new HttpLimits(65_536, 64, 2000, 60_000);
+
+    /** Time for which a stopping box still takes callers, while the balancer asks twice and takes it out, in ms. */
+    private static final long NOTICE_MS = 3200;
+
+    /** Part of the grace that is left unused, for the end of the process itself, in ms. */
+    private static final long MARGIN_MS = 500;
+
+    /** Pause between two looks at what is in flight, in ms. */
+    private static final long CHECK_MS = 20;
+
+    /** Boxes that a box thinks share a retry budget until it knows better; the users' smallest fleets have 8 or 9. */
+    private static final int BOXES = 9;
+
+    /** Part of the retry budget that boxes use, since their shares are uneven and windows slide. */
+    private static final double BUDGET_PART = 0.7;
+
+    private final MonotonicClock clock = System::nanoTime;
+    private final RandomGenerator random = new SplittableRandom();
+    private final RelaySettings settings;
+    private final EventLoop control = EventLoops.group("control", 1).next();
+    private final EventLoopGroup requests = EventLoops.group("requests", 1);
+    private final HttpClient client = new HttpClient();
+    private final RelayState state = new RelayState();
+    private final RelayEndpoints endpoints = new RelayEndpoints(clock);
+    private final RelayMetrics metrics = new RelayMetrics();
+    private final StagePools pools;
+    private final RelayHandler handler;
+    private final SourceFollower follower;
+    private HttpServer callers;
+    private volatile boolean stopping;
+
+    /**
+     * Puts a gateway together.
+     *
+     * @param settings settings of the process
+     */
+    public RelayGateway(RelaySettings settings) {
+        this.settings = settings;
+        EventLoop loop = requests.next();
+        EndpointWire wire = new PlatformEndpointWire();
+        ServiceBudgets budgets =
+                new ServiceBudgets(100 * settings.getRetryBudgetRatio() * BUDGET_PART, Math.max(1, (long)
+                        (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES)));
+        this.pools = new StagePools(
+                new PoolParts(
+                        loop, clock, client, wire, endpoints, state::config, budgets, settings.getFailureDomain()),
+                random);
+        this.handler = new RelayHandler(
+                new RelayParts(
+                        loop,
+                        clock,
+                        random,
+                        client,
+                        new PlatformCallerWire(),
+                        wire,
+                        state::config,
+                        endpoints,
+                        pools,
+                        new PromptHome(),
+                        new LeastLoaded(settings.getFailureDomain(), random),
+                        budgets,
+                        new RetryAfter(random::nextDouble),
+                        metrics,
+                        new RequestLog(clock, metrics)),
+                this::known);
+        StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
+        this.follower = new SourceFollower(
+                control,
+                new PlatformConfigSource(store, settings.getConfigWaitMs()),
+                state,
+                new PlatformEndpointSource(store),
+                endpoints,
+                settings.getEndpointIntervalMs(),
+                () -> loop.execute(pools::offerAll));
+    }
+
+    private boolean known() {
+        return state.config().known() && endpoints.known();
+    }
+
+    /**
+     * Starts the gateway.
+     *
+     * @throws BindException if an address can't be had
+     */
+    public void start() throws BindException {
+        follower.start();
+        callers = HttpServer.start(
+                requests, Addresses.parse(settings.getCallerAddress()), this::limits, handler, this::rejected);
+        HttpServer.start(
+                control,
+                Addresses.parse(settings.getReadinessAddress()),
+                INSIDE_LIMITS,
+                this::answerReadiness,
+                rejection -> new byte[0]);
+        HttpServer.start(
+                control,
+                Addresses.parse(settings.getOperatorAddress()),
+                INSIDE_LIMITS,
+                this::answerOperator,
+                rejection -> new byte[0]);
+        showGauges();
+        LogEvent.info("started")
+                .with("box", settings.getBoxId())
+                .with("failureDomain", settings.getFailureDomain())
+                .to(LOG);
+    }
+
+    private HttpLimits limits() {
+        ClientLimits limits = state.config().limits();
+        return new HttpLimits(limits.bodyBytes(), MOST_CONNECTIONS, limits.headerMs(), limits.idleMs());
+    }
+
+    private byte[] rejected(Rejection rejection) {
+        return rejection.name().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private void answerReadiness(HttpCall call) {
+        boolean ready = known() && !stopping;
+        call.respond(ready ? 200 : 503, "text/plain", new byte[0]);
+    }
+
+    private void answerOperator(HttpCall call) {
+        call.respond(200, "text/plain; version=0.0.4", metrics.scrape().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void showGauges() {
+        metrics.gauge("wingstall.config.version", () -> state.config().version());
+        metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
+        metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
+        metrics.gauge("wingstall.stages.waiting", pools::waiting);
+        metrics.gauge("wingstall.caller.connections", callers::connections);
+    }
+
+    /** Stops as planned: the balancer takes the box out, what is in flight ends, then the process does. */
+    public void stop() {
+        long untilMs = clock.nowMs() + settings.getStopGraceMs() - MARGIN_MS;
+        LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
+        stopping = true;
+        callers.closeAfterAnswers();
+        waitUntil(clock.nowMs() + NOTICE_MS, () -> false);
+        callers.close();
+        callers.drain();
+        waitUntil(untilMs, () -> handler.inFlight() == 0);
+        LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
+        LogManager.shutdown();
+    }
+
+    private void waitUntil(long untilMs, java.util.function.BooleanSupplier done) {
+        while (clock.nowMs() < untilMs && !done.getAsBoolean()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MS));
+        }
+    }
+}
--- a/gateway/src/test/java/org/wingstall/gateway/claim/ClaimKeeperTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/claim/ClaimKeeperTest.java
@@ -12,10 +12,10 @@
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.net.EventLoops;
-import org.wingstall.platform.TableService;
 import org.wingstall.schema.platform.TableRow;
 import org.wingstall.schema.platform.Transaction;
 import org.wingstall.schema.platform.TransactionResult;
+import org.wingstall.table.TableService;
 
 public class ClaimKeeperTest {
     private static final long BUDGET_MS = 60_000;
--- a/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
@@ -19,10 +19,10 @@
 import org.wingstall.core.member.MemberSnapshot;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.net.EventLoops;
-import org.wingstall.platform.MembershipList;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.platform.Member;
+import org.wingstall.table.MembershipList;
+import org.wingstall.table.PlatformException;
 
 public class MemberFollowerTest {
     private static final Duration BOUND = Duration.ofSeconds(20);
--- a/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
+++ b/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
@@ -20,8 +20,8 @@
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.it.harness.Rows;
 import org.wingstall.it.harness.TestFleet;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.PlatformException;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.PlatformException;
 
 /** Faults of all kinds in one run, by a seed; every promise is checked from the records at the end. */
 public class CombinedFaultsTest {
--- a/it/src/test/java/org/wingstall/it/ConfigurationTest.java
+++ b/it/src/test/java/org/wingstall/it/ConfigurationTest.java
@@ -23,8 +23,8 @@
 import org.wingstall.it.harness.Http;
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.it.harness.TestFleet;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.PlatformException;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.PlatformException;
 
 /** Promise 7: a configuration, once accepted, is in force everywhere within seconds and never reverts. */
 public class ConfigurationTest {
--- a/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
+++ b/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
@@ -22,8 +22,8 @@
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.it.harness.Rows;
 import org.wingstall.it.harness.TestFleet;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.PlatformException;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.PlatformException;
 
 /** Orders to engines under a lease: engines that check tokens (briza) and engines that don't (lumina). */
 public class EngineOrdersTest {
--- a/it/src/test/java/org/wingstall/it/harness/FleetTable.java
+++ b/it/src/test/java/org/wingstall/it/harness/FleetTable.java
@@ -10,13 +10,13 @@
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.http.HttpClient;
-import org.wingstall.platform.ConfigEditor;
-import org.wingstall.platform.Edit;
-import org.wingstall.platform.EditConflictException;
-import org.wingstall.platform.HttpPlatform;
-import org.wingstall.platform.PlatformException;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
+import org.wingstall.table.ConfigEditor;
+import org.wingstall.table.Edit;
+import org.wingstall.table.EditConflictException;
+import org.wingstall.table.HttpPlatform;
+import org.wingstall.table.PlatformException;
 
 /** Edits of a test fleet's table, as operators make them. */
 public final class FleetTable {
--- a/load/src/main/java/org/wingstall/load/LoadRun.java
+++ b/load/src/main/java/org/wingstall/load/LoadRun.java
@@ -104,13 +104,9 @@
             }
             String accept = arrival.stream().isStreamed() ? HttpCall.EVENT_STREAM : HttpCall.JSON;
             int gateway = (arrival.gateway() + returns) % target.gateways().size();
-            OutgoingRequest request = new OutgoingRequest(
-                    target.gateways().get(gateway),
-                    "POST",
-                    "/v1/pipelines/" + arrival.stream().getPipeline() + "/requests",
-                    Map.of("accept", accept),
-                    Json.write(body),
-                    false);
+            String path = "/v1/pipelines/" + arrival.stream().getPipeline() + "/requests";
+            OutgoingRequest request = OutgoingRequest.post(target.gateways().get(gateway), path, Json.write(body))
+                    .with("accept", accept);
             client.send(loop, request, CONNECT_TIMEOUT_MS, new CallerExchange(plannedNs, this));
         }
 
--- a/net/src/main/java/org/wingstall/net/EventLoops.java
+++ b/net/src/main/java/org/wingstall/net/EventLoops.java
@@ -1,9 +1,11 @@
 package org.wingstall.net;
 
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
@@ -21,6 +23,13 @@
  * @since 0.1
  */
 public final class EventLoops {
+    /** Time without acknowledgement after which a connection counts as broken, in ms; several retransmissions long. */
+    public static final int SILENT_MS = 2000;
+
+    private static final int PROBE_AFTER_S = 1;
+    private static final int PROBE_EVERY_S = 1;
+    private static final int PROBES = 2;
+
     private EventLoops() {}
 
     /**
@@ -36,6 +45,29 @@
                 threads, factory, Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
+    /**
+     * Sets the options by which a connection whose other side has fallen silent is noticed: unacknowledged data, or
+     * unanswered keep-alive probes while idle, end it after about {@link #SILENT_MS}.
+     *
+     * @param options takes the options
+     */
+    public static void noticeSilence(SocketOptions options) {
+        options.set(ChannelOption.SO_KEEPALIVE, true);
+        if (Epoll.isAvailable()) {
+            options.set(EpollChannelOption.TCP_USER_TIMEOUT, SILENT_MS);
+            options.set(EpollChannelOption.TCP_KEEPIDLE, PROBE_AFTER_S);
+            options.set(EpollChannelOption.TCP_KEEPINTVL, PROBE_EVERY_S);
+            options.set(EpollChannelOption.TCP_KEEPCNT, PROBES);
+        }
+    }
+
+    /** Takes the options of a connection. */
+    @FunctionalInterface
+    public interface SocketOptions {
+        /** Sets one option. */
+        <T> void set(ChannelOption<T> option, T value);
+    }
+
     /** Returns the class of listening channels. */
     public static Class<? extends ServerChannel> serverChannel() {
         return Epoll.isAvailable() ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
--- a/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
+++ b/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
@@ -61,6 +61,14 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (current != null) {
+            current.writabilityChanged();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pipelined.forEach(FullHttpRequest::release);
--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -7,12 +7,21 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 
 /** Passes the answer on a connection to the exchange that the connection carries at the moment. */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
     private HttpExchange current;
     private InetSocketAddress address;
     private HttpClient client;
+    private long keptAtNs;
+    private long keptIdleMs;
+
+    /** Returns whether the connection has been idle for less than this and less than the other side keeps it, in ms. */
+    boolean idleWithin(long idleMs) {
+        long idleNs = System.nanoTime() - keptAtNs;
+        return TimeUnit.NANOSECONDS.toMillis(idleNs) < Math.min(idleMs, keptIdleMs);
+    }
 
     void begin(HttpExchange exchange, InetSocketAddress to, HttpClient owner) {
         current = exchange;
@@ -45,6 +54,8 @@
     private void finish(ChannelHandlerContext ctx) {
         HttpExchange done = current;
         current = null;
+        keptAtNs = System.nanoTime();
+        keptIdleMs = done.keptIdleMs();
         if (done.complete() && ctx.channel().isActive()) {
             client.keep(ctx.channel(), address);
         } else {
--- a/net/src/main/java/org/wingstall/net/http/HttpCall.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpCall.java
@@ -42,6 +42,7 @@
 
     private final Channel channel;
     private final String method;
+    private final String target;
     private final QueryStringDecoder uri;
     private final HttpHeaders headers;
     private final byte[] body;
@@ -49,12 +50,14 @@
     private final Runnable whenAnswered;
     private final AtomicBoolean draining;
     private Runnable onDisconnect = () -> {};
+    private Runnable onWritable = () -> {};
     private boolean streaming;
     private boolean answered;
 
     HttpCall(Channel channel, FullHttpRequest request, Runnable whenAnswered, AtomicBoolean draining) {
         this.channel = channel;
         this.method = request.method().name();
+        this.target = request.uri();
         this.uri = new QueryStringDecoder(request.uri());
         this.headers = request.headers();
         this.body = ByteBufUtil.getBytes(request.content());
@@ -79,6 +82,16 @@
         return values == null ? otherwise : values.get(0);
     }
 
+    /** Returns path and query as the client sent them. */
+    public String target() {
+        return target;
+    }
+
+    /** Returns all headers. */
+    public HttpHeaders headers() {
+        return headers;
+    }
+
     /** Returns a header's value, or null. */
     public String header(String name) {
         return headers.get(name);
@@ -170,7 +183,61 @@
         }
     }
 
-    /** Closes the connection without an answer. */
+    /** Sends a whole answer with the headers given, its length added. */
+    public void respond(int status, HttpHeaders answerHeaders, byte[] content) {
+        if (answered) {
+            return;
+        }
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
+        response.headers().set(answerHeaders);
+        HttpUtil.setContentLength(response, content.length);
+        setConnection(response);
+        finish(response);
+    }
+
+    /** Begins an answer whose body comes in parts. */
+    public void begin(int status, HttpHeaders answerHeaders) {
+        if (answered || streaming) {
+            return;
+        }
+        streaming = true;
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        head.headers().set(answerHeaders);
+        HttpUtil.setTransferEncodingChunked(head, true);
+        setConnection(head);
+        channel.write(head, channel.voidPromise());
+    }
+
+    /** Sends a part of the body; returns whether the client keeps up. */
+    public boolean part(ByteBuf content) {
+        if (answered) {
+            content.release();
+            return true;
+        }
+        channel.writeAndFlush(new DefaultHttpContent(content), channel.voidPromise());
+        return channel.isWritable();
+    }
+
+    /** Ends a body that came in parts. */
+    public void end() {
+        if (!answered) {
+            finish(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    /** Sets what to do when the client keeps up again. */
+    public void onWritable(Runnable action) {
+        onWritable = action;
+    }
+
+    void writabilityChanged() {
+        if (!answered && channel.isWritable()) {
+            onWritable.run();
+        }
+    }
+
+    /** Closes the connection without an answer, or without the rest of one. */
     public void abort() {
         answered = true;
         channel.close();
@@ -178,6 +245,10 @@
 
     private void setHeaders(HttpResponse response, String contentType) {
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        setConnection(response);
+    }
+
+    private void setConnection(HttpResponse response) {
         if (!keepsConnection()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -38,7 +38,7 @@
      */
     public HttpExchange send(EventLoop loop, OutgoingRequest request, int connectTimeoutMs, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(request, listener, this);
-        Channel channel = request.freshConnection() ? null : takeKept(loop, request.address());
+        Channel channel = request.reuseIdleMs() == 0 ? null : takeKept(loop, request);
         if (channel != null) {
             exchange.start(channel);
         } else {
@@ -65,21 +65,27 @@
         return collector.reply();
     }
 
-    private Channel takeKept(EventLoop loop, InetSocketAddress address) {
-        ArrayDeque<Channel> channels = keptOf(loop, address);
+    private Channel takeKept(EventLoop loop, OutgoingRequest request) {
+        ArrayDeque<Channel> channels = keptOf(loop, request.address());
         Channel channel = channels.pollLast();
-        while (channel != null && !channel.isActive()) {
+        while (channel != null && !usable(channel, request.reuseIdleMs())) {
+            channel.close();
             channel = channels.pollLast();
         }
         return channel;
     }
 
+    private static boolean usable(Channel channel, long reuseIdleMs) {
+        return channel.isActive()
+                && channel.pipeline().get(ExchangeHandler.class).idleWithin(reuseIdleMs);
+    }
+
     private ArrayDeque<Channel> keptOf(EventLoop loop, InetSocketAddress address) {
         return kept.computeIfAbsent(loop, key -> new HashMap<>()).computeIfAbsent(address, key -> new ArrayDeque<>());
     }
 
     private void connect(EventLoop loop, InetSocketAddress address, int connectTimeoutMs, HttpExchange exchange) {
-        new Bootstrap()
+        Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(EventLoops.clientChannel())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
@@ -89,15 +95,15 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(new HttpClientCodec()).addLast(new ExchangeHandler());
                     }
-                })
-                .connect(address)
-                .addListener((io.netty.channel.ChannelFuture connected) -> {
-                    if (connected.isSuccess()) {
-                        exchange.start(connected.channel());
-                    } else {
-                        exchange.connectFailed(connected.cause());
-                    }
                 });
+        EventLoops.noticeSilence(bootstrap::option);
+        bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture connected) -> {
+            if (connected.isSuccess()) {
+                exchange.start(connected.channel());
+            } else {
+                exchange.connectFailed(connected.cause());
+            }
+        });
     }
 
     void keep(Channel channel, InetSocketAddress address) {
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -24,8 +24,10 @@
     private final HttpClient client;
     private Channel channel;
     private boolean written;
+    private boolean sentWhole;
     private boolean ended;
     private boolean keepAlive = true;
+    private long keptIdleMs = OutgoingRequest.ANY_IDLE_MS;
 
     HttpExchange(OutgoingRequest request, ResponseListener listener, HttpClient client) {
         this.request = request;
@@ -56,7 +58,8 @@
         written = true;
         listener.requestWritten();
         connected.writeAndFlush(encode()).addListener(sent -> {
-            if (!sent.isSuccess()) {
+            sentWhole = sent.isSuccess();
+            if (!sentWhole) {
                 failed(TransportException.Kind.RESET, "the request could not be sent whole");
             }
         });
@@ -68,6 +71,7 @@
 
     void head(HttpResponse response) {
         keepAlive = HttpUtil.isKeepAlive(response);
+        keptIdleMs = KeepAlive.idleMs(response.headers());
         if (!ended) {
             listener.head(response.status().code(), response.headers());
         }
@@ -79,13 +83,25 @@
         }
     }
 
-    /** Returns whether the connection may be kept. */
+    /** Stops or goes on reading the answer, so that a slow reader of it holds its sender up. */
+    public void reading(boolean goesOn) {
+        if (channel != null && !ended) {
+            channel.config().setAutoRead(goesOn);
+        }
+    }
+
+    /** Returns the longest time that the other side said it keeps an idle connection, in ms. */
+    long keptIdleMs() {
+        return keptIdleMs;
+    }
+
+    /** Returns whether the connection may be kept; one on which a rest of the request is still due may not. */
     boolean complete() {
         if (!ended) {
             ended = true;
             listener.complete();
         }
-        return keepAlive && !request.freshConnection();
+        return keepAlive && sentWhole && channel.config().isAutoRead();
     }
 
     void failed(TransportException.Kind kind, String detail) {
@@ -105,10 +121,14 @@
                 HttpMethod.valueOf(request.method()),
                 request.path(),
                 Unpooled.wrappedBuffer(request.body()));
-        encoded.headers().set(HttpHeaderNames.HOST, host());
-        encoded.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
-        HttpUtil.setContentLength(encoded, request.body().length);
-        request.headers().forEach((name, value) -> encoded.headers().set(name, value));
+        encoded.headers().set(request.headers());
+        if (!encoded.headers().contains(HttpHeaderNames.HOST)) {
+            encoded.headers().set(HttpHeaderNames.HOST, host());
+        }
+        boolean hasBody = request.body().length > 0 || !"GET".equals(request.method());
+        if (hasBody) {
+            HttpUtil.setContentLength(encoded, request.body().length);
+        }
         return encoded;
     }
 
--- a/net/src/main/java/org/wingstall/net/http/HttpServer.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpServer.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 
@@ -26,7 +27,7 @@
  */
 public final class HttpServer implements AutoCloseable {
     private static final int BACKLOG = 1024;
-    private static final int MAX_LINE_BYTES = 8192;
+    private static final int MAX_LINE_BYTES = 16384;
     private static final int MAX_HEADER_BYTES = 32768;
     private static final int MAX_CHUNK_BYTES = 8192;
 
@@ -60,6 +61,27 @@
             HttpHandler handler,
             Rejection.Body rejections)
             throws BindException {
+        return start(group, address, () -> limits, handler, rejections);
+    }
+
+    /**
+     * Starts a server whose limits may change; a connection keeps the size limits that it opened under.
+     *
+     * @param group event loops of the connections
+     * @param address where to listen
+     * @param limits gives the bounds on clients in force
+     * @param handler answers the calls
+     * @param rejections makes the bodies of rejections
+     * @return the running server
+     * @throws BindException if the address can't be had
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpHandler handler,
+            Rejection.Body rejections)
+            throws BindException {
         AtomicInteger connections = new AtomicInteger();
         AtomicBoolean draining = new AtomicBoolean();
         ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -76,10 +98,11 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                 .addLast(new RequestGuard(limits, rejections, connections))
-                                .addLast(new BoundedAggregator(limits.maxBodyBytes(), rejections))
+                                .addLast(new BoundedAggregator(limits.get().maxBodyBytes(), rejections))
                                 .addLast(new CallDispatcher(handler, rejections, draining));
                     }
                 });
+        EventLoops.noticeSilence(bootstrap::childOption);
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new BindException(address, bound.cause());
@@ -97,6 +120,11 @@
         return connections.get();
     }
 
+    /** Closes each connection after its next answer, which says so. */
+    public void closeAfterAnswers() {
+        draining.set(true);
+    }
+
     /** Closes idle connections now and the others after their next answer. */
     public void drain() {
         draining.set(true);
--- a/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
+++ b/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
@@ -1,7 +1,9 @@
 package org.wingstall.net.http;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
-import java.util.Map;
 
 /**
  * A request to send.
@@ -11,33 +13,43 @@
  * @param address where to
  * @param method HTTP method
  * @param path path and query
- * @param headers headers besides length, host and type
- * @param body JSON body; empty for none
- * @param freshConnection whether a connection of its own is opened, so that a kept one closed meanwhile can't leave open
- *     whether the request arrived
+ * @param headers headers besides the length; the address stands in for a missing host
+ * @param body the body; empty for none
+ * @param reuseIdleMs a kept connection that has been idle for longer is not used, in ms; 0 opens a connection of its own,
+ *     so that a kept one closed meanwhile can't leave open whether the request arrived
  * @since 0.1
  */
 public record OutgoingRequest(
-        InetSocketAddress address,
-        String method,
-        String path,
-        Map<String, String> headers,
-        byte[] body,
-        boolean freshConnection) {
+        InetSocketAddress address, String method, String path, HttpHeaders headers, byte[] body, long reuseIdleMs) {
+    /** Any kept connection will do. */
+    public static final long ANY_IDLE_MS = Long.MAX_VALUE;
+
     private static final byte[] NO_BODY = {};
 
-    /** Returns a POST over a kept connection. */
+    /** Returns a POST of a JSON body over a kept connection. */
     public static OutgoingRequest post(InetSocketAddress address, String path, byte[] body) {
-        return new OutgoingRequest(address, "POST", path, Map.of(), body, false);
+        HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
+        return new OutgoingRequest(address, "POST", path, headers, body, ANY_IDLE_MS);
     }
 
     /** Returns a GET over a kept connection. */
     public static OutgoingRequest get(InetSocketAddress address, String path) {
-        return new OutgoingRequest(address, "GET", path, Map.of(), NO_BODY, false);
+        return new OutgoingRequest(address, "GET", path, new DefaultHttpHeaders(), NO_BODY, ANY_IDLE_MS);
     }
 
     /** Returns the same request over a connection of its own. */
     public OutgoingRequest fresh() {
-        return new OutgoingRequest(address, method, path, headers, body, true);
+        return reusing(0);
+    }
+
+    /** Returns the same request over a connection that was idle for this long at most, in ms, or over a new one. */
+    public OutgoingRequest reusing(long idleMs) {
+        return new OutgoingRequest(address, method, path, headers, body, idleMs);
+    }
+
+    /** Returns the same request with one more header. */
+    public OutgoingRequest with(CharSequence name, String value) {
+        HttpHeaders more = headers.copy().set(name, value);
+        return new OutgoingRequest(address, method, path, more, body, reuseIdleMs);
     }
 }
--- a/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
@@ -18,7 +17,7 @@
     private HttpExchange exchange;
     private ScheduledFuture<?> timer;
     private int status;
-    private String etag;
+    private HttpHeaders headers;
 
     ReplyCollector(EventLoop loop, long timeoutMs) {
         this.loop = loop;
@@ -44,9 +43,9 @@
     }
 
     @Override
-    public void head(int code, HttpHeaders headers) {
+    public void head(int code, HttpHeaders answerHeaders) {
         status = code;
-        etag = headers.get(HttpHeaderNames.ETAG);
+        headers = answerHeaders;
     }
 
     @Override
@@ -59,7 +58,7 @@
     @Override
     public void complete() {
         timer.cancel(false);
-        reply.complete(new HttpReply(status, body.toByteArray(), etag));
+        reply.complete(new HttpReply(status, body.toByteArray(), headers));
     }
 
     @Override
--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -17,19 +17,20 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /** Bounds the number of connections, the time that a request takes to arrive, and idle time. */
 final class RequestGuard extends ChannelDuplexHandler {
     private static final long LINGER_MS = 1000;
 
-    private final HttpLimits limits;
+    private final Supplier<HttpLimits> limits;
     private final Rejection.Body rejections;
     private final AtomicInteger connections;
     private ScheduledFuture<?> timer;
     private int unanswered;
     private boolean rejected;
 
-    RequestGuard(HttpLimits limits, Rejection.Body rejections, AtomicInteger connections) {
+    RequestGuard(Supplier<HttpLimits> limits, Rejection.Body rejections, AtomicInteger connections) {
         this.limits = limits;
         this.rejections = rejections;
         this.connections = connections;
@@ -60,11 +61,11 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        if (connections.incrementAndGet() > limits.maxConnections()) {
+        if (connections.incrementAndGet() > limits.get().maxConnections()) {
             reject(ctx, Rejection.TOO_MANY_CONNECTIONS, rejections);
             return;
         }
-        arm(ctx, limits.requestReadMs(), Rejection.SLOW_REQUEST);
+        arm(ctx, limits.get().requestReadMs(), Rejection.SLOW_REQUEST);
         ctx.fireChannelActive();
     }
 
@@ -83,7 +84,7 @@
         }
         if (message instanceof HttpRequest) {
             unanswered++;
-            arm(ctx, limits.requestReadMs(), Rejection.SLOW_REQUEST);
+            arm(ctx, limits.get().requestReadMs(), Rejection.SLOW_REQUEST);
         }
         if (message instanceof LastHttpContent) {
             disarm();
@@ -96,7 +97,7 @@
         if (message instanceof LastHttpContent) {
             unanswered--;
             if (unanswered <= 0) {
-                arm(ctx, limits.idleMs(), null);
+                arm(ctx, limits.get().idleMs(), null);
             }
         }
         ctx.write(message, promise);
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/config/RelayConfig.java
@@ -0,0 +1,108 @@
+package org.wingstall.relay.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration, immutable.
+ *
+ * <p>{@code config.routeOf("canteen.example", "/orders/1")}
+ *
+ * @since 0.2
+ */
+public final class RelayConfig {
+    /** What holds before a configuration is known. */
+    public static final RelayConfig NONE =
+            new RelayConfig(0, List.of(), List.of(), Map.of(), false, ClientLimits.UNTIL_KNOWN);
+
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceSpec> services = new HashMap<>();
+    private final Map<String, Workspace> workspacesByKey;
+    private final boolean keyed;
+    private final ClientLimits limits;
+
+    /**
+     * Creates a version.
+     *
+     * @param version its number; later versions have greater ones
+     * @param routes its routes
+     * @param services its services
+     * @param workspacesByKey holders of keys
+     * @param keyed whether routes that are not open need a key
+     * @param limits bounds on clients
+     */
+    public RelayConfig(
+            long version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            Map<String, Workspace> workspacesByKey,
+            boolean keyed,
+            ClientLimits limits) {
+        this.version = version;
+        this.workspacesByKey = Map.copyOf(workspacesByKey);
+        this.keyed = keyed;
+        this.limits = limits;
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        routesByHost.values().forEach(ofHost -> ofHost.sort(longestFirst));
+        services.forEach(service -> this.services.put(service.name(), service));
+    }
+
+    /** Returns the number of the version; 0 before one is known. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns whether a configuration is known. */
+    public boolean known() {
+        return version > 0;
+    }
+
+    /** Returns the route with the longest prefix that begins the path. */
+    public Optional<Route> routeOf(String host, String path) {
+        String name = withoutPort(host).toLowerCase(Locale.ROOT);
+        for (Route route : routesByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    /** Returns a service, if the configuration has it. */
+    public Optional<ServiceSpec> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the holder of a key; empty when no one holds it. */
+    public Optional<Workspace> workspaceOf(String key) {
+        return key == null ? Optional.empty() : Optional.ofNullable(workspacesByKey.get(key));
+    }
+
+    /** Returns whether routes that are not open need a key. */
+    public boolean keyed() {
+        return keyed;
+    }
+
+    /** Returns the bounds on clients. */
+    public ClientLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/config/ServiceSpec.java
@@ -0,0 +1,17 @@
+package org.wingstall.relay.config;
+
+import java.util.Optional;
+
+/**
+ * A service of the configuration.
+ *
+ * <p>{@code config.service("pay-ledger").pool().map(PoolSpec::batch)}
+ *
+ * @param name its name
+ * @param maxConnections connections that one endpoint takes from all boxes together
+ * @param slots requests that one endpoint runs at once; 0 when only the endpoints say
+ * @param pool what its endpoints can do, when it does the work of stages
+ * @param engine whether its endpoints are model engines
+ * @since 0.2
+ */
+public record ServiceSpec(String name, int maxConnections, int slots, Optional<PoolSpec> pool, boolean engine) {}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayState.java
@@ -0,0 +1,51 @@
+package org.wingstall.relay.control;
+
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.config.RelayConfig;
+
+/**
+ * The configuration in force; read on any thread, and never replaced by an older version.
+ *
+ * <p>{@code if (state.offer(config, "store")) { changed(); }}
+ *
+ * @since 0.2
+ */
+public final class RelayState {
+    private static final Logger LOG = LogManager.getLogger(RelayState.class);
+
+    private final AtomicReference<RelayConfig> config = new AtomicReference<>(RelayConfig.NONE);
+
+    /** Returns the configuration in force. */
+    public RelayConfig config() {
+        return config.get();
+    }
+
+    /**
+     * Takes a version into force if it is newer.
+     *
+     * @param offered the version
+     * @param from where it came from, for the log
+     * @return whether it is in force now and was not before
+     */
+    public boolean offer(RelayConfig offered, String from) {
+        RelayConfig before = config.getAndUpdate(now -> offered.version() > now.version() ? offered : now);
+        boolean newer = offered.version() > before.version();
+        if (newer) {
+            LogEvent.info("config-in-force")
+                    .with("version", offered.version())
+                    .with("before", before.version())
+                    .with("from", from)
+                    .to(LOG);
+        } else if (offered.version() < before.version()) {
+            LogEvent.warn("config-older")
+                    .with("offered", offered.version())
+                    .with("inForce", before.version())
+                    .with("from", from)
+                    .to(LOG);
+        }
+        return newer;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointChooser.java
@@ -0,0 +1,22 @@
+package org.wingstall.relay.endpoint;
+
+import java.util.List;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * Chooses the endpoint that a request is passed to.
+ *
+ * <p>{@code RelayEndpoint chosen = chooser.choose(candidates, request);}
+ *
+ * @since 0.2
+ */
+public interface EndpointChooser {
+    /**
+     * Chooses an endpoint.
+     *
+     * @param candidates endpoints that may take the request, at least one
+     * @param request the request
+     * @return one of the candidates
+     */
+    RelayEndpoint choose(List<RelayEndpoint> candidates, RelayRequest request);
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -0,0 +1,150 @@
+package org.wingstall.relay.endpoint;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.wire.EndpointSource;
+
+/**
+ * The endpoints of all services; read on any thread, an immutable map is swapped with each list.
+ *
+ * <p>An endpoint that the list lacks right after the platform was away is kept for a while, since entries lapse meanwhile and
+ * come back; one that is still missing then is gone.
+ *
+ * <p>{@code endpoints.applyList(list); endpoints.ofService("pay-ledger")}
+ *
+ * @since 0.2
+ */
+public final class RelayEndpoints {
+    private static final Logger LOG = LogManager.getLogger(RelayEndpoints.class);
+
+    /** Time after an outage within which lapsed entries come back, in ms; the platform's own figure is about two seconds. */
+    private static final long RETURN_MS = 2300;
+
+    private final MonotonicClock clock;
+    private final Map<String, Boolean> leavingIds = new ConcurrentHashMap<>();
+    private volatile Map<String, RelayEndpoint> byId = Map.of();
+    private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
+    private volatile long readAtMs = Long.MIN_VALUE;
+    private boolean away;
+    private long backAtMs = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates a table without endpoints.
+     *
+     * @param clock clock of ages
+     */
+    public RelayEndpoints(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /** Returns whether a list has been read. */
+    public boolean known() {
+        return readAtMs != Long.MIN_VALUE;
+    }
+
+    /** Returns the age of the list, in ms. */
+    public long ageMs() {
+        return known() ? clock.nowMs() - readAtMs : -1;
+    }
+
+    /** Returns the endpoints of a service; an immutable list. */
+    public List<RelayEndpoint> ofService(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Returns all endpoints. */
+    public Collection<RelayEndpoint> all() {
+        return byId.values();
+    }
+
+    /** Takes note that the list could not be read. */
+    public synchronized void unread() {
+        away = true;
+    }
+
+    /**
+     * Takes in a list.
+     *
+     * @param entries the whole list
+     */
+    public synchronized void applyList(List<EndpointSource.Entry> entries) {
+        long nowMs = clock.nowMs();
+        if (away) {
+            away = false;
+            backAtMs = nowMs;
+        }
+        Map<String, RelayEndpoint> next = new HashMap<>();
+        for (EndpointSource.Entry entry : entries) {
+            next.put(entry.identity().memberId(), endpointOf(entry));
+        }
+        if (nowMs - backAtMs < RETURN_MS) {
+            byId.forEach(next::putIfAbsent);
+        }
+        byId.values().stream().filter(before -> !next.containsKey(before.id())).forEach(this::gone);
+        publish(next);
+        readAtMs = nowMs;
+    }
+
+    private void gone(RelayEndpoint endpoint) {
+        endpoint.state().markLeaving();
+        leavingIds.remove(endpoint.id());
+        LogEvent.info("endpoint-gone")
+                .with("endpoint", endpoint.id())
+                .with("service", endpoint.identity().service())
+                .to(LOG);
+    }
+
+    /** Marks an endpoint as leaving by what it said itself; a list that lags does not undo it. */
+    public void markLeaving(RelayEndpoint endpoint, String why) {
+        if (!endpoint.state().leaving()) {
+            leavingIds.put(endpoint.id(), Boolean.TRUE);
+            endpoint.state().markLeaving();
+            LogEvent.info("endpoint-leaving")
+                    .with("endpoint", endpoint.id())
+                    .with("service", endpoint.identity().service())
+                    .with("why", why)
+                    .to(LOG);
+        }
+    }
+
+    private RelayEndpoint endpointOf(EndpointSource.Entry entry) {
+        RelayEndpoint before = byId.get(entry.identity().memberId());
+        boolean same = before != null && before.identity().equals(entry.identity());
+        EndpointState state = same ? before.state() : new EndpointState(entry.identity(), clock);
+        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, entry.slots());
+        if (entry.leaving()) {
+            markLeaving(endpoint, "list");
+        }
+        if (leavingIds.containsKey(endpoint.id())) {
+            state.markLeaving();
+        }
+        if (before == null) {
+            LogEvent.info("endpoint-listed")
+                    .with("endpoint", endpoint.id())
+                    .with("service", endpoint.identity().service())
+                    .with("address", endpoint.identity().address())
+                    .to(LOG);
+        }
+        return endpoint;
+    }
+
+    private void publish(Map<String, RelayEndpoint> next) {
+        Map<String, List<RelayEndpoint>> services = new HashMap<>();
+        for (RelayEndpoint endpoint : next.values()) {
+            services.computeIfAbsent(endpoint.identity().service(), service -> new ArrayList<>())
+                    .add(endpoint);
+        }
+        services.replaceAll((service, list) -> List.copyOf(list));
+        byId = Map.copyOf(next);
+        byService = Map.copyOf(services);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -0,0 +1,78 @@
+package org.wingstall.relay.log;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.wingstall.core.answer.Reason;
+
+/**
+ * Counters and timers of a box that passes requests through.
+ *
+ * <p>{@code metrics.refused(Reason.NO_ENDPOINT); String text = metrics.scrape();}
+ *
+ * @since 0.2
+ */
+public final class RelayMetrics {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<Reason, Counter> reasons = new EnumMap<>(Reason.class);
+    private final Map<String, Counter> retries = new ConcurrentHashMap<>();
+    private final Counter dropped = registry.counter("wingstall.answers.dropped");
+    private final Counter linesDropped = registry.counter("wingstall.log.lines.dropped");
+    private final Timer complete =
+            Timer.builder("wingstall.request.time").publishPercentileHistogram().register(registry);
+    private final Timer failed = Timer.builder("wingstall.request.failed.time")
+            .publishPercentileHistogram()
+            .register(registry);
+
+    /** Creates all counters of reasons at zero, so that every reason shows from the start. */
+    public RelayMetrics() {
+        for (Reason reason : Reason.values()) {
+            String outcome = reason.outcome().value();
+            reasons.put(reason, registry.counter("wingstall.outcomes", "outcome", outcome, "reason", reason.code()));
+        }
+    }
+
+    /** Returns the text that Prometheus reads. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    /** Shows a number that is read when asked for. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
+    /** Counts an endpoint's answer that went to its caller. */
+    public void completed(int status, long tookMs) {
+        Timer timer = status / 100 == 2 ? complete : failed;
+        timer.record(tookMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts a request that got no endpoint's answer. */
+    public void refused(Reason reason) {
+        reasons.get(reason).increment();
+    }
+
+    /** Counts a request that is sent to another endpoint. */
+    public void retried(String why) {
+        retries.computeIfAbsent(why, name -> registry.counter("wingstall.retries", "reason", name))
+                .increment();
+    }
+
+    /** Counts an answer that was no answer to the request it came for. */
+    public void answerDropped() {
+        dropped.increment();
+    }
+
+    /** Counts a log line that was left out. */
+    public void lineDropped() {
+        linesDropped.increment();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -0,0 +1,79 @@
+package org.wingstall.relay.log;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.answer.RefusedException;
+import org.wingstall.core.limit.TokenBucket;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.run.RunRecord;
+
+/**
+ * Writes one line about each request, with what decided; bounded, so that a burst costs lines and no processor time.
+ *
+ * <p>{@code log.ended(record, "complete", 200, null, nowMs);}
+ *
+ * @since 0.2
+ */
+public final class RequestLog {
+    private static final Logger LOG = LogManager.getLogger(RequestLog.class);
+
+    /** Lines a second; several times a box's requests in a burst, and about a hundredth of a core. */
+    private static final double LINES_PER_SECOND = 100;
+
+    private final TokenBucket bucket;
+    private final RelayMetrics metrics;
+
+    /**
+     * Creates a log.
+     *
+     * @param clock monotonic clock
+     * @param metrics counts lines that are left out
+     */
+    public RequestLog(MonotonicClock clock, RelayMetrics metrics) {
+        this.bucket = new TokenBucket(clock);
+        this.metrics = metrics;
+    }
+
+    /** Writes the line of a request that had a route. */
+    public void ended(RunRecord record, String outcome, int status, String detail, long nowMs) {
+        if (!allowed()) {
+            return;
+        }
+        LogEvent.info("request")
+                .with("requestId", record.requestId())
+                .with("route", record.route())
+                .with("workspace", record.workspace())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("detail", detail)
+                .with("tookMs", nowMs - record.arrivedMs())
+                .with("stagesMs", record.stagesMs())
+                .with("firstByteMs", record.firstByteMs())
+                .with("attempts", record.attempts())
+                .with("configVersion", record.configVersion())
+                .to(LOG);
+    }
+
+    /** Writes the line of a request that was refused before it had a route. */
+    public void turnedAway(HttpCall call, RefusedException refusal, long configVersion) {
+        if (!allowed()) {
+            return;
+        }
+        LogEvent.info("turned-away")
+                .with("target", call.target())
+                .with("reason", refusal.reason().code())
+                .with("detail", refusal.getMessage())
+                .with("configVersion", configVersion)
+                .to(LOG);
+    }
+
+    private boolean allowed() {
+        boolean allowed = bucket.tryTake(LINES_PER_SECOND);
+        if (!allowed) {
+            metrics.lineDropped();
+        }
+        return allowed;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -0,0 +1,130 @@
+package org.wingstall.relay.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.route.EndpointState;
+import org.wingstall.net.http.HttpReply;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.config.PoolSpec;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.wire.AnswerHead;
+import org.wingstall.relay.wire.PieceResult;
+import org.wingstall.schema.check.InvalidDocumentException;
+
+/** One call for pieces at one endpoint. Confined to the request loop. */
+final class PoolCall {
+    private static final Logger LOG = LogManager.getLogger(PoolCall.class);
+    private static final int OK = 200;
+
+    /** Calls that may stand before this one at the endpoint, whose time is waited for as well. */
+    private static final int CALLS_AHEAD = 2;
+
+    /** Factor on the expected time after which a call counts as lost; some endpoints are several times slower. */
+    private static final double PATIENCE = 2.5;
+
+    /** Failures in a row after which an endpoint gets no pieces for a while. */
+    private static final int EJECT_AFTER_FAILURES = 3;
+
+    private final PoolParts parts;
+    private final StagePool pool;
+    private final RelayEndpoint endpoint;
+    private final PoolSpec spec;
+    private final List<PieceTicket> tickets;
+    private final long beganMs;
+
+    PoolCall(PoolParts parts, StagePool pool, RelayEndpoint endpoint, PoolSpec spec, List<PieceTicket> tickets) {
+        this.parts = parts;
+        this.pool = pool;
+        this.endpoint = endpoint;
+        this.spec = spec;
+        this.tickets = tickets;
+        this.beganMs = parts.clock().nowMs();
+    }
+
+    void begin() {
+        endpoint.state().tryAcquire(Integer.MAX_VALUE);
+        tickets.forEach(PieceTicket::called);
+        var pieces = tickets.stream().map(PieceTicket::piece).toList();
+        var remainingMs = tickets.stream()
+                .map(ticket -> Math.max(1, ticket.dueAtMs() - beganMs))
+                .toList();
+        parts.client()
+                .call(parts.loop(), parts.wire().pieces(endpoint.identity(), pieces, remainingMs), timeoutMs())
+                .whenCompleteAsync(this::ended, parts.loop());
+    }
+
+    private long timeoutMs() {
+        double behindMs = CALLS_AHEAD * spec.callMs(spec.batch());
+        return Math.round(PATIENCE * (spec.callMs(tickets.size()) + behindMs));
+    }
+
+    private void ended(HttpReply reply, Throwable failure) {
+        endpoint.state().release();
+        if (failure != null) {
+            unanswered(failure.getMessage());
+        } else {
+            answered(reply);
+        }
+        pool.offer();
+    }
+
+    private void unanswered(String detail) {
+        boolean ejected = endpoint.state().failed(EJECT_AFTER_FAILURES);
+        LogEvent.warn("stage-call-lost")
+                .with("endpoint", endpoint.id())
+                .with("pieces", tickets.size())
+                .with("afterMs", parts.clock().nowMs() - beganMs)
+                .with("ejected", ejected)
+                .with("detail", detail)
+                .to(LOG);
+        pool.again(tickets, PieceResult.Failure.UNANSWERED);
+    }
+
+    private void answered(HttpReply reply) {
+        AnswerHead head = parts.wire().answerHead(reply.status(), reply.headers());
+        head.load().ifPresent(endpoint.state()::reported);
+        if (head.otherIncarnation()) {
+            parts.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
+        }
+        if (reply.status() != OK) {
+            pool.again(tickets, head.notRun() ? PieceResult.Failure.NO_ROOM : PieceResult.Failure.ERROR);
+            return;
+        }
+        try {
+            List<PieceResult> results = parts.wire().pieceResults(reply.body());
+            if (results.size() == tickets.size()) {
+                take(results);
+            } else {
+                unanswered(results.size() + " results for " + tickets.size() + " pieces");
+            }
+        } catch (InvalidDocumentException e) {
+            unanswered(e.getMessage());
+        }
+    }
+
+    private void take(List<PieceResult> results) {
+        EndpointState state = endpoint.state();
+        state.completed(parts.clock().nowMs() - beganMs);
+        List<PieceTicket> withoutRoom = new ArrayList<>();
+        List<PieceTicket> failed = new ArrayList<>();
+        for (int i = 0; i < results.size(); i++) {
+            PieceResult result = results.get(i);
+            PieceTicket ticket = tickets.get(i);
+            if (result.failure() == PieceResult.Failure.NO_ROOM) {
+                withoutRoom.add(ticket);
+            } else if (result.failure() == PieceResult.Failure.ERROR) {
+                failed.add(ticket);
+            } else {
+                ticket.done(new MadePiece(result, result.made() ? state.address() : null));
+            }
+        }
+        if (!withoutRoom.isEmpty()) {
+            pool.again(withoutRoom, PieceResult.Failure.NO_ROOM);
+        }
+        if (!failed.isEmpty()) {
+            pool.again(failed, PieceResult.Failure.ERROR);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
@@ -0,0 +1,35 @@
+package org.wingstall.relay.pool;
+
+import io.netty.channel.EventLoop;
+import java.util.function.Supplier;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.run.ServiceBudgets;
+import org.wingstall.relay.wire.EndpointWire;
+
+/**
+ * What the pools of all services share.
+ *
+ * <p>{@code new StagePools(new PoolParts(loop, clock, client, wire, endpoints, config, budgets, "kgn-a"))}
+ *
+ * @param loop the request loop
+ * @param clock monotonic clock
+ * @param client HTTP client
+ * @param wire how endpoints are spoken to
+ * @param endpoints the endpoints
+ * @param config the configuration in force
+ * @param budgets retry budgets of the services
+ * @param failureDomain failure domain of this box
+ * @since 0.2
+ */
+public record PoolParts(
+        EventLoop loop,
+        MonotonicClock clock,
+        HttpClient client,
+        EndpointWire wire,
+        RelayEndpoints endpoints,
+        Supplier<RelayConfig> config,
+        ServiceBudgets budgets,
+        String failureDomain) {}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -0,0 +1,174 @@
+package org.wingstall.relay.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.Stream;
+import org.wingstall.relay.config.Route;
+import org.wingstall.relay.config.StageSpec;
+import org.wingstall.relay.wire.Piece;
+import org.wingstall.relay.wire.PieceResult;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * The stages of one request: each begins when those that it reads are done, and results are given up as soon as their
+ * last reader has them. Confined to the request loop.
+ *
+ * <p>{@code graph.begin(); ... graph.outputs(); ... graph.close();}
+ *
+ * @since 0.2
+ */
+public final class StageGraph {
+    private final StagePools pools;
+    private final RelayRequest request;
+    private final List<StageSpec> specs;
+    private final int rank;
+    private final long dueAtMs;
+    private final StagesListener listener;
+    private final List<StageProgress> stages = new ArrayList<>();
+    private boolean closed;
+    private boolean complete;
+
+    /** Told how the stages end; at most one of the methods is called, once. */
+    public interface StagesListener {
+        /** All stages are done. */
+        void stagesDone();
+
+        /** A stage has no result. */
+        void stageFailed(StageSpec stage, PieceResult.Failure failure);
+    }
+
+    /** A stage under way; its pieces' ends come in any order. */
+    private static final class StageProgress {
+        private final StageSpec spec;
+        private final MadePiece[] made;
+        private final List<PieceTicket> tickets = new ArrayList<>();
+        private boolean begun;
+        private boolean given;
+        private int left;
+
+        StageProgress(StageSpec spec, int pieces) {
+            this.spec = spec;
+            this.made = new MadePiece[pieces];
+            this.left = pieces;
+        }
+
+        boolean done() {
+            return left == 0;
+        }
+
+        Stream<MadePiece> results() {
+            return Stream.of(made).filter(piece -> piece != null);
+        }
+    }
+
+    StageGraph(StagePools pools, RelayRequest request, Route route, int rank, long dueAtMs, StagesListener listener) {
+        this.pools = pools;
+        this.request = request;
+        this.specs = route.stages();
+        this.rank = rank;
+        this.dueAtMs = dueAtMs;
+        this.listener = listener;
+    }
+
+    /** Begins the stages that read no others. */
+    public void begin() {
+        for (StageSpec spec : specs) {
+            stages.add(new StageProgress(spec, request.piecesOf(spec.index())));
+        }
+        advance();
+    }
+
+    /** Returns the results that the request itself reads: those of the stages that no other comes after. */
+    public List<String> outputs() {
+        List<String> handles = new ArrayList<>();
+        for (StageProgress stage : stages) {
+            if (readersOf(stage).isEmpty()) {
+                stage.results().map(piece -> piece.result().handle()).forEach(handles::add);
+            }
+        }
+        return handles;
+    }
+
+    /** Ends the stages: what waits is withdrawn, and all results are given up. */
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        for (StageProgress stage : stages) {
+            stage.tickets.forEach(PieceTicket::withdraw);
+            giveUp(stage);
+        }
+    }
+
+    private void advance() {
+        for (StageProgress stage : List.copyOf(stages)) {
+            boolean ready = !stage.begun && before(stage).stream().allMatch(StageProgress::done);
+            if (ready && !closed) {
+                start(stage);
+            }
+        }
+        if (!closed && !complete && stages.stream().allMatch(StageProgress::done)) {
+            complete = true;
+            listener.stagesDone();
+        }
+    }
+
+    private List<StageProgress> before(StageProgress stage) {
+        return stage.spec.after().stream().map(stages::get).toList();
+    }
+
+    private List<StageProgress> readersOf(StageProgress stage) {
+        return stages.stream()
+                .filter(other -> other.made.length > 0)
+                .filter(other -> other.spec.after().contains(stage.spec.index()))
+                .toList();
+    }
+
+    private void start(StageProgress stage) {
+        stage.begun = true;
+        List<String> inputs = before(stage).stream()
+                .flatMap(StageProgress::results)
+                .map(made -> made.result().handle())
+                .toList();
+        String key = inputs.isEmpty() ? request.pieceKey() : null;
+        for (int i = 0; i < stage.made.length; i++) {
+            Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
+            stage.tickets.add(new PieceTicket(piece, rank, dueAtMs, (ticket, made) -> ended(stage, ticket, made)));
+        }
+        if (!stage.tickets.isEmpty()) {
+            pools.of(stage.spec.service()).submit(stage.tickets);
+        }
+    }
+
+    private void ended(StageProgress stage, PieceTicket ticket, MadePiece made) {
+        if (closed) {
+            pools.freer().free(made);
+        } else if (!made.result().made()) {
+            close();
+            listener.stageFailed(stage.spec, made.result().failure());
+        } else {
+            stage.made[ticket.piece().index()] = made;
+            stage.left--;
+            if (stage.done()) {
+                before(stage).forEach(this::giveUpIfRead);
+                advance();
+            }
+        }
+    }
+
+    private void giveUpIfRead(StageProgress stage) {
+        Collection<StageProgress> readers = readersOf(stage);
+        if (readers.stream().allMatch(StageProgress::done)) {
+            giveUp(stage);
+        }
+    }
+
+    private void giveUp(StageProgress stage) {
+        if (!stage.given) {
+            stage.given = true;
+            stage.results().forEach(pools.freer()::free);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -0,0 +1,229 @@
+package org.wingstall.relay.run;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import org.wingstall.net.http.HttpExchange;
+import org.wingstall.net.http.ResponseListener;
+import org.wingstall.net.http.TransportException;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.wire.AnswerHead;
+import org.wingstall.relay.wire.EndpointCall;
+import org.wingstall.relay.wire.RelayRequest;
+
+/** One sending of a request to an endpoint. Confined to the request loop. */
+final class EndpointAttempt implements ResponseListener {
+    /** Longest wait for a connection, in ms; the way there and back takes about one. */
+    private static final int CONNECT_MS = 400;
+
+    /** Failures in a row after which an endpoint is avoided. */
+    private static final int EJECT_AFTER_FAILURES = 5;
+
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final RelayParts parts;
+    private final RelayRequest request;
+    private final EndpointCall wanted;
+    private final RelayEndpoint endpoint;
+    private final List<String> inputs;
+    private final Owner owner;
+    private final long beganMs;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpExchange exchange;
+    private AnswerHead head;
+    private boolean streaming;
+    private boolean ended;
+
+    /** The request that the attempt is for. */
+    interface Owner {
+        /** The request goes out now; from here on the endpoint may run it. */
+        void handedOver();
+
+        /** Returns the way of the answer to the caller. */
+        AnswerRelay answer();
+
+        /** The endpoint began to answer, so it has read its inputs. */
+        void firstByte();
+
+        /** A whole answer went to the caller. */
+        void complete(int status);
+
+        /** Nothing was sent. */
+        void unsent(EndpointAttempt ended, String detail);
+
+        /** The endpoint states that it did not run the request. */
+        void notRun(EndpointAttempt ended, String detail);
+
+        /** There is no whole answer; the request may have run. */
+        void lost(EndpointAttempt ended, String detail);
+
+        /** Returns whether a failure that the endpoint answered with goes to the caller. */
+        boolean failedAnswerIsFinal(int status);
+
+        /** The endpoint answered with a failure, and another one is to be asked. */
+        void failedAtEndpoint(EndpointAttempt ended, int status);
+    }
+
+    EndpointAttempt(
+            RelayParts parts,
+            RelayRequest request,
+            EndpointCall wanted,
+            RelayEndpoint endpoint,
+            List<String> inputs,
+            Owner owner) {
+        this.parts = parts;
+        this.request = request;
+        this.wanted = wanted;
+        this.endpoint = endpoint;
+        this.inputs = inputs;
+        this.owner = owner;
+        this.beganMs = parts.clock().nowMs();
+    }
+
+    List<String> inputs() {
+        return inputs;
+    }
+
+    void begin() {
+        endpoint.state().tryAcquire(Integer.MAX_VALUE);
+        exchange = parts.client().send(parts.loop(), parts.wire().call(request, wanted), CONNECT_MS, this);
+        if (ended) {
+            exchange.cancel();
+        }
+    }
+
+    /** Ends the attempt without a word to its owner; the endpoint drops the request when the connection closes. */
+    void cancel() {
+        if (end() && exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    @Override
+    public void requestWritten() {
+        owner.handedOver();
+    }
+
+    @Override
+    public void head(int status, HttpHeaders headers) {
+        head = parts.wire().answerHead(status, headers);
+        head.load().ifPresent(endpoint.state()::reported);
+        if (head.notRun()) {
+            return;
+        }
+        boolean mine = request.id().equals(head.requestId());
+        boolean whole = !head.success() || head.signed();
+        if (!mine || !whole) {
+            parts.metrics().answerDropped();
+            breakOff(mine ? "a success without signature" : "an answer to another request");
+            return;
+        }
+        owner.firstByte();
+        streaming = head.success() && head.streamed();
+        if (streaming) {
+            endpoint.state().completed(parts.clock().nowMs() - beganMs);
+            owner.answer().begin(status, head.toCaller());
+            owner.answer().onKeepsUp(() -> exchange.reading(true));
+        }
+    }
+
+    @Override
+    public void content(ByteBuf part) {
+        if (ended) {
+            return;
+        }
+        if (streaming) {
+            if (!owner.answer().part(part)) {
+                exchange.reading(false);
+            }
+            return;
+        }
+        byte[] bytes = new byte[part.readableBytes()];
+        part.readBytes(bytes);
+        body.writeBytes(bytes);
+    }
+
+    @Override
+    public void complete() {
+        if (ended || head == null) {
+            return;
+        }
+        if (head.notRun()) {
+            turnedAway();
+        } else if (streaming) {
+            endStream();
+        } else if (head.success()) {
+            end();
+            endpoint.state().completed(parts.clock().nowMs() - beganMs);
+            deliver();
+        } else {
+            failed(head.status());
+        }
+    }
+
+    private void endStream() {
+        end();
+        if (owner.answer().end()) {
+            owner.complete(head.status());
+        } else {
+            owner.lost(this, "the stream ended within an event");
+        }
+    }
+
+    private void deliver() {
+        owner.answer().whole(head.status(), head.toCaller(), body.toByteArray());
+        owner.complete(head.status());
+    }
+
+    private void failed(int status) {
+        end();
+        if (status >= FIRST_SERVER_ERROR) {
+            endpoint.state().failed(EJECT_AFTER_FAILURES);
+        }
+        if (owner.failedAnswerIsFinal(status)) {
+            deliver();
+        } else {
+            owner.failedAtEndpoint(this, status);
+        }
+    }
+
+    private void turnedAway() {
+        end();
+        if (head.otherIncarnation()) {
+            parts.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
+        }
+        owner.notRun(this, "the endpoint answered with status " + head.status());
+    }
+
+    @Override
+    public void failed(TransportException failure) {
+        if (!end()) {
+            return;
+        }
+        endpoint.state().failed(EJECT_AFTER_FAILURES);
+        if (failure.requestWritten()) {
+            owner.lost(this, failure.getMessage());
+        } else {
+            owner.unsent(this, failure.getMessage());
+        }
+    }
+
+    private void breakOff(String detail) {
+        if (end()) {
+            endpoint.state().failed(EJECT_AFTER_FAILURES);
+            exchange.cancel();
+            owner.lost(this, detail);
+        }
+    }
+
+    /** Returns whether the attempt had not ended before. */
+    private boolean end() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        endpoint.state().release();
+        return true;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
@@ -0,0 +1,83 @@
+package org.wingstall.relay.run;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.wingstall.core.answer.Reason;
+import org.wingstall.core.answer.RefusedException;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.net.http.HttpHandler;
+import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.config.Route;
+import org.wingstall.relay.config.Workspace;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * Takes callers' requests: finds route and workspace, and begins a run or refuses.
+ *
+ * <p>{@code HttpServer.start(group, address, limits, new RelayHandler(parts, ready), rejections);}
+ *
+ * @since 0.2
+ */
+public final class RelayHandler implements HttpHandler {
+    /** When to come back to a box that knows no configuration yet, in ms; a start takes about this long. */
+    private static final long START_MS = 500;
+
+    private final RelayParts parts;
+    private final BooleanSupplier ready;
+    private final AtomicInteger inFlight = new AtomicInteger();
+
+    /**
+     * Creates a handler.
+     *
+     * @param parts what requests share
+     * @param ready whether configuration and endpoints are known
+     */
+    public RelayHandler(RelayParts parts, BooleanSupplier ready) {
+        this.parts = parts;
+        this.ready = ready;
+    }
+
+    /** Returns the requests under way. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    @Override
+    public void handle(HttpCall call) {
+        RelayConfig config = parts.config().get();
+        try {
+            begin(call, config);
+        } catch (RefusedException refusal) {
+            parts.metrics().refused(refusal.reason());
+            parts.log().turnedAway(call, refusal, config.version());
+            parts.callers().refuse(call, refusal);
+        }
+    }
+
+    private void begin(HttpCall call, RelayConfig config) throws RefusedException {
+        if (!ready.getAsBoolean()) {
+            long againMs = parts.retryAfter().spreadMs(START_MS);
+            throw new RefusedException(Reason.NOT_READY, "no configuration or no endpoints are known yet", againMs);
+        }
+        RelayRequest request = parts.callers().decode(call);
+        Optional<Route> route = config.routeOf(request.host(), request.path());
+        if (route.isEmpty()) {
+            throw new RefusedException(
+                    Reason.UNKNOWN_ROUTE, "no route for '" + request.host() + request.path() + "'", 0);
+        }
+        Workspace workspace = workspaceOf(request, route.get(), config);
+        inFlight.incrementAndGet();
+        new RelayRun(parts, call, request, route.get(), workspace, config.version(), inFlight::decrementAndGet).begin();
+    }
+
+    private static Workspace workspaceOf(RelayRequest request, Route route, RelayConfig config)
+            throws RefusedException {
+        Optional<Workspace> holder = config.workspaceOf(request.key());
+        boolean needed = config.keyed() && !route.open();
+        if (needed && holder.isEmpty()) {
+            throw new RefusedException(Reason.UNKNOWN_KEY, "no workspace holds the key", 0);
+        }
+        return holder.orElse(Workspace.NONE);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -0,0 +1,55 @@
+package org.wingstall.relay.run;
+
+import io.netty.channel.EventLoop;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.endpoint.EndpointChooser;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.log.RequestLog;
+import org.wingstall.relay.pool.StagePools;
+import org.wingstall.relay.wire.CallerWire;
+import org.wingstall.relay.wire.EndpointWire;
+
+/**
+ * What all requests of a box share.
+ *
+ * <p>{@code new RelayRun(parts, call, request, route, workspace).begin();}
+ *
+ * @param loop the request loop
+ * @param clock monotonic clock
+ * @param random source of random numbers
+ * @param client HTTP client
+ * @param callers how callers are spoken to
+ * @param wire how endpoints are spoken to
+ * @param config the configuration in force
+ * @param endpoints the endpoints
+ * @param pools pools of the stages
+ * @param engines chooses among model engines
+ * @param services chooses among other endpoints
+ * @param budgets retry budgets
+ * @param retryAfter spreads the hints when to come back
+ * @param metrics counters and timers
+ * @param log lines about requests
+ * @since 0.2
+ */
+public record RelayParts(
+        EventLoop loop,
+        MonotonicClock clock,
+        RandomGenerator random,
+        HttpClient client,
+        CallerWire callers,
+        EndpointWire wire,
+        Supplier<RelayConfig> config,
+        RelayEndpoints endpoints,
+        StagePools pools,
+        EndpointChooser engines,
+        EndpointChooser services,
+        ServiceBudgets budgets,
+        RetryAfter retryAfter,
+        RelayMetrics metrics,
+        RequestLog log) {}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -0,0 +1,293 @@
+package org.wingstall.relay.run;
+
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.wingstall.core.answer.Reason;
+import org.wingstall.core.answer.RefusedException;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.relay.config.Route;
+import org.wingstall.relay.config.ServiceSpec;
+import org.wingstall.relay.config.StageSpec;
+import org.wingstall.relay.config.Workspace;
+import org.wingstall.relay.endpoint.EndpointChooser;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.pool.StageGraph;
+import org.wingstall.relay.wire.EndpointCall;
+import org.wingstall.relay.wire.PieceResult;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * Takes one request through its stages to an endpoint and ends it in exactly one answer. Confined to the request loop.
+ *
+ * <p>A refusal that says the request has not run is given only before the request itself was handed to an endpoint, or
+ * after the endpoint stated that it did not run it.
+ */
+final class RelayRun implements StageGraph.StagesListener, EndpointAttempt.Owner {
+    /** Time before the caller's deadline at which its answer goes out, so that it still arrives, in ms. */
+    private static final long ANSWER_LEAD_MS = 30;
+
+    /** When a caller is told to come back after a refusal whose cause passes quickly, in ms. */
+    private static final long SOON_MS = 300;
+
+    /** Idle time after which a kept connection is not used for requests that may be repeated, in ms. */
+    private static final long REUSE_IDLE_MS = 3000;
+
+    private final RelayParts parts;
+    private final HttpCall call;
+    private final RelayRequest request;
+    private final Route route;
+    private final Workspace workspace;
+    private final Runnable whenOver;
+    private final RunRecord record;
+    private final long arrivedMs;
+    private final long dueAtMs;
+    private final String service;
+    private final Set<String> tried = new HashSet<>();
+    private final AnswerRelay answer;
+    private StageGraph graph;
+    private EndpointAttempt attempt;
+    private ScheduledFuture<?> timer;
+    private boolean over;
+    private int attempts;
+    private int handedOver;
+
+    RelayRun(
+            RelayParts parts,
+            HttpCall call,
+            RelayRequest request,
+            Route route,
+            Workspace workspace,
+            long configVersion,
+            Runnable whenOver) {
+        this.parts = parts;
+        this.call = call;
+        this.request = request;
+        this.route = route;
+        this.workspace = workspace;
+        this.whenOver = whenOver;
+        this.arrivedMs = parts.clock().nowMs();
+        this.dueAtMs = arrivedMs + Math.min(route.timeoutMs(), request.deadlineMs() - ANSWER_LEAD_MS);
+        this.service = route.service(parts.random().nextDouble());
+        this.record = new RunRecord(request, route, workspace.name(), configVersion, arrivedMs);
+        this.answer = new AnswerRelay(call, route.repeatable() && route.streamed());
+    }
+
+    void begin() {
+        call.onDisconnect(this::callerGone);
+        parts.budgets().of(service).called();
+        timer = parts.loop().schedule(this::timePassed, Math.max(1, dueAtMs - arrivedMs), TimeUnit.MILLISECONDS);
+        if (route.stages().isEmpty()) {
+            callEndpoint(List.of());
+        } else {
+            graph = parts.pools().graph(request, route, rank(), dueAtMs, this);
+            graph.begin();
+        }
+    }
+
+    private int rank() {
+        return workspace.rank() * 100 + route.rank();
+    }
+
+    private boolean mayHaveRun() {
+        return handedOver > 0;
+    }
+
+    private long remainingMs() {
+        return dueAtMs - parts.clock().nowMs();
+    }
+
+    @Override
+    public void stagesDone() {
+        if (!over) {
+            record.stagesDone(parts.clock().nowMs());
+            callEndpoint(graph.outputs());
+        }
+    }
+
+    @Override
+    public void stageFailed(StageSpec stage, PieceResult.Failure failure) {
+        if (!over) {
+            String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
+            refuse(Reason.STAGE_WITHOUT_RESULT, detail);
+        }
+    }
+
+    private void callEndpoint(List<String> inputs) {
+        List<RelayEndpoint> candidates = candidates();
+        if (candidates.isEmpty()) {
+            refuse(
+                    mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT,
+                    "no endpoint of '" + service + "' is left");
+            return;
+        }
+        RelayEndpoint endpoint = chooser().choose(candidates, request);
+        tried.add(endpoint.id());
+        attempts++;
+        long reuseIdleMs = route.repeatable() ? REUSE_IDLE_MS : 0;
+        EndpointCall wanted = new EndpointCall(
+                endpoint.identity(), remainingMs(), workspace.name(), inputs, resumeAfter(), reuseIdleMs);
+        record.attempt(endpoint, parts.endpoints().ageMs());
+        attempt = new EndpointAttempt(parts, request, wanted, endpoint, inputs, this);
+        attempt.begin();
+    }
+
+    private String resumeAfter() {
+        return answer.lastEventId() == null ? request.lastEventId() : answer.lastEventId();
+    }
+
+    private List<RelayEndpoint> candidates() {
+        List<RelayEndpoint> candidates = new ArrayList<>();
+        for (RelayEndpoint endpoint : parts.endpoints().ofService(service)) {
+            if (endpoint.state().serving() && !tried.contains(endpoint.id())) {
+                candidates.add(endpoint);
+            }
+        }
+        return candidates;
+    }
+
+    private EndpointChooser chooser() {
+        boolean engine =
+                parts.config().get().service(service).map(ServiceSpec::engine).orElse(false);
+        return engine ? parts.engines() : parts.services();
+    }
+
+    @Override
+    public void handedOver() {
+        handedOver++;
+    }
+
+    @Override
+    public AnswerRelay answer() {
+        return answer;
+    }
+
+    @Override
+    public void firstByte() {
+        record.firstByte(parts.clock().nowMs());
+        closeStages();
+    }
+
+    @Override
+    public void complete(int status) {
+        if (!over) {
+            parts.metrics().completed(status, parts.clock().nowMs() - arrivedMs);
+            finish("complete", status, null);
+        }
+    }
+
+    @Override
+    public void unsent(EndpointAttempt ended, String detail) {
+        attempts--;
+        record.attemptEnded("not-sent", detail);
+        parts.metrics().retried("not-sent");
+        callEndpoint(ended.inputs());
+    }
+
+    @Override
+    public void notRun(EndpointAttempt ended, String detail) {
+        handedOver--;
+        record.attemptEnded("not-run", detail);
+        if (maySendAgain("not-run")) {
+            callEndpoint(ended.inputs());
+        } else if (answer.begun()) {
+            cutOff(Reason.ENDPOINT_LOST, detail);
+        } else {
+            refuse(Reason.ENDPOINTS_BUSY, detail);
+        }
+    }
+
+    @Override
+    public void lost(EndpointAttempt ended, String detail) {
+        record.attemptEnded("lost", detail);
+        boolean again = route.repeatable() && answer.resumable() && maySendAgain("lost");
+        if (again) {
+            callEndpoint(ended.inputs());
+        } else if (answer.begun()) {
+            cutOff(Reason.ENDPOINT_LOST, detail);
+        } else {
+            refuse(Reason.ENDPOINT_LOST, detail);
+        }
+    }
+
+    @Override
+    public boolean failedAnswerIsFinal(int status) {
+        return !(route.repeatable() && !answer.begun() && maySendAgain("failed"));
+    }
+
+    @Override
+    public void failedAtEndpoint(EndpointAttempt ended, int status) {
+        record.attemptEnded("failed", "status " + status);
+        callEndpoint(ended.inputs());
+    }
+
+    private boolean maySendAgain(String why) {
+        boolean again = attempts < route.maxAttempts()
+                && remainingMs() > 0
+                && !candidates().isEmpty()
+                && parts.budgets().of(service).tryRetry();
+        if (again) {
+            parts.metrics().retried(why);
+        }
+        return again;
+    }
+
+    private void timePassed() {
+        if (answer.begun()) {
+            return;
+        }
+        String detail = "no answer within " + (parts.clock().nowMs() - arrivedMs) + " ms";
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        refuse(mayHaveRun() ? Reason.DEADLINE_PASSED_RUNNING : Reason.DEADLINE_PASSED_WAITING, detail);
+    }
+
+    private void callerGone() {
+        if (over) {
+            return;
+        }
+        Reason reason = mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING;
+        parts.metrics().refused(reason);
+        finish(reason.code(), 0, "the caller closed its connection");
+    }
+
+    private void refuse(Reason reason, String detail) {
+        if (over) {
+            return;
+        }
+        long againMs = mayHaveRun() ? 0 : parts.retryAfter().spreadMs(SOON_MS);
+        parts.metrics().refused(reason);
+        finish(reason.code(), reason.httpStatus(), detail);
+        parts.callers().refuse(call, new RefusedException(reason, detail, againMs));
+    }
+
+    /** Ends an answer that can't be finished, so that it does not look whole. */
+    private void cutOff(Reason reason, String detail) {
+        if (!over) {
+            parts.metrics().refused(reason);
+            finish(reason.code() + "-midway", 0, detail);
+            call.abort();
+        }
+    }
+
+    private void closeStages() {
+        if (graph != null) {
+            graph.close();
+        }
+    }
+
+    private void finish(String outcome, int status, String detail) {
+        over = true;
+        timer.cancel(false);
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        closeStages();
+        parts.log().ended(record, outcome, status, detail, parts.clock().nowMs());
+        whenOver.run();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -0,0 +1,90 @@
+package org.wingstall.relay.run;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wingstall.relay.config.Route;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * What the line about a request tells: what decided, and how old it was. Confined to the request loop.
+ *
+ * <p>{@code record.attempt(endpoint, listAgeMs); record.attemptEnded("lost", detail);}
+ *
+ * @since 0.2
+ */
+public final class RunRecord {
+    private final RelayRequest request;
+    private final Route route;
+    private final String workspace;
+    private final long configVersion;
+    private final long arrivedMs;
+    private final List<String> attempts = new ArrayList<>();
+    private long stagesMs = -1;
+    private long firstByteMs = -1;
+
+    RunRecord(RelayRequest request, Route route, String workspace, long configVersion, long arrivedMs) {
+        this.request = request;
+        this.route = route;
+        this.workspace = workspace;
+        this.configVersion = configVersion;
+        this.arrivedMs = arrivedMs;
+    }
+
+    void stagesDone(long nowMs) {
+        stagesMs = nowMs - arrivedMs;
+    }
+
+    void firstByte(long nowMs) {
+        firstByteMs = nowMs - arrivedMs;
+    }
+
+    void attempt(RelayEndpoint endpoint, long listAgeMs) {
+        attempts.add(endpoint.id() + " load " + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs
+                + " ms old");
+    }
+
+    void attemptEnded(String how, String detail) {
+        attempts.add(how + ": " + detail);
+    }
+
+    /** Returns the request's identifier. */
+    public String requestId() {
+        return request.id();
+    }
+
+    /** Returns the name of its route. */
+    public String route() {
+        return route.name();
+    }
+
+    /** Returns its workspace. */
+    public String workspace() {
+        return workspace;
+    }
+
+    /** Returns the version of the configuration that it went by. */
+    public long configVersion() {
+        return configVersion;
+    }
+
+    /** Returns when it came, in ms of the monotonic clock. */
+    public long arrivedMs() {
+        return arrivedMs;
+    }
+
+    /** Returns the time until its stages were done, in ms; -1 when they were not. */
+    public long stagesMs() {
+        return stagesMs;
+    }
+
+    /** Returns the time until the first byte of its answer, in ms; -1 when none came. */
+    public long firstByteMs() {
+        return firstByteMs;
+    }
+
+    /** Returns the endpoints that it was sent to and how each attempt ended, in order. */
+    public List<String> attempts() {
+        return List.copyOf(attempts);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/wire/PieceResult.java
@@ -0,0 +1,43 @@
+package org.wingstall.relay.wire;
+
+/**
+ * What became of a piece: a result to read at its maker, or the reason for none.
+ *
+ * <p>{@code if (result.made()) { use(result.handle()); }}
+ *
+ * @param handle name of the result; null when there is none
+ * @param failure why there is none; null when there is one
+ * @since 0.2
+ */
+public record PieceResult(String handle, Failure failure) {
+    /** Why a piece has no result. */
+    public enum Failure {
+        /** Its time was over when its turn came. */
+        LATE,
+        /** A result that it reads is gone. */
+        INPUT_GONE,
+        /** The endpoint has no room for results. */
+        NO_ROOM,
+        /** The endpoint failed at it. */
+        ERROR,
+        /** The call had no answer. */
+        UNANSWERED,
+        /** No endpoint of the service serves. */
+        NO_ENDPOINT
+    }
+
+    /** Returns a result. */
+    public static PieceResult of(String handle) {
+        return new PieceResult(handle, null);
+    }
+
+    /** Returns a failure. */
+    public static PieceResult failed(Failure failure) {
+        return new PieceResult(null, failure);
+    }
+
+    /** Returns whether there is a result. */
+    public boolean made() {
+        return handle != null;
+    }
+}
--- a/platform/src/main/java/org/wingstall/platform/ConfigTable.java
+++ b/table/src/main/java/org/wingstall/table/ConfigTable.java
@@ -1,4 +1,4 @@
-package org.wingstall.platform;
+package org.wingstall.table;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/org/wingstall/platform/HttpPlatform.java
+++ b/table/src/main/java/org/wingstall/table/HttpPlatform.java
@@ -1,11 +1,11 @@
-package org.wingstall.platform;
+package org.wingstall.table;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,8 +36,6 @@
     private static final int FAILURES_TO_SUSPECT = 3;
     private static final long NEVER = Long.MIN_VALUE;
 
-    private static final byte[] NO_BODY = {};
-
     private final HttpClient client;
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -108,8 +106,13 @@
 
     @Override
     public CompletableFuture<Void> put(String name, byte[] content) {
-        OutgoingRequest request =
-                new OutgoingRequest(address, "PUT", "/v1/objects/" + encode(name), Map.of(), content, false);
+        OutgoingRequest request = new OutgoingRequest(
+                address,
+                "PUT",
+                "/v1/objects/" + encode(name),
+                EmptyHttpHeaders.INSTANCE,
+                content,
+                OutgoingRequest.ANY_IDLE_MS);
         return exchange(request).thenApply(reply -> null);
     }
 
@@ -120,8 +123,8 @@
 
     @Override
     public CompletableFuture<MemberSnapshot> read(MemberSnapshot known) {
-        Map<String, String> headers = known.tag().isEmpty() ? Map.of() : Map.of("if-none-match", known.tag());
-        OutgoingRequest request = new OutgoingRequest(address, "GET", "/v1/members", headers, NO_BODY, false);
+        OutgoingRequest whole = outgoingGet("/v1/members");
+        OutgoingRequest request = known.tag().isEmpty() ? whole : whole.with("if-none-match", known.tag());
         return exchange(request).thenApply(reply -> reply.notModified() ? known : listOf(reply));
     }
 
--- a/platform/src/main/java/org/wingstall/platform/PlatformException.java
+++ b/table/src/main/java/org/wingstall/table/PlatformException.java
@@ -1,4 +1,4 @@
-package org.wingstall.platform;
+package org.wingstall.table;
 
 /**
  * Tells that the platform gave no usable answer.
