Let one box gather the pieces of a service's stages for all

Change: boxes find each other in a table of the store, small fleets link all boxes, and the box that rendezvous hashing names gathers a service's pieces; on its loss or silence pieces are submitted again elsewhere.

--- a/core/src/main/java/org/wingstall/core/peer/LinkPlan.java
+++ b/core/src/main/java/org/wingstall/core/peer/LinkPlan.java
@@ -28,6 +28,21 @@
      */
     public record Box(String boxId, String failureDomain) {}
 
+    /**
+     * Returns the boxes that a gateway keeps links to: all others of a small fleet, else as {@link #linksOf(Box, Collection)}.
+     *
+     * @param self the gateway
+     * @param boxes gateways thought to be alive
+     * @param wholeMeshBoxes most boxes of a fleet that counts as small
+     * @return identifiers of the boxes
+     */
+    public static Set<String> linksOf(Box self, Collection<Box> boxes, int wholeMeshBoxes) {
+        Set<String> others = new HashSet<>();
+        boxes.forEach(box -> others.add(box.boxId()));
+        others.remove(self.boxId());
+        return others.size() < wholeMeshBoxes ? others : linksOf(self, boxes);
+    }
+
     /**
      * Returns the boxes that a gateway keeps links to.
      *
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -211,7 +211,8 @@
                 settings.getPeerSeeds().stream().map(Addresses::parse).toList(),
                 peering.getHeartbeatMs(),
                 peering.getSilentAfterMs(),
-                peering.getBudgetBytesPerSecond());
+                peering.getBudgetBytesPerSecond(),
+                0);
     }
 
     private String idPrefix() {
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -20,12 +22,17 @@
 import org.wingstall.net.http.HttpServer;
 import org.wingstall.net.http.Rejection;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerOptions;
+import org.wingstall.platform.PlatformBoxDirectory;
 import org.wingstall.platform.PlatformCallerWire;
 import org.wingstall.platform.PlatformConfigSource;
 import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.PlatformEndpointWire;
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.control.BoxFollower;
+import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.control.SourceFollower;
 import org.wingstall.relay.endpoint.LeastLoaded;
@@ -34,11 +41,15 @@
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
 import org.wingstall.relay.pool.PoolParts;
+import org.wingstall.relay.pool.RendezvousGathering;
 import org.wingstall.relay.pool.StagePools;
 import org.wingstall.relay.run.RelayHandler;
 import org.wingstall.relay.run.RelayParts;
 import org.wingstall.relay.run.ServiceBudgets;
+import org.wingstall.relay.wire.BoxDirectory;
 import org.wingstall.relay.wire.EndpointWire;
+import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.platform.Member;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
@@ -71,6 +82,18 @@
     /** Part of the retry budget that boxes use, since their shares are uneven and windows slide. */
     private static final double BUDGET_PART = 0.7;
 
+    /** Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. */
+    private static final long HEARTBEAT_MS = 400;
+
+    /** Silence after which a box gathers no pieces, in ms; three heartbeats and some. */
+    private static final long SILENT_AFTER_MS = 1300;
+
+    /** Bytes a second for heartbeats, both ways; enough for a whole mesh of the size below at the pause above. */
+    private static final int HEARTBEAT_BYTES_PER_SECOND = 20_000;
+
+    /** Fleets of up to this many boxes keep links between all of them. */
+    private static final int WHOLE_MESH_BOXES = 24;
+
     private final MonotonicClock clock = System::nanoTime;
     private final RandomGenerator random = new SplittableRandom();
     private final RelaySettings settings;
@@ -80,9 +103,11 @@
     private final RelayState state = new RelayState();
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
     private final RelayMetrics metrics = new RelayMetrics();
+    private final PeerMesh mesh;
     private final StagePools pools;
     private final RelayHandler handler;
     private final SourceFollower follower;
+    private final BoxFollower boxes;
     private HttpServer callers;
     private volatile boolean stopping;
 
@@ -98,10 +123,14 @@
         ServiceBudgets budgets =
                 new ServiceBudgets(100 * settings.getRetryBudgetRatio() * BUDGET_PART, Math.max(1, (long)
                         (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES)));
+        this.mesh = new PeerMesh(peerOptions(), new RelayPeers(state, () -> stopping), loop, clock);
         this.pools = new StagePools(
                 new PoolParts(
                         loop, clock, client, wire, endpoints, state::config, budgets, settings.getFailureDomain()),
-                random);
+                random,
+                mesh,
+                new RendezvousGathering(settings.getBoxId(), () -> mesh.peers().serving(), mesh::linked));
+        mesh.attach(pools);
         this.handler = new RelayHandler(
                 new RelayParts(
                         loop,
@@ -129,6 +158,41 @@
                 endpoints,
                 settings.getEndpointIntervalMs(),
                 () -> loop.execute(pools::offerAll));
+        BoxDirectory.Box self =
+                new BoxDirectory.Box(settings.getBoxId(), settings.getFailureDomain(), settings.getPeerAddress());
+        this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
+    }
+
+    private PeerOptions peerOptions() {
+        Hello hello = new Hello(
+                settings.getBoxId(),
+                settings.getFailureDomain(),
+                settings.getPeerAddress(),
+                System.currentTimeMillis());
+        return new PeerOptions(
+                hello,
+                Addresses.parse(settings.getPeerAddress()),
+                List.of(),
+                HEARTBEAT_MS,
+                SILENT_AFTER_MS,
+                HEARTBEAT_BYTES_PER_SECOND,
+                WHOLE_MESH_BOXES);
+    }
+
+    private void boxesRead(List<BoxDirectory.Box> read) {
+        List<Member> members = new ArrayList<>();
+        for (BoxDirectory.Box box : read) {
+            members.add(new Member(
+                    box.boxId(),
+                    Member.Kind.GATEWAY,
+                    box.failureDomain(),
+                    box.peerAddress(),
+                    null,
+                    null,
+                    Member.State.LIVE,
+                    1));
+        }
+        mesh.applyList(members);
     }
 
     private boolean known() {
@@ -141,7 +205,10 @@
      * @throws BindException if an address can't be had
      */
     public void start() throws BindException {
+        mesh.start();
+        pools.start();
         follower.start();
+        boxes.start();
         callers = HttpServer.start(
                 requests, Addresses.parse(settings.getCallerAddress()), this::limits, handler, this::rejected);
         HttpServer.start(
@@ -194,12 +261,14 @@
         long untilMs = clock.nowMs() + settings.getStopGraceMs() - MARGIN_MS;
         LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
         stopping = true;
+        mesh.beatNow();
         callers.closeAfterAnswers();
         waitUntil(clock.nowMs() + NOTICE_MS, () -> false);
         callers.close();
         callers.drain();
         waitUntil(untilMs, () -> handler.inFlight() == 0);
         LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
+        mesh.close();
         LogManager.shutdown();
     }
 
--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -45,7 +45,7 @@
 
     /** Dials every planned peer and every seed that has no link, and closes links that are not planned any more. */
     void dialMissing() {
-        Set<String> planned = LinkPlan.linksOf(self, directory.reachable());
+        Set<String> planned = LinkPlan.linksOf(self, directory.reachable(), options.wholeMeshBoxes());
         directory.inDomain(self.failureDomain()).forEach(box -> planned.add(box.boxId()));
         planned.remove(self.boxId());
         for (String boxId : planned) {
@@ -92,21 +92,21 @@
         if (!dialling.add(address)) {
             return;
         }
-        new Bootstrap()
+        Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(EventLoops.clientChannel())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(initializer.apply(address))
-                .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0))
-                .connect(address)
-                .addListener((ChannelFuture connected) -> {
-                    dialling.remove(address);
-                    if (connected.isSuccess()) {
-                        directory.dialSucceeded(address);
-                    } else {
-                        directory.dialFailed(address);
-                    }
-                });
+                .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0));
+        EventLoops.noticeSilence(bootstrap::option);
+        bootstrap.connect(address).addListener((ChannelFuture connected) -> {
+            dialling.remove(address);
+            if (connected.isSuccess()) {
+                directory.dialSucceeded(address);
+            } else {
+                directory.dialFailed(address);
+            }
+        });
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -8,36 +8,51 @@
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.StageResult;
+import org.wingstall.schema.peer.StageWork;
 
 /** Wraps messages between gateways into frames. */
 final class Frames {
     private Frames() {}
 
     static PeerFrame hello(Hello hello) {
-        return new PeerFrame(0, hello, null, null, null, null, null, null);
+        return new PeerFrame(0, hello, null, null, null, null, null, null, null, null, false);
     }
 
     static PeerFrame heartbeat(Heartbeat heartbeat) {
-        return new PeerFrame(0, null, heartbeat, null, null, null, null, null);
+        return new PeerFrame(0, null, heartbeat, null, null, null, null, null, null, null, false);
     }
 
     static PeerFrame configRequest(long afterRevision) {
-        return new PeerFrame(afterRevision, null, null, new ConfigRequest(afterRevision), null, null, null, null);
+        return new PeerFrame(
+                afterRevision, null, null, new ConfigRequest(afterRevision), null, null, null, null, null, null, false);
     }
 
     static PeerFrame configReply(long correlation, ConfigReply reply) {
-        return new PeerFrame(correlation, null, null, null, reply, null, null, null);
+        return new PeerFrame(correlation, null, null, null, reply, null, null, null, null, null, false);
     }
 
     static PeerFrame claimRequest(long correlation, ClaimRequest request) {
-        return new PeerFrame(correlation, null, null, null, null, request, null, null);
+        return new PeerFrame(correlation, null, null, null, null, request, null, null, null, null, false);
     }
 
     static PeerFrame claimReply(long correlation, ClaimReply reply) {
-        return new PeerFrame(correlation, null, null, null, null, null, reply, null);
+        return new PeerFrame(correlation, null, null, null, null, null, reply, null, null, null, false);
     }
 
     static PeerFrame memberNews(MemberNews news) {
-        return new PeerFrame(0, null, null, null, null, null, null, news);
+        return new PeerFrame(0, null, null, null, null, null, null, news, null, null, false);
+    }
+
+    static PeerFrame stageWork(long correlation, StageWork work) {
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, work, null, false);
+    }
+
+    static PeerFrame stageResult(long correlation, StageResult result) {
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, result, false);
+    }
+
+    static PeerFrame stageWithdrawn(long correlation) {
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, null, true);
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -32,6 +32,8 @@
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.StageResult;
+import org.wingstall.schema.peer.StageWork;
 import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
 
@@ -59,6 +61,7 @@
     private final DomainTable domains;
     private final PeerTable peers;
     private volatile int knownBoxes = 1;
+    private PieceHost pieces;
     private Channel listener;
     private volatile HeartbeatPacer.Plan plan;
     private int sinceFull;
@@ -105,6 +108,40 @@
         PeriodicTask.start(loop, "heartbeat", this::delayMs, this::tick);
     }
 
+    /** Attaches the host of pieces; before {@link #start()}. */
+    public void attach(PieceHost pieceHost) {
+        pieces = pieceHost;
+    }
+
+    /** Returns whether a link to a peer is open; on the mesh's event loop. */
+    public boolean linked(String boxId) {
+        PeerLink link = links.get(boxId);
+        return link != null && link.active();
+    }
+
+    /** Asks a peer to have pieces made; returns whether there is a link to it. On the mesh's event loop. */
+    public boolean askFor(String boxId, long correlation, StageWork work) {
+        return sendTo(boxId, Frames.stageWork(correlation, work));
+    }
+
+    /** Tells a peer what became of a piece; returns whether there is a link to it. On the mesh's event loop. */
+    public boolean tellResult(String boxId, long correlation, StageResult result) {
+        return sendTo(boxId, Frames.stageResult(correlation, result));
+    }
+
+    /** Tells a peer that pieces are not wanted any more. On the mesh's event loop. */
+    public void withdraw(String boxId, long correlation) {
+        sendTo(boxId, Frames.stageWithdrawn(correlation));
+    }
+
+    private boolean sendTo(String boxId, PeerFrame frame) {
+        boolean linked = linked(boxId);
+        if (linked) {
+            links.get(boxId).send(frame);
+        }
+        return linked;
+    }
+
     /** Takes in a membership list. */
     public void applyList(List<Member> members) {
         loop.execute(() -> {
@@ -279,6 +316,9 @@
     public void closed(PeerLink link) {
         if (links.remove(link.peer().getBoxId(), link)) {
             LogEvent.info("peer-unlinked").with("peer", link.peer().getBoxId()).to(LOG);
+            if (pieces != null) {
+                pieces.unlinked(link.peer().getBoxId());
+            }
         }
     }
 
@@ -298,6 +338,18 @@
             forwarded.answered(frame.getCorrelation(), frame.getClaimReply());
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
+        } else if (pieces != null) {
+            pieceFrame(link.peer().getBoxId(), frame);
+        }
+    }
+
+    private void pieceFrame(String boxId, PeerFrame frame) {
+        if (frame.getStageWork() != null) {
+            pieces.workCame(boxId, frame.getCorrelation(), frame.getStageWork());
+        } else if (frame.getStageResult() != null) {
+            pieces.resultCame(boxId, frame.getCorrelation(), frame.getStageResult());
+        } else if (frame.isStageWithdrawn()) {
+            pieces.withdrawn(boxId, frame.getCorrelation());
         }
     }
 
--- a/peer/src/main/java/org/wingstall/peer/PeerOptions.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerOptions.java
@@ -13,6 +13,7 @@
  * @param heartbeatMs shortest interval between heartbeats, in ms
  * @param silentAfterMs a peer not heard for this long counts as gone, in ms
  * @param budgetBytesPerSecond bytes a second that heartbeats may cost, both ways
+ * @param wholeMeshBoxes fleets of up to this many boxes keep links between all of them; 0 for none
  * @since 0.1
  */
 public record PeerOptions(
@@ -21,4 +22,5 @@
         List<InetSocketAddress> seeds,
         long heartbeatMs,
         long silentAfterMs,
-        int budgetBytesPerSecond) {}
+        int budgetBytesPerSecond,
+        int wholeMeshBoxes) {}
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -86,6 +86,23 @@
         return Rendezvous.top(purpose, heardBoxesInDomain(), count).contains(self.boxId());
     }
 
+    /** Returns the boxes that are heard and not stopping, in whatever failure domain, this one not included. */
+    public List<String> serving() {
+        List<String> boxes = new ArrayList<>();
+        for (PeerState peer : all()) {
+            if (heard(peer) && !peer.stopping()) {
+                boxes.add(peer.hello().getBoxId());
+            }
+        }
+        return boxes;
+    }
+
+    /** Returns whether a peer of that name was heard lately. */
+    public boolean heard(String boxId) {
+        PeerState peer = byBox.get(boxId);
+        return peer != null && heard(peer);
+    }
+
     /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
     public String batcher() {
         List<String> boxes = committing(true);
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
@@ -0,0 +1,81 @@
+package org.wingstall.relay.control;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.wire.BoxDirectory;
+
+/**
+ * Announces this box and follows the others: often after the start, seldom later, since links tell more than the directory.
+ * Runs on the control loop.
+ *
+ * <p>{@code new BoxFollower(loop, directory, self, mesh::applyList).start();}
+ *
+ * @since 0.2
+ */
+public final class BoxFollower {
+    private static final Logger LOG = LogManager.getLogger(BoxFollower.class);
+
+    /** Pause between the first reads, in ms: boxes of a fleet start within some hundred ms of each other. */
+    private static final long FIRST_MS = 1000;
+
+    private static final int FIRST_READS = 3;
+
+    /** Pause between later reads, in ms; a new box dials the others itself. */
+    private static final long LATER_MS = 10_000;
+
+    private final EventLoop loop;
+    private final BoxDirectory directory;
+    private final BoxDirectory.Box self;
+    private final Consumer<List<BoxDirectory.Box>> listener;
+    private boolean announced;
+    private int reads;
+
+    /**
+     * Creates a follower.
+     *
+     * @param loop the control loop
+     * @param directory the directory
+     * @param self this box
+     * @param listener told of each list
+     */
+    public BoxFollower(
+            EventLoop loop, BoxDirectory directory, BoxDirectory.Box self, Consumer<List<BoxDirectory.Box>> listener) {
+        this.loop = loop;
+        this.directory = directory;
+        this.self = self;
+        this.listener = listener;
+    }
+
+    /** Begins to follow. */
+    public void start() {
+        loop.execute(this::turn);
+    }
+
+    private void turn() {
+        CompletableFuture<Void> done = announced ? CompletableFuture.completedFuture(null) : directory.announce(self);
+        done.thenCompose(written -> {
+                    announced = true;
+                    return directory.read();
+                })
+                .whenCompleteAsync(this::read, loop);
+    }
+
+    private void read(List<BoxDirectory.Box> boxes, Throwable failure) {
+        if (failure == null) {
+            reads++;
+            listener.accept(boxes);
+        } else {
+            LogEvent.warn("box-directory-unread")
+                    .with("announced", announced)
+                    .cause(failure)
+                    .to(LOG);
+        }
+        loop.schedule(this::turn, reads < FIRST_READS ? FIRST_MS : LATER_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
@@ -0,0 +1,76 @@
+package org.wingstall.relay.control;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.wingstall.peer.PeerHost;
+import org.wingstall.schema.peer.ClaimReply;
+import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.schema.peer.ConfigReply;
+import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.MemberNews;
+
+/**
+ * Lends a box's state to its links with others: the version in force and whether it stops. Claims and rows of the table
+ * are not passed on between these boxes.
+ *
+ * <p>{@code new PeerMesh(options, new RelayPeers(state, stopping), loop, clock)}
+ *
+ * @since 0.2
+ */
+public final class RelayPeers implements PeerHost {
+    private final RelayState state;
+    private final BooleanSupplier stopping;
+
+    /**
+     * Creates the host.
+     *
+     * @param state the configuration in force
+     * @param stopping whether a planned stop has begun
+     */
+    public RelayPeers(RelayState state, BooleanSupplier stopping) {
+        this.state = state;
+        this.stopping = stopping;
+    }
+
+    @Override
+    public long revision() {
+        return state.config().version();
+    }
+
+    @Override
+    public boolean starting() {
+        return false;
+    }
+
+    @Override
+    public boolean tableUnheard() {
+        return false;
+    }
+
+    @Override
+    public Heartbeat heartbeat() {
+        return new Heartbeat(revision(), stopping.getAsBoolean(), List.of(), List.of(), List.of(), false, 0);
+    }
+
+    @Override
+    public boolean heard(Heartbeat heartbeat) {
+        return false;
+    }
+
+    @Override
+    public ConfigReply configAfter(long revision) {
+        return new ConfigReply(revision(), false, List.of(), List.of(), "");
+    }
+
+    @Override
+    public void configReceived(long afterRevision, ConfigReply reply) {}
+
+    @Override
+    public void membersChanged(MemberNews news) {}
+
+    @Override
+    public CompletableFuture<ClaimReply> commit(ClaimRequest request) {
+        return new CompletableFuture<>();
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
@@ -6,6 +6,7 @@
 final class PieceTicket {
     private final Piece piece;
     private final int rank;
+    private final long targetAtMs;
     private final long dueAtMs;
     private final PieceOwner owner;
     private int calls;
@@ -17,9 +18,10 @@
         void done(PieceTicket ticket, MadePiece made);
     }
 
-    PieceTicket(Piece piece, int rank, long dueAtMs, PieceOwner owner) {
+    PieceTicket(Piece piece, int rank, long targetAtMs, long dueAtMs, PieceOwner owner) {
         this.piece = piece;
         this.rank = rank;
+        this.targetAtMs = targetAtMs;
         this.dueAtMs = dueAtMs;
         this.owner = owner;
     }
@@ -32,6 +34,11 @@
         return rank;
     }
 
+    /** Returns when the request's answer is wanted, in ms of the monotonic clock. */
+    long targetAtMs() {
+        return targetAtMs;
+    }
+
     /** Returns when the request's time is over, in ms of the monotonic clock. */
     long dueAtMs() {
         return dueAtMs;
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -22,8 +22,7 @@
     private final StagePools pools;
     private final RelayRequest request;
     private final List<StageSpec> specs;
-    private final int rank;
-    private final long dueAtMs;
+    private final Urgency urgency;
     private final StagesListener listener;
     private final List<StageProgress> stages = new ArrayList<>();
     private boolean closed;
@@ -62,12 +61,11 @@
         }
     }
 
-    StageGraph(StagePools pools, RelayRequest request, Route route, int rank, long dueAtMs, StagesListener listener) {
+    StageGraph(StagePools pools, RelayRequest request, Route route, Urgency urgency, StagesListener listener) {
         this.pools = pools;
         this.request = request;
         this.specs = route.stages();
-        this.rank = rank;
-        this.dueAtMs = dueAtMs;
+        this.urgency = urgency;
         this.listener = listener;
     }
 
@@ -100,6 +98,7 @@
             stage.tickets.forEach(PieceTicket::withdraw);
             giveUp(stage);
         }
+        pools.withdrawn();
     }
 
     private void advance() {
@@ -135,10 +134,15 @@
         String key = inputs.isEmpty() ? request.pieceKey() : null;
         for (int i = 0; i < stage.made.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
-            stage.tickets.add(new PieceTicket(piece, rank, dueAtMs, (ticket, made) -> ended(stage, ticket, made)));
+            stage.tickets.add(new PieceTicket(
+                    piece,
+                    urgency.rank(),
+                    urgency.targetAtMs(),
+                    urgency.dueAtMs(),
+                    (ticket, made) -> ended(stage, ticket, made)));
         }
         if (!stage.tickets.isEmpty()) {
-            pools.of(stage.spec.service()).submit(stage.tickets);
+            pools.submit(stage.spec.service(), stage.tickets);
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -4,32 +4,59 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.wingstall.net.PeriodicTask;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PieceHost;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.wire.RelayRequest;
+import org.wingstall.schema.peer.StageResult;
+import org.wingstall.schema.peer.StageWork;
 
 /**
  * The pools of all services whose endpoints do the work of stages. Confined to the request loop.
  *
- * <p>{@code StageGraph graph = pools.graph(request, route, rank, dueAtMs, listener); graph.begin();}
+ * <p>{@code StageGraph graph = pools.graph(request, route, urgency, listener); graph.begin();}
  *
  * @since 0.2
  */
-public final class StagePools {
+public final class StagePools implements PieceHost {
+    /** Pause between two looks at whether a box that gathers is heard, in ms; short against the shortest target. */
+    private static final long SILENCE_CHECK_MS = 200;
+
     private final PoolParts parts;
     private final RandomGenerator random;
     private final ResultFreer freer;
     private final Map<String, StagePool> pools = new HashMap<>();
+    private final PeerMesh mesh;
+    private final PieceGathering gathering;
+    private final AskedPieces asked;
+    private final GatheredPieces gathered;
 
     /**
      * Creates pools without pieces.
      *
      * @param parts what they share
      * @param random breaks ties between endpoints
+     * @param mesh links to other boxes
+     * @param gathering says which box gathers the pieces of a service
      */
-    public StagePools(PoolParts parts, RandomGenerator random) {
+    public StagePools(PoolParts parts, RandomGenerator random, PeerMesh mesh, PieceGathering gathering) {
         this.parts = parts;
         this.random = random;
+        this.mesh = mesh;
+        this.gathering = gathering;
         this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire());
+        this.asked = new AskedPieces(mesh, parts.clock(), this::submit);
+        this.gathered = new GatheredPieces(mesh, parts.clock(), this);
+    }
+
+    /** Begins to watch the boxes that gather for this one. */
+    public void start() {
+        PeriodicTask.start(parts.loop(), "silent-gatherers", () -> SILENCE_CHECK_MS, this::leaveSilent);
+    }
+
+    private void leaveSilent() {
+        asked.boxes().stream().filter(box -> !mesh.peers().heard(box)).forEach(asked::lost);
     }
 
     /**
@@ -37,13 +64,46 @@
      *
      * @param request the request
      * @param route its route
-     * @param rank order among requests; 0 goes first
-     * @param dueAtMs when its time is over, in ms of the monotonic clock
+     * @param urgency its order among requests
      * @param listener told of the end
      */
-    public StageGraph graph(
-            RelayRequest request, Route route, int rank, long dueAtMs, StageGraph.StagesListener listener) {
-        return new StageGraph(this, request, route, rank, dueAtMs, listener);
+    public StageGraph graph(RelayRequest request, Route route, Urgency urgency, StageGraph.StagesListener listener) {
+        return new StageGraph(this, request, route, urgency, listener);
+    }
+
+    /** Has pieces made by the box that gathers them, which may be this one. */
+    void submit(String service, List<PieceTicket> tickets) {
+        String gatherer = gathering.gathererOf(service);
+        boolean given = gatherer != null && asked.ask(gatherer, service, tickets);
+        if (!given) {
+            of(service).submit(tickets);
+        }
+    }
+
+    /** Takes note that some tickets were withdrawn. */
+    void withdrawn() {
+        asked.tellWithdrawn();
+    }
+
+    @Override
+    public void workCame(String boxId, long correlation, StageWork work) {
+        gathered.workCame(boxId, correlation, work);
+    }
+
+    @Override
+    public void withdrawn(String boxId, long correlation) {
+        gathered.withdrawn(boxId, correlation);
+    }
+
+    @Override
+    public void resultCame(String boxId, long correlation, StageResult result) {
+        asked.resultCame(boxId, correlation, result);
+    }
+
+    @Override
+    public void unlinked(String boxId) {
+        gathered.unlinked(boxId);
+        asked.lost(boxId);
     }
 
     /** Returns the pieces that wait in all pools. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -16,6 +16,7 @@
 import org.wingstall.relay.endpoint.EndpointChooser;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.pool.StageGraph;
+import org.wingstall.relay.pool.Urgency;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.relay.wire.RelayRequest;
@@ -83,7 +84,8 @@
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
-            graph = parts.pools().graph(request, route, rank(), dueAtMs, this);
+            graph = parts.pools()
+                    .graph(request, route, new Urgency(rank(), arrivedMs + route.targetMs(), dueAtMs), this);
             graph.begin();
         }
     }
