Count room for results where pieces are gathered, and make them near their reader

Change: results are given up by way of the box that gathered their pieces, which counts room by endpoint from the call on; the pieces of a stage stay together; groups that can be in time go first, by rank, then by the target less the least time of what follows, near ones a little earlier.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -40,6 +40,7 @@
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
+import org.wingstall.relay.pool.GroupOrder;
 import org.wingstall.relay.pool.PoolParts;
 import org.wingstall.relay.pool.RendezvousGathering;
 import org.wingstall.relay.pool.StagePools;
@@ -125,8 +126,7 @@
                         (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES)));
         this.mesh = new PeerMesh(peerOptions(), new RelayPeers(state, () -> stopping), loop, clock);
         this.pools = new StagePools(
-                new PoolParts(
-                        loop, clock, client, wire, endpoints, state::config, budgets, settings.getFailureDomain()),
+                new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
                 random,
                 mesh,
                 new RendezvousGathering(settings.getBoxId(), () -> mesh.peers().serving(), mesh::linked));
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -18,6 +18,7 @@
 import org.wingstall.core.route.Routers;
 import org.wingstall.net.frame.FrameCodec;
 import org.wingstall.net.frame.MessagePack;
+import org.wingstall.peer.Frames;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.peer.ConfigReply;
@@ -165,16 +166,9 @@
             for (int i = 0; i < size[1]; i++) {
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
-            PeerFrame frame = new PeerFrame(
-                    0,
-                    null,
-                    new Heartbeat(123_456, false, List.of(), demand, domains, false, 0),
-                    null,
-                    null,
-                    null,
-                    null,
-                    null);
-            byte[] bytes = MessagePack.write(frame);
+            byte[] frame = MessagePack.write(
+                    Frames.heartbeat(new Heartbeat(123_456, false, List.of(), demand, domains, false, 0)));
+            byte[] bytes = frame;
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
                     MessagePack.read(MessagePack.write(frame), PeerFrame.class);
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -8,51 +8,74 @@
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
 
-/** Wraps messages between gateways into frames. */
-final class Frames {
+/**
+ * Wraps messages between gateways into frames.
+ *
+ * <p>{@code link.send(Frames.heartbeat(heartbeat));}
+ *
+ * @since 0.1
+ */
+public final class Frames {
     private Frames() {}
 
     static PeerFrame hello(Hello hello) {
-        return new PeerFrame(0, hello, null, null, null, null, null, null, null, null, false);
+        return new PeerFrame(0, hello, null, null, null, null, null, null, null, null, false, null);
     }
 
-    static PeerFrame heartbeat(Heartbeat heartbeat) {
-        return new PeerFrame(0, null, heartbeat, null, null, null, null, null, null, null, false);
+    /** Returns the frame of a heartbeat. */
+    public static PeerFrame heartbeat(Heartbeat heartbeat) {
+        return new PeerFrame(0, null, heartbeat, null, null, null, null, null, null, null, false, null);
     }
 
     static PeerFrame configRequest(long afterRevision) {
         return new PeerFrame(
-                afterRevision, null, null, new ConfigRequest(afterRevision), null, null, null, null, null, null, false);
+                afterRevision,
+                null,
+                null,
+                new ConfigRequest(afterRevision),
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                false,
+                null);
     }
 
     static PeerFrame configReply(long correlation, ConfigReply reply) {
-        return new PeerFrame(correlation, null, null, null, reply, null, null, null, null, null, false);
+        return new PeerFrame(correlation, null, null, null, reply, null, null, null, null, null, false, null);
     }
 
     static PeerFrame claimRequest(long correlation, ClaimRequest request) {
-        return new PeerFrame(correlation, null, null, null, null, request, null, null, null, null, false);
+        return new PeerFrame(correlation, null, null, null, null, request, null, null, null, null, false, null);
     }
 
     static PeerFrame claimReply(long correlation, ClaimReply reply) {
-        return new PeerFrame(correlation, null, null, null, null, null, reply, null, null, null, false);
+        return new PeerFrame(correlation, null, null, null, null, null, reply, null, null, null, false, null);
     }
 
     static PeerFrame memberNews(MemberNews news) {
-        return new PeerFrame(0, null, null, null, null, null, null, news, null, null, false);
+        return new PeerFrame(0, null, null, null, null, null, null, news, null, null, false, null);
     }
 
     static PeerFrame stageWork(long correlation, StageWork work) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, work, null, false);
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, work, null, false, null);
     }
 
     static PeerFrame stageResult(long correlation, StageResult result) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, result, false);
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, result, false, null);
     }
 
     static PeerFrame stageWithdrawn(long correlation) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, null, true);
+        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, null, true, null);
+    }
+
+    static PeerFrame stageFreed(StageFreed freed) {
+        return new PeerFrame(0, null, null, null, null, null, null, null, null, null, false, freed);
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -32,6 +32,7 @@
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
 import org.wingstall.schema.peer.WorkspaceDemand;
@@ -134,6 +135,11 @@
         sendTo(boxId, Frames.stageWithdrawn(correlation));
     }
 
+    /** Tells the box that gathered pieces that results are given up; returns whether there is a link to it. */
+    public boolean tellFreed(String boxId, StageFreed freed) {
+        return sendTo(boxId, Frames.stageFreed(freed));
+    }
+
     private boolean sendTo(String boxId, PeerFrame frame) {
         boolean linked = linked(boxId);
         if (linked) {
@@ -348,6 +354,8 @@
             pieces.workCame(boxId, frame.getCorrelation(), frame.getStageWork());
         } else if (frame.getStageResult() != null) {
             pieces.resultCame(boxId, frame.getCorrelation(), frame.getStageResult());
+        } else if (frame.getStageFreed() != null) {
+            pieces.freed(frame.getStageFreed());
         } else if (frame.isStageWithdrawn()) {
             pieces.withdrawn(boxId, frame.getCorrelation());
         }
--- a/peer/src/main/java/org/wingstall/peer/PieceHost.java
+++ b/peer/src/main/java/org/wingstall/peer/PieceHost.java
@@ -1,5 +1,6 @@
 package org.wingstall.peer;
 
+import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
 
@@ -20,6 +21,9 @@
     /** Takes what became of a piece that this gateway asked for. */
     void resultCame(String boxId, long correlation, StageResult result);
 
+    /** Gives up results of pieces that this gateway had made for a peer. */
+    void freed(StageFreed freed);
+
     /** The link to a peer is gone, and with it what was asked for over it. */
     void unlinked(String boxId);
 }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/PromptHome.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/PromptHome.java
@@ -25,6 +25,13 @@
 
     @Override
     public RelayEndpoint choose(List<RelayEndpoint> candidates, RelayRequest request) {
+        RelayEndpoint chosen = likely(candidates, request);
+        chosen.state().prefixes().remember(digests(request.prompt()));
+        return chosen;
+    }
+
+    @Override
+    public RelayEndpoint likely(List<RelayEndpoint> candidates, RelayRequest request) {
         long[] digests = digests(request.prompt());
         String home = homeOf(candidates, request.prompt());
         RelayEndpoint best = null;
@@ -37,7 +44,6 @@
                 bestMs = ms;
             }
         }
-        best.state().prefixes().remember(digests);
         return best;
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
@@ -89,9 +89,11 @@
                 piece.index(),
                 piece.key(),
                 piece.inputs(),
-                ticket.rank(),
-                Math.max(0, ticket.dueAtMs() - nowMs),
-                Math.max(0, ticket.targetAtMs() - nowMs));
+                ticket.urgency().rank(),
+                Math.max(0, ticket.urgency().dueAtMs() - nowMs),
+                Math.max(0, ticket.urgency().targetAtMs() - nowMs),
+                ticket.placement().resultBytes(),
+                ticket.placement().nearDomain());
     }
 
     void resultCame(String boxId, long correlation, StageResult result) {
@@ -106,14 +108,14 @@
         if (work.left == 0) {
             asked.remove(correlation);
         }
-        ticket.done(decode(result));
+        ticket.done(decode(result, boxId));
     }
 
-    private static MadePiece decode(StageResult result) {
+    private static MadePiece decode(StageResult result, String gatherer) {
         if (result.getHandle() == null) {
             return MadePiece.failed(PieceResult.Failure.valueOf(result.getFailure()));
         }
-        return new MadePiece(PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()));
+        return new MadePiece(PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), gatherer);
     }
 
     /** Tells gathering boxes of the work that nobody here wants any more. */
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -38,9 +38,8 @@
         long nowMs = clock.nowMs();
         return new PieceTicket(
                 new Piece(piece.getRequestId(), piece.getStage(), piece.getIndex(), piece.getKey(), piece.getInputs()),
-                piece.getRank(),
-                nowMs + piece.getTargetMs(),
-                nowMs + piece.getRemainingMs(),
+                new Urgency(piece.getRank(), nowMs + piece.getTargetMs(), nowMs + piece.getRemainingMs()),
+                new PieceTicket.Placement(piece.getNearDomain(), piece.getResultBytes()),
                 owner);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
@@ -5,9 +5,8 @@
 /** A piece that waits for its turn or is at work. */
 final class PieceTicket {
     private final Piece piece;
-    private final int rank;
-    private final long targetAtMs;
-    private final long dueAtMs;
+    private final Urgency urgency;
+    private final Placement placement;
     private final PieceOwner owner;
     private int calls;
     private boolean withdrawn;
@@ -18,11 +17,18 @@
         void done(PieceTicket ticket, MadePiece made);
     }
 
-    PieceTicket(Piece piece, int rank, long targetAtMs, long dueAtMs, PieceOwner owner) {
+    /**
+     * Where a piece is best made, and what it leaves there.
+     *
+     * @param nearDomain failure domain of its inputs or of its reader; empty when it does not matter
+     * @param resultBytes approximate size of its result
+     */
+    record Placement(String nearDomain, long resultBytes) {}
+
+    PieceTicket(Piece piece, Urgency urgency, Placement placement, PieceOwner owner) {
         this.piece = piece;
-        this.rank = rank;
-        this.targetAtMs = targetAtMs;
-        this.dueAtMs = dueAtMs;
+        this.urgency = urgency;
+        this.placement = placement;
         this.owner = owner;
     }
 
@@ -30,18 +36,12 @@
         return piece;
     }
 
-    int rank() {
-        return rank;
-    }
-
-    /** Returns when the request's answer is wanted, in ms of the monotonic clock. */
-    long targetAtMs() {
-        return targetAtMs;
+    Urgency urgency() {
+        return urgency;
     }
 
-    /** Returns when the request's time is over, in ms of the monotonic clock. */
-    long dueAtMs() {
-        return dueAtMs;
+    Placement placement() {
+        return placement;
     }
 
     int calls() {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -29,14 +29,22 @@
 
     private final PoolParts parts;
     private final StagePool pool;
+    private final RoomLedger ledger;
     private final RelayEndpoint endpoint;
     private final PoolSpec spec;
     private final List<PieceTicket> tickets;
     private final long beganMs;
 
-    PoolCall(PoolParts parts, StagePool pool, RelayEndpoint endpoint, PoolSpec spec, List<PieceTicket> tickets) {
+    PoolCall(
+            PoolParts parts,
+            StagePool pool,
+            RoomLedger ledger,
+            RelayEndpoint endpoint,
+            PoolSpec spec,
+            List<PieceTicket> tickets) {
         this.parts = parts;
         this.pool = pool;
+        this.ledger = ledger;
         this.endpoint = endpoint;
         this.spec = spec;
         this.tickets = tickets;
@@ -45,10 +53,13 @@
 
     void begin() {
         endpoint.state().tryAcquire(Integer.MAX_VALUE);
-        tickets.forEach(PieceTicket::called);
+        for (PieceTicket ticket : tickets) {
+            ticket.called();
+            ledger.reserve(endpoint.id(), ticket.placement().resultBytes());
+        }
         var pieces = tickets.stream().map(PieceTicket::piece).toList();
         var remainingMs = tickets.stream()
-                .map(ticket -> Math.max(1, ticket.dueAtMs() - beganMs))
+                .map(ticket -> Math.max(1, ticket.urgency().dueAtMs() - beganMs))
                 .toList();
         parts.client()
                 .call(parts.loop(), parts.wire().pieces(endpoint.identity(), pieces, remainingMs), timeoutMs())
@@ -62,6 +73,8 @@
 
     private void ended(HttpReply reply, Throwable failure) {
         endpoint.state().release();
+        tickets.forEach(
+                ticket -> ledger.release(endpoint.id(), ticket.placement().resultBytes()));
         if (failure != null) {
             unanswered(failure.getMessage());
         } else {
@@ -117,7 +130,7 @@
             } else if (result.failure() == PieceResult.Failure.ERROR) {
                 failed.add(ticket);
             } else {
-                ticket.done(new MadePiece(result, result.made() ? state.address() : null));
+                end(ticket, result);
             }
         }
         if (!withoutRoom.isEmpty()) {
@@ -127,4 +140,15 @@
             pool.again(failed, PieceResult.Failure.ERROR);
         }
     }
+
+    private void end(PieceTicket ticket, PieceResult result) {
+        if (!result.made()) {
+            ticket.done(MadePiece.failed(result.failure()));
+            return;
+        }
+        long bytes = ticket.placement().resultBytes();
+        ledger.reserve(endpoint.id(), bytes);
+        ledger.made(endpoint.id(), bytes, result.handle(), spec.resultLifeMs());
+        ticket.done(new MadePiece(result, endpoint.state().address(), null));
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
@@ -9,11 +9,17 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.member.Addresses;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.wire.EndpointWire;
+import org.wingstall.schema.peer.StageFreed;
 
-/** Gives results up at their makers, many in a call; room for results is short. Confined to the request loop. */
+/**
+ * Gives results up, many in a call: by way of the box that gathered their pieces, since it counts the room, else at their
+ * makers. Confined to the request loop.
+ */
 final class ResultFreer {
     private static final Logger LOG = LogManager.getLogger(ResultFreer.class);
 
@@ -26,37 +32,68 @@
     private final EventLoop loop;
     private final HttpClient client;
     private final EndpointWire wire;
-    private final Map<InetSocketAddress, List<String>> gathered = new HashMap<>();
+    private final PeerMesh mesh;
+    private final RoomLedger ledger;
+    private final Map<Holder, List<String>> gathered = new HashMap<>();
 
-    ResultFreer(EventLoop loop, HttpClient client, EndpointWire wire) {
+    /** Where results lie, and the box to tell; null for this one. */
+    private record Holder(InetSocketAddress maker, String gatherer) {}
+
+    ResultFreer(EventLoop loop, HttpClient client, EndpointWire wire, PeerMesh mesh, RoomLedger ledger) {
         this.loop = loop;
         this.client = client;
         this.wire = wire;
+        this.mesh = mesh;
+        this.ledger = ledger;
     }
 
     void free(MadePiece made) {
-        if (made.maker() == null) {
-            return;
+        if (made.maker() != null) {
+            add(new Holder(made.maker(), made.gatherer()), made.result().handle());
         }
+    }
+
+    /** Gives up what a peer has no use for any more. */
+    void free(StageFreed freed) {
+        Holder holder = new Holder(Addresses.parse(freed.getMaker()), null);
+        freed.getHandles().forEach(handle -> add(holder, handle));
+    }
+
+    private void add(Holder holder, String handle) {
         if (gathered.isEmpty()) {
             loop.schedule(this::send, GATHER_MS, TimeUnit.MILLISECONDS);
         }
-        gathered.computeIfAbsent(made.maker(), maker -> new ArrayList<>())
-                .add(made.result().handle());
+        gathered.computeIfAbsent(holder, key -> new ArrayList<>()).add(handle);
     }
 
     private void send() {
-        Map<InetSocketAddress, List<String>> now = Map.copyOf(gathered);
+        Map<Holder, List<String>> now = Map.copyOf(gathered);
         gathered.clear();
-        now.forEach((maker, handles) -> client.call(loop, wire.free(maker, handles), TIMEOUT_MS)
-                .whenComplete((reply, failure) -> {
-                    if (failure != null) {
-                        LogEvent.debug("results-not-freed")
-                                .with("maker", maker)
-                                .with("results", handles.size())
-                                .cause(failure)
-                                .to(LOG);
-                    }
-                }));
+        now.forEach((holder, handles) -> {
+            if (holder.gatherer() == null || !mesh.tellFreed(holder.gatherer(), encode(holder, handles))) {
+                freeAtMaker(holder.maker(), handles);
+            }
+        });
+    }
+
+    private static StageFreed encode(Holder holder, List<String> handles) {
+        String maker = holder.maker().getHostString() + ":" + holder.maker().getPort();
+        return new StageFreed(maker, handles);
+    }
+
+    private void freeAtMaker(InetSocketAddress maker, List<String> handles) {
+        client.call(loop, wire.free(maker, handles), TIMEOUT_MS)
+                .whenCompleteAsync(
+                        (reply, failure) -> {
+                            handles.forEach(ledger::freed);
+                            if (failure != null) {
+                                LogEvent.debug("results-not-freed")
+                                        .with("maker", maker)
+                                        .with("results", handles.size())
+                                        .cause(failure)
+                                        .to(LOG);
+                            }
+                        },
+                        loop);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -23,6 +23,7 @@
     private final RelayRequest request;
     private final List<StageSpec> specs;
     private final Urgency urgency;
+    private final String readerDomain;
     private final StagesListener listener;
     private final List<StageProgress> stages = new ArrayList<>();
     private boolean closed;
@@ -61,11 +62,18 @@
         }
     }
 
-    StageGraph(StagePools pools, RelayRequest request, Route route, Urgency urgency, StagesListener listener) {
+    StageGraph(
+            StagePools pools,
+            RelayRequest request,
+            Route route,
+            Urgency urgency,
+            String readerDomain,
+            StagesListener listener) {
         this.pools = pools;
         this.request = request;
         this.specs = route.stages();
         this.urgency = urgency;
+        this.readerDomain = readerDomain;
         this.listener = listener;
     }
 
@@ -132,20 +140,28 @@
                 .map(made -> made.result().handle())
                 .toList();
         String key = inputs.isEmpty() ? request.pieceKey() : null;
+        Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - laterMs(stage), urgency.dueAtMs());
+        PieceTicket.Placement placement = new PieceTicket.Placement(readerDomain, stage.spec.resultBytes());
         for (int i = 0; i < stage.made.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
-            stage.tickets.add(new PieceTicket(
-                    piece,
-                    urgency.rank(),
-                    urgency.targetAtMs(),
-                    urgency.dueAtMs(),
-                    (ticket, made) -> ended(stage, ticket, made)));
+            stage.tickets.add(
+                    new PieceTicket(piece, stageUrgency, placement, (ticket, made) -> ended(stage, ticket, made)));
         }
         if (!stage.tickets.isEmpty()) {
             pools.submit(stage.spec.service(), stage.tickets);
         }
     }
 
+    /** Returns the least time that the stages after one take, in ms. */
+    private long laterMs(StageProgress stage) {
+        long longestMs = 0;
+        for (StageProgress reader : readersOf(stage)) {
+            long ownMs = pools.leastMs(reader.spec, reader.made.length);
+            longestMs = Math.max(longestMs, ownMs + laterMs(reader));
+        }
+        return longestMs;
+    }
+
     private void ended(StageProgress stage, PieceTicket ticket, MadePiece made) {
         if (closed) {
             pools.freer().free(made);
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
-import java.util.PriorityQueue;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.wingstall.core.retry.RetryBudget;
@@ -24,84 +26,107 @@
     /** Pause before pieces that an endpoint turned away are offered again, in ms; short against a call. */
     private static final long OFFER_AGAIN_MS = 15;
 
-    private static final Comparator<PieceTicket> ORDER =
-            Comparator.comparingInt(PieceTicket::rank).thenComparingLong(PieceTicket::dueAtMs);
-
     private final String service;
     private final PoolParts parts;
+    private final RoomLedger ledger;
     private final RetryBudget budget;
     private final RandomGenerator random;
-    private final PriorityQueue<PieceTicket> waiting = new PriorityQueue<>(ORDER);
+    private final List<PieceGroup> waiting = new ArrayList<>();
     private boolean offerPlanned;
 
-    StagePool(String service, PoolParts parts, RandomGenerator random) {
+    StagePool(String service, PoolParts parts, RoomLedger ledger, RandomGenerator random) {
         this.service = service;
         this.parts = parts;
+        this.ledger = ledger;
         this.budget = parts.budgets().of(service);
         this.random = random;
     }
 
-    /** Takes pieces; each ticket is told of its end, unless it was withdrawn before it was at work. */
+    /** Takes the pieces of one stage; each is told of its end, unless it was withdrawn before it was at work. */
     void submit(List<PieceTicket> tickets) {
         tickets.forEach(ticket -> budget.called());
-        waiting.addAll(tickets);
+        waiting.add(new PieceGroup(tickets));
         offer();
     }
 
     /** Returns the pieces that wait. */
     int waiting() {
-        return waiting.size();
+        return waiting.stream().mapToInt(PieceGroup::size).sum();
     }
 
-    /** Sends what waits to endpoints that have a free slot. */
+    /** Sends what waits to endpoints that have a free slot and room for results. */
     void offer() {
-        while (nextWaits()) {
-            PoolSpec spec = parts.config()
-                    .get()
-                    .service(service)
-                    .flatMap(found -> found.pool())
-                    .orElse(null);
+        dropEnded();
+        while (!waiting.isEmpty()) {
+            Optional<PoolSpec> spec = parts.config().get().service(service).flatMap(found -> found.pool());
             List<RelayEndpoint> serving = serving();
-            if (spec == null || serving.isEmpty()) {
+            if (spec.isEmpty() || serving.isEmpty()) {
                 failAll(PieceResult.Failure.NO_ENDPOINT);
                 return;
             }
-            RelayEndpoint endpoint = freest(serving, spec);
-            if (endpoint == null) {
+            if (!sendOne(spec.get(), serving)) {
                 return;
             }
-            new PoolCall(parts, this, endpoint, spec, take(spec.batch())).begin();
         }
     }
 
-    /** Returns whether a piece waits, after those that were withdrawn or are too late are dropped. */
-    private boolean nextWaits() {
+    /** Sends one call, if there is an endpoint for it. */
+    private boolean sendOne(PoolSpec spec, List<RelayEndpoint> serving) {
         long nowMs = parts.clock().nowMs();
-        while (!waiting.isEmpty()) {
-            PieceTicket first = waiting.peek();
-            if (first.withdrawn()) {
-                waiting.poll();
-            } else if (first.dueAtMs() <= nowMs) {
-                waiting.poll();
-                first.done(MadePiece.failed(PieceResult.Failure.LATE));
-            } else {
-                return true;
-            }
+        PieceGroup first = parts.order().sorted(waiting, "", nowMs).get(0);
+        Optional<RelayEndpoint> endpoint = freest(serving, spec, first.placement());
+        if (endpoint.isEmpty()) {
+            return false;
+        }
+        String domain = endpoint.get().identity().failureDomain();
+        double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.get().id());
+        List<PieceTicket> batch = take(parts.order().sorted(waiting, domain, nowMs), spec.batch(), roomBytes);
+        if (batch.isEmpty()) {
+            return false;
         }
-        return false;
+        new PoolCall(parts, this, ledger, endpoint.get(), spec, batch).begin();
+        return true;
     }
 
-    private List<PieceTicket> take(int most) {
+    /** Takes whole groups while they fit; only one that fits into no call whole is split. */
+    private List<PieceTicket> take(List<PieceGroup> groups, int mostPieces, double roomBytes) {
         List<PieceTicket> taken = new ArrayList<>();
-        while (taken.size() < most && nextWaits()) {
-            taken.add(waiting.poll());
+        double leftBytes = roomBytes;
+        for (PieceGroup group : groups) {
+            long resultBytes = Math.max(1, group.placement().resultBytes());
+            int fitting = (int) Math.min(mostPieces - taken.size(), leftBytes / resultBytes);
+            boolean whole = fitting >= group.size();
+            if (whole || taken.isEmpty()) {
+                List<PieceTicket> some = group.take(fitting);
+                taken.addAll(some);
+                leftBytes -= some.size() * (double) resultBytes;
+            }
         }
+        waiting.removeIf(group -> group.size() == 0);
         return taken;
     }
 
+    /** Drops groups that were withdrawn, and ends those whose time is over. */
+    private void dropEnded() {
+        waiting.removeIf(group -> group.size() == 0);
+        long nowMs = parts.clock().nowMs();
+        List<PieceGroup> late = waiting.stream()
+                .filter(group -> group.urgency().dueAtMs() <= nowMs)
+                .toList();
+        waiting.removeAll(late);
+        late.forEach(group -> fail(group, PieceResult.Failure.LATE));
+    }
+
     private void failAll(PieceResult.Failure failure) {
-        List<PieceTicket> all = take(Integer.MAX_VALUE);
-        all.forEach(ticket -> ticket.done(MadePiece.failed(failure)));
+        List<PieceGroup> all = List.copyOf(waiting);
+        waiting.clear();
+        all.forEach(group -> fail(group, failure));
+    }
+
+    private static void fail(PieceGroup group, PieceResult.Failure failure) {
+        group.take(Integer.MAX_VALUE).stream()
+                .filter(ticket -> !ticket.withdrawn())
+                .forEach(ticket -> ticket.done(MadePiece.failed(failure)));
     }
 
     private List<RelayEndpoint> serving() {
@@ -110,38 +135,39 @@
                 .toList();
     }
 
-    /** Returns the endpoint with the least load among those where this box has a slot free, or null. */
-    private RelayEndpoint freest(List<RelayEndpoint> serving, PoolSpec spec) {
-        RelayEndpoint best = null;
-        double bestLoad = Double.MAX_VALUE;
+    /** Returns the best endpoint with a free slot and room for a result: near before far, then the least loaded. */
+    private Optional<RelayEndpoint> freest(
+            List<RelayEndpoint> serving, PoolSpec spec, PieceTicket.Placement placement) {
+        Map<RelayEndpoint, Double> costs = new HashMap<>();
         for (RelayEndpoint endpoint : serving) {
-            if (endpoint.state().inFlight() >= spec.slots()) {
-                continue;
-            }
-            boolean near = endpoint.identity().failureDomain().equals(parts.failureDomain());
-            double load = endpoint.state().estimatedLoad() + random.nextDouble() / 2 + (near ? 0 : 0.5);
-            if (load < bestLoad) {
-                best = endpoint;
-                bestLoad = load;
+            double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.id());
+            boolean free = endpoint.state().inFlight() < spec.slots() && roomBytes >= placement.resultBytes();
+            if (free) {
+                boolean near = endpoint.identity().failureDomain().equals(placement.nearDomain());
+                double load = endpoint.state().estimatedLoad() + random.nextDouble() / 2;
+                costs.put(endpoint, load + (near ? 0 : 1));
             }
         }
-        return best;
+        return costs.entrySet().stream()
+                .min(Comparator.comparingDouble(Map.Entry::getValue))
+                .map(Map.Entry::getKey);
     }
 
     /** Takes pieces back whose call ended without a result for them, and offers them again if that is allowed. */
     void again(List<PieceTicket> tickets, PieceResult.Failure failure) {
+        List<PieceTicket> back = new ArrayList<>();
         for (PieceTicket ticket : tickets) {
-            boolean turnedAway = failure == PieceResult.Failure.NO_ROOM;
             boolean allowed = ticket.calls() < MOST_CALLS && budget.tryRetry();
             if (ticket.withdrawn()) {
                 continue;
             }
-            if (allowed || turnedAway && ticket.calls() < MOST_CALLS) {
-                waiting.add(ticket);
+            if (allowed) {
+                back.add(ticket);
             } else {
                 ticket.done(MadePiece.failed(failure));
             }
         }
+        back.forEach(ticket -> waiting.add(new PieceGroup(List.of(ticket))));
         offerSoon();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -8,14 +8,17 @@
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PieceHost;
 import org.wingstall.relay.config.Route;
+import org.wingstall.relay.config.ServiceSpec;
+import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.wire.RelayRequest;
+import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
 
 /**
  * The pools of all services whose endpoints do the work of stages. Confined to the request loop.
  *
- * <p>{@code StageGraph graph = pools.graph(request, route, urgency, listener); graph.begin();}
+ * <p>{@code StageGraph graph = pools.graph(request, route, urgency, "kgn-a", listener); graph.begin();}
  *
  * @since 0.2
  */
@@ -25,6 +28,7 @@
 
     private final PoolParts parts;
     private final RandomGenerator random;
+    private final RoomLedger ledger;
     private final ResultFreer freer;
     private final Map<String, StagePool> pools = new HashMap<>();
     private final PeerMesh mesh;
@@ -45,7 +49,8 @@
         this.random = random;
         this.mesh = mesh;
         this.gathering = gathering;
-        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire());
+        this.ledger = new RoomLedger(parts.clock());
+        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire(), mesh, ledger);
         this.asked = new AskedPieces(mesh, parts.clock(), this::submit);
         this.gathered = new GatheredPieces(mesh, parts.clock(), this);
     }
@@ -65,10 +70,16 @@
      * @param request the request
      * @param route its route
      * @param urgency its order among requests
+     * @param readerDomain failure domain where the request itself will likely run
      * @param listener told of the end
      */
-    public StageGraph graph(RelayRequest request, Route route, Urgency urgency, StageGraph.StagesListener listener) {
-        return new StageGraph(this, request, route, urgency, listener);
+    public StageGraph graph(
+            RelayRequest request,
+            Route route,
+            Urgency urgency,
+            String readerDomain,
+            StageGraph.StagesListener listener) {
+        return new StageGraph(this, request, route, urgency, readerDomain, listener);
     }
 
     /** Has pieces made by the box that gathers them, which may be this one. */
@@ -100,6 +111,11 @@
         asked.resultCame(boxId, correlation, result);
     }
 
+    @Override
+    public void freed(StageFreed freed) {
+        freer.free(freed);
+    }
+
     @Override
     public void unlinked(String boxId) {
         gathered.unlinked(boxId);
@@ -117,7 +133,17 @@
     }
 
     StagePool of(String service) {
-        return pools.computeIfAbsent(service, name -> new StagePool(name, parts, random));
+        return pools.computeIfAbsent(service, name -> new StagePool(name, parts, ledger, random));
+    }
+
+    /** Returns the least time of a stage's pieces, in ms; 0 while nothing is known of the service. */
+    long leastMs(StageSpec stage, int pieces) {
+        return parts.config()
+                .get()
+                .service(stage.service())
+                .flatMap(ServiceSpec::pool)
+                .map(spec -> Math.round(spec.callMs(Math.min(pieces, spec.batch()))))
+                .orElse(0L);
     }
 
     ResultFreer freer() {
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -37,6 +37,12 @@
     /** Idle time after which a kept connection is not used for requests that may be repeated, in ms. */
     private static final long REUSE_IDLE_MS = 3000;
 
+    /** Time from the end of the stages to the first event, in ms; about the median seen on a calm day. */
+    private static final long FIRST_EVENT_MS = 150;
+
+    /** Routes' ranks are below this; a workspace's rank comes before them. */
+    private static final int RANKS_OF_ROUTES = 100;
+
     private final RelayParts parts;
     private final HttpCall call;
     private final RelayRequest request;
@@ -84,14 +90,24 @@
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
-            graph = parts.pools()
-                    .graph(request, route, new Urgency(rank(), arrivedMs + route.targetMs(), dueAtMs), this);
+            graph = parts.pools().graph(request, route, urgency(), readerDomain(), this);
             graph.begin();
         }
     }
 
-    private int rank() {
-        return workspace.rank() * 100 + route.rank();
+    /** Stages have to leave time for the request itself. */
+    private Urgency urgency() {
+        return new Urgency(
+                workspace.rank() * RANKS_OF_ROUTES + route.rank(),
+                arrivedMs + route.targetMs() - FIRST_EVENT_MS,
+                dueAtMs);
+    }
+
+    private String readerDomain() {
+        List<RelayEndpoint> candidates = candidates();
+        return candidates.isEmpty()
+                ? ""
+                : chooser().likely(candidates, request).identity().failureDomain();
     }
 
     private boolean mayHaveRun() {
