Keep work from a failing endpoint for a while, not for good

Cause: an endpoint that failed several times in a row was ejected and nothing let it back in, since no probe runs here and probes are priced; one that had been slow or cut off would have got no work until it was replaced.

Pieces wait for endpoints that are only avoided.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -1,18 +1,43 @@
 package org.wingstall.relay.endpoint;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.wingstall.core.route.EndpointIdentity;
 import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
 
 /**
- * An endpoint and what the list says it can do.
+ * An endpoint: what the list says it can do, and what this box has seen of it. Safe for use on any thread.
  *
- * <p>{@code if (endpoint.state().serving()) { send(endpoint); }}
+ * <p>{@code if (endpoint.usable()) { send(endpoint); }}
  *
- * @param state what this box knows of it
- * @param slots requests that it runs at once
  * @since 0.2
  */
-public record RelayEndpoint(EndpointState state, int slots) {
+public final class RelayEndpoint {
+    private static final Logger LOG = LogManager.getLogger(RelayEndpoint.class);
+
+    private final EndpointState state;
+    private final int slots;
+    private final MonotonicClock clock;
+    private final Backoff backoff = new Backoff();
+
+    RelayEndpoint(EndpointState state, int slots, MonotonicClock clock) {
+        this.state = state;
+        this.slots = slots;
+        this.clock = clock;
+    }
+
+    /** Returns what this box knows of it. */
+    public EndpointState state() {
+        return state;
+    }
+
+    /** Returns the requests that it runs at once. */
+    public int slots() {
+        return slots;
+    }
+
     /** Returns who and where the endpoint is. */
     public EndpointIdentity identity() {
         return state.identity();
@@ -22,4 +47,26 @@
     public String id() {
         return state.identity().memberId();
     }
+
+    /** Returns whether new work may go there: it is not leaving and has not just failed several times in a row. */
+    public boolean usable() {
+        return !state.leaving() && backoff.open(clock.nowMs());
+    }
+
+    /** Takes note of a call that was answered. */
+    public void answered(double runMs) {
+        backoff.answered();
+        state.completed(runMs);
+    }
+
+    /** Takes note of a call that failed there or was not answered. */
+    public void failed(String why) {
+        if (backoff.failed(clock.nowMs())) {
+            LogEvent.warn("endpoint-avoided")
+                    .with("endpoint", id())
+                    .with("service", identity().service())
+                    .with("why", why)
+                    .to(LOG);
+        }
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -120,7 +120,7 @@
         RelayEndpoint before = byId.get(entry.identity().memberId());
         boolean same = before != null && before.identity().equals(entry.identity());
         EndpointState state = same ? before.state() : new EndpointState(entry.identity(), clock);
-        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, entry.slots());
+        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, entry.slots(), clock);
         if (entry.leaving()) {
             markLeaving(endpoint, "list");
         }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.wingstall.core.route.EndpointState;
 import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
@@ -24,9 +23,6 @@
     /** Factor on the expected time after which a call counts as lost; some endpoints are several times slower. */
     private static final double PATIENCE = 2.5;
 
-    /** Failures in a row after which an endpoint gets no pieces for a while. */
-    private static final int EJECT_AFTER_FAILURES = 3;
-
     private final PoolParts parts;
     private final StagePool pool;
     private final RoomLedger ledger;
@@ -84,12 +80,11 @@
     }
 
     private void unanswered(String detail) {
-        boolean ejected = endpoint.state().failed(EJECT_AFTER_FAILURES);
+        endpoint.failed(detail);
         LogEvent.warn("stage-call-lost")
                 .with("endpoint", endpoint.id())
                 .with("pieces", tickets.size())
                 .with("afterMs", parts.clock().nowMs() - beganMs)
-                .with("ejected", ejected)
                 .with("detail", detail)
                 .to(LOG);
         pool.again(tickets, PieceResult.Failure.UNANSWERED);
@@ -118,8 +113,7 @@
     }
 
     private void take(List<PieceResult> results) {
-        EndpointState state = endpoint.state();
-        state.completed(parts.clock().nowMs() - beganMs);
+        endpoint.answered(parts.clock().nowMs() - beganMs);
         List<PieceTicket> withoutRoom = new ArrayList<>();
         List<PieceTicket> failed = new ArrayList<>();
         for (int i = 0; i < results.size(); i++) {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -61,7 +61,7 @@
             Optional<PoolSpec> spec = parts.config().get().service(service).flatMap(found -> found.pool());
             List<RelayEndpoint> serving = serving();
             if (spec.isEmpty() || serving.isEmpty()) {
-                failAll(PieceResult.Failure.NO_ENDPOINT);
+                offerLaterOrFail();
                 return;
             }
             if (!sendOne(spec.get(), serving)) {
@@ -117,6 +117,17 @@
         late.forEach(group -> fail(group, PieceResult.Failure.LATE));
     }
 
+    /** Endpoints that are only avoided for a while are waited for. */
+    private void offerLaterOrFail() {
+        boolean mayComeBack = parts.endpoints().ofService(service).stream()
+                .anyMatch(endpoint -> !endpoint.state().leaving());
+        if (mayComeBack) {
+            offerSoon();
+        } else {
+            failAll(PieceResult.Failure.NO_ENDPOINT);
+        }
+    }
+
     private void failAll(PieceResult.Failure failure) {
         List<PieceGroup> all = List.copyOf(waiting);
         waiting.clear();
@@ -131,7 +142,7 @@
 
     private List<RelayEndpoint> serving() {
         return parts.endpoints().ofService(service).stream()
-                .filter(endpoint -> endpoint.state().serving())
+                .filter(RelayEndpoint::usable)
                 .toList();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -17,9 +17,6 @@
     /** Longest wait for a connection, in ms; the way there and back takes about one. */
     private static final int CONNECT_MS = 400;
 
-    /** Failures in a row after which an endpoint is avoided. */
-    private static final int EJECT_AFTER_FAILURES = 5;
-
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final RelayParts parts;
@@ -122,7 +119,7 @@
         owner.firstByte();
         streaming = head.success() && head.streamed();
         if (streaming) {
-            endpoint.state().completed(parts.clock().nowMs() - beganMs);
+            endpoint.answered(parts.clock().nowMs() - beganMs);
             owner.answer().begin(status, head.toCaller());
             owner.answer().onKeepsUp(() -> exchange.reading(true));
         }
@@ -155,7 +152,7 @@
             endStream();
         } else if (head.success()) {
             end();
-            endpoint.state().completed(parts.clock().nowMs() - beganMs);
+            endpoint.answered(parts.clock().nowMs() - beganMs);
             deliver();
         } else {
             failed(head.status());
@@ -179,7 +176,7 @@
     private void failed(int status) {
         end();
         if (status >= FIRST_SERVER_ERROR) {
-            endpoint.state().failed(EJECT_AFTER_FAILURES);
+            endpoint.failed("status " + status);
         }
         if (owner.failedAnswerIsFinal(status)) {
             deliver();
@@ -201,7 +198,7 @@
         if (!end()) {
             return;
         }
-        endpoint.state().failed(EJECT_AFTER_FAILURES);
+        endpoint.failed(failure.getMessage());
         if (failure.requestWritten()) {
             owner.lost(this, failure.getMessage());
         } else {
@@ -211,7 +208,7 @@
 
     private void breakOff(String detail) {
         if (end()) {
-            endpoint.state().failed(EJECT_AFTER_FAILURES);
+            endpoint.failed(detail);
             exchange.cancel();
             owner.lost(this, detail);
         }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -160,7 +160,7 @@
     private List<RelayEndpoint> candidates() {
         List<RelayEndpoint> candidates = new ArrayList<>();
         for (RelayEndpoint endpoint : parts.endpoints().ofService(service)) {
-            if (endpoint.state().serving() && !tried.contains(endpoint.id())) {
+            if (endpoint.usable() && !tried.contains(endpoint.id())) {
                 candidates.add(endpoint);
             }
         }
