--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -97,13 +97,14 @@
 
     private final MonotonicClock clock = System::nanoTime;
     private final RandomGenerator random = new SplittableRandom();
-    private final RelaySettings settings;
+    private volatile RelaySettings settings;
     private final EventLoop control = EventLoops.group("control", 1).next();
     private final EventLoopGroup requests = EventLoops.group("requests", 1);
     private final HttpClient client = new HttpClient();
     private final RelayState state = new RelayState();
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
     private final RelayMetrics metrics = new RelayMetrics();
+    private final ServiceBudgets budgets;
     private final PeerMesh mesh;
     private final StagePools pools;
     private final RelayHandler handler;
@@ -121,9 +122,7 @@
         this.settings = settings;
         EventLoop loop = requests.next();
         EndpointWire wire = new PlatformEndpointWire();
-        ServiceBudgets budgets =
-                new ServiceBudgets(100 * settings.getRetryBudgetRatio() * BUDGET_PART, Math.max(1, (long)
-                        (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES)));
+        this.budgets = new ServiceBudgets(budgetPercent(settings), budgetSaved(settings));
         this.mesh = new PeerMesh(peerOptions(), new RelayPeers(state, () -> stopping), loop, clock);
         this.pools = new StagePools(
                 new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
@@ -256,6 +255,30 @@
         metrics.gauge("wingstall.caller.connections", callers::connections);
     }
 
+    /**
+     * Takes new settings into force: retry budgets and the grace of a planned stop; addresses and names stay until the next
+     * start.
+     *
+     * @param next settings, checked
+     */
+    public void reload(RelaySettings next) {
+        settings = next;
+        budgets.change(budgetPercent(next), budgetSaved(next));
+        LogEvent.info("settings-reloaded")
+                .with("retryBudgetRatio", next.getRetryBudgetRatio())
+                .with("retryBudgetExtra", next.getRetryBudgetExtra())
+                .with("stopGraceMs", next.getStopGraceMs())
+                .to(LOG);
+    }
+
+    private static double budgetPercent(RelaySettings settings) {
+        return 100 * settings.getRetryBudgetRatio() * BUDGET_PART;
+    }
+
+    private static long budgetSaved(RelaySettings settings) {
+        return Math.max(1, (long) (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES));
+    }
+
     /** Stops as planned: the balancer takes the box out, what is in flight ends, then the process does. */
     public void stop() {
         long untilMs = clock.nowMs() + settings.getStopGraceMs() - MARGIN_MS;
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
@@ -8,11 +8,15 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.wingstall.net.BindException;
+import org.wingstall.net.log.LogEvent;
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.settings.RelaySettings;
+import sun.misc.Signal;
 
 /**
  * Starts a gateway on the users' platform from its settings.
@@ -22,6 +26,7 @@
  * @since 0.2
  */
 public final class RelayMain {
+    private static final Logger LOG = LogManager.getLogger(RelayMain.class);
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
     private static final String SETTINGS_VARIABLE = "WINGSTALL_CONFIG";
@@ -33,12 +38,13 @@
         ArgumentParser parser = parser();
         try {
             Namespace options = parser.parseArgs(args);
-            RelaySettings settings = readSettings(Path.of(options.getString("settings")));
+            Path file = Path.of(options.getString("settings"));
+            RelaySettings settings = readSettings(file);
             if (options.getBoolean("check")) {
                 System.out.println("settings are valid");
                 return;
             }
-            run(settings);
+            run(settings, file);
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(EXIT_USAGE);
@@ -74,10 +80,20 @@
         return SchemaCheck.of(RelaySettings.class).read(Json.readYaml(Files.readString(file)));
     }
 
-    private static void run(RelaySettings settings) throws BindException, InterruptedException {
+    private static void run(RelaySettings settings, Path file) throws BindException, InterruptedException {
         RelayGateway gateway = new RelayGateway(settings);
+        Signal.handle(new Signal("HUP"), signal -> reload(gateway, file));
         gateway.start();
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
         Thread.currentThread().join();
     }
+
+    /** Without a handler the runtime would end at this signal. */
+    private static void reload(RelayGateway gateway, Path file) {
+        try {
+            gateway.reload(readSettings(file));
+        } catch (IOException | InvalidDocumentException e) {
+            LogEvent.warn("settings-not-reloaded").with("file", file).cause(e).to(LOG);
+        }
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -29,7 +29,6 @@
     private final String service;
     private final PoolParts parts;
     private final RoomLedger ledger;
-    private final RetryBudget budget;
     private final RandomGenerator random;
     private final List<PieceGroup> waiting = new ArrayList<>();
     private boolean offerPlanned;
@@ -38,12 +37,12 @@
         this.service = service;
         this.parts = parts;
         this.ledger = ledger;
-        this.budget = parts.budgets().of(service);
         this.random = random;
     }
 
     /** Takes the pieces of one stage; each is told of its end, unless it was withdrawn before it was at work. */
     void submit(List<PieceTicket> tickets) {
+        RetryBudget budget = parts.budgets().of(service);
         tickets.forEach(ticket -> budget.called());
         waiting.add(new PieceGroup(tickets));
         offer();
@@ -168,7 +167,8 @@
     void again(List<PieceTicket> tickets, PieceResult.Failure failure) {
         List<PieceTicket> back = new ArrayList<>();
         for (PieceTicket ticket : tickets) {
-            boolean allowed = ticket.calls() < MOST_CALLS && budget.tryRetry();
+            boolean allowed =
+                    ticket.calls() < MOST_CALLS && parts.budgets().of(service).tryRetry();
             if (ticket.withdrawn()) {
                 continue;
             }
--- a/relay/src/main/java/org/wingstall/relay/run/ServiceBudgets.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ServiceBudgets.java
@@ -12,9 +12,10 @@
  * @since 0.2
  */
 public final class ServiceBudgets {
-    private final double percent;
-    private final long saved;
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+    private volatile Rate rate;
+
+    private record Rate(double percent, long saved) {}
 
     /**
      * Creates budgets.
@@ -23,12 +24,20 @@
      * @param saved most retries that this box saves up for a burst
      */
     public ServiceBudgets(double percent, long saved) {
-        this.percent = percent;
-        this.saved = saved;
+        this.rate = new Rate(percent, saved);
+    }
+
+    /** Begins new budgets with other rates, unless they are the same. */
+    public void change(double percent, long saved) {
+        Rate next = new Rate(percent, saved);
+        if (!next.equals(rate)) {
+            rate = next;
+            budgets.clear();
+        }
     }
 
     /** Returns a service's budget. */
     public RetryBudget of(String service) {
-        return budgets.computeIfAbsent(service, name -> new RetryBudget(percent, saved));
+        return budgets.computeIfAbsent(service, name -> new RetryBudget(rate.percent(), rate.saved()));
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -0,0 +1,149 @@
+package org.wingstall.standin.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import org.wingstall.net.BindException;
+import org.wingstall.net.EventLoops;
+import org.wingstall.net.http.HttpHandler;
+import org.wingstall.net.http.HttpLimits;
+import org.wingstall.net.http.HttpServer;
+
+/**
+ * Stands in for the users' platform in small: a store and endpoints of an engine, a plain service and two stages.
+ *
+ * <p>{@code FleetStandin fleet = new FleetStandin(); fleet.configure(1); fleet.add("plain", "east", worker);}
+ *
+ * @since 0.2
+ */
+public final class FleetStandin implements AutoCloseable {
+    /** Host that all routes take requests for. */
+    public static final String HOST = "127.0.0.1";
+
+    /** Key of the workspace {@code canteen}. */
+    public static final String KEY = "key-of-canteen";
+
+    private static final String POOL = "{\"slots\":1,\"queue\":2,\"batch\":8,\"call_ms\":50,\"item_ms\":2,"
+            + "\"headroom_mb\":30,\"kv_handle_s\":4,\"link_mbps\":10000}";
+
+    private static final String STAGES = "{\"service\":\"first\",\"after_revision\":[],\"bytes\":8000},"
+            + "{\"service\":\"second\",\"after_revision\":[0],\"bytes\":6000}";
+
+    private static final String SERVICES = "{\"name\":\"engine\",\"max_conns\":370,\"engine\":{\"slots\":64}},"
+            + "{\"name\":\"plain\",\"max_conns\":110},"
+            + "{\"name\":\"first\",\"max_conns\":370,\"pieces\":" + POOL + "},"
+            + "{\"name\":\"second\",\"max_conns\":370,\"pieces\":" + POOL + "}";
+
+    private static final String CLIENT_LIMITS = "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
+            + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}";
+
+    private static final String TENANTS =
+            "\"tenants\":[{\"name\":\"canteen\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final HttpLimits LIMITS = new HttpLimits(1 << 20, 1000, 10_000, 60_000);
+
+    private final EventLoopGroup group = EventLoops.group("standins", 1);
+    private final StoreStandin store = new StoreStandin();
+    private final HttpServer storeServer;
+
+    /**
+     * Starts a store without rows.
+     *
+     * @throws BindException if no port can be had
+     */
+    public FleetStandin() throws BindException {
+        storeServer = serve(store);
+    }
+
+    private HttpServer serve(HttpHandler handler) throws BindException {
+        InetSocketAddress any = new InetSocketAddress(LOOPBACK, 0);
+        return HttpServer.start(group, any, LIMITS, handler, rejection -> new byte[0]);
+    }
+
+    /** Returns the store. */
+    public StoreStandin store() {
+        return store;
+    }
+
+    /** Writes a version of the configuration with all routes, one of them with this time-out in ms. */
+    public void configure(long version, long timeoutMs) {
+        store.put("op", "config", document(version, timeoutMs));
+    }
+
+    /**
+     * Starts an endpoint and lists it.
+     *
+     * @return its address
+     */
+    public String add(String service, String failureDomain, String incarnation, WorkerStandin worker)
+            throws BindException {
+        HttpServer server = serve(worker);
+        String address = LOOPBACK + ":" + server.address().getPort();
+        list(service, failureDomain, incarnation, address, "ready");
+        return address;
+    }
+
+    /** Writes an endpoint's entry. */
+    public void list(String service, String failureDomain, String incarnation, String address, String state) {
+        String entry = "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":4,"
+                + "\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":1}";
+        store.put("servers", incarnation, entry.formatted(service, address, failureDomain, state));
+    }
+
+    /**
+     * Returns the settings of a gateway, in YAML; its ports are free ones.
+     *
+     * @throws IOException if no port can be had
+     */
+    public String settings(String boxId, String failureDomain) throws IOException {
+        return String.join(
+                "\n",
+                "boxId: " + boxId,
+                "failureDomain: " + failureDomain,
+                "callerAddress: " + freeAddress(),
+                "readinessAddress: " + freeAddress(),
+                "operatorAddress: " + freeAddress(),
+                "peerAddress: " + freeAddress(),
+                "storeAddress: " + LOOPBACK + ":" + storeServer.address().getPort(),
+                "configWaitMs: 300",
+                "endpointIntervalMs: 100",
+                "retryBudgetRatio: 0.2",
+                "retryBudgetExtra: 58",
+                "stopGraceMs: 8000",
+                "");
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+            return LOOPBACK + ":" + socket.getLocalPort();
+        }
+    }
+
+    private static String document(long version, long timeoutMs) {
+        String routes = String.join(
+                ",",
+                route("stream", "streaming", "engine", 1, 8000, false, ""),
+                route("resumable", "streaming", "engine", 2, 8000, true, ""),
+                route("staged", "streaming", "engine", 2, 8000, true, STAGES),
+                route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
+                route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""));
+        return "{\"version\":%d,\"routes\":[%s],\"services\":[%s],%s,%s}"
+                .formatted(version, routes, SERVICES, CLIENT_LIMITS, TENANTS);
+    }
+
+    private static String route(
+            String name, String type, String service, int attempts, long timeoutMs, boolean resumable, String stages) {
+        String text = "{\"name\":\"%1$s\",\"host\":\"%2$s\",\"path_prefix\":\"/%1$s/\",\"route_type\":\"%3$s\","
+                + "\"service\":\"%4$s\",\"max_attempts\":%5$d,\"timeout_ms\":%6$d,\"slo_ms\":1000,\"priority\":1,"
+                + "\"public\":false,\"resumable\":%7$b,\"stages\":[%8$s]}";
+        return text.formatted(name, HOST, type, service, attempts, timeoutMs, resumable, stages);
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/fleet/Rehearsal.java
@@ -0,0 +1,109 @@
+package org.wingstall.standin.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.wingstall.net.BindException;
+
+/**
+ * Gives one gateway requests of every kind, so that the classes of the request path are loaded when its archive of classes
+ * is made.
+ *
+ * <p>{@code java ... org.wingstall.standin.fleet.Rehearsal target/rehearsal} writes {@code relay.yaml} there, waits for a
+ * gateway with those settings, sends requests and ends.
+ *
+ * @since 0.2
+ */
+public final class Rehearsal {
+    private static final List<String> ROUTES = List.of("stream", "resumable", "staged", "once", "repeatable");
+    private static final int ROUNDS = 20;
+    private static final int OK = 200;
+    private static final long PATIENCE_MS = 30_000;
+    private static final long PAUSE_MS = 50;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final String settings;
+
+    private Rehearsal(String settings) {
+        this.settings = settings;
+    }
+
+    /** Runs the rehearsal; exits with 1 when requests are not served. */
+    public static void main(String[] args) throws IOException, BindException, InterruptedException {
+        Path folder = Path.of(args[0]);
+        try (FleetStandin fleet = new FleetStandin()) {
+            fleet.configure(1, 1500);
+            fleet.add("engine", "east", "e1", new WorkerStandin("e1", 5, 0));
+            fleet.add("plain", "east", "p1", new WorkerStandin("p1", 0, 0));
+            fleet.add("first", "east", "f1", new WorkerStandin("f1", 0, 20));
+            fleet.add("second", "east", "s1", new WorkerStandin("s1", 0, 20));
+            String settings = fleet.settings("rehearsal-1", "east");
+            Files.createDirectories(folder);
+            Files.writeString(folder.resolve("relay.yaml"), settings);
+            boolean served = new Rehearsal(settings).run();
+            System.exit(served ? 0 : 1);
+        }
+    }
+
+    private boolean run() throws InterruptedException {
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (System.nanoTime() < untilNs) {
+            if (status("readinessAddress", "/v1/readyz") == OK) {
+                return sendAll();
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PAUSE_MS));
+        }
+        return false;
+    }
+
+    private boolean sendAll() throws InterruptedException {
+        int served = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            for (String route : ROUTES) {
+                served += status("callerAddress", "/" + route + "/" + round) == OK ? 1 : 0;
+            }
+        }
+        status("operatorAddress", "/metrics");
+        System.out.println(served + " of " + ROUNDS * ROUTES.size() + " requests were served");
+        return served > 0;
+    }
+
+    private int status(String address, String path) throws InterruptedException {
+        URI uri = URI.create("http://" + valueOf(address) + path);
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .timeout(Duration.ofMillis(PATIENCE_MS))
+                .header("X-Wingstall-Attempt-Id", "rehearsal" + System.nanoTime())
+                .header("X-Wingstall-Deadline-Ms", "8000")
+                .header("X-Wingstall-Model", "m")
+                .header("X-Wingstall-Token-Count", "1460,80")
+                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
+                .header("X-Wingstall-Pieces", "1,3")
+                .header("X-Wingstall-Piece-Key", "7c1e")
+                .header("X-Api-Key", FleetStandin.KEY)
+                .POST(HttpRequest.BodyPublishers.ofString("body"))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private String valueOf(String key) {
+        String start = key + ": ";
+        return settings.lines()
+                .filter(line -> line.startsWith(start))
+                .map(line -> line.substring(start.length()))
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -0,0 +1,207 @@
+package org.wingstall.standin.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.net.http.HttpHandler;
+import org.wingstall.schema.check.InvalidDocumentException;
+import org.wingstall.schema.check.Json;
+
+/**
+ * Stands in for an endpoint of the users' platform: engine, stage or plain service, sound or faulty.
+ *
+ * <p>{@code worker.behave(WorkerStandin.Behaviour.CUTS_ANSWER); worker.runs()}
+ *
+ * @since 0.2
+ */
+public final class WorkerStandin implements HttpHandler {
+    private static final int OK = 200;
+    private static final int OTHER_INCARNATION = 421;
+    private static final int FAILED = 500;
+    private static final int FULL = 503;
+    private static final String ID = "X-Wingstall-Attempt-Id";
+
+    private final String incarnation;
+    private final int events;
+    private final long callMs;
+    private final List<Seen> runs = new CopyOnWriteArrayList<>();
+    private final List<Integer> batches = new CopyOnWriteArrayList<>();
+    private final List<String> freed = new CopyOnWriteArrayList<>();
+    private final AtomicInteger results = new AtomicInteger();
+    private final AtomicInteger cancelled = new AtomicInteger();
+    private volatile Behaviour behaviour = Behaviour.ANSWERS;
+
+    /** How the endpoint answers requests. */
+    public enum Behaviour {
+        /** As it should. */
+        ANSWERS,
+        /** It turns requests away before running them. */
+        FULL,
+        /** It runs requests and answers with a failure of its own. */
+        FAILS,
+        /** It breaks off within its answer; of a stream, within the third event. */
+        CUTS_ANSWER,
+        /** It answers with the identifier of another request. */
+        OTHER_ID,
+        /** It answers without a signature. */
+        UNSIGNED,
+        /** It runs requests and closes their connections. */
+        CLOSES,
+        /** It runs requests and never answers. */
+        SILENT
+    }
+
+    /** A request that the endpoint ran. */
+    public record Seen(String id, String method, String target, HttpHeaders headers, byte[] body) {}
+
+    /**
+     * Creates an endpoint.
+     *
+     * @param incarnation its identifier
+     * @param events events of its streams; 0 for whole answers
+     * @param callMs time of a call for pieces, in ms
+     */
+    public WorkerStandin(String incarnation, int events, long callMs) {
+        this.incarnation = incarnation;
+        this.events = events;
+        this.callMs = callMs;
+    }
+
+    /** Sets how the endpoint answers from now on. */
+    public void behave(Behaviour next) {
+        behaviour = next;
+    }
+
+    /** Returns the requests that it ran. */
+    public List<Seen> runs() {
+        return List.copyOf(runs);
+    }
+
+    /** Returns the pieces of each call for some. */
+    public List<Integer> batches() {
+        return List.copyOf(batches);
+    }
+
+    /** Returns the results that were given up. */
+    public List<String> freed() {
+        return List.copyOf(freed);
+    }
+
+    /** Returns the requests whose connection closed before they were answered. */
+    public int cancelled() {
+        return cancelled.get();
+    }
+
+    @Override
+    public void handle(HttpCall call) {
+        String expected = call.header("X-Wingstall-Expect-Instance");
+        boolean other = expected != null && !expected.equals(incarnation);
+        if (other) {
+            respond(call, OTHER_INCARNATION, headers(call).set("X-Wingstall-Instance-Id", incarnation), "");
+            return;
+        }
+        switch (call.path()) {
+            case "/v1/stage-run" -> runPieces(call);
+            case "/v1/stage-free" -> free(call);
+            default -> run(call);
+        }
+    }
+
+    private static HttpHeaders headers(HttpCall call) {
+        String id = call.header(ID);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        return id == null ? headers : headers.set(ID, id);
+    }
+
+    private static void respond(HttpCall call, int status, HttpHeaders headers, String body) {
+        call.respond(status, headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void run(HttpCall call) {
+        if (behaviour == Behaviour.FULL) {
+            respond(call, FULL, headers(call).set("X-Wingstall-Not-Executed", "1"), "");
+            return;
+        }
+        runs.add(new Seen(
+                call.header(ID), call.method(), call.target(), call.headers().copy(), call.body()));
+        call.onDisconnect(cancelled::incrementAndGet);
+        HttpHeaders signed = headers(call).set("X-Wingstall-Response-Seal", "seal-of-" + incarnation);
+        switch (behaviour) {
+            case FAILS -> respond(call, FAILED, signed, "failed");
+            case OTHER_ID -> respond(call, OK, signed.set(ID, "of-another"), "of another");
+            case UNSIGNED -> respond(call, OK, headers(call), "unsigned");
+            case CLOSES -> call.abort();
+            case SILENT -> {
+                // No answer is the fault.
+            }
+            case ANSWERS, CUTS_ANSWER, FULL -> answer(call, signed);
+        }
+    }
+
+    private void answer(HttpCall call, HttpHeaders signed) {
+        boolean cut = behaviour == Behaviour.CUTS_ANSWER;
+        if (events > 0) {
+            call.begin(OK, signed.set("content-type", "text/event-stream"));
+            String resumed = call.header("Last-Event-Id");
+            event(call, resumed == null ? 1 : Integer.parseInt(resumed) + 1, cut);
+        } else if (cut) {
+            call.begin(OK, signed);
+            part(call, "half of ");
+            call.eventLoop().schedule(call::abort, 10, TimeUnit.MILLISECONDS);
+        } else {
+            respond(call, OK, signed, "answer to " + call.header(ID));
+        }
+    }
+
+    private void event(HttpCall call, int number, boolean cut) {
+        if (call.answered()) {
+            return;
+        }
+        if (cut && number == 3) {
+            part(call, "id: 3\nda");
+            call.eventLoop().schedule(call::abort, 10, TimeUnit.MILLISECONDS);
+        } else if (number > events) {
+            call.end();
+        } else {
+            part(call, "id: " + number + "\ndata: token " + number + "\n\n");
+            call.eventLoop().schedule(() -> event(call, number + 1, cut), 5, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static void part(HttpCall call, String text) {
+        call.part(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private void runPieces(HttpCall call) {
+        int pieces = items(call, "items").size();
+        batches.add(pieces);
+        ObjectNode document = Json.MAPPER.createObjectNode();
+        ArrayNode made = document.putArray("items");
+        for (int i = 0; i < pieces; i++) {
+            made.addObject().put("kv_handle", incarnation + "/" + results.incrementAndGet());
+        }
+        call.eventLoop().schedule(() -> call.respondJson(OK, document), callMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void free(HttpCall call) {
+        items(call, "kv_handles").forEach(handle -> freed.add(handle.asText()));
+        respond(call, OK, new DefaultHttpHeaders(), "");
+    }
+
+    private static JsonNode items(HttpCall call, String field) {
+        try {
+            return Json.readTree(call.body()).path(field);
+        } catch (InvalidDocumentException e) {
+            return Json.MAPPER.createArrayNode();
+        }
+    }
+}
