Prove answers, retries, configuration and stages of the relay against stand-ins

The first run of these showed a fault: a service whose only endpoint had failed three times in a row was refused for as long as it was avoided, although it might answer.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -68,9 +68,6 @@
 
     private static final HttpLimits INSIDE_LIMITS = new HttpLimits(65_536, 64, 2000, 60_000);
 
-    /** Time for which a stopping box still takes callers, while the balancer asks twice and takes it out, in ms. */
-    private static final long NOTICE_MS = 3200;
-
     /** Part of the grace that is left unused, for the end of the process itself, in ms. */
     private static final long MARGIN_MS = 500;
 
@@ -252,6 +249,7 @@
         metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
         metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
         metrics.gauge("wingstall.stages.waiting", pools::waiting);
+        metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
         metrics.gauge("wingstall.caller.connections", callers::connections);
     }
 
@@ -286,7 +284,7 @@
         stopping = true;
         mesh.beatNow();
         callers.closeAfterAnswers();
-        waitUntil(clock.nowMs() + NOTICE_MS, () -> false);
+        waitUntil(clock.nowMs() + settings.getStopNoticeMs(), () -> false);
         callers.close();
         callers.drain();
         waitUntil(untilMs, () -> handler.inFlight() == 0);
--- /dev/null
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -0,0 +1,106 @@
+package org.wingstall.it.relay;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.awaitility.Awaitility;
+import org.wingstall.gateway.relay.RelayGateway;
+import org.wingstall.net.BindException;
+import org.wingstall.schema.check.InvalidDocumentException;
+import org.wingstall.schema.check.Json;
+import org.wingstall.schema.check.SchemaCheck;
+import org.wingstall.schema.settings.RelaySettings;
+import org.wingstall.standin.fleet.FleetStandin;
+
+/** A gateway in this process, and callers of it. */
+final class RelayBox implements AutoCloseable {
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private final RelaySettings settings;
+    private final RelayGateway gateway;
+
+    /** A whole answer; one that was broken off is an exception. */
+    record Reply(int status, java.net.http.HttpHeaders headers, String body) {
+        String header(String name) {
+            return headers.firstValue(name).orElse(null);
+        }
+    }
+
+    RelayBox(FleetStandin fleet, String boxId) throws IOException, InvalidDocumentException, BindException {
+        settings = SchemaCheck.of(RelaySettings.class).read(Json.readYaml(fleet.settings(boxId, "east")));
+        gateway = new RelayGateway(settings);
+        gateway.start();
+    }
+
+    RelayBox awaitReady() {
+        Awaitility.await().until(() -> readiness() == 200);
+        return this;
+    }
+
+    int readiness() {
+        return send(request(settings.getReadinessAddress(), "/v1/readyz", "probe")
+                        .GET()
+                        .build())
+                .status();
+    }
+
+    String metrics() {
+        return send(request(settings.getOperatorAddress(), "/metrics", "probe")
+                        .GET()
+                        .build())
+                .body();
+    }
+
+    Reply post(String route, String id) {
+        return postAsync(route, id).join();
+    }
+
+    CompletableFuture<Reply> postAsync(String route, String id) {
+        return sendAsync(request(route, id).build());
+    }
+
+    HttpRequest.Builder request(String route, String id) {
+        return request(settings.getCallerAddress(), "/" + route + "/x?y=1", id)
+                .header("X-Wingstall-Attempt-Id", id)
+                .header("X-Wingstall-Deadline-Ms", "5000")
+                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
+                .header("X-Wingstall-Pieces", "1,3")
+                .header("X-Wingstall-Piece-Key", "7c1e")
+                .header("X-Api-Key", FleetStandin.KEY)
+                .POST(HttpRequest.BodyPublishers.ofString("body of " + id));
+    }
+
+    private static HttpRequest.Builder request(String address, String path, String id) {
+        return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(Duration.ofSeconds(20));
+    }
+
+    static Reply send(HttpRequest request) {
+        return sendAsync(request).join();
+    }
+
+    static CompletableFuture<Reply> sendAsync(HttpRequest request) {
+        return CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .thenApply(reply -> new Reply(reply.statusCode(), reply.headers(), reply.body()));
+    }
+
+    /** Returns whether the answer ended before it was whole. */
+    boolean brokenOff(String route, String id) {
+        try {
+            post(route, id);
+            return false;
+        } catch (CompletionException e) {
+            return e.getCause() instanceof IOException;
+        }
+    }
+
+    @Override
+    public void close() {
+        gateway.stop();
+    }
+}
--- /dev/null
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -0,0 +1,91 @@
+package org.wingstall.it.relay;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.WorkerStandin;
+import org.wingstall.standin.fleet.WorkerStandin.Behaviour;
+
+/** What may run again goes to another endpoint, from its start or from the last event that came. */
+public class RelayRetryTest {
+    private static final String WHOLE_STREAM =
+            "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
+                    + "id: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n";
+
+    /** Retries that one box of nine may make at once out of the 58 in the settings. */
+    private static final int RETRIES_SAVED = 4;
+
+    private final AtomicInteger ids = new AtomicInteger();
+    private FleetStandin fleet;
+    private RelayBox box;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fleet = new FleetStandin();
+        fleet.configure(1, 3000);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        box.close();
+        fleet.close();
+    }
+
+    private void add(String service, int events, Behaviour behaviour, String incarnation) throws Exception {
+        WorkerStandin worker = new WorkerStandin(incarnation, events, 0);
+        worker.behave(behaviour);
+        fleet.add(service, "east", incarnation, worker);
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {
+            {Behaviour.FULL},
+            {Behaviour.FAILS},
+            {Behaviour.CUTS_ANSWER},
+            {Behaviour.OTHER_ID},
+            {Behaviour.UNSIGNED},
+            {Behaviour.CLOSES},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aRepeatableRequestIsAnsweredByTheSoundEndpoint(Behaviour behaviour) throws Exception {
+        add("plain", 0, behaviour, "faulty");
+        add("plain", 0, Behaviour.ANSWERS, "sound");
+        box = new RelayBox(fleet, "retries").awaitReady();
+        for (int i = 0; i < RETRIES_SAVED; i++) {
+            String id = "request-" + ids.incrementAndGet();
+            RelayBox.Reply reply = box.post("repeatable", id);
+            assertEquals(reply.status(), 200);
+            assertEquals(reply.body(), "answer to " + id);
+        }
+    }
+
+    @Test
+    public void aStreamThatMayBeResumedGoesOnWithoutGapOrDouble() throws Exception {
+        add("engine", 5, Behaviour.CUTS_ANSWER, "faulty");
+        add("engine", 5, Behaviour.ANSWERS, "sound");
+        box = new RelayBox(fleet, "resumes").awaitReady();
+        for (int i = 0; i < RETRIES_SAVED; i++) {
+            RelayBox.Reply reply = box.post("resumable", "request-" + ids.incrementAndGet());
+            assertEquals(reply.body(), WHOLE_STREAM);
+        }
+    }
+
+    @Test
+    public void anEndpointAtAnotherOnesAddressNeverRunsItsRequests() throws Exception {
+        WorkerStandin successor = new WorkerStandin("successor", 0, 0);
+        String address = fleet.add("plain", "east", "successor", successor);
+        fleet.store().remove("servers", "successor");
+        fleet.list("plain", "east", "predecessor", address, "ready");
+        box = new RelayBox(fleet, "reused").awaitReady();
+        assertEquals(box.post("once", "request-" + ids.incrementAndGet()).status(), 503);
+        assertEquals(successor.runs().size(), 0);
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -157,14 +157,17 @@
         return answer.lastEventId() == null ? request.lastEventId() : answer.lastEventId();
     }
 
+    /** Endpoints that are avoided are better than none. */
     private List<RelayEndpoint> candidates() {
-        List<RelayEndpoint> candidates = new ArrayList<>();
+        List<RelayEndpoint> usable = new ArrayList<>();
+        List<RelayEndpoint> avoided = new ArrayList<>();
         for (RelayEndpoint endpoint : parts.endpoints().ofService(service)) {
-            if (endpoint.usable() && !tried.contains(endpoint.id())) {
-                candidates.add(endpoint);
+            if (endpoint.state().leaving() || tried.contains(endpoint.id())) {
+                continue;
             }
+            (endpoint.usable() ? usable : avoided).add(endpoint);
         }
-        return candidates;
+        return usable.isEmpty() ? avoided : usable;
     }
 
     private EndpointChooser chooser() {
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -113,6 +113,7 @@
                 "retryBudgetRatio: 0.2",
                 "retryBudgetExtra: 58",
                 "stopGraceMs: 8000",
+                "stopNoticeMs: 0",
                 "");
     }
 
