End a planned stop when the last connection has ended

Ruled out: the grace (4.6 s were left) and the endpoint (it answered in 113 ms).

Change: the end waits until no caller's connection is open.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -277,7 +277,10 @@
         return Math.max(1, (long) (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES));
     }
 
-    /** Stops as planned: the balancer takes the box out, what is in flight ends, then the process does. */
+    /**
+     * Stops as planned: the balancer takes the box out, what is in flight ends, then the process does. A request may be on
+     * its way into the process while none is counted yet, so the end waits for the last connection.
+     */
     public void stop() {
         long untilMs = clock.nowMs() + settings.getStopGraceMs() - MARGIN_MS;
         LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
@@ -287,7 +290,7 @@
         waitUntil(clock.nowMs() + settings.getStopNoticeMs(), () -> false);
         callers.close();
         callers.drain();
-        waitUntil(untilMs, () -> handler.inFlight() == 0);
+        waitUntil(untilMs, () -> callers.connections() == 0);
         LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
         mesh.close();
         LogManager.shutdown();
--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -1,6 +1,8 @@
 package org.wingstall.it.relay;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -9,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.awaitility.Awaitility;
+import org.wingstall.core.member.Addresses;
 import org.wingstall.gateway.relay.RelayGateway;
 import org.wingstall.net.BindException;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -57,6 +60,12 @@
                 .body();
     }
 
+    /** Opens a connection of a caller. */
+    Socket connect() throws IOException {
+        InetSocketAddress address = Addresses.parse(settings.getCallerAddress());
+        return new Socket(address.getAddress(), address.getPort());
+    }
+
     Reply post(String route, String id) {
         return postAsync(route, id).join();
     }
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -0,0 +1,106 @@
+package org.wingstall.relay.endpoint;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wingstall.core.route.EndpointIdentity;
+import org.wingstall.relay.wire.EndpointSource;
+
+/** Which endpoints get work, by the list, by what they said and by how they answered. */
+public class RelayEndpointsTest {
+    private static final long OUTAGE_MS = 5000;
+
+    private long nowMs;
+    private RelayEndpoints endpoints;
+
+    @BeforeMethod
+    public void create() {
+        nowMs = 0;
+        endpoints = new RelayEndpoints(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
+    }
+
+    private static EndpointSource.Entry entry(String id, boolean leaving) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
+        return new EndpointSource.Entry(new EndpointIdentity(id, 1, "east", "plain", "v1", address), 4, leaving, 0);
+    }
+
+    private void list(String... ids) {
+        List<EndpointSource.Entry> entries = new ArrayList<>();
+        for (String id : ids) {
+            entries.add(entry(id, false));
+        }
+        endpoints.applyList(entries);
+    }
+
+    private List<String> usable() {
+        return endpoints.ofService("plain").stream()
+                .filter(RelayEndpoint::usable)
+                .map(RelayEndpoint::id)
+                .sorted()
+                .toList();
+    }
+
+    @Test
+    public void anEndpointThatTheListLacksIsGoneAtOnce() {
+        nowMs = OUTAGE_MS;
+        list("a", "b");
+        list("a");
+        assertEquals(usable(), List.of("a"));
+    }
+
+    @Test
+    public void anEntryThatLapsedDuringAnOutageHasTimeToComeBack() {
+        list("a", "b");
+        endpoints.unread();
+        nowMs += OUTAGE_MS;
+        list("a");
+        assertEquals(usable(), List.of("a", "b"));
+        nowMs += 2000;
+        list("a", "b");
+        assertEquals(usable(), List.of("a", "b"));
+    }
+
+    @Test
+    public void anEntryStillMissingAfterThatTimeIsGone() {
+        list("a", "b");
+        endpoints.unread();
+        nowMs += OUTAGE_MS;
+        list("a");
+        nowMs += 2400;
+        list("a");
+        assertEquals(usable(), List.of("a"));
+    }
+
+    @Test
+    public void anEndpointThatLeavesStaysSoWhateverAListThatLagsSays() {
+        list("a", "b");
+        endpoints.markLeaving(endpoints.ofService("plain").get(0), "it said so");
+        list("a", "b");
+        assertEquals(usable().size(), 1);
+    }
+
+    @Test
+    public void failuresInARowKeepWorkAwayForAWhileAndAnAnswerClearsThem() {
+        list("a");
+        RelayEndpoint endpoint = endpoints.ofService("plain").get(0);
+        endpoint.failed("test");
+        endpoint.failed("test");
+        assertTrue(endpoint.usable());
+        endpoint.failed("test");
+        assertFalse(endpoint.usable());
+        nowMs += 400;
+        assertTrue(endpoint.usable());
+        endpoint.failed("test");
+        nowMs += 400;
+        assertFalse(endpoint.usable());
+        endpoint.answered(10);
+        assertTrue(endpoint.usable());
+    }
+}
