Make pieces where their heavy inputs lie, and wait a little for a near endpoint

Change: a stage goes near its inputs when they are heavier than what its reader reads, else near the reader; for 120 ms, while the target allows it, a far endpoint does not take it.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.endpoint;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -33,6 +34,7 @@
     private final Map<String, Boolean> leavingIds = new ConcurrentHashMap<>();
     private volatile Map<String, RelayEndpoint> byId = Map.of();
     private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
+    private volatile Map<InetSocketAddress, String> domainsByAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
     private boolean away;
     private long backAtMs = Long.MIN_VALUE / 2;
@@ -61,6 +63,11 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Returns the failure domain of the endpoint at an address; empty when none is known there. */
+    public String domainAt(InetSocketAddress address) {
+        return domainsByAddress.getOrDefault(address, "");
+    }
+
     /** Returns all endpoints. */
     public Collection<RelayEndpoint> all() {
         return byId.values();
@@ -144,6 +151,11 @@
                     .add(endpoint);
         }
         services.replaceAll((service, list) -> List.copyOf(list));
+        Map<InetSocketAddress, String> domains = new HashMap<>();
+        next.values()
+                .forEach(endpoint -> domains.put(
+                        endpoint.identity().address(), endpoint.identity().failureDomain()));
+        domainsByAddress = Map.copyOf(domains);
         byId = Map.copyOf(next);
         byService = Map.copyOf(services);
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -11,11 +11,19 @@
  * @since 0.2
  */
 public final class PieceGroup {
+    /** Time for which a group waits for an endpoint near its inputs or reader, in ms; less than a call. */
+    private static final long NEAR_ONLY_MS = 120;
+
+    /** Time left until the target below which any endpoint will do, in ms; about two calls. */
+    private static final long HURRY_MS = 400;
+
     private final List<PieceTicket> waiting;
+    private final long sinceMs;
     private final Urgency urgency;
     private final PieceTicket.Placement placement;
 
-    PieceGroup(List<PieceTicket> tickets) {
+    PieceGroup(List<PieceTicket> tickets, long sinceMs) {
+        this.sinceMs = sinceMs;
         this.waiting = new ArrayList<>(tickets);
         this.urgency = tickets.get(0).urgency();
         this.placement = tickets.get(0).placement();
@@ -29,6 +37,13 @@
         return placement;
     }
 
+    /** Returns whether an endpoint of the failure domain may take the group now. */
+    boolean mayGoTo(String failureDomain, long nowMs) {
+        String near = placement.nearDomain();
+        boolean hurries = urgency.targetAtMs() - nowMs < HURRY_MS;
+        return near.isEmpty() || near.equals(failureDomain) || hurries || nowMs - sinceMs >= NEAR_ONLY_MS;
+    }
+
     /** Returns the pieces that still wait, without those that were withdrawn. */
     int size() {
         waiting.removeIf(PieceTicket::withdrawn);
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
 import org.wingstall.relay.config.Route;
@@ -141,7 +143,7 @@
                 .toList();
         String key = inputs.isEmpty() ? request.pieceKey() : null;
         Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - laterMs(stage), urgency.dueAtMs());
-        PieceTicket.Placement placement = new PieceTicket.Placement(readerDomain, stage.spec.resultBytes());
+        PieceTicket.Placement placement = new PieceTicket.Placement(nearDomain(stage), stage.spec.resultBytes());
         for (int i = 0; i < stage.made.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
             stage.tickets.add(
@@ -152,6 +154,27 @@
         }
     }
 
+    /** Returns the failure domain that saves the most bytes between domains: where the inputs lie, or where the reader is. */
+    private String nearDomain(StageProgress stage) {
+        long inputBytes = before(stage).stream()
+                .mapToLong(input -> input.made.length * input.spec.resultBytes())
+                .sum();
+        long outputBytes = stage.spec.resultBytes() * (readersOf(stage).isEmpty() ? 1 : 0);
+        if (inputBytes > outputBytes) {
+            return mostCommon(before(stage).stream()
+                    .flatMap(StageProgress::results)
+                    .map(pools::domainOf)
+                    .toList());
+        }
+        return outputBytes > 0 ? readerDomain : "";
+    }
+
+    private static String mostCommon(List<String> domains) {
+        return domains.stream()
+                .max(Comparator.comparingInt(domain -> Collections.frequency(domains, domain)))
+                .orElse("");
+    }
+
     /** Returns the least time that the stages after one take, in ms. */
     private long laterMs(StageProgress stage) {
         long longestMs = 0;
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -44,7 +44,7 @@
     void submit(List<PieceTicket> tickets) {
         RetryBudget budget = parts.budgets().of(service);
         tickets.forEach(ticket -> budget.called());
-        waiting.add(new PieceGroup(tickets));
+        waiting.add(new PieceGroup(tickets, parts.clock().nowMs()));
         offer();
     }
 
@@ -69,21 +69,29 @@
         }
     }
 
-    /** Sends one call, if there is an endpoint for it. */
+    /** Sends one call for the most urgent group that there is an endpoint for. */
     private boolean sendOne(PoolSpec spec, List<RelayEndpoint> serving) {
         long nowMs = parts.clock().nowMs();
-        PieceGroup first = parts.order().sorted(waiting, "", nowMs).get(0);
-        Optional<RelayEndpoint> endpoint = freest(serving, spec, first.placement());
-        if (endpoint.isEmpty()) {
-            return false;
+        for (PieceGroup group : parts.order().sorted(waiting, "", nowMs)) {
+            Optional<RelayEndpoint> endpoint = freest(serving, spec, group, nowMs);
+            if (endpoint.isPresent()) {
+                return send(endpoint.get(), spec, nowMs);
+            }
         }
-        String domain = endpoint.get().identity().failureDomain();
-        double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.get().id());
-        List<PieceTicket> batch = take(parts.order().sorted(waiting, domain, nowMs), spec.batch(), roomBytes);
+        offerSoon();
+        return false;
+    }
+
+    private boolean send(RelayEndpoint endpoint, PoolSpec spec, long nowMs) {
+        String domain = endpoint.identity().failureDomain();
+        List<PieceGroup> allowed =
+                waiting.stream().filter(group -> group.mayGoTo(domain, nowMs)).toList();
+        double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.id());
+        List<PieceTicket> batch = take(parts.order().sorted(allowed, domain, nowMs), spec.batch(), roomBytes);
         if (batch.isEmpty()) {
             return false;
         }
-        new PoolCall(parts, this, ledger, endpoint.get(), spec, batch).begin();
+        new PoolCall(parts, this, ledger, endpoint, spec, batch).begin();
         return true;
     }
 
@@ -146,13 +154,13 @@
     }
 
     /** Returns the best endpoint with a free slot and room for a result: near before far, then the least loaded. */
-    private Optional<RelayEndpoint> freest(
-            List<RelayEndpoint> serving, PoolSpec spec, PieceTicket.Placement placement) {
+    private Optional<RelayEndpoint> freest(List<RelayEndpoint> serving, PoolSpec spec, PieceGroup group, long nowMs) {
+        PieceTicket.Placement placement = group.placement();
         Map<RelayEndpoint, Double> costs = new HashMap<>();
         for (RelayEndpoint endpoint : serving) {
             double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.id());
             boolean free = endpoint.state().inFlight() < spec.slots() && roomBytes >= placement.resultBytes();
-            if (free) {
+            if (free && group.mayGoTo(endpoint.identity().failureDomain(), nowMs)) {
                 boolean near = endpoint.identity().failureDomain().equals(placement.nearDomain());
                 double load = endpoint.state().estimatedLoad() + random.nextDouble() / 2;
                 costs.put(endpoint, load + (near ? 0 : 1));
@@ -165,6 +173,7 @@
 
     /** Takes pieces back whose call ended without a result for them, and offers them again if that is allowed. */
     void again(List<PieceTicket> tickets, PieceResult.Failure failure) {
+        long nowMs = parts.clock().nowMs();
         List<PieceTicket> back = new ArrayList<>();
         for (PieceTicket ticket : tickets) {
             boolean allowed =
@@ -178,7 +187,7 @@
                 ticket.done(MadePiece.failed(failure));
             }
         }
-        back.forEach(ticket -> waiting.add(new PieceGroup(List.of(ticket))));
+        back.forEach(ticket -> waiting.add(new PieceGroup(List.of(ticket), nowMs)));
         offerSoon();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -146,6 +146,11 @@
                 .orElse(0L);
     }
 
+    /** Returns the failure domain where a result lies; empty when it is not known. */
+    String domainOf(MadePiece made) {
+        return parts.endpoints().domainAt(made.maker());
+    }
+
     ResultFreer freer() {
         return freer;
     }
--- a/relay/src/test/java/org/wingstall/relay/pool/GroupOrderTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/GroupOrderTest.java
@@ -14,8 +14,10 @@
     private static PieceGroup group(String id, int rank, long targetAtMs, String nearDomain) {
         Piece piece = new Piece(id, 0, 0, "key", List.of());
         Urgency urgency = new Urgency(rank, targetAtMs, 9000);
-        return new PieceGroup(List.of(
-                new PieceTicket(piece, urgency, new PieceTicket.Placement(nearDomain, 1), (ticket, made) -> {})));
+        return new PieceGroup(
+                List.of(new PieceTicket(
+                        piece, urgency, new PieceTicket.Placement(nearDomain, 1), (ticket, made) -> {})),
+                0);
     }
 
     @DataProvider
