--- a/it/src/test/java/org/wingstall/it/relay/RelayStagesTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStagesTest.java
@@ -88,4 +88,14 @@
         boxes.remove(2).close();
         replies.forEach(reply -> assertEquals(reply.join().status(), 200));
     }
+
+    @Test
+    public void stagesAreDoneAgainOnceWhenResultsWereLostWithTheirMaker() {
+        second.loseInputs(1);
+        assertEquals(boxes.get(0).post("staged", "again").status(), 200);
+        assertEquals(first.batches(), List.of(1, 1));
+        second.loseInputs(2);
+        assertEquals(boxes.get(0).post("staged", "refused").status(), 503);
+        assertEquals(engine.runs().size(), 1);
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -40,6 +40,9 @@
     /** Time from the end of the stages to the first event, in ms; about the median seen on a calm day. */
     private static final long FIRST_EVENT_MS = 150;
 
+    /** Times that the stages of a request are done: again once, when results were lost with their maker. */
+    private static final int MOST_STAGE_RUNS = 2;
+
     /** Routes' ranks are below this; a workspace's rank comes before them. */
     private static final int RANKS_OF_ROUTES = 100;
 
@@ -60,6 +63,7 @@
     private ScheduledFuture<?> timer;
     private boolean over;
     private int attempts;
+    private int stagesBegun;
     private int handedOver;
 
     RelayRun(
@@ -90,8 +94,7 @@
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
-            graph = parts.pools().graph(request, route, urgency(), readerDomain(), this);
-            graph.begin();
+            beginStages();
         }
     }
 
@@ -128,12 +131,36 @@
 
     @Override
     public void stageFailed(StageSpec stage, PieceResult.Failure failure) {
-        if (!over) {
-            String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
+        if (over) {
+            return;
+        }
+        String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
+        boolean inputsLost = failure == PieceResult.Failure.INPUT_GONE;
+        if (inputsLost && mayBeginStagesAgain(stage.service())) {
+            record.attemptEnded("stages-again", detail);
+            beginStages();
+        } else {
             refuse(Reason.STAGE_WITHOUT_RESULT, detail);
         }
     }
 
+    /** Results die with their maker, so the stages that led to them are done again, once. */
+    private boolean mayBeginStagesAgain(String stageService) {
+        boolean again = stagesBegun < MOST_STAGE_RUNS
+                && remainingMs() > 0
+                && parts.budgets().of(stageService).tryRetry();
+        if (again) {
+            parts.metrics().retried("inputs-lost");
+        }
+        return again;
+    }
+
+    private void beginStages() {
+        stagesBegun++;
+        graph = parts.pools().graph(request, route, urgency(), readerDomain(), this);
+        graph.begin();
+    }
+
     private void callEndpoint(List<String> inputs) {
         List<RelayEndpoint> candidates = candidates();
         if (candidates.isEmpty()) {
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -37,6 +37,7 @@
     private final List<Integer> batches = new CopyOnWriteArrayList<>();
     private final List<String> freed = new CopyOnWriteArrayList<>();
     private final AtomicInteger results = new AtomicInteger();
+    private final AtomicInteger inputsToLose = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
     private volatile Behaviour behaviour = Behaviour.ANSWERS;
 
@@ -81,6 +82,11 @@
         behaviour = next;
     }
 
+    /** Finds the inputs of so many calls for pieces gone. */
+    public void loseInputs(int calls) {
+        inputsToLose.set(calls);
+    }
+
     /** Returns the requests that it ran. */
     public List<Seen> runs() {
         return List.copyOf(runs);
@@ -186,8 +192,13 @@
         batches.add(pieces);
         ObjectNode document = Json.MAPPER.createObjectNode();
         ArrayNode made = document.putArray("items");
+        boolean lost = inputsToLose.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
         for (int i = 0; i < pieces; i++) {
-            made.addObject().put("kv_handle", incarnation + "/" + results.incrementAndGet());
+            if (lost) {
+                made.addObject().put("reason", "gone");
+            } else {
+                made.addObject().put("kv_handle", incarnation + "/" + results.incrementAndGet());
+            }
         }
         call.eventLoop().schedule(() -> call.respondJson(OK, document), callMs, TimeUnit.MILLISECONDS);
     }
