Read gauges on the request loop

Cause: a scrape of metrics ran on the control loop and counted the pieces that wait, in lists that belong to the request loop; counting also drops withdrawn pieces from them.

Change: the operators' address is served by the request loop.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -213,8 +213,9 @@
                 INSIDE_LIMITS,
                 this::answerReadiness,
                 rejection -> new byte[0]);
+        // Gauges look into pools that are confined to the request loop.
         HttpServer.start(
-                control,
+                requests,
                 Addresses.parse(settings.getOperatorAddress()),
                 INSIDE_LIMITS,
                 this::answerOperator,
