Share the retry budget between the boxes there are

Cause: a box took a ninth of the fleet's extra retries, and at least one, whatever the fleet's size: 86 boxes might have made 344 retries at once where 58 are allowed. Found by reading; fleets of 8 and 9 stay within it.

Change: the part is an equal one for each box of the directory, a ninth at most; a part of one retry is made up by calls.

--- a/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
@@ -28,15 +28,15 @@
 
     /**
      * Creates a budget; it is full from the start, so that a box that has just started can carry one endpoint's calls over
-     * to others.
+     * to others. A part of one retry, as a box of a large fleet has, is made up to one by calls.
      *
      * @param percent retries for a hundred calls
      * @param saved most retries saved up
      */
-    public RetryBudget(double percent, long saved) {
+    public RetryBudget(double percent, double saved) {
         this.gainPerCall = Math.round(percent / 100 * RETRY_COST);
-        this.mostBalance = saved * RETRY_COST;
-        this.balance = new AtomicLong(mostBalance);
+        this.mostBalance = Math.round(Math.max(1, saved) * RETRY_COST);
+        this.balance = new AtomicLong(Math.round(saved * RETRY_COST));
     }
 
     /** Takes note of a first call. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -74,11 +74,8 @@
     /** Pause between two looks at what is in flight, in ms. */
     private static final long CHECK_MS = 20;
 
-    /** Boxes that a box thinks share a retry budget until it knows better; the users' smallest fleets have 8 or 9. */
-    private static final int BOXES = 9;
-
-    /** Part of the retry budget that boxes use, since their shares are uneven and windows slide. */
-    private static final double BUDGET_PART = 0.7;
+    /** Boxes that share a retry budget at least, also while fewer are known; the users' smallest fleets have 8 or 9. */
+    private static final int LEAST_BOXES = 9;
 
     /** Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. */
     private static final long HEARTBEAT_MS = 400;
@@ -119,7 +116,7 @@
         this.settings = settings;
         EventLoop loop = requests.next();
         EndpointWire wire = new PlatformEndpointWire();
-        this.budgets = new ServiceBudgets(budgetPercent(settings), budgetSaved(settings));
+        this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
         this.mesh = new PeerMesh(peerOptions(), new RelayPeers(state, () -> stopping), loop, clock);
         this.pools = new StagePools(
                 new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
@@ -189,6 +186,7 @@
                     1));
         }
         mesh.applyList(members);
+        budgets.change(budgetPart(settings, read.size()));
     }
 
     private boolean known() {
@@ -262,7 +260,7 @@
      */
     public void reload(RelaySettings next) {
         settings = next;
-        budgets.change(budgetPercent(next), budgetSaved(next));
+        budgets.change(budgetPart(next, mesh.knownBoxes()));
         LogEvent.info("settings-reloaded")
                 .with("retryBudgetRatio", next.getRetryBudgetRatio())
                 .with("retryBudgetExtra", next.getRetryBudgetExtra())
@@ -270,12 +268,9 @@
                 .to(LOG);
     }
 
-    private static double budgetPercent(RelaySettings settings) {
-        return 100 * settings.getRetryBudgetRatio() * BUDGET_PART;
-    }
-
-    private static long budgetSaved(RelaySettings settings) {
-        return Math.max(1, (long) (settings.getRetryBudgetExtra() * BUDGET_PART / BOXES));
+    private static ServiceBudgets.Part budgetPart(RelaySettings settings, int boxes) {
+        return new ServiceBudgets.Part(
+                settings.getRetryBudgetRatio(), settings.getRetryBudgetExtra(), Math.max(LEAST_BOXES, boxes));
     }
 
     /**
--- a/relay/src/main/java/org/wingstall/relay/run/ServiceBudgets.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ServiceBudgets.java
@@ -12,32 +12,50 @@
  * @since 0.2
  */
 public final class ServiceBudgets {
+    /** Part of the fleet's budget that boxes use, since their shares of the traffic are uneven and windows slide. */
+    private static final double USED_PART = 0.7;
+
+    private static final double PERCENT = 100;
+
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
-    private volatile Rate rate;
+    private volatile Part part;
 
-    private record Rate(double percent, long saved) {}
+    /**
+     * What a fleet may use, and the boxes that share it.
+     *
+     * @param ratio retries for each request to a service
+     * @param extra retries beyond that in a window
+     * @param boxes boxes of the fleet
+     */
+    public record Part(double ratio, double extra, int boxes) {
+        private double percent() {
+            return PERCENT * ratio * USED_PART;
+        }
+
+        private double saved() {
+            return extra * USED_PART / boxes;
+        }
+    }
 
     /**
      * Creates budgets.
      *
-     * @param percent retries for a hundred requests
-     * @param saved most retries that this box saves up for a burst
+     * @param part this box's part of the fleet's budget
      */
-    public ServiceBudgets(double percent, long saved) {
-        this.rate = new Rate(percent, saved);
+    public ServiceBudgets(Part part) {
+        this.part = part;
     }
 
-    /** Begins new budgets with other rates, unless they are the same. */
-    public void change(double percent, long saved) {
-        Rate next = new Rate(percent, saved);
-        if (!next.equals(rate)) {
-            rate = next;
+    /** Begins new budgets with another part, unless it is the same. */
+    public void change(Part next) {
+        if (!next.equals(part)) {
+            part = next;
             budgets.clear();
         }
     }
 
     /** Returns a service's budget. */
     public RetryBudget of(String service) {
-        return budgets.computeIfAbsent(service, name -> new RetryBudget(rate.percent(), rate.saved()));
+        return budgets.computeIfAbsent(service, name -> new RetryBudget(part.percent(), part.saved()));
     }
 }
