Give each test of the member follower a list of its own

Cause: anAnswerFromBeforeAPeersNewsIsNotTaken failed once in two whole runs beside load ("expected [2] but found []"). The tests shared one scripted list, and the follower of the test before reads on until its loop has come to rest; such a read takes an answer that was meant for the next test's follower. Shown by a run: with loops that come to rest 3 s late this test and aReaderTellsTheOthersWhatChanged fail with that message, and with lists of their own all pass under the same delay. Ruled out: the follower itself (no read of its own was lost) and the 300 ms before its start (passes either way).

Change: list, domain and what was told are new for each test; every assertion stays.

--- a/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
@@ -31,9 +31,11 @@
     private static final MemberSnapshot SECOND = new MemberSnapshot("2", List.of(member("a"), member("b")));
 
     private EventLoop loop;
-    private final ScriptedList list = new ScriptedList();
-    private final Domain domain = new Domain();
-    private final List<List<Member>> told = new CopyOnWriteArrayList<>();
+    /** New for each test: the follower of the test before goes on reading until its loop has come to rest. */
+    private ScriptedList list;
+
+    private Domain domain;
+    private List<List<Member>> told;
 
     private static Member member(String id) {
         return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, 1);
@@ -75,11 +77,9 @@
     @BeforeMethod
     public void createLoop() {
         loop = EventLoops.group("test", 1).next();
-        list.reads.set(0);
-        domain.reader = true;
-        domain.tags = Set.of();
-        domain.news.clear();
-        told.clear();
+        list = new ScriptedList();
+        domain = new Domain();
+        told = new CopyOnWriteArrayList<>();
     }
 
     @AfterMethod(alwaysRun = true)
