Write addresses in one place

Cause: an address was made into text in two classes of the pools, the form that Addresses reads. Change: Addresses.format, used by both.

--- a/core/src/main/java/org/wingstall/core/member/Addresses.java
+++ b/core/src/main/java/org/wingstall/core/member/Addresses.java
@@ -22,4 +22,9 @@
         int colon = text.lastIndexOf(':');
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
+
+    /** Returns an address in the form that {@link #parse} reads. */
+    public static String format(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.wire.Piece;
@@ -60,7 +61,7 @@
         if (!made.result().made()) {
             return new StageResult(place, null, null, made.result().failure().name());
         }
-        String maker = made.maker().getHostString() + ":" + made.maker().getPort();
+        String maker = Addresses.format(made.maker());
         return new StageResult(place, made.result().handle(), maker, null);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
@@ -77,8 +77,7 @@
     }
 
     private static StageFreed encode(Holder holder, List<String> handles) {
-        String maker = holder.maker().getHostString() + ":" + holder.maker().getPort();
-        return new StageFreed(maker, handles);
+        return new StageFreed(Addresses.format(holder.maker()), handles);
     }
 
     private void freeAtMaker(InetSocketAddress maker, List<String> handles) {
