Break a stream off when the endpoint that goes on with it fails

Cause: found by reading. When a resumable stream had begun and the second endpoint answered with a failure, that failure was handed to the caller's connection as a whole answer. The encoder refused it, so no byte of it went out, but the request was counted as complete and a kept connection stayed open without an end. Ruled out: bytes of the failure within the stream (the raw answer has one head, before and after).

Change: such a failure counts as a lost attempt; the stream is broken off and counted as endpoint-lost.

Figures: aFailureOfTheSecondEndpoint... fails on the code before and passes now; RelayRetryTest, RelayStagesTest and RelayAnswerTest pass.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -66,6 +67,25 @@
         return new Socket(address.getAddress(), address.getPort());
     }
 
+    /** Sends a request over a connection of its own and returns the bytes of the answer until the connection ends. */
+    String postRaw(String route, String id) throws IOException {
+        String head = String.join(
+                "\r\n",
+                "POST /" + route + "/ HTTP/1.1",
+                "Host: " + FleetStandin.HOST,
+                "X-Wingstall-Attempt-Id: " + id,
+                "X-Wingstall-Deadline-Ms: 5000",
+                "X-Wingstall-Prefix-Hash: " + id + ":800,own:10",
+                "X-Api-Key: " + FleetStandin.KEY,
+                "Connection: close",
+                "Content-Length: 0",
+                "\r\n");
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
     Reply post(String route, String id) {
         return postAsync(route, id).join();
     }
--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -1,7 +1,10 @@
 package org.wingstall.it.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -21,6 +24,7 @@
     private static final int RETRIES_SAVED = 4;
 
     private final AtomicInteger ids = new AtomicInteger();
+    private final Map<String, WorkerStandin> workers = new HashMap<>();
     private FleetStandin fleet;
     private RelayBox box;
 
@@ -39,6 +43,7 @@
     private void add(String service, int events, Behaviour behaviour, String incarnation) throws Exception {
         WorkerStandin worker = new WorkerStandin(incarnation, events, 0);
         worker.behave(behaviour);
+        workers.put(incarnation, worker);
         fleet.add(service, "east", incarnation, worker);
     }
 
@@ -88,4 +93,20 @@
         assertEquals(box.post("once", "request-" + ids.incrementAndGet()).status(), 503);
         assertEquals(successor.runs().size(), 0);
     }
+
+    @Test
+    public void aFailureOfTheSecondEndpointNeverGetsIntoABegunStream() throws Exception {
+        add("engine", 5, Behaviour.CUTS_ANSWER, "faulty");
+        add("engine", 5, Behaviour.FAILS, "failing");
+        box = new RelayBox(fleet, "resumes-badly").awaitReady();
+        boolean begunByFaulty = false;
+        for (int i = 0; i < RETRIES_SAVED && !begunByFaulty; i++) {
+            String bytes = box.postRaw("resumable", "request-" + ids.incrementAndGet());
+            begunByFaulty = bytes.contains("seal-of-faulty");
+            assertEquals(bytes.split("HTTP/1.1 ", -1).length, 2, bytes);
+        }
+        assertTrue(begunByFaulty);
+        assertTrue(workers.get("failing").runs().size() > 0);
+        assertTrue(box.metrics().contains("reason=\"endpoint-lost\"} 1.0"), box.metrics());
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -178,7 +178,9 @@
         if (status >= FIRST_SERVER_ERROR) {
             endpoint.failed("status " + status);
         }
-        if (owner.failedAnswerIsFinal(status)) {
+        if (owner.answer().begun()) {
+            owner.lost(this, "the endpoint that was to go on with the stream answered with status " + status);
+        } else if (owner.failedAnswerIsFinal(status)) {
             deliver();
         } else {
             owner.failedAtEndpoint(this, status);
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -270,7 +270,7 @@
 
     @Override
     public boolean failedAnswerIsFinal(int status) {
-        return !(route.repeatable() && !answer.begun() && maySendAgain("failed"));
+        return !(route.repeatable() && maySendAgain("failed"));
     }
 
     @Override
