Say why a test failed, and let tests in KNOWN-RED.txt fail

Ruled out: the 40 s wait for a gateway's readiness, since the set-up failed after 12 s.

A goal that fails for another reason than tests is red in any case.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,13 +26,45 @@
   [ "$ran" -gt 0 ] || { echo "no test of module $module was run"; bad=$((bad + 1)); tests=$((tests + 1)); }
 done
 echo "Tests run: $tests, Failures: $((failures + model)), Errors: $errors, Skipped: $skipped"
-if [ "$bad" -gt 0 ]; then
-  grep -hoE '<testcase name="[^"]*" classname="[^"]*"|<failure|<error ' */target/surefire-reports/TEST-*.xml \
-    | awk '/^<testcase/ {t=$0} /^<failure|^<error/ {print "failed: " t}'
-fi
-if [ $failed = 1 ] && [ "$bad" = 0 ]; then
-  tail -40 "$log"; echo "the build failed outside the tests"; echo "$tests passed, 1 failed"; exit 1
+
+# Lines "failed|skipped class.method message" of the tests that did not pass, without the parameters of a method.
+not_passed() {
+  cat */target/surefire-reports/TEST-*.xml 2>/dev/null | awk '
+    /<testcase / { name = value($0, " name"); sub(/[\[(].*/, "", name); test = value($0, " classname") "." name }
+    /<failure|<error / { print "failed", test, value($0, " message") }
+    /<skipped/ { print "skipped", test }
+    function value(line, key) {
+      if (!match(line, key "=\"[^\"]*\"")) return ""
+      return substr(line, RSTART + length(key) + 2, RLENGTH - length(key) - 3)
+    }'
+}
+
+# A test in KNOWN-RED.txt ("class.method | cause | issue") may fail, and tests that its failing set-up skips with it.
+known=0
+while read -r kind test message; do
+  red=$(grep -sF "$test |" KNOWN-RED.txt | head -1)
+  class=${test%.*}
+  if [ "$kind" = skipped ]; then
+    red=$(not_passed | awk -v class="$class." '$1 == "failed" && index($2, class) == 1 {print $2 " |"}' \
+      | grep -sFf - KNOWN-RED.txt | head -1)
+  fi
+  if [ -n "$red" ]; then
+    known=$((known + 1))
+    echo "known red: $kind $test: $red"
+    [ "$kind" = failed ] && bad=$((bad - 1))
+  elif [ "$kind" = skipped ]; then
+    bad=$((bad + 1))
+    echo "skipped, which is not allowed: $test"
+  else
+    echo "failed: $test: ${message:0:300}"
+  fi
+done < <(not_passed)
+# Whatever else stopped the build is no matter of single tests; a failed build that names no goal counts as well.
+outside=$(grep '^\[ERROR\] Failed to execute goal' "$log" | grep -vc 'There are test failures')
+if [ "$outside" -gt 0 ] || { [ $failed = 1 ] && [ $((failures + errors)) = 0 ]; }; then
+  tail -40 "$log"
+  echo "the build failed outside the tests"
+  bad=$((bad + 1))
 fi
-[ "$skipped" -gt 0 ] && { echo "skipped tests are not allowed"; bad=$((bad + skipped)); }
-echo "$((tests - bad)) passed, $bad failed"
+echo "$((tests - bad - known)) passed, $bad failed"
 [ "$bad" = 0 ] && [ "$tests" -gt 0 ]
