Play seeds of faults on real gateways and check what must hold

A module of its own starts gateways as processes, puts a proxy before the store and each endpoint, and plays planned stops, kills, pauses, reloads, cuts, silence (one way as well), slow ways, outages of the store, faulty, failing, leaving and replaced endpoints and new configurations, in series and overlapping. It checks eleven promises from outside.

Stand-in endpoints now name the request in each event, check that pieces and requests come with their own inputs, and tell of arrivals. A route of the proxy can hold answers alone back and can be led to another target.

PromisesTest shows for each promise an event that breaks it and no other.

--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -16,9 +18,7 @@
 
 /** What may run again goes to another endpoint, from its start or from the last event that came. */
 public class RelayRetryTest {
-    private static final String WHOLE_STREAM =
-            "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
-                    + "id: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n";
+    private static final String EVENT = "id: %1$d\ndata: token %1$d of %2$s\n\n";
 
     /** Retries that one box of nine may make at once out of the 58 in the settings. */
     private static final int RETRIES_SAVED = 4;
@@ -78,8 +78,11 @@
         add("engine", 5, Behaviour.ANSWERS, "sound");
         box = new RelayBox(fleet, "resumes").awaitReady();
         for (int i = 0; i < RETRIES_SAVED; i++) {
-            RelayBox.Reply reply = box.post("resumable", "request-" + ids.incrementAndGet());
-            assertEquals(reply.body(), WHOLE_STREAM);
+            String id = "request-" + ids.incrementAndGet();
+            String whole = IntStream.rangeClosed(1, 5)
+                    .mapToObj(number -> EVENT.formatted(number, id))
+                    .collect(Collectors.joining());
+            assertEquals(box.post("resumable", id).body(), whole);
         }
     }
 
--- /dev/null
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -0,0 +1,111 @@
+package org.wingstall.soak;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.wingstall.standin.fleet.WorkerStandin.Arrival;
+
+/**
+ * What callers, endpoints and the store saw during a soak. Safe for use on any thread.
+ *
+ * <p>{@code observations.calls().stream().filter(CallRecord::success)}
+ *
+ * @since 0.3
+ */
+final class Observations {
+    /** Time without disturbance after which a box has to keep bounds in time, in ms; the platform's own figure. */
+    private static final long CONTACT_MS = 3000;
+
+    private final long zeroNs = System.nanoTime();
+    private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
+    private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
+    private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
+    private final Map<String, Long> leavingSinceMs = new ConcurrentHashMap<>();
+    private final Map<Long, Long> versionSinceMs = new ConcurrentHashMap<>();
+
+    /** An arrival and its time. */
+    record SeenArrival(Arrival what, long atMs) {}
+
+    long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zeroNs);
+    }
+
+    void called(CallRecord call) {
+        calls.add(call);
+    }
+
+    void arrived(Arrival arrival) {
+        arrivals.add(new SeenArrival(arrival, nowMs()));
+    }
+
+    void disturbed(Disturbance disturbance) {
+        disturbances.add(disturbance);
+    }
+
+    void endedByItself(String box) {
+        unplannedEnds.add(box);
+    }
+
+    /** Takes note that the store has taken in that an endpoint leaves. */
+    void leaving(String endpoint) {
+        leavingSinceMs.put(endpoint, nowMs());
+    }
+
+    /** Takes note that the store has taken in a version of the configuration. */
+    void configured(long version) {
+        versionSinceMs.put(version, nowMs());
+    }
+
+    Collection<CallRecord> calls() {
+        return calls;
+    }
+
+    Collection<SeenArrival> arrivals() {
+        return arrivals;
+    }
+
+    Collection<Disturbance> disturbances() {
+        return disturbances;
+    }
+
+    Collection<String> unplannedEnds() {
+        return unplannedEnds;
+    }
+
+    Map<String, Long> leavingSinceMs() {
+        return leavingSinceMs;
+    }
+
+    Map<Long, Long> versionSinceMs() {
+        return versionSinceMs;
+    }
+
+    Map<String, CallRecord> callsById() {
+        return calls.stream().collect(Collectors.toMap(CallRecord::id, call -> call));
+    }
+
+    /** Returns the arrivals of requests that an endpoint ran, by the request's identifier. */
+    Map<String, List<SeenArrival>> runsById() {
+        return arrivals.stream()
+                .filter(arrival -> arrival.what().ran())
+                .collect(Collectors.groupingBy(arrival -> arrival.what().id()));
+    }
+
+    /** Returns whether a box and the store were free of faults from some time before a span until its end. */
+    boolean inTouch(String box, long fromMs, long untilMs) {
+        return calm(box, fromMs, untilMs, true) && calm(Disturbance.STORE, fromMs, untilMs, true);
+    }
+
+    /** Returns whether someone was free of faults from some time before a span until its end. */
+    boolean calm(String who, long fromMs, long untilMs, boolean alsoOfPlannedWork) {
+        return disturbances.stream()
+                .filter(disturbance -> alsoOfPlannedWork || !disturbance.planned())
+                .noneMatch(disturbance -> disturbance.touches(who, fromMs - CONTACT_MS, untilMs));
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -0,0 +1,199 @@
+package org.wingstall.soak;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.net.BindException;
+import org.wingstall.net.EventLoops;
+import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.StoreStandin;
+import org.wingstall.standin.fleet.WorkerStandin;
+import org.wingstall.standin.proxy.Faults;
+import org.wingstall.standin.proxy.Route;
+
+/**
+ * The gateways of a soak, and the stand-ins around them, each behind a proxy of its own.
+ *
+ * <p>{@code SoakFleet fleet = new SoakFleet(options, observations); fleet.start(); ... fleet.close();}
+ *
+ * @since 0.3
+ */
+final class SoakFleet implements AutoCloseable {
+    /** Events of the engines' streams. */
+    static final int EVENTS = 8;
+
+    /** Retries that the settings allow beyond the share; fewer than the platform's, so that a few hundred callers show it. */
+    static final int RETRY_EXTRA = 20;
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final List<String> DOMAINS = List.of("east", "west");
+    private static final long CALL_MS = 30;
+    private static final long ROUTE_TIMEOUT_MS = 4000;
+
+    private final SoakOptions options;
+    private final Observations observations;
+    private final EventLoopGroup group = EventLoops.group("soak-proxies", 1);
+    private final FleetStandin standin;
+    private final Map<String, Box> boxes = new TreeMap<>();
+    private final Map<String, Endpoint> endpoints = new ConcurrentSkipListMap<>();
+    private final AtomicLong version = new AtomicLong();
+
+    /** A gateway, its addresses and its way to the store. */
+    record Box(String id, BoxProcess process, String callerAddress, String readinessAddress, Route store) {}
+
+    /** An endpoint and the proxy before it. */
+    record Endpoint(String id, String service, String domain, WorkerStandin worker, Route route) {
+        String address() {
+            return LOOPBACK + ":" + route.address().getPort();
+        }
+    }
+
+    SoakFleet(SoakOptions options, Observations observations) throws BindException {
+        this.options = options;
+        this.observations = observations;
+        this.standin = new FleetStandin();
+    }
+
+    void start() throws BindException, IOException {
+        for (int i = 0; i < 3; i++) {
+            add("engine", EVENTS);
+            add("plain", 0);
+        }
+        for (int i = 0; i < 2; i++) {
+            add("first", 0);
+            add("second", 0);
+        }
+        configureNext();
+        for (int i = 0; i < options.boxes(); i++) {
+            startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()));
+        }
+    }
+
+    private void startBox(String boxId, String domain) throws BindException, IOException {
+        Route store = Route.open(group, anyPort(), Addresses.parse(standin.storeAddress()));
+        String text = standin.settings(boxId, domain)
+                .replace(
+                        standin.storeAddress(), LOOPBACK + ":" + store.address().getPort())
+                .replaceAll("retryBudgetExtra: .*", "retryBudgetExtra: " + RETRY_EXTRA);
+        Path settings = options.folder().resolve(boxId + ".yaml");
+        Files.writeString(settings, text);
+        BoxProcess process = new BoxProcess(boxId, settings, options.folder().resolve(boxId + ".log"));
+        process.start();
+        boxes.put(
+                boxId,
+                new Box(boxId, process, valueOf(text, "callerAddress"), valueOf(text, "readinessAddress"), store));
+    }
+
+    private static String valueOf(String settings, String key) {
+        return settings.lines()
+                .filter(line -> line.startsWith(key + ": "))
+                .map(line -> line.substring(key.length() + 2))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static InetSocketAddress anyPort() {
+        return new InetSocketAddress(LOOPBACK, 0);
+    }
+
+    /** Starts and lists a further endpoint of a service. */
+    Endpoint add(String service, int events) throws BindException {
+        Endpoint endpoint = create(service, events, null);
+        list(endpoint, "ready");
+        return endpoint;
+    }
+
+    /** Starts an endpoint; at the address of another one, if there is one that has ended. */
+    private Endpoint create(String service, int events, Route reused) throws BindException {
+        int number = endpoints.size() + 1;
+        String id = service + "-" + number;
+        WorkerStandin worker = new WorkerStandin(id, events, CALL_MS);
+        worker.observe(observations::arrived);
+        InetSocketAddress target = Addresses.parse(standin.start(worker));
+        Route route = reused;
+        if (route == null) {
+            route = Route.open(group, anyPort(), target);
+        } else {
+            route.retarget(target);
+            route.set(Faults.NONE);
+        }
+        Endpoint endpoint = new Endpoint(id, service, DOMAINS.get(number % DOMAINS.size()), worker, route);
+        endpoints.put(id, endpoint);
+        return endpoint;
+    }
+
+    /** Lets an endpoint of another service take over the address of one that has left. */
+    void replace(Endpoint left, String service, int events) throws BindException {
+        list(create(service, events, left.route()), "ready");
+    }
+
+    void list(Endpoint endpoint, String state) {
+        standin.list(endpoint.service(), endpoint.domain(), endpoint.id(), endpoint.address(), state);
+        if (!state.equals("ready")) {
+            observations.leaving(endpoint.id());
+        }
+    }
+
+    void unlist(Endpoint endpoint) {
+        standin.store().remove("servers", endpoint.id());
+    }
+
+    /** Writes the next version of the configuration, which leads one route to a service of its own. */
+    void configureNext() throws BindException {
+        long next = version.incrementAndGet();
+        add(FleetStandin.serviceOfVersion(next), 0);
+        standin.configure(next, ROUTE_TIMEOUT_MS);
+        observations.configured(next);
+    }
+
+    StoreStandin store() {
+        return standin.store();
+    }
+
+    List<Box> boxes() {
+        return List.copyOf(boxes.values());
+    }
+
+    Box box(String id) {
+        return boxes.get(id);
+    }
+
+    List<Endpoint> endpoints() {
+        return List.copyOf(endpoints.values());
+    }
+
+    /** Returns the endpoints of a service that were there from the start and have not left. */
+    List<Endpoint> lasting(String service) {
+        return endpoints.values().stream()
+                .filter(endpoint -> endpoint.service().equals(service))
+                .filter(endpoint -> !observations.leavingSinceMs().containsKey(endpoint.id()))
+                .toList();
+    }
+
+    /** Takes all faults away. */
+    void heal() {
+        boxes.values().forEach(box -> box.store().set(Faults.NONE));
+        endpoints.values().forEach(endpoint -> {
+            endpoint.route().set(Faults.NONE);
+            endpoint.worker().behave(WorkerStandin.Behaviour.ANSWERS);
+        });
+        store().mode(StoreStandin.Mode.SERVING);
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        for (Box box : boxes.values()) {
+            box.process().kill();
+        }
+        standin.close();
+        group.shutdownGracefully();
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -0,0 +1,150 @@
+package org.wingstall.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.wingstall.net.BindException;
+import org.wingstall.soak.CallRecord.Route;
+
+/**
+ * Plays one seed: starts the fleet, lets callers send while faults come and go, and checks the promises.
+ *
+ * <p>{@code List<Violation> broken = new SoakRun(options).play();}
+ *
+ * @since 0.3
+ */
+public final class SoakRun {
+    /** Longest time for a fleet to serve every route after its start or after the last fault, in ms. */
+    private static final long RECOVERY_MS = 12_000;
+
+    /** Pause between two looks, in ms. */
+    private static final long LOOK_MS = 100;
+
+    /** Never comes: what waits for it waits its time. */
+    private static final RunEnd PAUSE = new RunEnd();
+
+    private final SoakOptions options;
+    private final Observations observations = new Observations();
+    private final RunEnd end = new RunEnd();
+    private int probes;
+
+    /** Creates a run. */
+    public SoakRun(SoakOptions options) {
+        this.options = options;
+    }
+
+    /**
+     * Plays the seed.
+     *
+     * @return what did not hold
+     * @throws IOException if processes or files can't be had
+     * @throws BindException if ports can't be had
+     * @throws FaultFailedException if a fault could not be brought about
+     */
+    public List<Violation> play() throws IOException, BindException, FaultFailedException, InterruptedException {
+        List<Violation> broken = new ArrayList<>();
+        try (SoakFleet fleet = new SoakFleet(options, observations)) {
+            fleet.start();
+            Caller probe = new Caller("probe", options.seed(), fleet, observations, end);
+            awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("start", detail)));
+            playFaults(fleet);
+            fleet.heal();
+            awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("recovery", detail)));
+            noteEnds(fleet);
+            fleet.endpoints().forEach(endpoint -> endpoint.worker()
+                    .wrongInputs()
+                    .forEach(detail -> broken.add(new Violation("own inputs", detail))));
+        }
+        for (Promise promise : Promises.all(options.slackMs())) {
+            promise.broken(observations).forEach(detail -> broken.add(new Violation(promise.name(), detail)));
+        }
+        return broken;
+    }
+
+    /** Returns what the callers saw, in short. */
+    public String summary() {
+        long answered =
+                observations.calls().stream().filter(CallRecord::success).count();
+        long refused = observations.calls().stream()
+                .filter(CallRecord::refusedAsNotRun)
+                .count();
+        long cut = observations.calls().stream().filter(CallRecord::broken).count();
+        return observations.calls().size() + " requests: " + answered + " answered, " + refused + " refused, " + cut
+                + " connections ended; faults: "
+                + observations.disturbances().stream()
+                        .map(Disturbance::kind)
+                        .sorted()
+                        .toList();
+    }
+
+    private void playFaults(SoakFleet fleet) throws InterruptedException, FaultFailedException {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        for (int i = 0; i < options.callers(); i++) {
+            threads.submit(new Caller("caller-" + i, options.seed() + i, fleet, observations, end));
+        }
+        FaultInjector injector = new FaultInjector(fleet, observations, end);
+        List<Future<?>> faults = new ArrayList<>();
+        long beginMs = observations.nowMs();
+        for (FaultPlan.Planned planned :
+                FaultPlan.of(options.seed(), options.faultsMs()).faults()) {
+            faults.add(threads.submit(() -> {
+                end.within(Math.max(0, beginMs + planned.atMs() - observations.nowMs()));
+                injector.play(planned);
+                return null;
+            }));
+        }
+        awaitAll(faults);
+        end.come();
+        threads.shutdown();
+        threads.awaitTermination(RECOVERY_MS * 2, TimeUnit.MILLISECONDS);
+    }
+
+    private static void awaitAll(List<Future<?>> faults) throws InterruptedException, FaultFailedException {
+        for (Future<?> fault : faults) {
+            try {
+                fault.get();
+            } catch (ExecutionException e) {
+                throw new FaultFailedException(e.getCause());
+            }
+        }
+    }
+
+    /** Waits until every box serves every route; returns those that it did not serve within the time. */
+    private List<String> awaitServing(SoakFleet fleet, Caller probe) throws InterruptedException {
+        long untilMs = observations.nowMs() + RECOVERY_MS + options.slackMs();
+        List<String> missing = new ArrayList<>();
+        for (SoakFleet.Box box : fleet.boxes()) {
+            for (Route route : Route.values()) {
+                if (!awaitServing(box, route, probe, untilMs)) {
+                    missing.add(box.id() + " does not serve " + route.path());
+                }
+            }
+        }
+        return missing;
+    }
+
+    private boolean awaitServing(SoakFleet.Box box, Route route, Caller probe, long untilMs)
+            throws InterruptedException {
+        while (true) {
+            String id = "probe." + probes++;
+            probe.call(box, route, id);
+            boolean served =
+                    observations.calls().stream().anyMatch(call -> call.id().equals(id) && call.success());
+            if (served || observations.nowMs() > untilMs) {
+                return served;
+            }
+            PAUSE.within(LOOK_MS);
+        }
+    }
+
+    private void noteEnds(SoakFleet fleet) {
+        fleet.boxes().stream()
+                .filter(box -> box.process().endedByItself())
+                .forEach(box -> observations.endedByItself(box.id()));
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -0,0 +1,107 @@
+package org.wingstall.soak;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.soak.CallRecord.Route;
+import org.wingstall.standin.fleet.WorkerStandin;
+import org.wingstall.standin.fleet.WorkerStandin.Arrival;
+
+/** Each promise finds what breaks it, and nothing in a sound run. */
+public class PromisesTest {
+    private static final long DEADLINE_MS = Caller.DEADLINE_MS;
+
+    private static CallRecord call(Route route, int status, String seal, String body, long sentMs, long endedMs) {
+        return new CallRecord("a", route, "box-1", 1, sentMs, endedMs, status, "a", seal, body);
+    }
+
+    private static CallRecord versioned(String id, long version, long sentMs) {
+        String seal = "seal-of-version-" + version + "-7";
+        return new CallRecord(id, Route.VERSIONED, "box-1", 1, sentMs, sentMs + 5, 200, id, seal, "answer to " + id);
+    }
+
+    private static Arrival run() {
+        return new Arrival("a", "plain-1", true, DEADLINE_MS);
+    }
+
+    @DataProvider
+    Object[][] breaches() {
+        return new Object[][] {
+            breach("own whole answer", seen -> seen.called(call(Route.ONCE, 200, "s", "answer to b", 0, 5))),
+            breach("own whole answer", seen -> {
+                String cut = WorkerStandin.streamOf("a", SoakFleet.EVENTS - 1);
+                seen.called(call(Route.STREAM, 200, "s", cut, 0, 5));
+            }),
+            breach("own whole answer", seen -> seen.called(call(Route.ONCE, 200, null, "answer to a", 0, 5))),
+            breach("at most one run", seen -> {
+                seen.called(call(Route.ONCE, 502, null, "", 0, 5));
+                seen.arrived(run());
+                seen.arrived(run());
+            }),
+            breach("true refusal", seen -> {
+                seen.called(call(Route.ONCE, 503, null, "", 0, 5));
+                seen.arrived(run());
+            }),
+            breach("configuration in force", seen -> {
+                seen.configured(1);
+                seen.configured(2);
+                seen.called(versioned("v9000", 1, 9000));
+            }),
+            breach("configuration never back", seen -> {
+                seen.called(versioned("v0", 2, 0));
+                seen.called(versioned("v900", 1, 900));
+            }),
+            breach("planned stop cuts nothing", seen -> {
+                seen.disturbed(new Disturbance("box-1", "BOX_TERMINATE", true, 0, 100));
+                seen.called(call(Route.ONCE, 0, null, "", 10, 20));
+                seen.arrived(run());
+            }),
+            breach("retry budget", seen -> {
+                for (int i = 0; i < SoakFleet.RETRY_EXTRA + 3; i++) {
+                    seen.arrived(run());
+                }
+            }),
+            breach("deadline passed on", seen -> {
+                seen.called(call(Route.ONCE, 200, "s", "answer to a", 0, 5));
+                seen.arrived(new Arrival("a", "plain-1", true, 2 * DEADLINE_MS));
+            }),
+            breach(
+                    "answer by the deadline",
+                    seen -> seen.called(call(Route.ONCE, 200, "s", "answer to a", 0, 2 * DEADLINE_MS))),
+            breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
+        };
+    }
+
+    private static Object[] breach(String promise, Consumer<Observations> events) {
+        return new Object[] {promise, events};
+    }
+
+    @Test(dataProvider = "breaches")
+    public void aBreachIsFound(String promise, Consumer<Observations> events) {
+        Observations seen = new Observations();
+        events.accept(seen);
+        List<String> broken = Promises.all(0).stream()
+                .filter(one -> !one.broken(seen).isEmpty())
+                .map(Promise::name)
+                .toList();
+        assertEquals(broken, List.of(promise));
+    }
+
+    @Test
+    public void aSoundRunBreaksNothing() {
+        Observations seen = new Observations();
+        seen.configured(1);
+        seen.arrived(run());
+        seen.called(call(Route.ONCE, 200, "seal-of-plain-1", "answer to a", 0, 5));
+        seen.called(versioned("v9000", 1, 9000));
+        Promises.all(0).forEach(one -> assertEquals(one.broken(seen), List.of(), one.name()));
+    }
+
+    @Test
+    public void aSeedAlwaysGivesTheSamePlan() {
+        assertEquals(FaultPlan.of(7, 12_000), FaultPlan.of(7, 12_000));
+    }
+}
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -68,6 +68,11 @@
         return store;
     }
 
+    /** Returns the service that the route {@code versioned} leads to in a version of the configuration. */
+    public static String serviceOfVersion(long version) {
+        return "version-" + version;
+    }
+
     /** Writes a version of the configuration with all routes, one of them with this time-out in ms. */
     public void configure(long version, long timeoutMs) {
         store.put("op", "config", document(version, timeoutMs));
@@ -80,12 +85,25 @@
      */
     public String add(String service, String failureDomain, String incarnation, WorkerStandin worker)
             throws BindException {
-        HttpServer server = serve(worker);
-        String address = LOOPBACK + ":" + server.address().getPort();
+        String address = start(worker);
         list(service, failureDomain, incarnation, address, "ready");
         return address;
     }
 
+    /**
+     * Starts an endpoint that nobody is told of yet.
+     *
+     * @return its address
+     */
+    public String start(WorkerStandin worker) throws BindException {
+        return LOOPBACK + ":" + serve(worker).address().getPort();
+    }
+
+    /** Returns the store's address. */
+    public String storeAddress() {
+        return LOOPBACK + ":" + storeServer.address().getPort();
+    }
+
     /** Writes an endpoint's entry. */
     public void list(String service, String failureDomain, String incarnation, String address, String state) {
         String entry = "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":4,"
@@ -107,7 +125,7 @@
                 "readinessAddress: " + freeAddress(),
                 "operatorAddress: " + freeAddress(),
                 "peerAddress: " + freeAddress(),
-                "storeAddress: " + LOOPBACK + ":" + storeServer.address().getPort(),
+                "storeAddress: " + storeAddress(),
                 "configWaitMs: 300",
                 "endpointIntervalMs: 100",
                 "retryBudgetRatio: 0.2",
@@ -130,9 +148,11 @@
                 route("resumable", "streaming", "engine", 2, 8000, true, ""),
                 route("staged", "streaming", "engine", 2, 8000, true, STAGES),
                 route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
-                route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""));
+                route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""),
+                route("versioned", "idempotent", serviceOfVersion(version), 1, timeoutMs, false, ""));
+        String services = SERVICES + ",{\"name\":\"" + serviceOfVersion(version) + "\",\"max_conns\":110}";
         return "{\"version\":%d,\"routes\":[%s],\"services\":[%s],%s,%s}"
-                .formatted(version, routes, SERVICES, CLIENT_LIMITS, TENANTS);
+                .formatted(version, routes, services, CLIENT_LIMITS, TENANTS);
     }
 
     private static String route(
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -7,10 +7,14 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -30,16 +34,24 @@
     private static final int FULL = 503;
     private static final String ID = "X-Wingstall-Attempt-Id";
 
+    /** Results that a request of the staged route reads, as callers of the tests ask for. */
+    private static final int STAGED_INPUTS = 3;
+
     private final String incarnation;
     private final int events;
     private final long callMs;
     private final List<Seen> runs = new CopyOnWriteArrayList<>();
     private final List<Integer> batches = new CopyOnWriteArrayList<>();
     private final List<String> freed = new CopyOnWriteArrayList<>();
+    private final List<String> wrongInputs = new CopyOnWriteArrayList<>();
     private final AtomicInteger results = new AtomicInteger();
     private final AtomicInteger inputsToLose = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
     private volatile Behaviour behaviour = Behaviour.ANSWERS;
+    private volatile Consumer<Arrival> observer = arrival -> {};
+
+    /** A request that came to an endpoint, run or turned away. */
+    public record Arrival(String id, String endpoint, boolean ran, long deadlineMs) {}
 
     /** How the endpoint answers requests. */
     public enum Behaviour {
@@ -82,11 +94,32 @@
         behaviour = next;
     }
 
+    /** Tells of each request for this endpoint; on its event loop, before it is answered. */
+    public void observe(Consumer<Arrival> next) {
+        observer = next;
+    }
+
     /** Finds the inputs of so many calls for pieces gone. */
     public void loseInputs(int calls) {
         inputsToLose.set(calls);
     }
 
+    /** Returns the whole stream that answers a request. */
+    public static String streamOf(String id, int events) {
+        return IntStream.rangeClosed(1, events)
+                .mapToObj(number -> eventOf(id, number))
+                .collect(Collectors.joining());
+    }
+
+    private static String eventOf(String id, int number) {
+        return "id: " + number + "\ndata: token " + number + " of " + id + "\n\n";
+    }
+
+    /** Returns the pieces and requests that came with inputs of another request, or without some of their own. */
+    public List<String> wrongInputs() {
+        return List.copyOf(wrongInputs);
+    }
+
     /** Returns the requests that it ran. */
     public List<Seen> runs() {
         return List.copyOf(runs);
@@ -132,11 +165,19 @@
         call.respond(status, headers, body.getBytes(StandardCharsets.UTF_8));
     }
 
+    private void arrived(HttpCall call, boolean ran) {
+        String deadline = call.header("X-Wingstall-Deadline-Ms");
+        observer.accept(
+                new Arrival(call.header(ID), incarnation, ran, deadline == null ? 0 : Long.parseLong(deadline)));
+    }
+
     private void run(HttpCall call) {
+        arrived(call, behaviour != Behaviour.FULL);
         if (behaviour == Behaviour.FULL) {
             respond(call, FULL, headers(call).set("X-Wingstall-Not-Executed", "1"), "");
             return;
         }
+        checkInputs(call);
         runs.add(new Seen(
                 call.header(ID), call.method(), call.target(), call.headers().copy(), call.body()));
         call.onDisconnect(cancelled::incrementAndGet);
@@ -178,7 +219,7 @@
         } else if (number > events) {
             call.end();
         } else {
-            part(call, "id: " + number + "\ndata: token " + number + "\n\n");
+            part(call, eventOf(call.header(ID), number));
             call.eventLoop().schedule(() -> event(call, number + 1, cut), 5, TimeUnit.MILLISECONDS);
         }
     }
@@ -187,8 +228,38 @@
         call.part(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     }
 
+    /** The stages before a request of the staged route end in {@link #STAGED_INPUTS} results of its own. */
+    private void checkInputs(HttpCall call) {
+        if (call.path().startsWith("/staged/")) {
+            String inputs = call.header("X-Wingstall-Inputs");
+            List<String> handles = inputs == null ? List.of() : List.of(inputs.split(","));
+            checkInputs(call.header(ID), handles, STAGED_INPUTS);
+        }
+    }
+
+    private void checkInputs(String id, List<String> handles, int expected) {
+        boolean own = handles.stream().allMatch(handle -> handle.contains("/" + id + "."));
+        if (!own || handles.stream().distinct().count() != expected || handles.size() != expected) {
+            wrongInputs.add(id + " got " + handles);
+        }
+    }
+
+    private void checkInputs(JsonNode piece) {
+        List<String> handles = new ArrayList<>();
+        piece.path("inputs").forEach(handle -> handles.add(handle.asText()));
+        checkInputs(piece.path("id").asText(), handles, piece.path("phase").asInt());
+    }
+
+    private String handleOf(JsonNode piece) {
+        String of = piece.path("id").asText() + "." + piece.path("phase").asInt() + "."
+                + piece.path("piece").asInt();
+        return incarnation + "/" + of + "." + results.incrementAndGet();
+    }
+
     private void runPieces(HttpCall call) {
-        int pieces = items(call, "items").size();
+        JsonNode items = items(call, "items");
+        int pieces = items.size();
+        items.forEach(this::checkInputs);
         batches.add(pieces);
         ObjectNode document = Json.MAPPER.createObjectNode();
         ArrayNode made = document.putArray("items");
@@ -197,7 +268,7 @@
             if (lost) {
                 made.addObject().put("reason", "gone");
             } else {
-                made.addObject().put("kv_handle", incarnation + "/" + results.incrementAndGet());
+                made.addObject().put("kv_handle", handleOf(items.get(i)));
             }
         }
         call.eventLoop().schedule(() -> call.respondJson(OK, document), callMs, TimeUnit.MILLISECONDS);
--- a/standin/src/main/java/org/wingstall/standin/proxy/FaultProxy.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/FaultProxy.java
@@ -1,10 +1,6 @@
 package org.wingstall.standin.proxy;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -46,25 +42,9 @@
 
     private void open(EventLoopGroup group, String pair) throws BindException {
         String listen = pair.substring(0, pair.indexOf('='));
-        Route route = new Route(Addresses.parse(pair.substring(pair.indexOf('=') + 1)));
+        Route route =
+                Route.open(group, Addresses.parse(listen), Addresses.parse(pair.substring(pair.indexOf('=') + 1)));
         routes.put(listen, route);
-        var bound = new ServerBootstrap()
-                .group(group)
-                .channel(EventLoops.serverChannel())
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.AUTO_READ, false)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new Relay(route));
-                    }
-                })
-                .bind(Addresses.parse(listen))
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new BindException(Addresses.parse(listen), bound.cause());
-        }
     }
 
     private void control(HttpCall call) {
--- a/standin/src/main/java/org/wingstall/standin/proxy/Relay.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/Relay.java
@@ -79,7 +79,7 @@
 
     private void pass(ChannelHandlerContext ctx, ByteBuf part) {
         Faults now = route.faults();
-        if (now.freeze()) {
+        if (now.freeze() || answers && now.freezeAnswers()) {
             ctx.executor().schedule(() -> pass(ctx, part), 20, TimeUnit.MILLISECONDS);
             return;
         }
