Explain a request from log lines; name gatherers, stages and identifiers in them

wingstallctl request explain ID reads lines from standard input and prints the request's own, and changes from 5 s before it on at its box and at whatever its line names. The soak lets endpoints that leave serve on for 5 s: 2.6 s left no time to see late work (a planted fault was not caught).

--- a/ctl/src/main/java/org/wingstall/ctl/Commands.java
+++ b/ctl/src/main/java/org/wingstall/ctl/Commands.java
@@ -25,6 +25,7 @@
             case "fleet status" -> fleet(options, loop)::status;
             case "request show" -> fleet(options, loop)::request;
             case "config check" -> out -> ConfigCheck.check(options.getString("file"), out);
+            case "request explain" -> out -> RequestExplanation.explain(options.getString("id"), System.in, out);
             default -> throw new UsageException("'" + name + "' is not a command; see --help");
         };
     }
--- a/ctl/src/main/java/org/wingstall/ctl/CtlParser.java
+++ b/ctl/src/main/java/org/wingstall/ctl/CtlParser.java
@@ -18,6 +18,7 @@
               wingstallctl table import pipelines.yaml
               wingstallctl fleet status
               wingstallctl fleet engines
+              cat box-*.log | wingstallctl request explain 8d945a4c76dd8568
             exit codes: 0 done, 1 no answer, 2 not valid, 3 conflict with another edit, 4 not found""";
 
     private CtlParser() {}
@@ -71,9 +72,11 @@
     }
 
     private static void addRequest(Subparser request) {
-        Subparser show =
-                request.addSubparsers().dest("command").addParser("show").help("outcome and cost by stage");
+        Subparsers commands = request.addSubparsers().dest("command");
+        Subparser show = commands.addParser("show").help("outcome and cost by stage");
         show.addArgument("id");
+        Subparser explain = commands.addParser("explain").help("a request's way, from log lines on standard input");
+        explain.addArgument("id");
     }
 
     private static void addConfig(Subparser config) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -98,6 +98,9 @@
         }
         byId.values().stream().filter(before -> !next.containsKey(before.id())).forEach(this::gone);
         publish(next);
+        if (!known()) {
+            LogEvent.info("endpoints-known").with("count", next.size()).to(LOG);
+        }
         readAtMs = nowMs;
     }
 
@@ -134,7 +137,7 @@
         if (leavingIds.containsKey(endpoint.id())) {
             state.markLeaving();
         }
-        if (before == null) {
+        if (before == null && known()) {
             LogEvent.info("endpoint-listed")
                     .with("endpoint", endpoint.id())
                     .with("service", endpoint.identity().service())
--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -5,7 +5,6 @@
 import org.wingstall.core.answer.RefusedException;
 import org.wingstall.core.limit.TokenBucket;
 import org.wingstall.core.time.MonotonicClock;
-import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.run.RunRecord;
 
@@ -50,6 +49,7 @@
                 .with("detail", detail)
                 .with("tookMs", nowMs - record.arrivedMs())
                 .with("stagesMs", record.stagesMs())
+                .with("stages", record.stages())
                 .with("firstByteMs", record.firstByteMs())
                 .with("attempts", record.attempts())
                 .with("configVersion", record.configVersion())
@@ -57,12 +57,13 @@
     }
 
     /** Writes the line of a request that was refused before it had a route. */
-    public void turnedAway(HttpCall call, RefusedException refusal, long configVersion) {
+    public void turnedAway(String requestId, String target, RefusedException refusal, long configVersion) {
         if (!allowed()) {
             return;
         }
         LogEvent.info("turned-away")
-                .with("target", call.target())
+                .with("requestId", requestId)
+                .with("target", target)
                 .with("reason", refusal.reason().code())
                 .with("detail", refusal.getMessage())
                 .with("configVersion", configVersion)
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
@@ -48,6 +49,8 @@
         private boolean begun;
         private boolean given;
         private int left;
+        private long beganMs;
+        private long doneMs;
 
         StageProgress(StageSpec spec, int pieces) {
             this.spec = spec;
@@ -59,6 +62,18 @@
             return left == 0;
         }
 
+        /** Returns what became of the stage so far, such as "stage 0 at 'pay-ledger': 2 of 2 pieces, 310 ms, by kgn-a-1". */
+        String progress(long nowMs) {
+            String by = results()
+                    .map(MadePiece::gatherer)
+                    .map(box -> box == null ? "this box" : box)
+                    .distinct()
+                    .collect(Collectors.joining(" and "));
+            long tookMs = (done() ? doneMs : nowMs) - beganMs;
+            return "stage " + spec.index() + " at '" + spec.service() + "': " + (made.length - left) + " of "
+                    + made.length + " pieces, " + tookMs + " ms" + (by.isEmpty() ? "" : ", by " + by);
+        }
+
         Stream<MadePiece> results() {
             return Stream.of(made).filter(piece -> piece != null);
         }
@@ -98,6 +113,14 @@
         return handles;
     }
 
+    /** Returns how far each stage that has begun came, for the log. */
+    public List<String> progress() {
+        return stages.stream()
+                .filter(stage -> stage.begun && stage.made.length > 0)
+                .map(stage -> stage.progress(pools.nowMs()))
+                .toList();
+    }
+
     /** Ends the stages: what waits is withdrawn, and all results are given up. */
     public void close() {
         if (closed) {
@@ -137,6 +160,7 @@
 
     private void start(StageProgress stage) {
         stage.begun = true;
+        stage.beganMs = pools.nowMs();
         List<String> inputs = before(stage).stream()
                 .flatMap(StageProgress::results)
                 .map(made -> made.result().handle())
@@ -195,6 +219,7 @@
             stage.made[ticket.piece().index()] = made;
             stage.left--;
             if (stage.done()) {
+                stage.doneMs = pools.nowMs();
                 before(stage).forEach(this::giveUpIfRead);
                 advance();
             }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
@@ -50,7 +50,7 @@
             begin(call, config);
         } catch (RefusedException refusal) {
             parts.metrics().refused(refusal.reason());
-            parts.log().turnedAway(call, refusal, config.version());
+            parts.log().turnedAway(parts.callers().requestId(call), call.target(), refusal, config.version());
             parts.callers().refuse(call, refusal);
         }
     }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -341,6 +341,9 @@
         if (attempt != null) {
             attempt.cancel();
         }
+        if (graph != null) {
+            record.stages(graph.progress());
+        }
         closeStages();
         parts.log().ended(record, outcome, status, detail, parts.clock().nowMs());
         whenOver.run();
--- a/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -20,6 +20,7 @@
     private final long configVersion;
     private final long arrivedMs;
     private final List<String> attempts = new ArrayList<>();
+    private List<String> stages = List.of();
     private long stagesMs = -1;
     private long firstByteMs = -1;
 
@@ -35,6 +36,10 @@
         stagesMs = nowMs - arrivedMs;
     }
 
+    void stages(List<String> progress) {
+        stages = progress;
+    }
+
     void firstByte(long nowMs) {
         firstByteMs = nowMs - arrivedMs;
     }
@@ -78,6 +83,11 @@
         return stagesMs;
     }
 
+    /** Returns how far each stage came, and which box gathered its pieces. */
+    public List<String> stages() {
+        return stages;
+    }
+
     /** Returns the time until the first byte of its answer, in ms; -1 when none came. */
     public long firstByteMs() {
         return firstByteMs;
--- a/relay/src/main/java/org/wingstall/relay/wire/CallerWire.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/CallerWire.java
@@ -20,6 +20,9 @@
      */
     RelayRequest decode(HttpCall call) throws RefusedException;
 
+    /** Returns the identifier that a call carries, for the log; null when it has none. */
+    String requestId(HttpCall call);
+
     /** Answers a request that gets no endpoint's answer. */
     void refuse(HttpCall call, RefusedException refusal);
 }
--- a/soak/src/main/java/org/wingstall/soak/FaultInjector.java
+++ b/soak/src/main/java/org/wingstall/soak/FaultInjector.java
@@ -27,8 +27,8 @@
     /** Time that a stop may take, in ms; as in the settings. */
     static final long GRACE_MS = 8000;
 
-    /** Time that an endpoint serves on after its entry says that it leaves, in ms; a little more than the bound. */
-    private static final long DRAIN_MS = 2600;
+    /** Time that an endpoint serves on after its entry says that it leaves, in ms; long enough to show work that comes late. */
+    private static final long DRAIN_MS = 5000;
 
     /** Time after which the address of an endpoint that has ended may be used again, in ms. */
     private static final long REUSE_MS = 2000;
