--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -5,6 +5,7 @@
 import org.wingstall.core.route.EndpointIdentity;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.TransportException;
 import org.wingstall.net.log.LogEvent;
 
 /**
@@ -64,6 +65,20 @@
         noteAvoided(backoff.failed(clock.nowMs()), why);
     }
 
+    /**
+     * Takes note of a call that got no whole answer. One without a connection or in time counts like one without any
+     * answer: the endpoint has ended or is cut off, and each further call would wait as long.
+     */
+    public void broken(TransportException failure) {
+        boolean silent =
+                failure.kind() == TransportException.Kind.CONNECT || failure.kind() == TransportException.Kind.TIMEOUT;
+        if (silent) {
+            stalled(failure.getMessage());
+        } else {
+            failed(failure.getMessage());
+        }
+    }
+
     /** Takes note of a call that was not answered at all: new work stays away at once, since each call costs its time. */
     public void stalled(String why) {
         noteAvoided(backoff.stalled(clock.nowMs()), why);
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -200,7 +200,7 @@
         if (!end()) {
             return;
         }
-        endpoint.failed(failure.getMessage());
+        endpoint.broken(failure);
         if (failure.requestWritten()) {
             owner.lost(this, failure.getMessage());
         } else {
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.core.route.EndpointIdentity;
+import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.wire.EndpointSource;
 
 /** Which endpoints get work, by the list, by what they said and by how they answered. */
@@ -127,4 +129,21 @@
         nowMs += 400;
         assertEquals(usable(), List.of("a"));
     }
+
+    @DataProvider
+    Object[][] transportFailures() {
+        return new Object[][] {
+            {TransportException.Kind.CONNECT, false},
+            {TransportException.Kind.TIMEOUT, false},
+            {TransportException.Kind.RESET, true},
+            {TransportException.Kind.PROTOCOL, true},
+        };
+    }
+
+    @Test(dataProvider = "transportFailures")
+    public void oneCallWithoutConnectionOrAnswerIsEnough(TransportException.Kind kind, boolean staysUsable) {
+        list("a");
+        endpoints.ofService("plain").get(0).broken(new TransportException(kind, false, "test"));
+        assertEquals(usable(), staysUsable ? List.of("a") : List.of());
+    }
 }
