Let every box link to hubs, one hub gather for all, and one box of a domain read for it

Ruled out: processor time (0.03 of a core a box), the engines (no request was preempted).

Change: HubLinks. Every box links to two hubs of each failure domain, the boxes with the most processor time; one hub gathers a service's pieces for all. A box keeps six or eight links instead of 28. Small fleets are linked whole as before. Frames that one event gives rise to leave in one write.

One box of each failure domain reads the list of endpoints; its heartbeats carry the store's version at which it saw the list change, and a box that has read an older one reads it then. Who hears no reader reads for itself. The pace of reading follows the bound on leaving endpoints.

--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/peer/DomainMesh.java
@@ -0,0 +1,29 @@
+package org.wingstall.core.peer;
+
+import java.util.Collection;
+import java.util.Set;
+import org.wingstall.core.peer.LinkPlan.Box;
+
+/**
+ * Links all boxes of a failure domain, reachable or not, and a few across every pair of domains.
+ *
+ * <p>{@code new DomainMesh().linksOf(self, reachable, known)}
+ *
+ * @since 0.3
+ */
+public final class DomainMesh implements LinkStrategy {
+    @Override
+    public Set<String> linksOf(Box self, Collection<Box> reachable, Collection<Box> known) {
+        Set<String> links = LinkPlan.linksOf(self, reachable);
+        known.stream()
+                .filter(box -> box.failureDomain().equals(self.failureDomain()))
+                .forEach(box -> links.add(box.boxId()));
+        return links;
+    }
+
+    /** No box works for all others: there are links between few boxes of different domains. */
+    @Override
+    public Set<String> carriers(Box self, Collection<Box> reachable) {
+        return Set.of();
+    }
+}
--- a/core/src/main/java/org/wingstall/core/peer/LinkPlan.java
+++ b/core/src/main/java/org/wingstall/core/peer/LinkPlan.java
@@ -25,22 +25,13 @@
      *
      * @param boxId its box
      * @param failureDomain its failure domain
+     * @param capacity processor time it has, in hundredths of a core; 0 when it is not known
      */
-    public record Box(String boxId, String failureDomain) {}
-
-    /**
-     * Returns the boxes that a gateway keeps links to: all others of a small fleet, else as {@link #linksOf(Box, Collection)}.
-     *
-     * @param self the gateway
-     * @param boxes gateways thought to be alive
-     * @param wholeMeshBoxes most boxes of a fleet that counts as small
-     * @return identifiers of the boxes
-     */
-    public static Set<String> linksOf(Box self, Collection<Box> boxes, int wholeMeshBoxes) {
-        Set<String> others = new HashSet<>();
-        boxes.forEach(box -> others.add(box.boxId()));
-        others.remove(self.boxId());
-        return others.size() < wholeMeshBoxes ? others : linksOf(self, boxes);
+    public record Box(String boxId, String failureDomain, int capacity) {
+        /** Creates a gateway whose capacity is not known. */
+        public Box(String boxId, String failureDomain) {
+            this(boxId, failureDomain, 0);
+        }
     }
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/wingstall/core/peer/HubLinksTest.java
@@ -0,0 +1,71 @@
+package org.wingstall.core.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.core.peer.LinkPlan.Box;
+
+public class HubLinksTest {
+    private static final int BIG = 150;
+    private static final int SMALL = 36;
+
+    private final HubLinks links = new HubLinks(24, 2);
+
+    /** Returns a fleet in which the last two boxes of each domain have the most processor time. */
+    private static List<Box> fleet(int domains, int boxes) {
+        List<Box> fleet = new ArrayList<>();
+        for (int d = 0; d < domains; d++) {
+            for (int b = 0; b < boxes; b++) {
+                fleet.add(new Box("box-" + d + "-" + b, "domain-" + d, b >= boxes - 2 ? BIG : SMALL));
+            }
+        }
+        return fleet;
+    }
+
+    @DataProvider
+    Object[][] largeFleets() {
+        return new Object[][] {{3, 29}, {4, 20}, {18, 21}, {1, 25}};
+    }
+
+    @Test(dataProvider = "largeFleets")
+    public void everyBoxOfALargeFleetLinksToTheStrongestOfEachDomain(int domains, int boxes) {
+        List<Box> fleet = fleet(domains, boxes);
+        for (Box box : fleet) {
+            List<Box> others = new ArrayList<>(fleet);
+            others.remove(box);
+            Collections.shuffle(others, new Random(box.hashCode()));
+            Set<String> carriers = links.carriers(box, others);
+            assertEquals(carriers.size(), 2 * domains);
+            assertTrue(fleet.stream()
+                    .filter(one -> carriers.contains(one.boxId()))
+                    .allMatch(one -> one.capacity() == BIG));
+            int own = carriers.contains(box.boxId()) ? 1 : 0;
+            assertEquals(links.linksOf(box, others, others).size(), 2 * domains - own);
+        }
+    }
+
+    @Test
+    public void anotherBoxTakesTheLostHubsPlace() {
+        List<Box> fleet = fleet(3, 29);
+        Box self = fleet.get(0);
+        Set<String> before = links.carriers(self, fleet);
+        fleet.removeIf(box -> box.boxId().equals("box-1-28"));
+        Set<String> after = links.carriers(self, fleet);
+        assertEquals(after.size(), before.size());
+        assertTrue(before.contains("box-1-28") && !after.contains("box-1-28"));
+    }
+
+    @Test
+    public void everyBoxOfASmallFleetCarriesAndIsLinked() {
+        List<Box> fleet = fleet(3, 3);
+        assertEquals(links.carriers(fleet.get(0), fleet).size(), 9);
+        assertEquals(links.linksOf(fleet.get(0), fleet, fleet).size(), 8);
+    }
+}
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.limit.WorkspaceLimiter;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.peer.DomainMesh;
 import org.wingstall.core.retry.HedgePolicy;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
@@ -204,7 +205,7 @@
         Peering peering = settings.getPeering();
         String advertised = settings.getAdvertisedPeerAddress();
         String told = advertised == null ? settings.getPeerAddress() : advertised;
-        Hello hello = new Hello(settings.getBoxId(), settings.getFailureDomain(), told, incarnation);
+        Hello hello = new Hello(settings.getBoxId(), settings.getFailureDomain(), told, incarnation, 0);
         return new PeerOptions(
                 hello,
                 Addresses.parse(settings.getPeerAddress()),
@@ -212,7 +213,7 @@
                 peering.getHeartbeatMs(),
                 peering.getSilentAfterMs(),
                 peering.getBudgetBytesPerSecond(),
-                0);
+                new DomainMesh());
     }
 
     private String idPrefix() {
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -13,6 +15,8 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.HubLinks;
+import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
@@ -24,6 +28,7 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerOptions;
+import org.wingstall.peer.PeerTable;
 import org.wingstall.platform.PlatformBoxDirectory;
 import org.wingstall.platform.PlatformCallerWire;
 import org.wingstall.platform.PlatformConfigSource;
@@ -32,6 +37,8 @@
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.control.BoxFollower;
+import org.wingstall.relay.control.ListFollower;
+import org.wingstall.relay.control.OneReaderPerDomain;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.control.SourceFollower;
@@ -50,7 +57,6 @@
 import org.wingstall.relay.wire.BoxDirectory;
 import org.wingstall.relay.wire.EndpointWire;
 import org.wingstall.schema.peer.Hello;
-import org.wingstall.schema.platform.Member;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
@@ -83,12 +89,26 @@
     /** Silence after which a box gathers no pieces, in ms; three heartbeats and some. */
     private static final long SILENT_AFTER_MS = 1300;
 
-    /** Bytes a second for heartbeats, both ways; enough for a whole mesh of the size below at the pause above. */
-    private static final int HEARTBEAT_BYTES_PER_SECOND = 20_000;
+    /**
+     * Bytes a second for heartbeats, both ways; enough for a hub of 370 boxes at the pause above, so that hubs are never
+     * silent for longer than peers wait. A box that is no hub uses a few thousand.
+     */
+    private static final int HEARTBEAT_BYTES_PER_SECOND = 300_000;
 
     /** Fleets of up to this many boxes keep links between all of them. */
     private static final int WHOLE_MESH_BOXES = 24;
 
+    /** Hubs of a failure domain in larger fleets: one may be lost, and another takes over its work. */
+    private static final int HUBS_PER_DOMAIN = 2;
+
+    private static final int HUNDREDTHS = 100;
+
+    /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
+    private static final long READ_AGAIN_MS = 600;
+
+    /** Shortest time between two reads of the list, in ms; the store allows the fleet 2,000 calls a second. */
+    private static final long LEAST_INTERVAL_MS = 100;
+
     private final MonotonicClock clock = System::nanoTime;
     private final RandomGenerator random = new SplittableRandom();
     private volatile RelaySettings settings;
@@ -103,6 +123,7 @@
     private final StagePools pools;
     private final RelayHandler handler;
     private final SourceFollower follower;
+    private final ListFollower list;
     private final BoxFollower boxes;
     private HttpServer callers;
     private volatile boolean stopping;
@@ -117,13 +138,15 @@
         EventLoop loop = requests.next();
         EndpointWire wire = new PlatformEndpointWire();
         this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
-        this.mesh = new PeerMesh(peerOptions(), new RelayPeers(state, () -> stopping), loop, clock);
+        this.mesh = new PeerMesh(
+                peerOptions(), new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::list), loop, clock);
         this.pools = new StagePools(
                 new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
                 random,
                 mesh,
-                new RendezvousGathering(settings.getBoxId(), () -> mesh.peers().serving(), mesh::linked));
-        mesh.attach(pools);
+                new RendezvousGathering(
+                        settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries));
+        mesh.pieces().attach(pools);
         this.handler = new RelayHandler(
                 new RelayParts(
                         loop,
@@ -143,16 +166,17 @@
                         new RequestLog(clock, metrics)),
                 this::known);
         StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
-        this.follower = new SourceFollower(
+        this.follower = new SourceFollower(control, new PlatformConfigSource(store, settings.getConfigWaitMs()), state);
+        this.list = new ListFollower(
                 control,
-                new PlatformConfigSource(store, settings.getConfigWaitMs()),
-                state,
                 new PlatformEndpointSource(store),
                 endpoints,
-                settings.getEndpointIntervalMs(),
-                () -> loop.execute(pools::offerAll));
-        BoxDirectory.Box self =
-                new BoxDirectory.Box(settings.getBoxId(), settings.getFailureDomain(), settings.getPeerAddress());
+                new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries),
+                clock,
+                endpointIntervalMs(settings),
+                this::listChanged);
+        BoxDirectory.Box self = new BoxDirectory.Box(
+                settings.getBoxId(), settings.getFailureDomain(), capacity(settings), settings.getPeerAddress());
         this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
     }
 
@@ -161,7 +185,8 @@
                 settings.getBoxId(),
                 settings.getFailureDomain(),
                 settings.getPeerAddress(),
-                System.currentTimeMillis());
+                System.currentTimeMillis(),
+                capacity(settings));
         return new PeerOptions(
                 hello,
                 Addresses.parse(settings.getPeerAddress()),
@@ -169,26 +194,52 @@
                 HEARTBEAT_MS,
                 SILENT_AFTER_MS,
                 HEARTBEAT_BYTES_PER_SECOND,
-                WHOLE_MESH_BOXES);
+                new HubLinks(WHOLE_MESH_BOXES, HUBS_PER_DOMAIN));
+    }
+
+    /** A read that fails once leaves time for another before the bound. */
+    private static long endpointIntervalMs(RelaySettings settings) {
+        long shortestMs = Math.max(LEAST_INTERVAL_MS, (settings.getLeavingWithinMs() - READ_AGAIN_MS) / 2);
+        return settings.getLeavingWithinMs() == 0 ? settings.getEndpointIntervalMs() : shortestMs;
+    }
+
+    private static int capacity(RelaySettings settings) {
+        return (int) Math.round(HUNDREDTHS * settings.getProcessors() * settings.getProcessorShare());
     }
 
     private void boxesRead(List<BoxDirectory.Box> read) {
-        List<Member> members = new ArrayList<>();
+        Map<LinkPlan.Box, InetSocketAddress> addresses = new HashMap<>();
         for (BoxDirectory.Box box : read) {
-            members.add(new Member(
-                    box.boxId(),
-                    Member.Kind.GATEWAY,
-                    box.failureDomain(),
-                    box.peerAddress(),
-                    null,
-                    null,
-                    Member.State.LIVE,
-                    1));
+            LinkPlan.Box peer = new LinkPlan.Box(box.boxId(), box.failureDomain(), box.capacity());
+            addresses.put(peer, Addresses.parse(box.peerAddress()));
         }
-        mesh.applyList(members);
+        mesh.applyBoxes(addresses);
         budgets.change(budgetPart(settings, read.size()));
     }
 
+    private ListFollower list() {
+        return list;
+    }
+
+    private List<OneReaderPerDomain.Peer> heardPeers() {
+        PeerTable peers = mesh.peers();
+        return peers.all().stream()
+                .filter(peer -> peers.heard(peer) && !peer.stopping())
+                .map(peer -> new OneReaderPerDomain.Peer(
+                        peer.hello().getBoxId(), peers.inOwnDomain(peer), peer.listTag() != 0, peer.tableUnheard()))
+                .toList();
+    }
+
+    /** Peers are told at once, so that they read the list as well. */
+    private void listChanged() {
+        mesh.beatNow();
+        requests.next().execute(pools::offerAll);
+    }
+
+    private void newerConfigHeard(long version) {
+        follower.newerHeard(version);
+    }
+
     private boolean known() {
         return state.config().known() && endpoints.known();
     }
@@ -202,6 +253,7 @@
         mesh.start();
         pools.start();
         follower.start();
+        list.start();
         boxes.start();
         callers = HttpServer.start(
                 requests, Addresses.parse(settings.getCallerAddress()), this::limits, handler, this::rejected);
--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -27,6 +27,7 @@
     private final Map<String, PeerLink> links;
     private final Function<InetSocketAddress, ChannelInitializer<SocketChannel>> initializer;
     private final Set<InetSocketAddress> dialling = new HashSet<>();
+    private volatile Set<String> carriers = Set.of();
 
     Dialer(
             PeerOptions options,
@@ -45,9 +46,10 @@
 
     /** Dials every planned peer and every seed that has no link, and closes links that are not planned any more. */
     void dialMissing() {
-        Set<String> planned = LinkPlan.linksOf(self, directory.reachable(), options.wholeMeshBoxes());
-        directory.inDomain(self.failureDomain()).forEach(box -> planned.add(box.boxId()));
+        List<LinkPlan.Box> reachable = directory.reachable();
+        Set<String> planned = options.links().linksOf(self, reachable, directory.all());
         planned.remove(self.boxId());
+        carriers = Set.copyOf(options.links().carriers(self, reachable));
         for (String boxId : planned) {
             if (!links.containsKey(boxId)) {
                 dial(directory.entry(boxId).address());
@@ -63,6 +65,11 @@
         retryUnreachable(planned);
     }
 
+    /** Returns the boxes that do work for others, as of the last look; read on any thread. */
+    Set<String> carriers() {
+        return carriers;
+    }
+
     /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
     private void retryUnreachable(Set<String> planned) {
         Set<String> reachable = new HashSet<>();
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -17,20 +17,26 @@
     private final Map<InetSocketAddress, Integer> failures = new HashMap<>();
     private final Map<InetSocketAddress, String> boxesBehind = new HashMap<>();
 
+    /** A box and where it takes links. */
     record Entry(LinkPlan.Box box, InetSocketAddress address) {}
 
     void applyList(List<Member> members, String selfId) {
-        Map<String, Entry> listed = new HashMap<>();
+        List<Entry> listed = new ArrayList<>();
         for (Member member : members) {
-            boolean peer = member.getKind() == Member.Kind.GATEWAY
-                    && !member.getMemberId().equals(selfId);
-            if (peer) {
+            if (member.getKind() == Member.Kind.GATEWAY) {
                 LinkPlan.Box box = new LinkPlan.Box(member.getMemberId(), member.getFailureDomain());
-                listed.put(member.getMemberId(), new Entry(box, Addresses.parse(member.getAddress())));
+                listed.add(new Entry(box, Addresses.parse(member.getAddress())));
             }
         }
+        applyBoxes(listed, selfId);
+    }
+
+    /** Takes in all boxes known from elsewhere; those that were learned from hellos since stay out. */
+    void applyBoxes(List<Entry> boxes, String selfId) {
         entries.clear();
-        entries.putAll(listed);
+        boxes.stream()
+                .filter(entry -> !entry.box().boxId().equals(selfId))
+                .forEach(entry -> entries.put(entry.box().boxId(), entry));
     }
 
     void learned(LinkPlan.Box box, InetSocketAddress address) {
@@ -83,12 +89,4 @@
     List<LinkPlan.Box> all() {
         return entries.values().stream().map(Entry::box).toList();
     }
-
-    /** Returns all boxes of a failure domain, whether they can be reached or not. */
-    List<LinkPlan.Box> inDomain(String failureDomain) {
-        return entries.values().stream()
-                .map(Entry::box)
-                .filter(box -> box.failureDomain().equals(failureDomain))
-                .toList();
-    }
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -30,11 +31,9 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
+import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
-import org.wingstall.schema.peer.StageFreed;
-import org.wingstall.schema.peer.StageResult;
-import org.wingstall.schema.peer.StageWork;
 import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
 
@@ -48,6 +47,9 @@
 public final class PeerMesh implements PeerLink.LinkEvents {
     private static final Logger LOG = LogManager.getLogger(PeerMesh.class);
 
+    /** Frames that may leave in one write; more than most calls have results. */
+    private static final int FRAMES_A_WRITE = 64;
+
     private final PeerOptions options;
     private final PeerHost host;
     private final EventLoop loop;
@@ -57,12 +59,12 @@
     private final ByteCounter bytes = new ByteCounter();
     private final Directory directory = new Directory();
     private final Map<String, PeerLink> links = new HashMap<>();
+    private final PieceLinks pieces = new PieceLinks(links);
     private final Dialer dialer;
     private final ForwardedClaims forwarded;
     private final DomainTable domains;
     private final PeerTable peers;
     private volatile int knownBoxes = 1;
-    private PieceHost pieces;
     private Channel listener;
     private volatile HeartbeatPacer.Plan plan;
     private int sinceFull;
@@ -82,7 +84,7 @@
         this.clock = clock;
         this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
         this.plan = new HeartbeatPacer.Plan(options.heartbeatMs(), 1);
-        this.self = new LinkPlan.Box(options.hello().getBoxId(), options.hello().getFailureDomain());
+        this.self = boxOf(options.hello());
         this.forwarded = new ForwardedClaims(loop);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
         this.peers = new PeerTable(self, options.silentAfterMs(), host::tableUnheard, clock);
@@ -109,52 +111,43 @@
         PeriodicTask.start(loop, "heartbeat", this::delayMs, this::tick);
     }
 
-    /** Attaches the host of pieces; before {@link #start()}. */
-    public void attach(PieceHost pieceHost) {
-        pieces = pieceHost;
-    }
-
-    /** Returns whether a link to a peer is open; on the mesh's event loop. */
-    public boolean linked(String boxId) {
-        PeerLink link = links.get(boxId);
-        return link != null && link.active();
-    }
-
-    /** Asks a peer to have pieces made; returns whether there is a link to it. On the mesh's event loop. */
-    public boolean askFor(String boxId, long correlation, StageWork work) {
-        return sendTo(boxId, Frames.stageWork(correlation, work));
-    }
-
-    /** Tells a peer what became of a piece; returns whether there is a link to it. On the mesh's event loop. */
-    public boolean tellResult(String boxId, long correlation, StageResult result) {
-        return sendTo(boxId, Frames.stageResult(correlation, result));
+    /** Returns what gateways say to each other about pieces of stages. */
+    public PieceLinks pieces() {
+        return pieces;
     }
 
-    /** Tells a peer that pieces are not wanted any more. On the mesh's event loop. */
-    public void withdraw(String boxId, long correlation) {
-        sendTo(boxId, Frames.stageWithdrawn(correlation));
+    /** Takes in a membership list. */
+    public void applyList(List<Member> members) {
+        loop.execute(() -> {
+            directory.applyList(members, self.boxId());
+            relearn();
+        });
     }
 
-    /** Tells the box that gathered pieces that results are given up; returns whether there is a link to it. */
-    public boolean tellFreed(String boxId, StageFreed freed) {
-        return sendTo(boxId, Frames.stageFreed(freed));
+    /**
+     * Takes in the boxes of the fleet.
+     *
+     * @param addresses where each box takes links
+     */
+    public void applyBoxes(Map<LinkPlan.Box, InetSocketAddress> addresses) {
+        List<Directory.Entry> entries = addresses.entrySet().stream()
+                .map(box -> new Directory.Entry(box.getKey(), box.getValue()))
+                .toList();
+        loop.execute(() -> {
+            directory.applyBoxes(entries, self.boxId());
+            relearn();
+        });
     }
 
-    private boolean sendTo(String boxId, PeerFrame frame) {
-        boolean linked = linked(boxId);
-        if (linked) {
-            links.get(boxId).send(frame);
-        }
-        return linked;
+    /** Boxes that there is a link to are known, whether a list has them or not. */
+    private void relearn() {
+        links.values().forEach(this::learn);
+        knownBoxes = directory.size() + 1;
     }
 
-    /** Takes in a membership list. */
-    public void applyList(List<Member> members) {
-        loop.execute(() -> {
-            directory.applyList(members, self.boxId());
-            links.values().forEach(this::learn);
-            knownBoxes = directory.size() + 1;
-        });
+    /** Returns whether a box does work for others, as all boxes that know the same ones see it. */
+    public boolean carries(String boxId) {
+        return dialer.carriers().contains(boxId);
     }
 
     /** Returns what is known of the peers. */
@@ -274,6 +267,8 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                // The frames that one event gives rise to, such as the results of a call, leave in one write.
+                channel.pipeline().addLast(new FlushConsolidationHandler(FRAMES_A_WRITE, true));
                 channel.pipeline().addLast(bytes);
                 FrameCodec.addTo(channel.pipeline(), PeerFrame.class);
                 channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialledAddress));
@@ -313,18 +308,19 @@
         return older.initiator().compareTo(newer.initiator()) < 0;
     }
 
+    private static LinkPlan.Box boxOf(Hello hello) {
+        return new LinkPlan.Box(hello.getBoxId(), hello.getFailureDomain(), hello.getCapacity());
+    }
+
     private void learn(PeerLink link) {
-        LinkPlan.Box box = new LinkPlan.Box(link.peer().getBoxId(), link.peer().getFailureDomain());
-        directory.learned(box, Addresses.parse(link.peer().getPeerAddress()));
+        directory.learned(boxOf(link.peer()), Addresses.parse(link.peer().getPeerAddress()));
     }
 
     @Override
     public void closed(PeerLink link) {
         if (links.remove(link.peer().getBoxId(), link)) {
             LogEvent.info("peer-unlinked").with("peer", link.peer().getBoxId()).to(LOG);
-            if (pieces != null) {
-                pieces.unlinked(link.peer().getBoxId());
-            }
+            pieces.unlinked(link.peer().getBoxId());
         }
     }
 
@@ -344,20 +340,8 @@
             forwarded.answered(frame.getCorrelation(), frame.getClaimReply());
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
-        } else if (pieces != null) {
-            pieceFrame(link.peer().getBoxId(), frame);
-        }
-    }
-
-    private void pieceFrame(String boxId, PeerFrame frame) {
-        if (frame.getStageWork() != null) {
-            pieces.workCame(boxId, frame.getCorrelation(), frame.getStageWork());
-        } else if (frame.getStageResult() != null) {
-            pieces.resultCame(boxId, frame.getCorrelation(), frame.getStageResult());
-        } else if (frame.getStageFreed() != null) {
-            pieces.freed(frame.getStageFreed());
-        } else if (frame.isStageWithdrawn()) {
-            pieces.withdrawn(boxId, frame.getCorrelation());
+        } else {
+            pieces.frame(link.peer().getBoxId(), frame);
         }
     }
 
--- a/peer/src/main/java/org/wingstall/peer/PeerOptions.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.wingstall.core.peer.LinkStrategy;
 import org.wingstall.schema.peer.Hello;
 
 /**
@@ -13,7 +14,7 @@
  * @param heartbeatMs shortest interval between heartbeats, in ms
  * @param silentAfterMs a peer not heard for this long counts as gone, in ms
  * @param budgetBytesPerSecond bytes a second that heartbeats may cost, both ways
- * @param wholeMeshBoxes fleets of up to this many boxes keep links between all of them; 0 for none
+ * @param links which links are opened
  * @since 0.1
  */
 public record PeerOptions(
@@ -23,4 +24,4 @@
         long heartbeatMs,
         long silentAfterMs,
         int budgetBytesPerSecond,
-        int wholeMeshBoxes) {}
+        LinkStrategy links) {}
--- a/peer/src/main/java/org/wingstall/peer/PieceHost.java
+++ b/peer/src/main/java/org/wingstall/peer/PieceHost.java
@@ -7,7 +7,7 @@
 /**
  * What a gateway that gathers pieces of stages lends to its links; called on the mesh's event loop.
  *
- * <p>{@code mesh.attach(pieceHost);}
+ * <p>{@code mesh.pieces().attach(pieceHost);}
  *
  * @since 0.2
  */
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/PieceLinks.java
@@ -0,0 +1,84 @@
+package org.wingstall.peer;
+
+import java.util.Map;
+import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.StageFreed;
+import org.wingstall.schema.peer.StageResult;
+import org.wingstall.schema.peer.StageWork;
+
+/**
+ * What gateways say to each other about pieces of stages. Confined to the mesh's event loop.
+ *
+ * <p>{@code if (!mesh.pieces().askFor("kgn-a-1", 7, work)) { makeThemHere(); }}
+ *
+ * @since 0.3
+ */
+public final class PieceLinks {
+    private final Map<String, PeerLink> links;
+    private PieceHost host;
+
+    PieceLinks(Map<String, PeerLink> links) {
+        this.links = links;
+    }
+
+    /** Attaches the host of pieces; before the mesh starts. */
+    public void attach(PieceHost pieceHost) {
+        host = pieceHost;
+    }
+
+    /** Returns whether a link to a peer is open. */
+    public boolean linked(String boxId) {
+        PeerLink link = links.get(boxId);
+        return link != null && link.active();
+    }
+
+    /** Asks a peer to have pieces made; returns whether there is a link to it. */
+    public boolean askFor(String boxId, long correlation, StageWork work) {
+        return sendTo(boxId, Frames.stageWork(correlation, work));
+    }
+
+    /** Tells a peer what became of a piece; returns whether there is a link to it. */
+    public boolean tellResult(String boxId, long correlation, StageResult result) {
+        return sendTo(boxId, Frames.stageResult(correlation, result));
+    }
+
+    /** Tells a peer that pieces are not wanted any more. */
+    public void withdraw(String boxId, long correlation) {
+        sendTo(boxId, Frames.stageWithdrawn(correlation));
+    }
+
+    /** Tells the box that gathered pieces that results are given up; returns whether there is a link to it. */
+    public boolean tellFreed(String boxId, StageFreed freed) {
+        return sendTo(boxId, Frames.stageFreed(freed));
+    }
+
+    private boolean sendTo(String boxId, PeerFrame frame) {
+        boolean linked = linked(boxId);
+        if (linked) {
+            links.get(boxId).send(frame);
+        }
+        return linked;
+    }
+
+    /** Passes a frame about pieces to the host; others are passed over. */
+    void frame(String boxId, PeerFrame frame) {
+        if (host == null) {
+            return;
+        }
+        if (frame.getStageWork() != null) {
+            host.workCame(boxId, frame.getCorrelation(), frame.getStageWork());
+        } else if (frame.getStageResult() != null) {
+            host.resultCame(boxId, frame.getCorrelation(), frame.getStageResult());
+        } else if (frame.getStageFreed() != null) {
+            host.freed(frame.getStageFreed());
+        } else if (frame.isStageWithdrawn()) {
+            host.withdrawn(boxId, frame.getCorrelation());
+        }
+    }
+
+    void unlinked(String boxId) {
+        if (host != null) {
+            host.unlinked(boxId);
+        }
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
 import org.wingstall.peer.PeerHost;
 import org.wingstall.schema.peer.ClaimReply;
 import org.wingstall.schema.peer.ClaimRequest;
@@ -11,26 +13,33 @@
 import org.wingstall.schema.peer.MemberNews;
 
 /**
- * Lends a box's state to its links with others: the version in force and whether it stops. Claims and rows of the table
+ * Lends a box's state to its links with others: the version in force, what it read of the list, and whether it stops. Claims and rows of the table
  * are not passed on between these boxes.
  *
- * <p>{@code new PeerMesh(options, new RelayPeers(state, stopping), loop, clock)}
+ * <p>{@code new PeerMesh(options, new RelayPeers(state, stopping, follower::newerHeard, () -> list), loop, clock)}
  *
  * @since 0.2
  */
 public final class RelayPeers implements PeerHost {
     private final RelayState state;
     private final BooleanSupplier stopping;
+    private final LongConsumer newerHeard;
+    private final Supplier<ListFollower> list;
 
     /**
      * Creates the host.
      *
      * @param state the configuration in force
      * @param stopping whether a planned stop has begun
+     * @param newerHeard told of versions of the configuration that peers have and this box has not
+     * @param list how this box follows the list of endpoints
      */
-    public RelayPeers(RelayState state, BooleanSupplier stopping) {
+    public RelayPeers(
+            RelayState state, BooleanSupplier stopping, LongConsumer newerHeard, Supplier<ListFollower> list) {
         this.state = state;
         this.stopping = stopping;
+        this.newerHeard = newerHeard;
+        this.list = list;
     }
 
     @Override
@@ -50,11 +59,23 @@
 
     @Override
     public Heartbeat heartbeat() {
-        return new Heartbeat(revision(), stopping.getAsBoolean(), List.of(), List.of(), List.of(), false, 0);
+        ListFollower follower = list.get();
+        return new Heartbeat(
+                revision(),
+                stopping.getAsBoolean(),
+                List.of(),
+                List.of(),
+                List.of(),
+                follower.unanswered(),
+                follower.changedVersion());
     }
 
     @Override
     public boolean heard(Heartbeat heartbeat) {
+        if (heartbeat.getRevision() > revision()) {
+            newerHeard.accept(heartbeat.getRevision());
+        }
+        list.get().peerSawChange(heartbeat.getListTag());
         return false;
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.route.EndpointState;
@@ -53,7 +55,7 @@
         return readAtMs != Long.MIN_VALUE;
     }
 
-    /** Returns the age of the list, in ms. */
+    /** Returns the time since the list was read or found unchanged, in ms. */
     public long ageMs() {
         return known() ? clock.nowMs() - readAtMs : -1;
     }
@@ -82,13 +84,16 @@
      * Takes in a list.
      *
      * @param entries the whole list
+     * @return whether endpoints came, went or began to leave
      */
-    public synchronized void applyList(List<EndpointSource.Entry> entries) {
+    public synchronized boolean applyList(List<EndpointSource.Entry> entries) {
         long nowMs = clock.nowMs();
         if (away) {
             away = false;
             backAtMs = nowMs;
         }
+        Set<String> servingBefore = serving();
+        boolean first = !known();
         Map<String, RelayEndpoint> next = new HashMap<>();
         for (EndpointSource.Entry entry : entries) {
             next.put(entry.identity().memberId(), endpointOf(entry));
@@ -98,10 +103,25 @@
         }
         byId.values().stream().filter(before -> !next.containsKey(before.id())).forEach(this::gone);
         publish(next);
-        if (!known()) {
+        if (first) {
             LogEvent.info("endpoints-known").with("count", next.size()).to(LOG);
         }
         readAtMs = nowMs;
+        return first || !servingBefore.equals(serving());
+    }
+
+    private Set<String> serving() {
+        return byId.values().stream()
+                .filter(endpoint -> !endpoint.state().leaving())
+                .map(RelayEndpoint::id)
+                .collect(Collectors.toSet());
+    }
+
+    /** Takes note that the list is as a box has just read it. */
+    public void confirmed() {
+        if (known()) {
+            readAtMs = clock.nowMs();
+        }
     }
 
     private void gone(RelayEndpoint endpoint) {
--- a/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
-import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PieceLinks;
 import org.wingstall.relay.wire.Piece;
 import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.schema.peer.StagePiece;
@@ -18,7 +18,7 @@
  * piece may be made twice. Confined to the request loop.
  */
 final class AskedPieces {
-    private final PeerMesh mesh;
+    private final PieceLinks links;
     private final MonotonicClock clock;
     private final Resubmit resubmit;
     private final Map<Long, Asked> asked = new HashMap<>();
@@ -63,8 +63,8 @@
         }
     }
 
-    AskedPieces(PeerMesh mesh, MonotonicClock clock, Resubmit resubmit) {
-        this.mesh = mesh;
+    AskedPieces(PieceLinks links, MonotonicClock clock, Resubmit resubmit) {
+        this.links = links;
         this.clock = clock;
         this.resubmit = resubmit;
     }
@@ -73,7 +73,7 @@
     boolean ask(String boxId, String service, List<PieceTicket> tickets) {
         long correlation = nextCorrelation++;
         List<StagePiece> pieces = tickets.stream().map(this::encode).toList();
-        if (!mesh.askFor(boxId, correlation, new StageWork(service, pieces))) {
+        if (!links.askFor(boxId, correlation, new StageWork(service, pieces))) {
             return false;
         }
         asked.put(correlation, new Asked(boxId, service, tickets));
@@ -123,7 +123,7 @@
         asked.entrySet().removeIf(entry -> {
             boolean unwanted = entry.getValue().withdrawn();
             if (unwanted) {
-                mesh.withdraw(entry.getValue().boxId, entry.getKey());
+                links.withdraw(entry.getValue().boxId, entry.getKey());
             }
             return unwanted;
         });
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
-import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PieceLinks;
 import org.wingstall.relay.wire.Piece;
 import org.wingstall.schema.peer.StagePiece;
 import org.wingstall.schema.peer.StageResult;
@@ -14,13 +14,13 @@
 
 /** The pieces that this box has made for others, in the same pools as its own. Confined to the request loop. */
 final class GatheredPieces {
-    private final PeerMesh mesh;
+    private final PieceLinks links;
     private final MonotonicClock clock;
     private final StagePools pools;
     private final Map<String, Map<Long, List<PieceTicket>>> byBox = new HashMap<>();
 
-    GatheredPieces(PeerMesh mesh, MonotonicClock clock, StagePools pools) {
-        this.mesh = mesh;
+    GatheredPieces(PieceLinks links, MonotonicClock clock, StagePools pools) {
+        this.links = links;
         this.clock = clock;
         this.pools = pools;
     }
@@ -46,7 +46,7 @@
 
     private void ended(String boxId, long correlation, int place, MadePiece made) {
         List<PieceTicket> tickets = byBox.getOrDefault(boxId, Map.of()).get(correlation);
-        boolean wanted = tickets != null && mesh.tellResult(boxId, correlation, encode(place, made));
+        boolean wanted = tickets != null && links.tellResult(boxId, correlation, encode(place, made));
         if (!wanted) {
             pools.freer().free(made);
             return;
--- a/relay/src/main/java/org/wingstall/relay/pool/RendezvousGathering.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RendezvousGathering.java
@@ -18,6 +18,7 @@
     private final String self;
     private final Supplier<List<String>> heard;
     private final Predicate<String> linked;
+    private final Predicate<String> carries;
 
     /**
      * Creates the choice.
@@ -25,11 +26,14 @@
      * @param self this box
      * @param heard other boxes that are heard and not stopping
      * @param linked whether there is a link to a box
+     * @param carries whether a box does work for others
      */
-    public RendezvousGathering(String self, Supplier<List<String>> heard, Predicate<String> linked) {
+    public RendezvousGathering(
+            String self, Supplier<List<String>> heard, Predicate<String> linked, Predicate<String> carries) {
         this.self = self;
         this.heard = heard;
         this.linked = linked;
+        this.carries = carries;
     }
 
     @Override
@@ -37,6 +41,8 @@
         List<String> boxes = new ArrayList<>(heard.get());
         boxes.removeIf(box -> !linked.test(box));
         boxes.add(self);
+        List<String> carriers = boxes.stream().filter(carries).toList();
+        boxes = carriers.isEmpty() ? List.of(self) : carriers;
         String chosen = Rendezvous.top("pieces:" + service, boxes, 1).get(0);
         return chosen.equals(self) ? null : chosen;
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
@@ -12,7 +12,7 @@
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PieceLinks;
 import org.wingstall.relay.wire.EndpointWire;
 import org.wingstall.schema.peer.StageFreed;
 
@@ -32,18 +32,18 @@
     private final EventLoop loop;
     private final HttpClient client;
     private final EndpointWire wire;
-    private final PeerMesh mesh;
+    private final PieceLinks links;
     private final RoomLedger ledger;
     private final Map<Holder, List<String>> gathered = new HashMap<>();
 
     /** Where results lie, and the box to tell; null for this one. */
     private record Holder(InetSocketAddress maker, String gatherer) {}
 
-    ResultFreer(EventLoop loop, HttpClient client, EndpointWire wire, PeerMesh mesh, RoomLedger ledger) {
+    ResultFreer(EventLoop loop, HttpClient client, EndpointWire wire, PieceLinks links, RoomLedger ledger) {
         this.loop = loop;
         this.client = client;
         this.wire = wire;
-        this.mesh = mesh;
+        this.links = links;
         this.ledger = ledger;
     }
 
@@ -70,7 +70,7 @@
         Map<Holder, List<String>> now = Map.copyOf(gathered);
         gathered.clear();
         now.forEach((holder, handles) -> {
-            if (holder.gatherer() == null || !mesh.tellFreed(holder.gatherer(), encode(holder, handles))) {
+            if (holder.gatherer() == null || !links.tellFreed(holder.gatherer(), encode(holder, handles))) {
                 freeAtMaker(holder.maker(), handles);
             }
         });
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -50,9 +50,9 @@
         this.mesh = mesh;
         this.gathering = gathering;
         this.ledger = new RoomLedger(parts.clock());
-        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire(), mesh, ledger);
-        this.asked = new AskedPieces(mesh, parts.clock(), this::submit);
-        this.gathered = new GatheredPieces(mesh, parts.clock(), this);
+        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire(), mesh.pieces(), ledger);
+        this.asked = new AskedPieces(mesh.pieces(), parts.clock(), this::submit);
+        this.gathered = new GatheredPieces(mesh.pieces(), parts.clock(), this);
     }
 
     /** Begins to watch the boxes that gather for this one. */
@@ -136,6 +136,10 @@
         return pools.computeIfAbsent(service, name -> new StagePool(name, parts, ledger, random));
     }
 
+    long nowMs() {
+        return parts.clock().nowMs();
+    }
+
     /** Returns the least time of a stage's pieces, in ms; 0 while nothing is known of the service. */
     long leastMs(StageSpec stage, int pieces) {
         return parts.config()
--- a/relay/src/main/java/org/wingstall/relay/wire/BoxDirectory.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/BoxDirectory.java
@@ -16,9 +16,10 @@
      *
      * @param boxId its name
      * @param failureDomain where it stands
+     * @param capacity processor time it has, in hundredths of a core
      * @param peerAddress where it takes links
      */
-    record Box(String boxId, String failureDomain, String peerAddress) {}
+    record Box(String boxId, String failureDomain, int capacity, String peerAddress) {}
 
     /** Writes this box down for the others; fails with a {@link SourceException}. */
     CompletableFuture<Void> announce(Box self);
--- a/relay/src/main/java/org/wingstall/relay/wire/EndpointSource.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/EndpointSource.java
@@ -7,7 +7,7 @@
 /**
  * Where the list of endpoints comes from.
  *
- * <p>{@code source.read().thenAccept(endpoints::applyList);}
+ * <p>{@code source.read().thenAccept(listing -> endpoints.applyList(listing.entries()));}
  *
  * @since 0.2
  */
@@ -22,6 +22,14 @@
      */
     record Entry(EndpointIdentity identity, int slots, boolean leaving, long coldMs) {}
 
+    /**
+     * The whole list.
+     *
+     * @param entries the endpoints
+     * @param version version of the source as of which it was read; rises with each change of anything there
+     */
+    record Listing(List<Entry> entries, long version) {}
+
     /** Reads the whole list; fails with a {@link SourceException}. */
-    CompletableFuture<List<Entry>> read();
+    CompletableFuture<Listing> read();
 }
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/control/SourceFollowerTest.java
@@ -0,0 +1,76 @@
+package org.wingstall.relay.control;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.config.RelayConfig;
+
+public class SourceFollowerTest {
+    private RelayState state;
+    private final AtomicInteger wholeReads = new AtomicInteger();
+    private EventLoop loop;
+    private volatile long stored;
+    private SourceFollower follower;
+
+    /** The first whole read is answered; waiting for changes never is, as on a connection that fell silent. */
+    @BeforeMethod
+    public void start() throws Exception {
+        loop = new DefaultEventLoop();
+        state = new RelayState();
+        stored = 1;
+        follower = new SourceFollower(loop, this::read, state);
+        follower.start();
+        settle();
+        assertEquals(state.config().version(), 1);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        loop.shutdownGracefully();
+    }
+
+    private CompletableFuture<Optional<RelayConfig>> read(boolean whole) {
+        if (!whole) {
+            return new CompletableFuture<>();
+        }
+        wholeReads.incrementAndGet();
+        return CompletableFuture.completedFuture(Optional.of(config(stored)));
+    }
+
+    private static RelayConfig config(long version) {
+        return new RelayConfig(version, List.of(), List.of(), Map.of(), false, ClientLimits.UNTIL_KNOWN);
+    }
+
+    /** Tasks of the loop run one after the other, so a few rounds end what they led to. */
+    private void settle() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            loop.submit(() -> {}).sync();
+        }
+    }
+
+    @Test
+    public void aVersionThatAPeerHasIsReadWhileTheWaitForChangesIsSilent() throws Exception {
+        stored = 2;
+        follower.newerHeard(2);
+        settle();
+        assertEquals(state.config().version(), 2);
+    }
+
+    @Test
+    public void aVersionThatIsInForceIsNotReadAgain() throws Exception {
+        int before = wholeReads.get();
+        follower.newerHeard(1);
+        settle();
+        assertEquals(wholeReads.get(), before);
+    }
+}
