Give calls for pieces more time while a whole service is slow

Found by reading: with the shorter patience a service whose endpoints are all several times slower than its figures (cold, or figures of another stage) would lose every call, and make each piece three times for nothing.

CallPatience counts calls lost since one came back in the usual time; each round over all endpoints adds the usual time again, up to four times. One stopped endpoint beside sound ones changes nothing.

--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -17,16 +17,6 @@
     private static final Logger LOG = LogManager.getLogger(PoolCall.class);
     private static final int OK = 200;
 
-    /** Full calls that may stand before this one at the endpoint: another box's, while views of who gathers differ. */
-    private static final int CALLS_AHEAD = 1;
-
-    /**
-     * Factor on the expected time after which a call counts as lost and its pieces are made elsewhere. Endpoints of a
-     * service differ by less than half; at 2.5 and two calls ahead, a call to one that had stopped held pieces for 1.9 s,
-     * longer than the target of any route (incident inc-276b, FINDINGS.md).
-     */
-    private static final double PATIENCE = 2;
-
     private final PoolParts parts;
     private final StagePool pool;
     private final RoomLedger ledger;
@@ -62,15 +52,13 @@
                 .map(ticket -> Math.max(1, ticket.urgency().dueAtMs() - beganMs))
                 .toList();
         parts.client()
-                .call(parts.loop(), parts.wire().pieces(endpoint.identity(), pieces, remainingMs), timeoutMs())
+                .call(
+                        parts.loop(),
+                        parts.wire().pieces(endpoint.identity(), pieces, remainingMs),
+                        pool.timeoutMs(spec, pieces.size()))
                 .whenCompleteAsync(this::ended, parts.loop());
     }
 
-    private long timeoutMs() {
-        double aheadMs = CALLS_AHEAD * spec.callMs(spec.batch());
-        return Math.round(PATIENCE * spec.callMs(tickets.size()) + aheadMs);
-    }
-
     private void ended(HttpReply reply, Throwable failure) {
         endpoint.state().release();
         tickets.forEach(
@@ -85,6 +73,7 @@
 
     private void unanswered(String detail) {
         endpoint.stalled(detail);
+        pool.patience().lost();
         LogEvent.warn("stage-call-lost")
                 .with("endpoint", endpoint.id())
                 .with("pieces", tickets.size())
@@ -95,6 +84,7 @@
     }
 
     private void answered(HttpReply reply) {
+        pool.patience().answered(spec, tickets.size(), parts.clock().nowMs() - beganMs);
         AnswerHead head = parts.wire().answerHead(reply.status(), reply.headers());
         head.load().ifPresent(endpoint.state()::reported);
         if (head.otherIncarnation()) {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -31,6 +31,7 @@
     private final RoomLedger ledger;
     private final RandomGenerator random;
     private final List<PieceGroup> waiting = new ArrayList<>();
+    private final CallPatience patience = new CallPatience();
     private boolean offerPlanned;
 
     StagePool(String service, PoolParts parts, RoomLedger ledger, RandomGenerator random) {
@@ -48,6 +49,16 @@
         offer();
     }
 
+    CallPatience patience() {
+        return patience;
+    }
+
+    /** Returns the time after which a call counts as lost, in ms. */
+    long timeoutMs(PoolSpec spec, int pieces) {
+        return patience.timeoutMs(
+                spec, pieces, parts.endpoints().ofService(service).size());
+    }
+
     /** Returns the pieces that wait. */
     int waiting() {
         return waiting.stream().mapToInt(PieceGroup::size).sum();
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/pool/CallPatienceTest.java
@@ -0,0 +1,47 @@
+package org.wingstall.relay.pool;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+import org.wingstall.relay.config.PoolSpec;
+
+public class CallPatienceTest {
+    private static final PoolSpec SPEC = new PoolSpec(1, 2, 8, 150, 16, 43_000_000, 4000);
+    private static final int ENDPOINTS = 4;
+
+    private final CallPatience patience = new CallPatience();
+
+    private long fullCallMs() {
+        return patience.timeoutMs(SPEC, SPEC.batch(), ENDPOINTS);
+    }
+
+    private void answeredAfter(long tookMs) {
+        patience.answered(SPEC, SPEC.batch(), tookMs);
+    }
+
+    @Test
+    public void aStoppedEndpointHoldsItsPiecesForAboutThreeCallsAtMost() {
+        for (int i = 0; i < 20; i++) {
+            patience.lost();
+            answeredAfter(200);
+        }
+        assertEquals(fullCallMs(), 3 * Math.round(SPEC.callMs(SPEC.batch())));
+    }
+
+    @Test
+    public void aServiceWhoseEndpointsAreAllSlowGetsLongerCallsUpToABound() {
+        long usualMs = fullCallMs();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            patience.lost();
+        }
+        assertEquals(fullCallMs(), 2 * usualMs);
+        for (int i = 0; i < 10 * ENDPOINTS; i++) {
+            patience.lost();
+        }
+        assertEquals(fullCallMs(), 4 * usualMs);
+        answeredAfter(usualMs + 1);
+        assertEquals(fullCallMs(), 4 * usualMs);
+        answeredAfter(200);
+        assertEquals(fullCallMs(), usualMs);
+    }
+}
--- a/soak/src/main/java/org/wingstall/soak/SoakMain.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakMain.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.LongStream;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -50,6 +51,7 @@
                 .type(Long.class)
                 .setDefault(System.currentTimeMillis())
                 .help("first seed");
+        parser.addArgument("--seed").type(Long.class).nargs("+").help("these seeds, whatever --seeds and --first say");
         parser.addArgument("--jobs").type(Integer.class).setDefault(1).help("seeds played at once");
         parser.addArgument("--boxes").type(Integer.class).setDefault(3).help("gateway processes");
         parser.addArgument("--callers").type(Integer.class).setDefault(12).help("callers");
@@ -62,8 +64,7 @@
     private static int playAll(Namespace options) throws InterruptedException, ExecutionException {
         ExecutorService jobs = Executors.newFixedThreadPool(options.getInt("jobs"));
         List<Future<Boolean>> seeds = new ArrayList<>();
-        for (int i = 0; i < options.getInt("seeds"); i++) {
-            long seed = options.getLong("first") + i;
+        for (long seed : seedsOf(options)) {
             seeds.add(jobs.submit(() -> play(options, seed)));
         }
         int broken = 0;
@@ -75,6 +76,16 @@
         return broken;
     }
 
+    private static List<Long> seedsOf(Namespace options) {
+        List<Long> named = options.getList("seed");
+        long first = options.getLong("first");
+        return named != null
+                ? named
+                : LongStream.range(first, first + options.getInt("seeds"))
+                        .boxed()
+                        .toList();
+    }
+
     private static boolean play(Namespace options, long seed) throws IOException, InterruptedException {
         Path folder = Files.createDirectories(Path.of(options.getString("folder"), Long.toString(seed)));
         SoakOptions run = new SoakOptions(
