--- a/ctl/src/main/java/org/wingstall/ctl/ConfigCheck.java
+++ b/ctl/src/main/java/org/wingstall/ctl/ConfigCheck.java
@@ -13,14 +13,20 @@
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.settings.GatewaySettings;
+import org.wingstall.schema.settings.RelaySettings;
 import org.wingstall.table.Edit;
 
-/** Checks a file without using it: a gateway's settings, or rows to import. */
+/** Checks a file without using it: a gateway's settings, a relay's settings, or rows to import. */
 final class ConfigCheck {
     private ConfigCheck() {}
 
     static void check(String file, PrintStream out) throws IOException, InvalidDocumentException, InvalidRowException {
         JsonNode tree = Json.readYaml(Files.readString(Path.of(file)));
+        if (tree.has("storeAddress")) {
+            SchemaCheck.of(RelaySettings.class).read(tree);
+            out.println("valid settings of a relay");
+            return;
+        }
         if (tree.has("boxId")) {
             SchemaCheck.of(GatewaySettings.class).read(tree);
             out.println("valid settings of a gateway");
--- a/soak/src/main/java/org/wingstall/soak/FaultInjector.java
+++ b/soak/src/main/java/org/wingstall/soak/FaultInjector.java
@@ -68,7 +68,7 @@
             case STORE_BUSY -> playOnStore(planned, StoreStandin.Mode.BUSY);
             case STORE_SILENT -> playOnStore(planned, StoreStandin.Mode.SILENT);
             case STORE_RESET -> playOnStore(planned, StoreStandin.Mode.RESET);
-            case STORE_FORGETS -> fleet.store().forgetHistory();
+            case STORE_FORGETS -> playLostHistory(planned);
             case ENDPOINT_WAY_CUT,
                     ENDPOINT_WAY_SILENT,
                     ENDPOINT_WAY_SLOW,
@@ -164,6 +164,13 @@
         note(Disturbance.STORE, planned, fromMs);
     }
 
+    /** A new version follows, which only who reads the whole can learn of. */
+    private void playLostHistory(Planned planned) throws InterruptedException, BindException {
+        fleet.store().forgetHistory();
+        end.within(planned.forMs());
+        fleet.configureNext();
+    }
+
     private void playFaultyEndpoint(Planned planned) throws InterruptedException {
         Endpoint endpoint = pick(planned);
         long fromMs = observations.nowMs();
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -77,7 +77,11 @@
     /** Drops the history of changes, and answers those that wait for some. */
     public synchronized void forgetHistory() {
         history.clear();
-        historyAfter = version;
+        historyAfter = ++version;
+        List<Waiter> asleep = List.copyOf(waiters);
+        waiters.clear();
+        asleep.forEach(waiter ->
+                waiter.call().eventLoop().execute(() -> waiter.call().respond(GONE, "text/plain", new byte[0])));
     }
 
     private void change(Change change) {
