Ask a store that is down less and less often

Each box asked twice four times a second while the store was down, which a fleet of 86 pays for with 690 calls a second that bring nothing. The pause doubles up to 1 s while something is known; a box that knows nothing yet asks every 250 ms as before. Not measured by itself.

--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -15,8 +15,8 @@
  * @since 0.3
  */
 public final class ListFollower {
-    /** Pause before a read that failed is repeated, in ms; a few reads fit into the time a change may take. */
-    private static final long REPEAT_MS = 250;
+    /** Turns within which a reader has to have read the list to vouch for it; one read may fail. */
+    private static final int FRESH_TURNS = 3;
 
     /** Longest time without a read of its own, in ms, whatever peers say. */
     private static final long MOST_AGE_MS = 10_000;
@@ -81,7 +81,7 @@
      * any thread.
      */
     public int changedVersion() {
-        boolean fresh = clock.nowMs() - readAtMs < 2 * intervalMs + REPEAT_MS;
+        boolean fresh = clock.nowMs() - readAtMs < FRESH_TURNS * intervalMs;
         return fresh && health.answers() ? (int) changedVersion : 0;
     }
 
@@ -105,7 +105,8 @@
         if (due) {
             readUnlessReading();
         }
-        loop.schedule(this::turn, health.answers() ? intervalMs : REPEAT_MS, TimeUnit.MILLISECONDS);
+        long delayMs = health.answers() ? intervalMs : health.repeatMs(table.known());
+        loop.schedule(this::turn, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void readUnlessReading() {
--- a/relay/src/main/java/org/wingstall/relay/control/SourceFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/SourceFollower.java
@@ -12,9 +12,6 @@
  * @since 0.2
  */
 public final class SourceFollower {
-    /** Pause before a read that failed is repeated, in ms; a few reads fit into the time a change may take. */
-    private static final long REPEAT_MS = 250;
-
     private final EventLoop loop;
     private final ConfigSource config;
     private final RelayState state;
@@ -51,7 +48,10 @@
                                 readWhole = true;
                             }
                             health.ended(failure);
-                            loop.schedule(this::followConfig, failure == null ? 0 : REPEAT_MS, TimeUnit.MILLISECONDS);
+                            long delayMs = failure == null
+                                    ? 0
+                                    : health.repeatMs(state.config().known());
+                            loop.schedule(this::followConfig, delayMs, TimeUnit.MILLISECONDS);
                         },
                         loop);
     }
--- a/relay/src/main/java/org/wingstall/relay/control/SourceHealth.java
+++ b/relay/src/main/java/org/wingstall/relay/control/SourceHealth.java
@@ -10,8 +10,15 @@
 final class SourceHealth {
     private static final Logger LOG = LogManager.getLogger(SourceHealth.class);
 
+    /** Pause before a read that failed first is repeated, in ms; a few reads fit into the time a change may take. */
+    private static final long FIRST_REPEAT_MS = 250;
+
+    /** Doublings of that pause, up to 1 s: a fleet that asks a store that is down more often only adds to its load. */
+    private static final int MOST_DOUBLINGS = 2;
+
     private final String source;
     private volatile boolean answers = true;
+    private int failures;
 
     SourceHealth(String source) {
         this.source = source;
@@ -21,10 +28,21 @@
         return answers;
     }
 
+    /**
+     * Returns the pause before the next read after one that failed.
+     *
+     * @param known whether something was read before; a box that knows nothing asks again soon
+     */
+    long repeatMs(boolean known) {
+        int doublings = known ? Math.min(MOST_DOUBLINGS, Math.max(0, failures - 1)) : 0;
+        return FIRST_REPEAT_MS << doublings;
+    }
+
     /** Takes note of the end of a read; the failure is null for one that was answered. */
     void ended(Throwable failure) {
         boolean before = answers;
         answers = failure == null;
+        failures = answers ? 0 : failures + 1;
         if (before && !answers) {
             Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
             String kind = cause instanceof SourceException known ? known.kind().name() : "unknown";
