--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -39,9 +39,9 @@
 import org.wingstall.relay.control.BoxFollower;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.OneReaderPerDomain;
+import org.wingstall.relay.control.RelayConfigFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
-import org.wingstall.relay.control.SourceFollower;
 import org.wingstall.relay.endpoint.LeastLoaded;
 import org.wingstall.relay.endpoint.PromptHome;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -122,8 +122,8 @@
     private final PeerMesh mesh;
     private final StagePools pools;
     private final RelayHandler handler;
-    private final SourceFollower follower;
-    private final ListFollower list;
+    private final RelayConfigFollower configFollower;
+    private final ListFollower listFollower;
     private final BoxFollower boxes;
     private HttpServer callers;
     private volatile boolean stopping;
@@ -139,7 +139,10 @@
         EndpointWire wire = new PlatformEndpointWire();
         this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
         this.mesh = new PeerMesh(
-                peerOptions(), new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::list), loop, clock);
+                peerOptions(),
+                new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::listFollower),
+                loop,
+                clock);
         this.pools = new StagePools(
                 new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
                 random,
@@ -166,8 +169,9 @@
                         new RequestLog(clock, metrics)),
                 this::known);
         StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
-        this.follower = new SourceFollower(control, new PlatformConfigSource(store, settings.getConfigWaitMs()), state);
-        this.list = new ListFollower(
+        this.configFollower =
+                new RelayConfigFollower(control, new PlatformConfigSource(store, settings.getConfigWaitMs()), state);
+        this.listFollower = new ListFollower(
                 control,
                 new PlatformEndpointSource(store),
                 endpoints,
@@ -217,8 +221,8 @@
         budgets.change(budgetPart(settings, read.size()));
     }
 
-    private ListFollower list() {
-        return list;
+    private ListFollower listFollower() {
+        return listFollower;
     }
 
     private List<OneReaderPerDomain.Peer> heardPeers() {
@@ -237,7 +241,7 @@
     }
 
     private void newerConfigHeard(long version) {
-        follower.newerHeard(version);
+        configFollower.newerHeard(version);
     }
 
     private boolean known() {
@@ -252,8 +256,8 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
-        follower.start();
-        list.start();
+        configFollower.start();
+        listFollower.start();
         boxes.start();
         callers = HttpServer.start(
                 requests, Addresses.parse(settings.getCallerAddress()), this::limits, handler, this::rejected);
--- a/relay/src/main/java/org/wingstall/relay/control/SourceFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -7,11 +7,11 @@
 /**
  * Follows the configuration; keeps what it has while its source does not answer. Runs on the control loop.
  *
- * <p>{@code new SourceFollower(loop, config, state).start();}
+ * <p>{@code new RelayConfigFollower(loop, config, state).start();}
  *
  * @since 0.2
  */
-public final class SourceFollower {
+public final class RelayConfigFollower {
     private final EventLoop loop;
     private final ConfigSource config;
     private final RelayState state;
@@ -26,7 +26,7 @@
      * @param config where the configuration comes from
      * @param state takes the configuration
      */
-    public SourceFollower(EventLoop loop, ConfigSource config, RelayState state) {
+    public RelayConfigFollower(EventLoop loop, ConfigSource config, RelayState state) {
         this.loop = loop;
         this.config = config;
         this.state = state;
--- a/relay/src/test/java/org/wingstall/relay/control/SourceFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -15,12 +15,12 @@
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.config.RelayConfig;
 
-public class SourceFollowerTest {
+public class RelayConfigFollowerTest {
     private RelayState state;
     private final AtomicInteger wholeReads = new AtomicInteger();
     private EventLoop loop;
     private volatile long stored;
-    private SourceFollower follower;
+    private RelayConfigFollower follower;
 
     /** The first whole read is answered; waiting for changes never is, as on a connection that fell silent. */
     @BeforeMethod
@@ -28,7 +28,7 @@
         loop = new DefaultEventLoop();
         state = new RelayState();
         stored = 1;
-        follower = new SourceFollower(loop, this::read, state);
+        follower = new RelayConfigFollower(loop, this::read, state);
         follower.start();
         settle();
         assertEquals(state.config().version(), 1);
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -33,11 +33,9 @@
     /** Time beyond a deadline that an endpoint may be given, or a caller be left without answer, in ms. */
     private static final long DEADLINE_SLACK_MS = 500;
 
-    /** Window of the retry budget, in ms, and the share of requests that may be sent once more; as in the settings. */
+    /** Window of the retry budget, in ms; the platform's own figure. */
     private static final long BUDGET_WINDOW_MS = 10_000;
 
-    private static final double BUDGET_RATIO = 0.2;
-
     private static final String SEAL = "seal-of-";
 
     private Promises() {}
@@ -200,7 +198,7 @@
             }
             again.forEach((window, count) -> {
                 int requests = Math.max(first.getOrDefault(window, 0), first.getOrDefault(window - 1, 0));
-                if (count > BUDGET_RATIO * requests + SoakFleet.RETRY_EXTRA) {
+                if (count > SoakFleet.RETRY_RATIO * requests + SoakFleet.RETRY_EXTRA) {
                     broken.add(service.getKey() + ": " + count + " repeats beside " + requests + " requests");
                 }
             });
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -30,8 +30,11 @@
     /** Events of the engines' streams. */
     static final int EVENTS = 8;
 
-    /** Retries that the settings allow beyond the share; fewer than the platform's, so that a few hundred callers show it. */
-    static final int RETRY_EXTRA = 20;
+    /** Retries that the settings allow beyond the share; fewer than the platform's, so that a few callers show excess. */
+    static final int RETRY_EXTRA = 5;
+
+    /** Share of requests that the settings allow to be sent once more; a quarter of the platform's, for the same reason. */
+    static final double RETRY_RATIO = 0.05;
 
     private static final String LOOPBACK = "127.0.0.1";
     private static final List<String> DOMAINS = List.of("east", "west");
@@ -82,6 +85,7 @@
         String text = standin.settings(boxId, domain)
                 .replace(
                         standin.storeAddress(), LOOPBACK + ":" + store.address().getPort())
+                .replaceAll("retryBudgetRatio: .*", "retryBudgetRatio: " + RETRY_RATIO)
                 .replaceAll("retryBudgetExtra: .*", "retryBudgetExtra: " + RETRY_EXTRA);
         Path settings = options.folder().resolve(boxId + ".yaml");
         Files.writeString(settings, text);
