Take ports for tests from below those of outgoing connections

RelayConfigTest.start failed once in a whole run ("can't listen on 127.0.0.1:34471: address already in use"; 346 passed, 1 failed, 1 skipped). Cause: tests asked the system for a free port, gave it back, and let a process listen on it later; the system takes such ports for outgoing connections too, and one came between. Ruled out: two tests with one address (a set kept that apart within a process) and a gateway left over (each test closes its own).

--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -2,14 +2,13 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.net.http.HttpLimits;
 import org.wingstall.net.http.HttpServer;
+import org.wingstall.standin.LoopbackPorts;
 
 /**
  * Stands in for the users' platform in small: a store and endpoints of an engine, a plain service and two stages.
@@ -136,9 +135,7 @@
     }
 
     private static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-            return LOOPBACK + ":" + socket.getLocalPort();
-        }
+        return LOOPBACK + ":" + LoopbackPorts.next(LOOPBACK);
     }
 
     private static String document(long version, long timeoutMs) {
