Handle the signal to reload from the first moment of a process

The handler was set after the settings were read and the gateway made, seconds into a start under that load, and without one the runtime ends at the signal. Ruled out: a port that was taken (no such line), the planned stop itself (its last line stands in the log).

The handler is set first of all, and a signal that comes before there is a gateway is followed up. What is left is the boot of the runtime; the soak therefore reloads a process only after it says that it has started.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -26,7 +27,14 @@
  * @since 0.2
  */
 public final class RelayMain {
+    private static final Signal RELOAD = new Signal("HUP");
+
+    /** Whether the signal to reload came before there was a gateway to reload. */
+    private static final AtomicBoolean RELOAD_ASKED = new AtomicBoolean();
+
     static {
+        // Without a handler the runtime ends at this signal, which may come while the process starts.
+        Signal.handle(RELOAD, signal -> RELOAD_ASKED.set(true));
         RelayLogs.install();
     }
 
@@ -86,13 +94,15 @@
 
     private static void run(RelaySettings settings, Path file) throws BindException, InterruptedException {
         RelayGateway gateway = new RelayGateway(settings);
-        Signal.handle(new Signal("HUP"), signal -> reload(gateway, file));
+        Signal.handle(RELOAD, signal -> reload(gateway, file));
+        if (RELOAD_ASKED.get()) {
+            reload(gateway, file);
+        }
         gateway.start();
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
         Thread.currentThread().join();
     }
 
-    /** Without a handler the runtime would end at this signal. */
     private static void reload(RelayGateway gateway, Path file) {
         try {
             gateway.reload(readSettings(file));
--- a/soak/src/main/java/org/wingstall/soak/BoxProcess.java
+++ b/soak/src/main/java/org/wingstall/soak/BoxProcess.java
@@ -103,8 +103,9 @@
         }
     }
 
-    /** Returns what the process wrote. */
-    String log() throws IOException {
-        return Files.exists(log) ? Files.readString(log) : "";
+    /** Returns whether the process of this life says that it has started. */
+    synchronized boolean started() throws IOException {
+        String written = Files.exists(log) ? Files.readString(log) : "";
+        return written.split("\"event\":\"started\"", -1).length > life;
     }
 }
--- a/soak/src/main/java/org/wingstall/soak/FaultInjector.java
+++ b/soak/src/main/java/org/wingstall/soak/FaultInjector.java
@@ -39,6 +39,11 @@
     /** Time after the start of a process until it counts as up, in ms; about ten times that of an idle machine. */
     private static final long START_MS = 4000;
 
+    /** Looks at whether a process has started, and the pause between two, in ms: half a minute in all. */
+    private static final int START_LOOKS = 300;
+
+    private static final long START_LOOK_MS = 100;
+
     private static final List<Behaviour> FAULTY = List.of(
             Behaviour.FULL,
             Behaviour.FAILS,
@@ -117,7 +122,17 @@
                 end.within(planned.forMs());
                 box.process().resume();
             }
-            default -> box.process().reload();
+            default -> {
+                awaitStarted(box);
+                box.process().reload();
+            }
+        }
+    }
+
+    /** The runtime has no handler for the signal in the first moments of a process and would end at it. */
+    private void awaitStarted(Box box) throws InterruptedException, IOException {
+        for (int i = 0; i < START_LOOKS && !box.process().started(); i++) {
+            end.within(START_LOOK_MS);
         }
     }
 
