Name the callers' headers in one place on the test side, and hold it

Cause: the soak's Caller, Rehearsal and RelayBox each wrote the same request with the platform's header names, and the search for such names left load and soak out. Ruled out: product code; it names them in platform/ alone.

Change: CallerRequests, beside the stand-ins that speak the platform's calls, builds the request for all three and reads the answer's identifier and signature; FleetStandin reads a setting back for two of them.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -19,6 +19,7 @@
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.settings.RelaySettings;
+import org.wingstall.standin.fleet.CallerRequests;
 import org.wingstall.standin.fleet.FleetStandin;
 
 /** A gateway in this process, and callers of it. */
@@ -26,6 +27,8 @@
     private static final HttpClient CLIENT =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+    private static final long DEADLINE_MS = 5000;
+
     private final RelaySettings settings;
     private final RelayGateway gateway;
 
@@ -95,14 +98,9 @@
     }
 
     HttpRequest.Builder request(String route, String id) {
-        return request(settings.getCallerAddress(), "/" + route + "/x?y=1", id)
-                .header("X-Wingstall-Attempt-Id", id)
-                .header("X-Wingstall-Deadline-Ms", "5000")
-                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
-                .header("X-Wingstall-Pieces", "1,3")
-                .header("X-Wingstall-Piece-Key", "7c1e")
-                .header("X-Api-Key", FleetStandin.KEY)
-                .POST(HttpRequest.BodyPublishers.ofString("body of " + id));
+        return CallerRequests.post(
+                        settings.getCallerAddress(), "/" + route + "/x?y=1", id, DEADLINE_MS, "body of " + id)
+                .timeout(Duration.ofSeconds(20));
     }
 
     private static HttpRequest.Builder request(String address, String path, String id) {
--- a/soak/src/main/java/org/wingstall/soak/Caller.java
+++ b/soak/src/main/java/org/wingstall/soak/Caller.java
@@ -1,15 +1,13 @@
 package org.wingstall.soak;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.wingstall.soak.CallRecord.Route;
-import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.CallerRequests;
 
 /**
  * Sends one request after another, over one connection as long as the box keeps it: also while the box stops.
@@ -79,8 +77,8 @@
         try {
             HttpResponse<String> reply = client.send(request(box, route, id), HttpResponse.BodyHandlers.ofString());
             status = reply.statusCode();
-            answerId = reply.headers().firstValue("X-Wingstall-Attempt-Id").orElse(null);
-            seal = reply.headers().firstValue("X-Wingstall-Response-Seal").orElse(null);
+            answerId = CallerRequests.answerId(reply.headers());
+            seal = CallerRequests.seal(reply.headers());
             body = reply.body();
         } catch (IOException e) {
             body = String.valueOf(e);
@@ -91,15 +89,9 @@
     }
 
     private static HttpRequest request(SoakFleet.Box box, Route route, String id) {
-        return HttpRequest.newBuilder(URI.create("http://" + box.callerAddress() + "/" + route.path() + "/" + id))
-                .timeout(Duration.ofMillis(DEADLINE_MS + GIVE_UP_MS))
-                .header("X-Wingstall-Attempt-Id", id)
-                .header("X-Wingstall-Deadline-Ms", Long.toString(DEADLINE_MS))
-                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
-                .header("X-Wingstall-Pieces", "1,3")
-                .header("X-Wingstall-Piece-Key", "7c1e")
-                .header("X-Api-Key", FleetStandin.KEY)
-                .POST(HttpRequest.BodyPublishers.ofString("body of " + id))
-                .build();
+        String path = "/" + route.path() + "/" + id;
+        return CallerRequests.within(
+                CallerRequests.post(box.callerAddress(), path, id, DEADLINE_MS, "body of " + id),
+                DEADLINE_MS + GIVE_UP_MS);
     }
 }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -93,15 +93,12 @@
         process.start();
         boxes.put(
                 boxId,
-                new Box(boxId, process, valueOf(text, "callerAddress"), valueOf(text, "readinessAddress"), store));
-    }
-
-    private static String valueOf(String settings, String key) {
-        return settings.lines()
-                .filter(line -> line.startsWith(key + ": "))
-                .map(line -> line.substring(key.length() + 2))
-                .findFirst()
-                .orElseThrow();
+                new Box(
+                        boxId,
+                        process,
+                        FleetStandin.valueOf(text, "callerAddress"),
+                        FleetStandin.valueOf(text, "readinessAddress"),
+                        store));
     }
 
     private static InetSocketAddress anyPort() {
--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
@@ -0,0 +1,55 @@
+package org.wingstall.standin.fleet;
+
+import java.net.URI;
+import java.net.http.HttpHeaders;
+import java.net.http.HttpRequest;
+import java.time.Duration;
+
+/**
+ * Speaks to a gateway as callers of the users' platform do: the one place on the test side that names their headers.
+ *
+ * <p>{@code CallerRequests.post("127.0.0.1:8625", "/once/1", "request-1", 4000, "body").build()}
+ *
+ * @since 0.3
+ */
+public final class CallerRequests {
+    private static final String ID = "X-Wingstall-Attempt-Id";
+
+    private CallerRequests() {}
+
+    /**
+     * Begins a request of the workspace {@link FleetStandin#KEY} belongs to, with a prompt of three parts and one piece of
+     * the first stage and three of the second.
+     *
+     * @param address IP address and port that the gateway takes callers at
+     * @param path path and query
+     * @param id identifier of the request
+     * @param deadlineMs time that the caller waits, in ms
+     * @param body the body
+     */
+    public static HttpRequest.Builder post(String address, String path, String id, long deadlineMs, String body) {
+        return HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .header(ID, id)
+                .header("X-Wingstall-Deadline-Ms", Long.toString(deadlineMs))
+                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
+                .header("X-Wingstall-Pieces", "1,3")
+                .header("X-Wingstall-Piece-Key", "7c1e")
+                .header("X-Api-Key", FleetStandin.KEY)
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    /** Returns a request with the time after which its sender gives up, in ms. */
+    public static HttpRequest within(HttpRequest.Builder request, long timeoutMs) {
+        return request.timeout(Duration.ofMillis(timeoutMs)).build();
+    }
+
+    /** Returns the identifier that an answer carries; null when it has none. */
+    public static String answerId(HttpHeaders headers) {
+        return headers.firstValue(ID).orElse(null);
+    }
+
+    /** Returns the endpoint's signature of an answer; null when it has none. */
+    public static String seal(HttpHeaders headers) {
+        return headers.firstValue("X-Wingstall-Response-Seal").orElse(null);
+    }
+}
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -134,6 +134,15 @@
                 "");
     }
 
+    /** Returns the value of a setting in what {@link #settings} returned. */
+    public static String valueOf(String settings, String key) {
+        return settings.lines()
+                .filter(line -> line.startsWith(key + ": "))
+                .map(line -> line.substring(key.length() + 2))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static String freeAddress() throws IOException {
         return LOOPBACK + ":" + LoopbackPorts.next(LOOPBACK);
     }
--- a/standin/src/main/java/org/wingstall/standin/fleet/Rehearsal.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/Rehearsal.java
@@ -1,13 +1,11 @@
 package org.wingstall.standin.fleet;
 
 import java.io.IOException;
-import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -27,6 +25,7 @@
     private static final int ROUNDS = 20;
     private static final int OK = 200;
     private static final long PATIENCE_MS = 30_000;
+    private static final long DEADLINE_MS = 8000;
     private static final long PAUSE_MS = 50;
 
     private final HttpClient client =
@@ -78,19 +77,11 @@
     }
 
     private int status(String address, String path) throws InterruptedException {
-        URI uri = URI.create("http://" + valueOf(address) + path);
-        HttpRequest request = HttpRequest.newBuilder(uri)
-                .timeout(Duration.ofMillis(PATIENCE_MS))
-                .header("X-Wingstall-Attempt-Id", "rehearsal" + System.nanoTime())
-                .header("X-Wingstall-Deadline-Ms", "8000")
-                .header("X-Wingstall-Model", "m")
-                .header("X-Wingstall-Token-Count", "1460,80")
-                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
-                .header("X-Wingstall-Pieces", "1,3")
-                .header("X-Wingstall-Piece-Key", "7c1e")
-                .header("X-Api-Key", FleetStandin.KEY)
-                .POST(HttpRequest.BodyPublishers.ofString("body"))
-                .build();
+        HttpRequest request = CallerRequests.within(
+                CallerRequests.post(valueOf(address), path, "rehearsal" + System.nanoTime(), DEADLINE_MS, "body")
+                        .header("X-Wingstall-Model", "m")
+                        .header("X-Wingstall-Token-Count", "1460,80"),
+                PATIENCE_MS);
         try {
             return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
         } catch (IOException e) {
@@ -99,11 +90,6 @@
     }
 
     private String valueOf(String key) {
-        String start = key + ": ";
-        return settings.lines()
-                .filter(line -> line.startsWith(start))
-                .map(line -> line.substring(start.length()))
-                .findFirst()
-                .orElseThrow();
+        return FleetStandin.valueOf(settings, key);
     }
 }
