Tell changes of the endpoint list over links, and ask a store that turns a box away at its own pace

A box that the store turned away asked it again with every heartbeat that named a newer list or configuration, 20 times a second from eight hubs; and each of the four readers gave the version at which it saw a change itself, so one change was read up to four times by every box. Ruled out: the readers' own turns (four boxes), the directory (0.1 calls a second a box).

Change: a reader tells what changed, for the list that it was made for, to every linked box (the frame that gateways use in their failure domain); a box that lacks that list reads. Heartbeats carry the tag of the list's content beside the version, so a list that a box has already is not read. Hints are passed over while the store gives no answer, and a configuration that peers have is asked for at the pace of the store's health. A box that hears hubs waits 20 s for a change of the configuration instead of 4. Lists are members of the same type as the gateway's; what only gateways lend to links is an interface of its own.

Tests: ListFollowerTest, RelayConfigFollowerTest (the two on a store that is not asked with every heartbeat fail with the guards taken away: 21 reads in place of 2).

--- a/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
+++ b/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
@@ -96,7 +96,7 @@
         EndpointState before = byMember.get(member.getMemberId());
         boolean same = before != null && before.identity().incarnation() == member.getIncarnation();
         boolean older = before != null && before.identity().incarnation() > member.getIncarnation();
-        EndpointState state = same || older ? before : new EndpointState(identityOf(member), clock);
+        EndpointState state = same || older ? before : new EndpointState(EndpointIdentity.of(member), clock);
         long incarnation = state.identity().incarnation();
         if (!older && member.getState() == Member.State.LEAVING) {
             leavingIncarnations.merge(member.getMemberId(), incarnation, Math::max);
@@ -107,16 +107,6 @@
         return state;
     }
 
-    private static EndpointIdentity identityOf(Member member) {
-        return new EndpointIdentity(
-                member.getMemberId(),
-                member.getIncarnation(),
-                member.getFailureDomain(),
-                member.getService(),
-                member.getBoxClass() == null ? "" : member.getBoxClass(),
-                Addresses.parse(member.getAddress()));
-    }
-
     private void publish(Map<String, EndpointState> next) {
         Map<String, List<EndpointState>> services = new HashMap<>();
         for (EndpointState state : next.values()) {
--- a/core/src/main/java/org/wingstall/core/member/MemberChanges.java
+++ b/core/src/main/java/org/wingstall/core/member/MemberChanges.java
@@ -11,7 +11,7 @@
 /**
  * Differences between two states of the membership list, so that one box of a failure domain reads it for the others.
  *
- * <p>{@code MemberNews news = MemberChanges.between(before, after); ... MemberChanges.apply(mine, news);}
+ * <p>{@code MemberNews news = MemberChanges.between(before, after, 0); ... MemberChanges.apply(mine, news);}
  *
  * @since 0.1
  */
@@ -23,9 +23,10 @@
      *
      * @param before the older list
      * @param after the newer list
+     * @param version version of the store as of which the newer list was read; 0 when lists have tags of the platform
      * @return members that are new, differ or are gone
      */
-    public static MemberNews between(MemberSnapshot before, MemberSnapshot after) {
+    public static MemberNews between(MemberSnapshot before, MemberSnapshot after, long version) {
         Map<String, Member> gone = byId(before);
         List<Member> changed = new ArrayList<>();
         for (Member member : after.members()) {
@@ -34,7 +35,7 @@
                 changed.add(member);
             }
         }
-        return new MemberNews(before.tag(), after.tag(), changed, List.copyOf(gone.keySet()));
+        return new MemberNews(before.tag(), after.tag(), changed, List.copyOf(gone.keySet()), version);
     }
 
     /**
--- a/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
@@ -1,6 +1,8 @@
 package org.wingstall.core.route;
 
 import java.net.InetSocketAddress;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.schema.platform.Member;
 
 /**
  * Who and where an endpoint is.
@@ -21,4 +23,15 @@
         String failureDomain,
         String service,
         String boxClass,
-        InetSocketAddress address) {}
+        InetSocketAddress address) {
+    /** Returns who and where a member of the list is. */
+    public static EndpointIdentity of(Member member) {
+        return new EndpointIdentity(
+                member.getMemberId(),
+                member.getIncarnation(),
+                member.getFailureDomain(),
+                member.getService(),
+                member.getBoxClass() == null ? "" : member.getBoxClass(),
+                Addresses.parse(member.getAddress()));
+    }
+}
--- a/core/src/test/java/org/wingstall/core/member/MemberChangesTest.java
+++ b/core/src/test/java/org/wingstall/core/member/MemberChangesTest.java
@@ -13,7 +13,7 @@
 
 public class MemberChangesTest {
     private static Member member(String id, long incarnation) {
-        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, incarnation);
+        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, incarnation, 0);
     }
 
     private static MemberSnapshot list(String tag, Member... members) {
@@ -35,7 +35,7 @@
     @Test(dataProvider = "changes")
     public void theChangeTurnsTheOlderListIntoTheNewer(
             String name, MemberSnapshot before, MemberSnapshot after, int changed, int removed) {
-        MemberNews news = MemberChanges.between(before, after);
+        MemberNews news = MemberChanges.between(before, after, 0);
         assertEquals(news.getChanged().size(), changed);
         assertEquals(news.getRemoved().size(), removed);
         MemberSnapshot applied = MemberChanges.apply(before, news).orElseThrow();
@@ -45,7 +45,7 @@
 
     @Test
     public void aChangeOfAnotherListIsNotApplied() {
-        MemberNews news = MemberChanges.between(list("1"), list("2", member("a", 1)));
+        MemberNews news = MemberChanges.between(list("1"), list("2", member("a", 1)), 0);
         assertEquals(MemberChanges.apply(list("3"), news), Optional.empty());
         assertEquals(MemberChanges.apply(MemberSnapshot.NONE, news), Optional.empty());
     }
--- a/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
+++ b/gateway/src/main/java/org/wingstall/gateway/claim/ForwardingClaimStore.java
@@ -39,7 +39,7 @@
             return local.write(request);
         }
         metrics.claimForwarded();
-        return mesh.forward(batcher, request, timeoutMs).thenCompose(reply -> {
+        return mesh.rows().forward(batcher, request, timeoutMs).thenCompose(reply -> {
             boolean notSent = reply.getResult() == ClaimReply.Result.UNANSWERED && reply.getVersion() < 0;
             return notSent ? local.write(request) : CompletableFuture.completedFuture(changeOf(reply));
         });
@@ -52,7 +52,8 @@
             return local.read(key);
         }
         metrics.claimForwarded();
-        return mesh.forward(batcher, new ClaimRequest(key, 0, null), timeoutMs)
+        return mesh.rows()
+                .forward(batcher, new ClaimRequest(key, 0, null), timeoutMs)
                 .thenCompose(ForwardingClaimStore::rowOf);
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -18,6 +18,7 @@
 import org.wingstall.peer.PeerHost;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerState;
+import org.wingstall.peer.RowHost;
 import org.wingstall.schema.peer.ClaimReply;
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.ConfigReply;
@@ -34,7 +35,7 @@
  *
  * @since 0.1
  */
-public final class ControlHost implements PeerHost {
+public final class ControlHost implements PeerHost, RowHost {
     private static final Logger LOG = LogManager.getLogger(ControlHost.class);
 
     private final ConfigStore config;
@@ -79,6 +80,7 @@
     /** Connects the host with the parts that were made from it. */
     public void attach(PeerMesh peerMesh, MemberFollower memberFollower, ClaimKeeper claimKeeper) {
         mesh = peerMesh;
+        mesh.rows().attach(this);
         members = memberFollower;
         claims = claimKeeper;
     }
@@ -108,7 +110,8 @@
                 limiter.demand(),
                 List.of(),
                 tableUnheard(),
-                members.tagReadLately());
+                members.tagReadLately(),
+                0);
     }
 
     private void updateLimits() {
--- a/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
@@ -131,7 +131,7 @@
         }
         take(read, ListSource.PLATFORM);
         if (before.shortTag() != 0) {
-            readers.tell(MemberChanges.between(before, read));
+            readers.tell(MemberChanges.between(before, read, 0));
         }
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -57,6 +57,7 @@
 import org.wingstall.relay.wire.BoxDirectory;
 import org.wingstall.relay.wire.EndpointWire;
 import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
@@ -103,6 +104,9 @@
 
     private static final int HUNDREDTHS = 100;
 
+    /** Longest wait of a call for the configuration at a box that hears hubs, in ms; the store allows 30 s. */
+    private static final long CONFIG_WAIT_TOLD_MS = 20_000;
+
     /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
     private static final long READ_AGAIN_MS = 600;
 
@@ -170,7 +174,7 @@
                 this::known);
         StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
         this.configFollower =
-                new RelayConfigFollower(control, new PlatformConfigSource(store, settings.getConfigWaitMs()), state);
+                new RelayConfigFollower(control, new PlatformConfigSource(store, this::configWaitMs), state);
         this.listFollower = new ListFollower(
                 control,
                 new PlatformEndpointSource(store),
@@ -178,7 +182,17 @@
                 new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries),
                 clock,
                 endpointIntervalMs(settings),
-                this::listChanged);
+                new ListFollower.ChangeListener() {
+                    @Override
+                    public void changed() {
+                        requests.next().execute(pools::offerAll);
+                    }
+
+                    @Override
+                    public void tell(MemberNews news) {
+                        mesh.tellAll(news);
+                    }
+                });
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(), settings.getFailureDomain(), capacity(settings), settings.getPeerAddress());
         this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
@@ -234,10 +248,11 @@
                 .toList();
     }
 
-    /** Peers are told at once, so that they read the list as well. */
-    private void listChanged() {
-        mesh.beatNow();
-        requests.next().execute(pools::offerAll);
+    /** A box that hears hubs learns of a version by their heartbeats, should its own call miss it. */
+    private long configWaitMs() {
+        boolean told = !mesh.carries(settings.getBoxId())
+                && mesh.peers().serving().stream().anyMatch(mesh::carries);
+        return told ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
     }
 
     private void newerConfigHeard(long version) {
--- a/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
@@ -38,7 +38,7 @@
     private List<List<Member>> told;
 
     private static Member member(String id) {
-        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, 1);
+        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, 1, 0);
     }
 
     /** Answers each read with the next result; the last one stays. */
@@ -130,7 +130,7 @@
     public void aReaderTellsTheOthersWhatChanged() {
         list.answers = List.of(answer(FIRST), answer(SECOND));
         follower(50, told::add).start();
-        await(() -> assertEquals(domain.news, List.of(MemberChanges.between(FIRST, SECOND))));
+        await(() -> assertEquals(domain.news, List.of(MemberChanges.between(FIRST, SECOND, 0))));
     }
 
     @Test
@@ -142,7 +142,7 @@
         follower.start();
         await(() -> assertEquals(follower.last(), FIRST));
         int readsOfFirst = list.reads.get();
-        List<MemberNews> news = new ArrayList<>(List.of(MemberChanges.between(FIRST, SECOND)));
+        List<MemberNews> news = new ArrayList<>(List.of(MemberChanges.between(FIRST, SECOND, 0)));
         domain.tags = Set.of(FIRST.shortTag(), SECOND.shortTag());
         loop.execute(() -> follower.newsFromPeer(news.get(0)));
         await(() -> assertEquals(follower.last().tag(), SECOND.tag()));
@@ -166,7 +166,7 @@
         MemberFollower follower = follower(50, told::add);
         follower.start();
         await(() -> assertEquals(list.reads.get(), 2));
-        loop.execute(() -> follower.newsFromPeer(MemberChanges.between(FIRST, SECOND)));
+        loop.execute(() -> follower.newsFromPeer(MemberChanges.between(FIRST, SECOND, 0)));
         await(() -> assertEquals(follower.last().tag(), SECOND.tag()));
         slow.complete(FIRST);
         await(() -> assertEquals(list.reads.get() > 2, true));
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -192,7 +192,8 @@
                         null,
                         null,
                         Member.State.LIVE,
-                        1));
+                        1,
+                        0));
     }
 
     public void register(Endpoint endpoint, Member.State state) {
@@ -210,7 +211,8 @@
                         endpoint.service(),
                         "plain",
                         state,
-                        incarnation));
+                        incarnation,
+                        0));
     }
 
     public String platformAddress() {
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -129,7 +129,8 @@
                     "service-" + i % 13,
                     "new",
                     Member.State.LIVE,
-                    1));
+                    1,
+                    0));
         }
         return members;
     }
@@ -167,7 +168,7 @@
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
             byte[] frame = MessagePack.write(
-                    Frames.heartbeat(new Heartbeat(123_456, false, List.of(), demand, domains, false, 0)));
+                    Frames.heartbeat(new Heartbeat(123_456, false, List.of(), demand, domains, false, 0, 0)));
             byte[] bytes = frame;
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -12,8 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.Addresses;
@@ -27,8 +27,6 @@
 import org.wingstall.net.frame.FrameCodec;
 import org.wingstall.net.frame.MessagePack;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.schema.peer.ClaimReply;
-import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.Hello;
@@ -40,7 +38,7 @@
 /**
  * The links of a gateway to its peers: all in its failure domain, a few across. Runs on one event loop, the control loop.
  *
- * <p>{@code mesh.start(); ... mesh.forward(mesh.peers().batcher(), request, 400);}
+ * <p>{@code mesh.start(); ... mesh.beatNow();}
  *
  * @since 0.1
  */
@@ -61,7 +59,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final PieceLinks pieces = new PieceLinks(links);
     private final Dialer dialer;
-    private final ForwardedClaims forwarded;
+    private final RowLinks rows;
     private final DomainTable domains;
     private final PeerTable peers;
     private volatile int knownBoxes = 1;
@@ -85,9 +83,9 @@
         this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
         this.plan = new HeartbeatPacer.Plan(options.heartbeatMs(), 1);
         this.self = boxOf(options.hello());
-        this.forwarded = new ForwardedClaims(loop);
+        this.rows = new RowLinks(loop, links);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
-        this.peers = new PeerTable(self, options.silentAfterMs(), host::tableUnheard, clock);
+        this.peers = new PeerTable(self, options.silentAfterMs(), rows::tableUnheard, clock);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
     }
 
@@ -116,6 +114,11 @@
         return pieces;
     }
 
+    /** Returns what gateways say to each other about rows of the platform's table. */
+    public RowLinks rows() {
+        return rows;
+    }
+
     /** Takes in a membership list. */
     public void applyList(List<Member> members) {
         loop.execute(() -> {
@@ -180,29 +183,19 @@
         return bytes.receivedBytes();
     }
 
-    /** Sends a change of a claim to the box that commits it; the result is unanswered when no answer comes in time. */
-    public CompletableFuture<ClaimReply> forward(String boxId, ClaimRequest request, long timeoutMs) {
-        CompletableFuture<ClaimReply> reply = new CompletableFuture<>();
-        loop.execute(() -> {
-            PeerLink link = links.get(boxId);
-            if (link == null || !link.active()) {
-                reply.complete(ForwardedClaims.notSent());
-            } else {
-                link.send(Frames.claimRequest(forwarded.expect(reply, timeoutMs), request));
-            }
-        });
-        return reply;
-    }
-
     /** Passes a change of the membership list on to every peer of this failure domain. */
     public void tellDomain(MemberNews news) {
-        loop.execute(() -> {
-            for (PeerLink link : links.values()) {
-                if (isLocal(link)) {
-                    link.send(Frames.memberNews(news));
-                }
-            }
-        });
+        loop.execute(() -> tell(news, this::isLocal));
+    }
+
+    /** Passes a change of the membership list on to every linked peer. */
+    public void tellAll(MemberNews news) {
+        loop.execute(() -> tell(news, link -> true));
+    }
+
+    private void tell(MemberNews news, Predicate<PeerLink> receiver) {
+        PeerFrame frame = Frames.memberNews(news);
+        links.values().stream().filter(receiver).forEach(link -> link.send(frame));
     }
 
     /** Sends a heartbeat to every peer now, because something changed that can't wait. */
@@ -260,7 +253,8 @@
                 demand,
                 summaries,
                 own.isTableUnheard(),
-                own.getListTag());
+                own.getListTag(),
+                own.getListVersion());
     }
 
     private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
@@ -328,19 +322,9 @@
     public void frame(PeerLink link, PeerFrame frame) {
         if (frame.getHeartbeat() != null) {
             heartbeat(link, frame.getHeartbeat());
-        } else if (frame.getConfigRequest() != null) {
-            long after = frame.getConfigRequest().getAfterRevision();
-            link.send(Frames.configReply(after, host.configAfter(after)));
-        } else if (frame.getConfigReply() != null) {
-            host.configReceived(frame.getCorrelation(), frame.getConfigReply());
-        } else if (frame.getClaimRequest() != null) {
-            host.commit(frame.getClaimRequest())
-                    .thenAccept(reply -> link.send(Frames.claimReply(frame.getCorrelation(), reply)));
-        } else if (frame.getClaimReply() != null) {
-            forwarded.answered(frame.getCorrelation(), frame.getClaimReply());
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
-        } else {
+        } else if (!rows.frame(link, frame)) {
             pieces.frame(link.peer().getBoxId(), frame);
         }
     }
@@ -348,9 +332,7 @@
     private void heartbeat(PeerLink link, Heartbeat heartbeat) {
         peers.heard(link.peer(), heartbeat);
         domains.heard(heartbeat.getDomains(), !isLocal(link));
-        if (heartbeat.getRevision() > host.revision() || host.starting()) {
-            link.send(Frames.configRequest(host.starting() ? 0 : host.revision()));
-        }
+        rows.heardRevision(link, heartbeat.getRevision());
         if (host.heard(heartbeat)) {
             sendHeartbeats(false);
         }
--- a/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
@@ -27,7 +27,7 @@
     private static final int FIRST_READS = 3;
 
     /** Pause between later reads, in ms; a new box dials the others itself. */
-    private static final long LATER_MS = 10_000;
+    private static final long LATER_MS = 20_000;
 
     private final EventLoop loop;
     private final BoxDirectory directory;
--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -48,9 +48,7 @@
                                 readWhole = true;
                             }
                             health.ended(failure);
-                            long delayMs = failure == null
-                                    ? 0
-                                    : health.repeatMs(state.config().known());
+                            long delayMs = failure == null ? 0 : repeatMs();
                             loop.schedule(this::followConfig, delayMs, TimeUnit.MILLISECONDS);
                         },
                         loop);
@@ -74,12 +72,21 @@
         config.next(true)
                 .whenCompleteAsync(
                         (newest, failure) -> {
-                            hurrying = false;
                             if (failure == null) {
                                 newest.ifPresent(found -> state.offer(found, "store, after a peer"));
                             }
                             health.ended(failure);
+                            hurryAgainAfter(failure == null ? 0 : repeatMs());
                         },
                         loop);
     }
+
+    /** Peers tell of their version with every heartbeat, far more often than a store that is away should be asked. */
+    private void hurryAgainAfter(long delayMs) {
+        loop.schedule(() -> hurrying = false, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private long repeatMs() {
+        return health.repeatMs(state.config().known());
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
@@ -1,20 +1,15 @@
 package org.wingstall.relay.control;
 
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.wingstall.peer.PeerHost;
-import org.wingstall.schema.peer.ClaimReply;
-import org.wingstall.schema.peer.ClaimRequest;
-import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.MemberNews;
 
 /**
- * Lends a box's state to its links with others: the version in force, what it read of the list, and whether it stops. Claims and rows of the table
- * are not passed on between these boxes.
+ * Lends a box's state to its links with others: the version in force, what it read of the list, and whether it stops.
  *
  * <p>{@code new PeerMesh(options, new RelayPeers(state, stopping, follower::newerHeard, () -> list), loop, clock)}
  *
@@ -47,16 +42,6 @@
         return state.config().version();
     }
 
-    @Override
-    public boolean starting() {
-        return false;
-    }
-
-    @Override
-    public boolean tableUnheard() {
-        return false;
-    }
-
     @Override
     public Heartbeat heartbeat() {
         ListFollower follower = list.get();
@@ -67,7 +52,8 @@
                 List.of(),
                 List.of(),
                 follower.unanswered(),
-                follower.changedVersion());
+                follower.tagReadLately(),
+                follower.listVersion());
     }
 
     @Override
@@ -75,23 +61,12 @@
         if (heartbeat.getRevision() > revision()) {
             newerHeard.accept(heartbeat.getRevision());
         }
-        list.get().peerSawChange(heartbeat.getListTag());
+        list.get().peerHas(heartbeat.getListTag(), heartbeat.getListVersion());
         return false;
     }
 
     @Override
-    public ConfigReply configAfter(long revision) {
-        return new ConfigReply(revision(), false, List.of(), List.of(), "");
-    }
-
-    @Override
-    public void configReceived(long afterRevision, ConfigReply reply) {}
-
-    @Override
-    public void membersChanged(MemberNews news) {}
-
-    @Override
-    public CompletableFuture<ClaimReply> commit(ClaimRequest request) {
-        return new CompletableFuture<>();
+    public void membersChanged(MemberNews news) {
+        list.get().newsFromPeer(news);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -11,10 +11,11 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.route.EndpointIdentity;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.relay.wire.EndpointSource;
+import org.wingstall.schema.platform.Member;
 
 /**
  * The endpoints of all services; read on any thread, an immutable map is swapped with each list.
@@ -83,10 +84,10 @@
     /**
      * Takes in a list.
      *
-     * @param entries the whole list
+     * @param members the whole list
      * @return whether endpoints came, went or began to leave
      */
-    public synchronized boolean applyList(List<EndpointSource.Entry> entries) {
+    public synchronized boolean applyList(List<Member> members) {
         long nowMs = clock.nowMs();
         if (away) {
             away = false;
@@ -95,8 +96,8 @@
         Set<String> servingBefore = serving();
         boolean first = !known();
         Map<String, RelayEndpoint> next = new HashMap<>();
-        for (EndpointSource.Entry entry : entries) {
-            next.put(entry.identity().memberId(), endpointOf(entry));
+        for (Member member : members) {
+            next.put(member.getMemberId(), endpointOf(member));
         }
         if (nowMs - backAtMs < RETURN_MS) {
             byId.forEach(next::putIfAbsent);
@@ -146,12 +147,13 @@
         }
     }
 
-    private RelayEndpoint endpointOf(EndpointSource.Entry entry) {
-        RelayEndpoint before = byId.get(entry.identity().memberId());
-        boolean same = before != null && before.identity().equals(entry.identity());
-        EndpointState state = same ? before.state() : new EndpointState(entry.identity(), clock);
-        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, entry.slots(), clock);
-        if (entry.leaving()) {
+    private RelayEndpoint endpointOf(Member member) {
+        RelayEndpoint before = byId.get(member.getMemberId());
+        EndpointIdentity identity = EndpointIdentity.of(member);
+        boolean same = before != null && before.identity().equals(identity);
+        EndpointState state = same ? before.state() : new EndpointState(identity, clock);
+        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, member.getSlots(), clock);
+        if (member.getState() == Member.State.LEAVING) {
             markLeaving(endpoint, "list");
         }
         if (leavingIds.containsKey(endpoint.id())) {
--- a/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
@@ -5,23 +5,28 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.wingstall.core.route.EndpointIdentity;
+import org.wingstall.core.member.MemberChanges;
+import org.wingstall.core.member.MemberSnapshot;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.wire.EndpointSource;
 import org.wingstall.relay.wire.SourceException;
+import org.wingstall.schema.peer.MemberNews;
+import org.wingstall.schema.platform.Member;
 
-public class ListFollowerTest {
+public class ListFollowerTest implements ListFollower.ChangeListener {
     private static final long VERSION = 100;
 
     private AtomicInteger reads;
     private AtomicInteger changes;
+    private List<MemberNews> told;
     private EventLoop loop;
     private RelayEndpoints table;
     private ListFollower follower;
@@ -33,12 +38,12 @@
     public void start() throws Exception {
         reads = new AtomicInteger();
         changes = new AtomicInteger();
+        told = new CopyOnWriteArrayList<>();
         down = false;
         stored = new EndpointSource.Listing(List.of(entry("a", false)), VERSION);
         loop = new DefaultEventLoop();
         table = new RelayEndpoints(System::nanoTime);
-        follower = new ListFollower(
-                loop, this::read, table, () -> false, System::nanoTime, 60_000, changes::incrementAndGet);
+        follower = new ListFollower(loop, this::read, table, () -> false, System::nanoTime, 60_000, this);
         follower.start();
         settle();
         assertEquals(reads.get(), 1);
@@ -56,9 +61,23 @@
                 : CompletableFuture.completedFuture(stored);
     }
 
-    private static EndpointSource.Entry entry(String id, boolean leaving) {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
-        return new EndpointSource.Entry(new EndpointIdentity(id, 1, "east", "plain", "v1", address), 4, leaving, 0);
+    private static Member entry(String id, boolean leaving) {
+        Member.State state = leaving ? Member.State.LEAVING : Member.State.LIVE;
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4);
+    }
+
+    private static MemberSnapshot list(Member... members) {
+        return MemberSnapshot.tagged(List.of(members));
+    }
+
+    @Override
+    public void changed() {
+        changes.incrementAndGet();
+    }
+
+    @Override
+    public void tell(MemberNews news) {
+        told.add(news);
     }
 
     /** Tasks of the loop run one after the other, so a few rounds end what they led to. */
@@ -68,40 +87,115 @@
         }
     }
 
+    private boolean leaves(String id) {
+        return table.ofService("plain").stream()
+                .anyMatch(
+                        endpoint -> endpoint.id().equals(id) && endpoint.state().leaving());
+    }
+
     @Test
-    public void aChangeThatAPeerSawIsRead() throws Exception {
+    public void aListThatAPeerHasAndThisBoxHasNotIsRead() throws Exception {
         stored = new EndpointSource.Listing(List.of(entry("a", true)), VERSION + 7);
-        follower.peerSawChange((int) VERSION + 5);
+        follower.peerHas(list(entry("a", true)).shortTag(), VERSION + 5);
+        settle();
+        assertEquals(reads.get(), 2);
+        assertTrue(leaves("a"));
+        assertEquals(follower.listVersion(), VERSION + 7);
+    }
+
+    @DataProvider
+    Object[][] listsOfPeers() {
+        return new Object[][] {
+            {"the same list, seen later", list(entry("a", false)).shortTag(), VERSION + 9},
+            {"an older list", list(entry("a", false), entry("b", false)).shortTag(), VERSION - 5},
+            {"none", 0, VERSION + 9},
+        };
+    }
+
+    @Test(dataProvider = "listsOfPeers")
+    public void aListThatIsNotNewerIsNotRead(String name, int tag, long version) throws Exception {
+        follower.peerHas(tag, version);
+        settle();
+        assertEquals(reads.get(), 1);
+    }
+
+    @Test
+    public void aChangeThatAPeerTellsIsTakenInWithoutARead() throws Exception {
+        MemberSnapshot after = list(entry("a", true), entry("b", false));
+        follower.newsFromPeer(MemberChanges.between(list(entry("a", false)), after, VERSION + 3));
+        settle();
+        assertEquals(reads.get(), 1);
+        assertTrue(leaves("a"));
+        assertEquals(table.ofService("plain").size(), 2);
+        assertEquals(changes.get(), 2);
+        assertEquals(told, List.of());
+    }
+
+    @Test
+    public void aChangeOfAListThatThisBoxLacksIsReadInstead() throws Exception {
+        stored = new EndpointSource.Listing(List.of(entry("c", false)), VERSION + 9);
+        MemberSnapshot other = list(entry("b", false));
+        follower.newsFromPeer(MemberChanges.between(other, list(entry("c", false)), VERSION + 8));
         settle();
         assertEquals(reads.get(), 2);
-        assertTrue(table.ofService("plain").get(0).state().leaving());
-        assertEquals(follower.changedVersion(), VERSION + 7);
+        assertEquals(table.ofService("plain").get(0).id(), "c");
     }
 
     @Test
-    public void whatThisBoxHasReadAlreadyIsNotReadAgain() throws Exception {
-        follower.peerSawChange((int) VERSION);
-        follower.peerSawChange((int) VERSION - 5);
-        follower.peerSawChange(0);
+    public void aChangeThatWasReadMeanwhileIsPassedOver() throws Exception {
+        MemberSnapshot other = list(entry("b", false));
+        follower.newsFromPeer(MemberChanges.between(other, list(entry("a", false)), VERSION - 1));
         settle();
         assertEquals(reads.get(), 1);
+        assertEquals(table.ofService("plain").get(0).id(), "a");
+    }
+
+    @Test
+    public void aChangeThatThisBoxReadsIsTold() throws Exception {
+        stored = new EndpointSource.Listing(List.of(entry("a", false), entry("b", false)), VERSION + 7);
+        follower.peerHas(1, VERSION + 5);
+        settle();
+        assertEquals(told.size(), 1);
+        assertEquals(told.get(0).getVersion(), VERSION + 7);
+        assertEquals(told.get(0).getChanged().size(), 1);
     }
 
     @Test
-    public void theVersionOfAChangeStaysWhileTheListDoes() throws Exception {
-        stored = new EndpointSource.Listing(stored.entries(), VERSION + 50);
-        follower.peerSawChange((int) VERSION + 1);
+    public void theVersionOfAListStaysWhileItDoes() throws Exception {
+        stored = new EndpointSource.Listing(stored.members(), VERSION + 50);
+        follower.peerHas(1, VERSION + 1);
         settle();
-        assertEquals(follower.changedVersion(), VERSION);
+        assertEquals(follower.listVersion(), VERSION);
         assertEquals(changes.get(), 1);
     }
 
     @Test
-    public void aBoxThatGetsNoAnswerTellsNoVersion() throws Exception {
+    public void aBoxThatGetsNoAnswerVouchesForNoList() throws Exception {
         down = true;
-        follower.peerSawChange((int) VERSION + 1);
+        follower.peerHas(1, VERSION + 1);
         settle();
-        assertEquals(follower.changedVersion(), 0);
+        assertEquals(follower.tagReadLately(), 0);
         assertTrue(follower.unanswered());
     }
+
+    /** A box that the store turned away for 9 s asked it with every heartbeat of every hub, 20 times a second. */
+    @Test
+    public void aStoreThatGivesNoAnswerIsNotAskedWithEveryHeartbeat() throws Exception {
+        down = true;
+        for (int i = 0; i < 20; i++) {
+            follower.peerHas(1, VERSION + 1);
+            settle();
+        }
+        assertEquals(reads.get(), 2);
+    }
+
+    @Test
+    public void changesToldWhileTheStoreGivesNoAnswerAreLeftToThisBoxsOwnReads() throws Exception {
+        down = true;
+        follower.peerHas(1, VERSION + 1);
+        settle();
+        follower.newsFromPeer(MemberChanges.between(list(entry("a", false)), list(), VERSION + 3));
+        settle();
+        assertEquals(table.ofService("plain").size(), 1);
+    }
 }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -9,17 +9,20 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.wire.SourceException;
 
 public class RelayConfigFollowerTest {
     private RelayState state;
     private final AtomicInteger wholeReads = new AtomicInteger();
     private EventLoop loop;
     private volatile long stored;
+    private volatile boolean away;
     private RelayConfigFollower follower;
 
     /** The first whole read is answered; waiting for changes never is, as on a connection that fell silent. */
@@ -28,6 +31,7 @@
         loop = new DefaultEventLoop();
         state = new RelayState();
         stored = 1;
+        away = false;
         follower = new RelayConfigFollower(loop, this::read, state);
         follower.start();
         settle();
@@ -44,6 +48,9 @@
             return new CompletableFuture<>();
         }
         wholeReads.incrementAndGet();
+        if (away) {
+            return CompletableFuture.failedFuture(new SourceException(SourceException.Kind.REFUSED, "away"));
+        }
         return CompletableFuture.completedFuture(Optional.of(config(stored)));
     }
 
@@ -73,4 +80,29 @@
         settle();
         assertEquals(wholeReads.get(), before);
     }
+
+    /** Hubs tell of the version 20 times a second in a large fleet. */
+    @Test
+    public void aStoreThatTurnsThisBoxAwayIsNotAskedWithEveryHeartbeat() throws Exception {
+        int before = wholeReads.get();
+        away = true;
+        for (int i = 0; i < 20; i++) {
+            follower.newerHeard(2);
+            settle();
+        }
+        assertEquals(wholeReads.get(), before + 1);
+    }
+
+    @Test
+    public void aVersionThatAPeerHasIsAskedForAgainAfterAWhile() throws Exception {
+        away = true;
+        follower.newerHeard(2);
+        settle();
+        away = false;
+        stored = 2;
+        Awaitility.await().untilAsserted(() -> {
+            follower.newerHeard(2);
+            assertEquals(state.config().version(), 2);
+        });
+    }
 }
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -4,16 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.wingstall.core.route.EndpointIdentity;
 import org.wingstall.net.http.TransportException;
-import org.wingstall.relay.wire.EndpointSource;
+import org.wingstall.schema.platform.Member;
 
 /** Which endpoints get work, by the list, by what they said and by how they answered. */
 public class RelayEndpointsTest {
@@ -28,13 +26,13 @@
         endpoints = new RelayEndpoints(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
     }
 
-    private static EndpointSource.Entry entry(String id, boolean leaving) {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
-        return new EndpointSource.Entry(new EndpointIdentity(id, 1, "east", "plain", "v1", address), 4, leaving, 0);
+    private static Member entry(String id, boolean leaving) {
+        Member.State state = leaving ? Member.State.LEAVING : Member.State.LIVE;
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4);
     }
 
     private void list(String... ids) {
-        List<EndpointSource.Entry> entries = new ArrayList<>();
+        List<Member> entries = new ArrayList<>();
         for (String id : ids) {
             entries.add(entry(id, false));
         }
