Listen for callers before the rest of a start, and start with less work

The power came back after about 1.5 s, a box with 1.5 processors served 0.35 s later, one with 0.36 only 1.3 s later; 993 tries found no connection, and requests of the first 60 ms after listening were refused because nothing was known yet. Ruled out: the store (configuration and list within 30 ms of the start).

Change: a box listens as soon as its settings are read and takes the connections that wait once it knows configuration and list, at the latest 0.4 s after the rest is set up. The followers of the store have a class of their own, since the gateway's constructor had grown too long.

Tried without effect beyond the noise: mapping the archive of classes without relocation, the native library from a folder.

The start itself still takes 1 s and more on the smallest box: Log4j's set-up and the check of the settings are over half of its main thread (78 and 70 of 235 ms when sampled).

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -2,11 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -16,10 +13,10 @@
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.HubLinks;
-import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
+import org.wingstall.net.Listener;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpLimits;
@@ -28,18 +25,10 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerOptions;
-import org.wingstall.peer.PeerTable;
-import org.wingstall.platform.PlatformBoxDirectory;
 import org.wingstall.platform.PlatformCallerWire;
-import org.wingstall.platform.PlatformConfigSource;
-import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.PlatformEndpointWire;
-import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.config.ClientLimits;
-import org.wingstall.relay.control.BoxFollower;
 import org.wingstall.relay.control.ListFollower;
-import org.wingstall.relay.control.OneReaderPerDomain;
-import org.wingstall.relay.control.RelayConfigFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.LeastLoaded;
@@ -54,16 +43,14 @@
 import org.wingstall.relay.run.RelayHandler;
 import org.wingstall.relay.run.RelayParts;
 import org.wingstall.relay.run.ServiceBudgets;
-import org.wingstall.relay.wire.BoxDirectory;
 import org.wingstall.relay.wire.EndpointWire;
 import org.wingstall.schema.peer.Hello;
-import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
  * One gateway on the users' platform: puts its parts together, starts and stops them.
  *
- * <p>{@code RelayGateway gateway = new RelayGateway(settings); gateway.start(); ... gateway.stop();}
+ * <p>{@code RelayGateway gateway = RelayGateway.listening(settings); gateway.start(); ... gateway.stop();}
  *
  * @since 0.2
  */
@@ -84,6 +71,15 @@
     /** Boxes that share a retry budget at least, also while fewer are known; the users' smallest fleets have 8 or 9. */
     private static final int LEAST_BOXES = 9;
 
+    /**
+     * Longest time after the start that callers' connections wait for a first configuration and list, in ms: within it a
+     * store that answers has given both, and callers leave after a third of their shortest deadline (1.5 s).
+     */
+    private static final long START_PATIENCE_MS = 400;
+
+    /** Pause between looks whether both are there, in ms; a tenth of the time that they usually take. */
+    private static final long KNOWN_CHECK_MS = 5;
+
     /** Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. */
     private static final long HEARTBEAT_MS = 400;
 
@@ -104,20 +100,11 @@
 
     private static final int HUNDREDTHS = 100;
 
-    /** Longest wait of a call for the configuration at a box that hears hubs, in ms; the store allows 30 s. */
-    private static final long CONFIG_WAIT_TOLD_MS = 20_000;
-
-    /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
-    private static final long READ_AGAIN_MS = 600;
-
-    /** Shortest time between two reads of the list, in ms; the store allows the fleet 2,000 calls a second. */
-    private static final long LEAST_INTERVAL_MS = 100;
-
     private final MonotonicClock clock = System::nanoTime;
     private final RandomGenerator random = new SplittableRandom();
     private volatile RelaySettings settings;
     private final EventLoop control = EventLoops.group("control", 1).next();
-    private final EventLoopGroup requests = EventLoops.group("requests", 1);
+    private final EventLoopGroup requests;
     private final HttpClient client = new HttpClient();
     private final RelayState state = new RelayState();
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
@@ -126,19 +113,27 @@
     private final PeerMesh mesh;
     private final StagePools pools;
     private final RelayHandler handler;
-    private final RelayConfigFollower configFollower;
-    private final ListFollower listFollower;
-    private final BoxFollower boxes;
-    private HttpServer callers;
+    private final StoreFollowers store;
+    private final HttpServer callers;
     private volatile boolean stopping;
 
     /**
-     * Puts a gateway together.
+     * Begins to listen for callers and puts a gateway together. Callers who connect from here on wait for the rest of the
+     * start instead of being turned away.
      *
      * @param settings settings of the process
+     * @return the gateway, to be started
+     * @throws BindException if the callers' address can't be had
      */
-    public RelayGateway(RelaySettings settings) {
+    public static RelayGateway listening(RelaySettings settings) throws BindException {
+        EventLoopGroup requests = EventLoops.group("requests", 1);
+        Listener callers = Listener.bind(requests, Addresses.parse(settings.getCallerAddress()));
+        return new RelayGateway(settings, requests, callers);
+    }
+
+    private RelayGateway(RelaySettings settings, EventLoopGroup requests, Listener listener) {
         this.settings = settings;
+        this.requests = requests;
         EventLoop loop = requests.next();
         EndpointWire wire = new PlatformEndpointWire();
         this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
@@ -172,30 +167,17 @@
                         metrics,
                         new RequestLog(clock, metrics)),
                 this::known);
-        StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
-        this.configFollower =
-                new RelayConfigFollower(control, new PlatformConfigSource(store, this::configWaitMs), state);
-        this.listFollower = new ListFollower(
+        this.store = new StoreFollowers(
+                settings,
                 control,
-                new PlatformEndpointSource(store),
-                endpoints,
-                new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries),
+                client,
                 clock,
-                endpointIntervalMs(settings),
-                new ListFollower.ChangeListener() {
-                    @Override
-                    public void changed() {
-                        requests.next().execute(pools::offerAll);
-                    }
-
-                    @Override
-                    public void tell(MemberNews news) {
-                        mesh.tellAll(news);
-                    }
-                });
-        BoxDirectory.Box self = new BoxDirectory.Box(
-                settings.getBoxId(), settings.getFailureDomain(), capacity(settings), settings.getPeerAddress());
-        this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
+                state,
+                endpoints,
+                mesh,
+                () -> loop.execute(pools::offerAll),
+                boxes -> budgets.change(budgetPart(this.settings, boxes)));
+        this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
 
     private PeerOptions peerOptions() {
@@ -215,48 +197,17 @@
                 new HubLinks(WHOLE_MESH_BOXES, HUBS_PER_DOMAIN));
     }
 
-    /** A read that fails once leaves time for another before the bound. */
-    private static long endpointIntervalMs(RelaySettings settings) {
-        long shortestMs = Math.max(LEAST_INTERVAL_MS, (settings.getLeavingWithinMs() - READ_AGAIN_MS) / 2);
-        return settings.getLeavingWithinMs() == 0 ? settings.getEndpointIntervalMs() : shortestMs;
-    }
-
-    private static int capacity(RelaySettings settings) {
+    /** Returns the processor time of a box, in hundredths of a processor. */
+    static int capacity(RelaySettings settings) {
         return (int) Math.round(HUNDREDTHS * settings.getProcessors() * settings.getProcessorShare());
     }
 
-    private void boxesRead(List<BoxDirectory.Box> read) {
-        Map<LinkPlan.Box, InetSocketAddress> addresses = new HashMap<>();
-        for (BoxDirectory.Box box : read) {
-            LinkPlan.Box peer = new LinkPlan.Box(box.boxId(), box.failureDomain(), box.capacity());
-            addresses.put(peer, Addresses.parse(box.peerAddress()));
-        }
-        mesh.applyBoxes(addresses);
-        budgets.change(budgetPart(settings, read.size()));
-    }
-
     private ListFollower listFollower() {
-        return listFollower;
-    }
-
-    private List<OneReaderPerDomain.Peer> heardPeers() {
-        PeerTable peers = mesh.peers();
-        return peers.all().stream()
-                .filter(peer -> peers.heard(peer) && !peer.stopping())
-                .map(peer -> new OneReaderPerDomain.Peer(
-                        peer.hello().getBoxId(), peers.inOwnDomain(peer), peer.listTag() != 0, peer.tableUnheard()))
-                .toList();
-    }
-
-    /** A box that hears hubs learns of a version by their heartbeats, should its own call miss it. */
-    private long configWaitMs() {
-        boolean told = !mesh.carries(settings.getBoxId())
-                && mesh.peers().serving().stream().anyMatch(mesh::carries);
-        return told ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
+        return store.list();
     }
 
     private void newerConfigHeard(long version) {
-        configFollower.newerHeard(version);
+        store.newerConfigHeard(version);
     }
 
     private boolean known() {
@@ -271,11 +222,9 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
-        configFollower.start();
-        listFollower.start();
-        boxes.start();
-        callers = HttpServer.start(
-                requests, Addresses.parse(settings.getCallerAddress()), this::limits, handler, this::rejected);
+        store.start();
+        long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
+        control.execute(() -> acceptWhenKnown(patientUntilMs));
         HttpServer.start(
                 control,
                 Addresses.parse(settings.getReadinessAddress()),
@@ -296,6 +245,15 @@
                 .to(LOG);
     }
 
+    /** Callers who connected during the start are served once there is something to serve by, or else refused. */
+    private void acceptWhenKnown(long patientUntilMs) {
+        if (known() || clock.nowMs() >= patientUntilMs) {
+            callers.accept();
+        } else {
+            control.schedule(() -> acceptWhenKnown(patientUntilMs), KNOWN_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private HttpLimits limits() {
         ClientLimits limits = state.config().limits();
         return new HttpLimits(limits.bodyBytes(), MOST_CONNECTIONS, limits.headerMs(), limits.idleMs());
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayLogs.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayLogs.java
@@ -1,16 +1,13 @@
 package org.wingstall.gateway.relay;
 
-import java.net.URI;
 import java.util.List;
 import org.apache.logging.log4j.Level;
-import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
 import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
-import org.apache.logging.log4j.core.config.Configuration;
-import org.apache.logging.log4j.core.config.ConfigurationFactory;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
+import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.LoggerConfig;
 
 /**
@@ -33,30 +30,14 @@
 
     private RelayLogs() {}
 
+    /** Hands the configuration over as it is: looking for one makes Log4j load all of its plugins, a tenth of a start. */
     static void install() {
-        ConfigurationFactory.setConfigurationFactory(new InCode());
-    }
-
-    private static final class InCode extends ConfigurationFactory {
-        @Override
-        protected String[] getSupportedTypes() {
-            return new String[] {"*"};
-        }
-
-        @Override
-        public Configuration getConfiguration(LoggerContext context, ConfigurationSource source) {
-            return new RelayConfiguration(context);
-        }
-
-        @Override
-        public Configuration getConfiguration(LoggerContext context, String name, URI location) {
-            return new RelayConfiguration(context);
-        }
+        Configurator.initialize(new RelayConfiguration());
     }
 
     private static final class RelayConfiguration extends AbstractConfiguration {
-        RelayConfiguration(LoggerContext context) {
-            super(context, ConfigurationSource.NULL_SOURCE);
+        RelayConfiguration() {
+            super(null, ConfigurationSource.NULL_SOURCE);
             isShutdownHookEnabled = false;
         }
 
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -41,25 +42,26 @@
     private static final Logger LOG = LogManager.getLogger(RelayMain.class);
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
+    private static final String SETTINGS = "settings";
+    private static final String CHECK = "check";
     private static final String SETTINGS_VARIABLE = "WINGSTALL_CONFIG";
 
     private RelayMain() {}
 
     /** Starts the gateway; exits with 2 when arguments or settings are not valid, with 1 when it can't listen. */
     public static void main(String[] args) throws InterruptedException {
-        ArgumentParser parser = parser();
+        String fromEnvironment = System.getenv(SETTINGS_VARIABLE);
+        boolean plain = args.length == 0 && fromEnvironment != null;
+        // The parser of arguments would be a fiftieth of a start, and there is nothing to parse.
+        Namespace options = plain ? new Namespace(Map.of(SETTINGS, fromEnvironment, CHECK, false)) : parse(args);
         try {
-            Namespace options = parser.parseArgs(args);
-            Path file = Path.of(options.getString("settings"));
+            Path file = Path.of(options.getString(SETTINGS));
             RelaySettings settings = readSettings(file);
-            if (options.getBoolean("check")) {
+            if (options.getBoolean(CHECK)) {
                 System.out.println("settings are valid");
                 return;
             }
             run(settings, file);
-        } catch (ArgumentParserException e) {
-            parser.handleError(e);
-            System.exit(EXIT_USAGE);
         } catch (InvalidDocumentException e) {
             System.err.println("wingstall-relay: settings: " + e.getMessage());
             System.exit(EXIT_USAGE);
@@ -72,6 +74,17 @@
         }
     }
 
+    private static Namespace parse(String[] args) {
+        ArgumentParser parser = parser();
+        try {
+            return parser.parseArgs(args);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_USAGE);
+            return new Namespace(Map.of());
+        }
+    }
+
     private static ArgumentParser parser() {
         ArgumentParser parser = ArgumentParsers.newFor("wingstall-relay")
                 .build()
@@ -79,12 +92,12 @@
                 .description("The daemon of an entry box on the users' platform.")
                 .epilog("example: wingstall-relay --settings /etc/wingstall/relay.yaml");
         String fromEnvironment = System.getenv(SETTINGS_VARIABLE);
-        parser.addArgument("--settings")
+        parser.addArgument("--" + SETTINGS)
                 .required(fromEnvironment == null)
                 .setDefault(fromEnvironment)
                 .metavar("FILE")
                 .help("settings, in YAML; the variable " + SETTINGS_VARIABLE + " when left out");
-        parser.addArgument("--check").action(Arguments.storeTrue()).help("check the settings and exit");
+        parser.addArgument("--" + CHECK).action(Arguments.storeTrue()).help("check the settings and exit");
         return parser;
     }
 
@@ -93,7 +106,7 @@
     }
 
     private static void run(RelaySettings settings, Path file) throws BindException, InterruptedException {
-        RelayGateway gateway = new RelayGateway(settings);
+        RelayGateway gateway = RelayGateway.listening(settings);
         Signal.handle(RELOAD, signal -> reload(gateway, file));
         if (RELOAD_ASKED.get()) {
             reload(gateway, file);
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -0,0 +1,154 @@
+package org.wingstall.gateway.relay;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntConsumer;
+import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.LinkPlan;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.HttpClient;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerTable;
+import org.wingstall.platform.PlatformBoxDirectory;
+import org.wingstall.platform.PlatformConfigSource;
+import org.wingstall.platform.PlatformEndpointSource;
+import org.wingstall.platform.StoreClient;
+import org.wingstall.relay.control.BoxFollower;
+import org.wingstall.relay.control.ListFollower;
+import org.wingstall.relay.control.OneReaderPerDomain;
+import org.wingstall.relay.control.RelayConfigFollower;
+import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.wire.BoxDirectory;
+import org.wingstall.schema.peer.MemberNews;
+import org.wingstall.schema.settings.RelaySettings;
+
+/**
+ * What a box follows in the platform's store: the configuration, the list of endpoints and the other boxes.
+ *
+ * <p>{@code followers.start(); ... followers.newerConfigHeard(7);}
+ */
+final class StoreFollowers {
+    /** Longest wait of a call for the configuration at a box that hears hubs, in ms; the store allows 30 s. */
+    private static final long CONFIG_WAIT_TOLD_MS = 20_000;
+
+    /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
+    private static final long READ_AGAIN_MS = 600;
+
+    /** Shortest time between two reads of the list, in ms; the store allows the fleet 2,000 calls a second. */
+    private static final long LEAST_INTERVAL_MS = 100;
+
+    private final RelaySettings settings;
+    private final PeerMesh mesh;
+    private final IntConsumer boxesKnown;
+    private final RelayConfigFollower configFollower;
+    private final ListFollower listFollower;
+    private final BoxFollower boxes;
+
+    /**
+     * Creates the followers.
+     *
+     * @param settings settings of the process
+     * @param control the control loop
+     * @param client carries the calls to the store
+     * @param clock monotonic clock
+     * @param state takes the configuration
+     * @param endpoints takes the list
+     * @param mesh links to the other boxes
+     * @param endpointsChanged told when the list differs
+     * @param boxesKnown told how many boxes there are
+     */
+    StoreFollowers(
+            RelaySettings settings,
+            EventLoop control,
+            HttpClient client,
+            MonotonicClock clock,
+            RelayState state,
+            RelayEndpoints endpoints,
+            PeerMesh mesh,
+            Runnable endpointsChanged,
+            IntConsumer boxesKnown) {
+        this.settings = settings;
+        this.mesh = mesh;
+        this.boxesKnown = boxesKnown;
+        StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
+        this.configFollower =
+                new RelayConfigFollower(control, new PlatformConfigSource(store, this::configWaitMs), state);
+        this.listFollower = new ListFollower(
+                control,
+                new PlatformEndpointSource(store),
+                endpoints,
+                new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries),
+                clock,
+                endpointIntervalMs(settings),
+                new ListFollower.ChangeListener() {
+                    @Override
+                    public void changed() {
+                        endpointsChanged.run();
+                    }
+
+                    @Override
+                    public void tell(MemberNews news) {
+                        mesh.tellAll(news);
+                    }
+                });
+        BoxDirectory.Box self = new BoxDirectory.Box(
+                settings.getBoxId(),
+                settings.getFailureDomain(),
+                RelayGateway.capacity(settings),
+                settings.getPeerAddress());
+        this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
+    }
+
+    /** Begins to follow. */
+    void start() {
+        configFollower.start();
+        listFollower.start();
+        boxes.start();
+    }
+
+    /** Returns how the list is followed, for heartbeats. */
+    ListFollower list() {
+        return listFollower;
+    }
+
+    /** Takes note of a version of the configuration that a peer has. */
+    void newerConfigHeard(long version) {
+        configFollower.newerHeard(version);
+    }
+
+    /** A read that fails once leaves time for another before the bound. */
+    private static long endpointIntervalMs(RelaySettings settings) {
+        long shortestMs = Math.max(LEAST_INTERVAL_MS, (settings.getLeavingWithinMs() - READ_AGAIN_MS) / 2);
+        return settings.getLeavingWithinMs() == 0 ? settings.getEndpointIntervalMs() : shortestMs;
+    }
+
+    /** A box that hears hubs learns of a version by their heartbeats, should its own call miss it. */
+    private long configWaitMs() {
+        boolean told = !mesh.carries(settings.getBoxId())
+                && mesh.peers().serving().stream().anyMatch(mesh::carries);
+        return told ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
+    }
+
+    private List<OneReaderPerDomain.Peer> heardPeers() {
+        PeerTable peers = mesh.peers();
+        return peers.all().stream()
+                .filter(peer -> peers.heard(peer) && !peer.stopping())
+                .map(peer -> new OneReaderPerDomain.Peer(
+                        peer.hello().getBoxId(), peers.inOwnDomain(peer), peer.listTag() != 0, peer.tableUnheard()))
+                .toList();
+    }
+
+    private void boxesRead(List<BoxDirectory.Box> read) {
+        Map<LinkPlan.Box, InetSocketAddress> addresses = new HashMap<>();
+        for (BoxDirectory.Box box : read) {
+            LinkPlan.Box peer = new LinkPlan.Box(box.boxId(), box.failureDomain(), box.capacity());
+            addresses.put(peer, Addresses.parse(box.peerAddress()));
+        }
+        mesh.applyBoxes(addresses);
+        boxesKnown.accept(read.size());
+    }
+}
--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -41,7 +41,7 @@
 
     RelayBox(FleetStandin fleet, String boxId) throws IOException, InvalidDocumentException, BindException {
         settings = SchemaCheck.of(RelaySettings.class).read(Json.readYaml(fleet.settings(boxId, "east")));
-        gateway = new RelayGateway(settings);
+        gateway = RelayGateway.listening(settings);
         gateway.start();
     }
 
--- a/net/src/main/java/org/wingstall/net/http/HttpServer.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpServer.java
@@ -1,10 +1,7 @@
 package org.wingstall.net.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -16,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.wingstall.net.BindException;
-import org.wingstall.net.EventLoops;
+import org.wingstall.net.Listener;
 
 /**
  * An HTTP/1.1 server whose clients are bounded in number, bytes and time.
@@ -26,21 +23,31 @@
  * @since 0.1
  */
 public final class HttpServer implements AutoCloseable {
-    private static final int BACKLOG = 1024;
     private static final int MAX_LINE_BYTES = 16384;
     private static final int MAX_HEADER_BYTES = 32768;
     private static final int MAX_CHUNK_BYTES = 8192;
 
-    private final Channel listener;
-    private final AtomicInteger connections;
-    private final AtomicBoolean draining;
-    private final ChannelGroup open;
+    private final Listener listener;
+    private final Supplier<HttpLimits> limits;
+    private final HttpHandler handler;
+    private final Rejection.Body rejections;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
-    private HttpServer(Channel listener, AtomicInteger connections, AtomicBoolean draining, ChannelGroup open) {
+    /**
+     * Prepares a server on a socket that listens already; connections wait until it accepts them.
+     *
+     * @param listener the socket
+     * @param limits gives the bounds on clients in force
+     * @param handler answers the calls
+     * @param rejections makes the bodies of rejections
+     */
+    public HttpServer(Listener listener, Supplier<HttpLimits> limits, HttpHandler handler, Rejection.Body rejections) {
         this.listener = listener;
-        this.connections = connections;
-        this.draining = draining;
-        this.open = open;
+        this.limits = limits;
+        this.handler = handler;
+        this.rejections = rejections;
     }
 
     /**
@@ -82,37 +89,29 @@
             HttpHandler handler,
             Rejection.Body rejections)
             throws BindException {
-        AtomicInteger connections = new AtomicInteger();
-        AtomicBoolean draining = new AtomicBoolean();
-        ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(group)
-                .channel(EventLoops.serverChannel())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        open.add(channel);
-                        channel.pipeline()
-                                .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(new RequestGuard(limits, rejections, connections))
-                                .addLast(new BoundedAggregator(limits.get().maxBodyBytes(), rejections))
-                                .addLast(new CallDispatcher(handler, rejections, draining));
-                    }
-                });
-        EventLoops.noticeSilence(bootstrap::childOption);
-        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new BindException(address, bound.cause());
-        }
-        return new HttpServer(bound.channel(), connections, draining, open);
+        HttpServer server = new HttpServer(Listener.bind(group, address), limits, handler, rejections);
+        server.accept();
+        return server;
+    }
+
+    /** Takes the connections that wait and those that come. */
+    public void accept() {
+        listener.accept(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                open.add(channel);
+                channel.pipeline()
+                        .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(new RequestGuard(limits, rejections, connections))
+                        .addLast(new BoundedAggregator(limits.get().maxBodyBytes(), rejections))
+                        .addLast(new CallDispatcher(handler, rejections, draining));
+            }
+        });
     }
 
     /** Returns the address that the server listens on. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        return listener.address();
     }
 
     /** Returns the number of open connections. */
@@ -141,6 +140,6 @@
     /** Stops taking connections; open ones stay. */
     @Override
     public void close() {
-        listener.close().awaitUninterruptibly();
+        listener.close();
     }
 }
