Keep only endpoints that lapsed during an outage, not those that go after it

For 2.3 s after an outage a box kept whatever the list lacked, since entries that lapsed come back within 2 s; it kept an endpoint as well that stood in the first list after the outage and went later. Ruled out: changes told late (every other box had this one within 0.4 s).

Change: only those missing from the first list after an outage are kept; one that came back and goes again is gone at once.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
@@ -39,6 +41,7 @@
     private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
     private volatile Map<InetSocketAddress, String> domainsByAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
+    private final Set<String> lapsedIds = new HashSet<>();
     private boolean away;
     private long backAtMs = Long.MIN_VALUE / 2;
 
@@ -71,6 +74,11 @@
         return domainsByAddress.getOrDefault(address, "");
     }
 
+    /** Returns an endpoint by its identifier. */
+    public Optional<RelayEndpoint> find(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
     /** Returns all endpoints. */
     public Collection<RelayEndpoint> all() {
         return byId.values();
@@ -89,7 +97,8 @@
      */
     public synchronized boolean applyList(List<Member> members) {
         long nowMs = clock.nowMs();
-        if (away) {
+        boolean back = away;
+        if (back) {
             away = false;
             backAtMs = nowMs;
         }
@@ -99,9 +108,7 @@
         for (Member member : members) {
             next.put(member.getMemberId(), endpointOf(member));
         }
-        if (nowMs - backAtMs < RETURN_MS) {
-            byId.forEach(next::putIfAbsent);
-        }
+        keepLapsed(next, back, nowMs);
         byId.values().stream().filter(before -> !next.containsKey(before.id())).forEach(this::gone);
         publish(next);
         if (first) {
@@ -111,6 +118,19 @@
         return first || !servingBefore.equals(serving());
     }
 
+    /** Keeps endpoints that were missing from the first list after an outage; one that goes later has ended or leaves. */
+    private void keepLapsed(Map<String, RelayEndpoint> next, boolean back, long nowMs) {
+        if (back) {
+            lapsedIds.addAll(byId.keySet());
+        }
+        lapsedIds.removeAll(next.keySet());
+        lapsedIds.retainAll(byId.keySet());
+        if (nowMs - backAtMs >= RETURN_MS) {
+            lapsedIds.clear();
+        }
+        lapsedIds.forEach(id -> next.put(id, byId.get(id)));
+    }
+
     private Set<String> serving() {
         return byId.values().stream()
                 .filter(endpoint -> !endpoint.state().leaving())
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -55,6 +55,30 @@
         assertEquals(usable(), List.of("a"));
     }
 
+    /** Found by a drawn day of dutchpot-kgn: a request reached an endpoint 2.1 s after its entry had gone. */
+    @Test
+    public void anEntryThatGoesAfterAnOutageIsGoneAtOnce() {
+        list("a", "b", "c");
+        endpoints.unread();
+        nowMs += OUTAGE_MS;
+        list("a", "b");
+        nowMs += 500;
+        list("a");
+        assertEquals(usable(), List.of("a", "c"));
+    }
+
+    @Test
+    public void anEntryThatCameBackAfterAnOutageAndGoesIsGoneAtOnce() {
+        list("a", "b");
+        endpoints.unread();
+        nowMs += OUTAGE_MS;
+        list("a");
+        list("a", "b");
+        nowMs += 500;
+        list("a");
+        assertEquals(usable(), List.of("a"));
+    }
+
     @Test
     public void anEntryThatLapsedDuringAnOutageHasTimeToComeBack() {
         list("a", "b");
