Count an endpoint without room for results as full for a while

Ruled out: results not given up in time (the count of the box that had gathered them was right).

Change: an endpoint that made a piece fail for want of room counts as full for 0.3 s, about a call.

--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -122,6 +122,7 @@
             }
         }
         if (!withoutRoom.isEmpty()) {
+            ledger.noRoom(endpoint.id());
             pool.again(withoutRoom, PieceResult.Failure.NO_ROOM);
         }
         if (!failed.isEmpty()) {
--- a/relay/src/main/java/org/wingstall/relay/pool/RoomLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RoomLedger.java
@@ -11,7 +11,14 @@
  * given up or their maker drops them. Confined to the request loop.
  */
 final class RoomLedger {
+    /**
+     * Time for which an endpoint that had no room counts as full, in ms: what it holds that this box did not count, such as
+     * results that another box gathered before, is given up about a call later.
+     */
+    private static final long FULL_MS = 300;
+
     private final MonotonicClock clock;
+    private final Map<String, Long> fullUntilMs = new HashMap<>();
     private final Map<String, Double> usedBytes = new HashMap<>();
     private final Map<String, Held> held = new LinkedHashMap<>();
 
@@ -21,8 +28,18 @@
         this.clock = clock;
     }
 
-    /** Returns the bytes taken at an endpoint, as far as this box knows. */
-    double usedBytes(String endpointId) {
+    /** Returns the bytes that are free at an endpoint, as far as this box knows. */
+    double freeBytes(String endpointId, double roomBytes) {
+        boolean full = fullUntilMs.getOrDefault(endpointId, Long.MIN_VALUE) > clock.nowMs();
+        return full ? 0 : roomBytes - usedBytes(endpointId);
+    }
+
+    /** Takes note that an endpoint had no room for a piece, whatever this box has counted. */
+    void noRoom(String endpointId) {
+        fullUntilMs.put(endpointId, clock.nowMs() + FULL_MS);
+    }
+
+    private double usedBytes(String endpointId) {
         dropOld();
         return usedBytes.getOrDefault(endpointId, 0.0);
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -97,7 +97,7 @@
         String domain = endpoint.identity().failureDomain();
         List<PieceGroup> allowed =
                 waiting.stream().filter(group -> group.mayGoTo(domain, nowMs)).toList();
-        double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.id());
+        double roomBytes = ledger.freeBytes(endpoint.id(), spec.roomBytes());
         List<PieceTicket> batch = take(parts.order().sorted(allowed, domain, nowMs), spec.batch(), roomBytes);
         if (batch.isEmpty()) {
             return false;
@@ -169,7 +169,7 @@
         PieceTicket.Placement placement = group.placement();
         Map<RelayEndpoint, Double> costs = new HashMap<>();
         for (RelayEndpoint endpoint : serving) {
-            double roomBytes = spec.roomBytes() - ledger.usedBytes(endpoint.id());
+            double roomBytes = ledger.freeBytes(endpoint.id(), spec.roomBytes());
             boolean free = endpoint.state().inFlight() < spec.slots() && roomBytes >= placement.resultBytes();
             if (free && group.mayGoTo(endpoint.identity().failureDomain(), nowMs)) {
                 boolean near = endpoint.identity().failureDomain().equals(placement.nearDomain());
