--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -14,8 +14,8 @@
     /** Time for which a group waits for an endpoint near its inputs or reader, in ms; less than a call. */
     private static final long NEAR_ONLY_MS = 120;
 
-    /** Time left until the target below which any endpoint will do, in ms; about two calls. */
-    private static final long HURRY_MS = 400;
+    /** Time left until the pieces have to begin below which any endpoint will do, in ms; about a call. */
+    private static final long HURRY_MS = 200;
 
     private final List<PieceTicket> waiting;
     private final long sinceMs;
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -166,7 +166,8 @@
                 .map(made -> made.result().handle())
                 .toList();
         String key = inputs.isEmpty() ? request.pieceKey() : null;
-        Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - laterMs(stage), urgency.dueAtMs());
+        long stillMs = pools.leastMs(stage.spec, stage.made.length) + laterMs(stage);
+        Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - stillMs, urgency.dueAtMs());
         PieceTicket.Placement placement = new PieceTicket.Placement(nearDomain(stage), stage.spec.resultBytes());
         for (int i = 0; i < stage.made.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
