Let one box choose engines for all, and send misdirected requests on

Ruled out: the stages (counted apart).

Change: the box that gathers for a service also chooses its engines. It is asked with a prompt's digests and tokens, and told when the first answer came or that an engine could not be reached; it counts waiting prompts, what each engine was given, and how slow it was. Without an answer in 40 ms a box chooses by what it knows. 421 costs no attempt. Frames are built from named parts.

Tests: EngineLedgerTest, EngineBrokerTest, RelayEnginesTest, RelayRetryTest (503 for 200 before).

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -32,11 +32,12 @@
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.LeastLoaded;
-import org.wingstall.relay.endpoint.PromptHome;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.engine.EngineBroker;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
 import org.wingstall.relay.pool.GroupOrder;
+import org.wingstall.relay.pool.PieceGathering;
 import org.wingstall.relay.pool.PoolParts;
 import org.wingstall.relay.pool.RendezvousGathering;
 import org.wingstall.relay.pool.StagePools;
@@ -112,6 +113,7 @@
     private final ServiceBudgets budgets;
     private final PeerMesh mesh;
     private final StagePools pools;
+    private final EngineBroker engines;
     private final RelayHandler handler;
     private final StoreFollowers store;
     private final HttpServer callers;
@@ -142,13 +144,16 @@
                 new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::listFollower),
                 loop,
                 clock);
+        PieceGathering gathering = new RendezvousGathering(
+                settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         this.pools = new StagePools(
                 new PoolParts(loop, clock, client, wire, endpoints, state::config, budgets, GroupOrder.EARLIEST_TARGET),
                 random,
                 mesh,
-                new RendezvousGathering(
-                        settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries));
+                gathering);
         mesh.pieces().attach(pools);
+        this.engines = new EngineBroker(loop, clock, mesh.engines(), gathering, endpoints, metrics);
+        mesh.attach(engines);
         this.handler = new RelayHandler(
                 new RelayParts(
                         loop,
@@ -160,7 +165,7 @@
                         state::config,
                         endpoints,
                         pools,
-                        new PromptHome(),
+                        engines,
                         new LeastLoaded(settings.getFailureDomain(), random),
                         budgets,
                         new RetryAfter(random::nextDouble),
@@ -175,7 +180,7 @@
                 state,
                 endpoints,
                 mesh,
-                () -> loop.execute(pools::offerAll),
+                () -> loop.execute(this::endpointsChanged),
                 boxes -> budgets.change(budgetPart(this.settings, boxes)));
         this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
@@ -202,6 +207,11 @@
         return (int) Math.round(HUNDREDTHS * settings.getProcessors() * settings.getProcessorShare());
     }
 
+    private void endpointsChanged() {
+        pools.offerAll();
+        engines.endpointsChanged();
+    }
+
     private ListFollower listFollower() {
         return store.list();
     }
--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -97,6 +97,21 @@
         assertEquals(successor.runs().size(), 0);
     }
 
+    /** The route "once" may go to one endpoint; one that is gone from its address has not been asked. */
+    @Test
+    public void aRequestForAnEndpointThatIsGoneFromItsAddressGoesToAnother() throws Exception {
+        WorkerStandin successor = new WorkerStandin("successor", 0, 0);
+        String address = fleet.add("plain", "east", "successor", successor);
+        fleet.store().remove("servers", "successor");
+        fleet.list("plain", "east", "predecessor", address, "ready");
+        add("plain", 0, Behaviour.ANSWERS, "sound");
+        box = new RelayBox(fleet, "misdirected").awaitReady();
+        for (int i = 0; i < RETRIES_SAVED; i++) {
+            assertEquals(box.post("once", "request-" + ids.incrementAndGet()).status(), 200);
+        }
+        assertEquals(successor.runs().size(), 0);
+    }
+
     @Test
     public void aFailureOfTheSecondEndpointNeverGetsIntoABegunStream() throws Exception {
         add("engine", 5, Behaviour.CUTS_ANSWER, "faulty");
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -4,6 +4,9 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.ConfigRequest;
+import org.wingstall.schema.peer.EngineAsk;
+import org.wingstall.schema.peer.EngineChoice;
+import org.wingstall.schema.peer.EngineOutcome;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.MemberNews;
@@ -22,60 +25,130 @@
 public final class Frames {
     private Frames() {}
 
+    /** What a frame may carry; one part is set. */
+    private static final class Parts {
+        private final long correlation;
+        private Hello hello;
+        private Heartbeat heartbeat;
+        private ConfigRequest configRequest;
+        private ConfigReply configReply;
+        private ClaimRequest claimRequest;
+        private ClaimReply claimReply;
+        private MemberNews memberNews;
+        private StageWork stageWork;
+        private StageResult stageResult;
+        private boolean stageWithdrawn;
+        private StageFreed stageFreed;
+        private EngineAsk engineAsk;
+        private EngineChoice engineChoice;
+        private EngineOutcome engineOutcome;
+
+        Parts(long correlation) {
+            this.correlation = correlation;
+        }
+
+        PeerFrame frame() {
+            return new PeerFrame(
+                    correlation,
+                    hello,
+                    heartbeat,
+                    configRequest,
+                    configReply,
+                    claimRequest,
+                    claimReply,
+                    memberNews,
+                    stageWork,
+                    stageResult,
+                    stageWithdrawn,
+                    stageFreed,
+                    engineAsk,
+                    engineChoice,
+                    engineOutcome);
+        }
+    }
+
     static PeerFrame hello(Hello hello) {
-        return new PeerFrame(0, hello, null, null, null, null, null, null, null, null, false, null);
+        Parts parts = new Parts(0);
+        parts.hello = hello;
+        return parts.frame();
     }
 
     /** Returns the frame of a heartbeat. */
     public static PeerFrame heartbeat(Heartbeat heartbeat) {
-        return new PeerFrame(0, null, heartbeat, null, null, null, null, null, null, null, false, null);
+        Parts parts = new Parts(0);
+        parts.heartbeat = heartbeat;
+        return parts.frame();
     }
 
     static PeerFrame configRequest(long afterRevision) {
-        return new PeerFrame(
-                afterRevision,
-                null,
-                null,
-                new ConfigRequest(afterRevision),
-                null,
-                null,
-                null,
-                null,
-                null,
-                null,
-                false,
-                null);
+        Parts parts = new Parts(afterRevision);
+        parts.configRequest = new ConfigRequest(afterRevision);
+        return parts.frame();
     }
 
     static PeerFrame configReply(long correlation, ConfigReply reply) {
-        return new PeerFrame(correlation, null, null, null, reply, null, null, null, null, null, false, null);
+        Parts parts = new Parts(correlation);
+        parts.configReply = reply;
+        return parts.frame();
     }
 
     static PeerFrame claimRequest(long correlation, ClaimRequest request) {
-        return new PeerFrame(correlation, null, null, null, null, request, null, null, null, null, false, null);
+        Parts parts = new Parts(correlation);
+        parts.claimRequest = request;
+        return parts.frame();
     }
 
     static PeerFrame claimReply(long correlation, ClaimReply reply) {
-        return new PeerFrame(correlation, null, null, null, null, null, reply, null, null, null, false, null);
+        Parts parts = new Parts(correlation);
+        parts.claimReply = reply;
+        return parts.frame();
     }
 
     static PeerFrame memberNews(MemberNews news) {
-        return new PeerFrame(0, null, null, null, null, null, null, news, null, null, false, null);
+        Parts parts = new Parts(0);
+        parts.memberNews = news;
+        return parts.frame();
     }
 
     static PeerFrame stageWork(long correlation, StageWork work) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, work, null, false, null);
+        Parts parts = new Parts(correlation);
+        parts.stageWork = work;
+        return parts.frame();
     }
 
     static PeerFrame stageResult(long correlation, StageResult result) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, result, false, null);
+        Parts parts = new Parts(correlation);
+        parts.stageResult = result;
+        return parts.frame();
     }
 
     static PeerFrame stageWithdrawn(long correlation) {
-        return new PeerFrame(correlation, null, null, null, null, null, null, null, null, null, true, null);
+        Parts parts = new Parts(correlation);
+        parts.stageWithdrawn = true;
+        return parts.frame();
     }
 
     static PeerFrame stageFreed(StageFreed freed) {
-        return new PeerFrame(0, null, null, null, null, null, null, null, null, null, false, freed);
+        Parts parts = new Parts(0);
+        parts.stageFreed = freed;
+        return parts.frame();
+    }
+
+    static PeerFrame engineAsk(long correlation, EngineAsk ask) {
+        Parts parts = new Parts(correlation);
+        parts.engineAsk = ask;
+        return parts.frame();
+    }
+
+    static PeerFrame engineChoice(long correlation, EngineChoice choice) {
+        Parts parts = new Parts(correlation);
+        parts.engineChoice = choice;
+        return parts.frame();
+    }
+
+    static PeerFrame engineOutcome(EngineOutcome outcome) {
+        Parts parts = new Parts(0);
+        parts.engineOutcome = outcome;
+        return parts.frame();
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/PeerLink.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.PeerFrame;
 
@@ -56,6 +57,16 @@
         channel.writeAndFlush(frame, channel.voidPromise());
     }
 
+    /** Sends a frame to a box; returns whether there is a link to it. */
+    static boolean send(Map<String, PeerLink> links, String boxId, PeerFrame frame) {
+        PeerLink link = links.get(boxId);
+        boolean linked = link != null && link.active();
+        if (linked) {
+            link.send(frame);
+        }
+        return linked;
+    }
+
     void close() {
         if (channel != null) {
             channel.close();
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -58,6 +58,7 @@
     private final Directory directory = new Directory();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final PieceLinks pieces = new PieceLinks(links);
+    private final MeshEngineLinks engines = new MeshEngineLinks(links);
     private final Dialer dialer;
     private final RowLinks rows;
     private final DomainTable domains;
@@ -114,6 +115,16 @@
         return pieces;
     }
 
+    /** Returns what gateways say to each other about engines. */
+    public EngineLinks engines() {
+        return engines;
+    }
+
+    /** Attaches what is done with what peers say about engines; before the mesh starts. */
+    public void attach(EngineHost host) {
+        engines.attach(host);
+    }
+
     /** Returns what gateways say to each other about rows of the platform's table. */
     public RowLinks rows() {
         return rows;
@@ -324,7 +335,7 @@
             heartbeat(link, frame.getHeartbeat());
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
-        } else if (!rows.frame(link, frame)) {
+        } else if (!rows.frame(link, frame) && !engines.frame(link.peer().getBoxId(), frame)) {
             pieces.frame(link.peer().getBoxId(), frame);
         }
     }
--- a/peer/src/main/java/org/wingstall/peer/PieceLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/PieceLinks.java
@@ -34,30 +34,22 @@
 
     /** Asks a peer to have pieces made; returns whether there is a link to it. */
     public boolean askFor(String boxId, long correlation, StageWork work) {
-        return sendTo(boxId, Frames.stageWork(correlation, work));
+        return PeerLink.send(links, boxId, Frames.stageWork(correlation, work));
     }
 
     /** Tells a peer what became of a piece; returns whether there is a link to it. */
     public boolean tellResult(String boxId, long correlation, StageResult result) {
-        return sendTo(boxId, Frames.stageResult(correlation, result));
+        return PeerLink.send(links, boxId, Frames.stageResult(correlation, result));
     }
 
     /** Tells a peer that pieces are not wanted any more. */
     public void withdraw(String boxId, long correlation) {
-        sendTo(boxId, Frames.stageWithdrawn(correlation));
+        PeerLink.send(links, boxId, Frames.stageWithdrawn(correlation));
     }
 
     /** Tells the box that gathered pieces that results are given up; returns whether there is a link to it. */
     public boolean tellFreed(String boxId, StageFreed freed) {
-        return sendTo(boxId, Frames.stageFreed(freed));
-    }
-
-    private boolean sendTo(String boxId, PeerFrame frame) {
-        boolean linked = linked(boxId);
-        if (linked) {
-            links.get(boxId).send(frame);
-        }
-        return linked;
+        return PeerLink.send(links, boxId, Frames.stageFreed(freed));
     }
 
     /** Passes a frame about pieces to the host; others are passed over. */
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointChooser.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointChooser.java
@@ -19,15 +19,4 @@
      * @return one of the candidates
      */
     RelayEndpoint choose(List<RelayEndpoint> candidates, RelayRequest request);
-
-    /**
-     * Returns the endpoint that would likely be chosen, without taking note of anything.
-     *
-     * @param candidates endpoints that may take the request, at least one
-     * @param request the request
-     * @return one of the candidates
-     */
-    default RelayEndpoint likely(List<RelayEndpoint> candidates, RelayRequest request) {
-        return choose(candidates, request);
-    }
 }
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -0,0 +1,219 @@
+package org.wingstall.relay.engine;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.peer.EngineHost;
+import org.wingstall.peer.EngineLinks;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.pool.PieceGathering;
+import org.wingstall.schema.peer.EngineAsk;
+import org.wingstall.schema.peer.EngineChoice;
+import org.wingstall.schema.peer.EngineOutcome;
+
+/**
+ * Has the engine of each prompt chosen by the box that chooses for the whole fleet, since boxes that each know only their own
+ * requests crowd some engines and leave others idle. Without word from that box this one chooses by what it knows itself. What
+ * the chooser knows is a hint; a request is sent, and never twice, by its own box. Confined to the request loop.
+ *
+ * <p>{@code broker.choose("wingstall-llm", candidates, prompt, "kgn-a", ticket -> send(ticket));}
+ *
+ * @since 0.4
+ */
+public final class EngineBroker implements EngineHost {
+    /** Longest wait for the choice of another box, in ms: ten ways there and back on a calm day. */
+    private static final long ASK_MS = 40;
+
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final EngineLinks links;
+    private final PieceGathering choosers;
+    private final RelayEndpoints endpoints;
+    private final RelayMetrics metrics;
+    private final EngineLedger ledger;
+    private final SilenceReports silences;
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private long nextCorrelation = 1;
+
+    /** A choice that another box was asked for. */
+    private record Asked(
+            String chooser,
+            List<RelayEndpoint> candidates,
+            Prompt prompt,
+            String nearDomain,
+            Consumer<EngineTicket> chosen,
+            ScheduledFuture<?> timeout) {}
+
+    /**
+     * Creates a broker.
+     *
+     * @param loop the request loop
+     * @param clock monotonic clock
+     * @param links what boxes say to each other about engines
+     * @param choosers says which box chooses for a service
+     * @param endpoints endpoints of all services
+     * @param metrics counts choices
+     */
+    public EngineBroker(
+            EventLoop loop,
+            MonotonicClock clock,
+            EngineLinks links,
+            PieceGathering choosers,
+            RelayEndpoints endpoints,
+            RelayMetrics metrics) {
+        this.loop = loop;
+        this.clock = clock;
+        this.links = links;
+        this.choosers = choosers;
+        this.endpoints = endpoints;
+        this.metrics = metrics;
+        this.ledger = new EngineLedger(clock);
+        this.silences = new SilenceReports(clock);
+    }
+
+    /**
+     * Has an engine chosen.
+     *
+     * @param service service of the engines
+     * @param candidates engines that may take the prompt, at least one
+     * @param prompt the prompt
+     * @param nearDomain failure domain where its inputs lie; empty when it has none
+     * @param chosen takes the choice, now or soon, once
+     */
+    public void choose(
+            String service,
+            List<RelayEndpoint> candidates,
+            Prompt prompt,
+            String nearDomain,
+            Consumer<EngineTicket> chosen) {
+        String chooser = choosers.gathererOf(service);
+        if (chooser == null || !ask(chooser, service, candidates, prompt, nearDomain, chosen)) {
+            chooseHere("this-box", candidates, prompt, nearDomain, chosen);
+        }
+    }
+
+    /** Returns the failure domain where a prompt's shared parts are at home; empty when it has none. */
+    public String homeDomain(List<RelayEndpoint> candidates, Prompt prompt) {
+        String home = candidates.isEmpty() ? "" : EngineLedger.homeOf(candidates, prompt);
+        return candidates.stream()
+                .filter(candidate -> candidate.id().equals(home))
+                .findFirst()
+                .map(candidate -> candidate.identity().failureDomain())
+                .orElse("");
+    }
+
+    private void chooseHere(
+            String why,
+            List<RelayEndpoint> candidates,
+            Prompt prompt,
+            String nearDomain,
+            Consumer<EngineTicket> chosen) {
+        metrics.engineChosen(why);
+        EngineLedger.Choice choice = ledger.choose(candidates, prompt, nearDomain);
+        chosen.accept(new EngineTicket(choice.endpoint(), null, choice.expectedMs(), clock, this::endedHere));
+    }
+
+    private boolean ask(
+            String chooser,
+            String service,
+            List<RelayEndpoint> candidates,
+            Prompt prompt,
+            String nearDomain,
+            Consumer<EngineTicket> chosen) {
+        Set<String> wanted = candidates.stream().map(RelayEndpoint::id).collect(Collectors.toSet());
+        List<String> excluded = endpoints.ofService(service).stream()
+                .map(RelayEndpoint::id)
+                .filter(id -> !wanted.contains(id))
+                .toList();
+        long correlation = nextCorrelation++;
+        EngineAsk ask =
+                new EngineAsk(service, prompt.shared(), prompt.digests(), prompt.tokens(), nearDomain, excluded);
+        if (!links.ask(chooser, correlation, ask)) {
+            return false;
+        }
+        ScheduledFuture<?> timeout = loop.schedule(() -> late(correlation), ASK_MS, TimeUnit.MILLISECONDS);
+        asked.put(correlation, new Asked(chooser, candidates, prompt, nearDomain, chosen, timeout));
+        return true;
+    }
+
+    private void late(long correlation) {
+        Asked waiting = asked.remove(correlation);
+        if (waiting != null) {
+            chooseHere("late", waiting.candidates(), waiting.prompt(), waiting.nearDomain(), waiting.chosen());
+        }
+    }
+
+    @Override
+    public void asked(String boxId, long correlation, EngineAsk ask) {
+        List<RelayEndpoint> candidates = endpoints.ofService(ask.getService()).stream()
+                .filter(RelayEndpoint::usable)
+                .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
+                .toList();
+        if (candidates.isEmpty()) {
+            links.tellChoice(boxId, correlation, new EngineChoice("", 0));
+            return;
+        }
+        Prompt prompt = new Prompt(ask.getShared(), ask.getDigests(), ask.getTokens());
+        EngineLedger.Choice choice = ledger.choose(candidates, prompt, ask.getNearDomain());
+        links.tellChoice(boxId, correlation, new EngineChoice(choice.endpoint().id(), (int) choice.expectedMs()));
+    }
+
+    @Override
+    public void chosen(String boxId, long correlation, EngineChoice choice) {
+        Asked waiting = asked.get(correlation);
+        if (waiting == null || !waiting.chooser().equals(boxId)) {
+            return;
+        }
+        asked.remove(correlation);
+        waiting.timeout().cancel(false);
+        Optional<RelayEndpoint> endpoint = waiting.candidates().stream()
+                .filter(candidate -> candidate.id().equals(choice.getEndpoint()))
+                .findFirst();
+        if (endpoint.isPresent()) {
+            metrics.engineChosen("chooser");
+            waiting.chosen()
+                    .accept(new EngineTicket(
+                            endpoint.get(), boxId, choice.getExpectedMs(), clock, this::endedElsewhere));
+        } else {
+            chooseHere(
+                    "chooser-without", waiting.candidates(), waiting.prompt(), waiting.nearDomain(), waiting.chosen());
+        }
+    }
+
+    private void endedElsewhere(EngineTicket ticket, long firstAnswerMs) {
+        links.tellOutcome(ticket.chooser(), new EngineOutcome(ticket.endpoint().id(), (int) ticket.expectedMs(), (int)
+                firstAnswerMs));
+    }
+
+    private void endedHere(EngineTicket ticket, long firstAnswerMs) {
+        if (firstAnswerMs >= 0) {
+            ledger.answered(ticket.endpoint().id(), ticket.expectedMs(), firstAnswerMs);
+        }
+    }
+
+    @Override
+    public void ended(String boxId, EngineOutcome outcome) {
+        String id = outcome.getEndpoint();
+        if (outcome.getFirstAnswerMs() >= 0) {
+            silences.answered(id);
+            ledger.answered(id, outcome.getExpectedMs(), outcome.getFirstAnswerMs());
+        } else if (silences.confirms(id, boxId)) {
+            endpoints.find(id).ifPresent(endpoint -> endpoint.stalled("two boxes could not reach it"));
+        }
+    }
+
+    /** Drops what is known of engines that are gone. */
+    public void endpointsChanged() {
+        ledger.retain(endpoints.all().stream().map(RelayEndpoint::id).collect(Collectors.toSet()));
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineTicket.java
@@ -0,0 +1,70 @@
+package org.wingstall.relay.engine;
+
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+
+/**
+ * The engine chosen for one sending of a request, and the way to tell the box that chose what became of it. Confined to the
+ * request loop.
+ *
+ * <p>{@code ticket.endpoint(); ... ticket.answered();}
+ *
+ * @since 0.4
+ */
+public final class EngineTicket {
+    private final RelayEndpoint endpoint;
+    private final String chooser;
+    private final long expectedMs;
+    private final MonotonicClock clock;
+    private final long sinceMs;
+    private final OutcomeListener listener;
+    private boolean ended;
+
+    /** Told once what became of the request. */
+    interface OutcomeListener {
+        /** The first sign of an answer came after so many ms; below 0 when the engine could not be reached. */
+        void ended(EngineTicket ticket, long firstAnswerMs);
+    }
+
+    EngineTicket(
+            RelayEndpoint endpoint, String chooser, long expectedMs, MonotonicClock clock, OutcomeListener listener) {
+        this.endpoint = endpoint;
+        this.chooser = chooser;
+        this.expectedMs = expectedMs;
+        this.clock = clock;
+        this.sinceMs = clock.nowMs();
+        this.listener = listener;
+    }
+
+    /** Returns the engine. */
+    public RelayEndpoint endpoint() {
+        return endpoint;
+    }
+
+    /** Returns the box that chose it; null for this one. */
+    public String chooser() {
+        return chooser;
+    }
+
+    /** Returns the time until the first sign of an answer that was expected, in ms. */
+    public long expectedMs() {
+        return expectedMs;
+    }
+
+    /** Takes note of the first sign of an answer. */
+    public void answered() {
+        end(clock.nowMs() - sinceMs);
+    }
+
+    /** Takes note that the engine could not be reached. */
+    public void unreachable() {
+        end(-1);
+    }
+
+    private void end(long firstAnswerMs) {
+        if (!ended) {
+            ended = true;
+            listener.ended(this, firstAnswerMs);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/engine/Prompt.java
@@ -0,0 +1,73 @@
+package org.wingstall.relay.engine;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.List;
+import org.wingstall.core.route.PrefixMemory;
+import org.wingstall.relay.wire.RelayRequest.PromptPart;
+
+/**
+ * A prompt as the choice of an engine sees it.
+ *
+ * <p>{@code Prompt prompt = Prompt.of(request.prompt()); prompt.coldTokens(memory, home)}
+ *
+ * @param shared identifier of the last part that other requests may share; empty when there is none
+ * @param digests digest of each part and all parts before it
+ * @param tokens tokens of each part
+ * @since 0.4
+ */
+public record Prompt(String shared, List<Long> digests, List<Integer> tokens) {
+    /** Copies the lists. */
+    public Prompt {
+        digests = List.copyOf(digests);
+        tokens = List.copyOf(tokens);
+    }
+
+    /** Returns the prompt of a request; the last part is the request's own. */
+    public static Prompt of(List<PromptPart> parts) {
+        Long[] digests = new Long[parts.size()];
+        long before = 0;
+        for (int i = 0; i < digests.length; i++) {
+            before = Hashing.komihash5_0()
+                    .hashStream()
+                    .putLong(before)
+                    .putString(parts.get(i).id())
+                    .getAsLong();
+            digests[i] = before;
+        }
+        String shared = parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
+        return new Prompt(
+                shared, List.of(digests), parts.stream().map(PromptPart::tokens).toList());
+    }
+
+    /**
+     * Returns the tokens that an engine has to read.
+     *
+     * @param memory parts that the engine was given before
+     * @param home whether all boxes send the shared parts there, so that it keeps them whoever sent them
+     */
+    int coldTokens(PrefixMemory memory, boolean home) {
+        int warm = memory.warmBlocks(digestArray());
+        if (home) {
+            warm = Math.max(warm, tokens.size() - 1);
+        }
+        int cold = 0;
+        for (int i = warm; i < tokens.size(); i++) {
+            cold += tokens.get(i);
+        }
+        return cold;
+    }
+
+    /** Returns the tokens of the part that is the request's own. */
+    int ownTokens() {
+        return tokens.isEmpty() ? 0 : tokens.get(tokens.size() - 1);
+    }
+
+    /** Takes note that an engine reads the prompt. */
+    void remember(PrefixMemory memory) {
+        memory.remember(digestArray());
+    }
+
+    private long[] digestArray() {
+        return digests.stream().mapToLong(Long::longValue).toArray();
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -23,6 +23,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<Reason, Counter> reasons = new EnumMap<>(Reason.class);
     private final Map<String, Counter> retries = new ConcurrentHashMap<>();
+    private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
     private final Counter dropped = registry.counter("wingstall.answers.dropped");
     private final Counter linesDropped = registry.counter("wingstall.log.lines.dropped");
     private final Timer complete =
@@ -66,6 +67,13 @@
                 .increment();
     }
 
+    /** Counts a choice of an engine, by who made it and why. */
+    public void engineChosen(String by) {
+        engineChoices
+                .computeIfAbsent(by, name -> registry.counter("wingstall.engine.choices", "by", name))
+                .increment();
+    }
+
     /** Counts an answer that was no answer to the request it came for. */
     public void answerDropped() {
         dropped.increment();
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGathering.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGathering.java
@@ -1,7 +1,8 @@
 package org.wingstall.relay.pool;
 
 /**
- * Says which box gathers the pieces of a service, so that calls carry pieces of many boxes' requests.
+ * Says which box does a service's joint work: gathers pieces, so that calls carry those of many boxes' requests, or chooses
+ * engines for all.
  *
  * <p>{@code String gatherer = gathering.gathererOf("pay-ledger");}
  *
@@ -12,10 +13,10 @@
     PieceGathering NONE = service -> null;
 
     /**
-     * Returns the box that gathers the pieces of a service.
+     * Returns the box that does the joint work of a service.
      *
      * @param service the service
-     * @return name of another box, or null when this box makes the calls itself
+     * @return name of another box, or null when it is this one
      */
     String gathererOf(String service);
 }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -52,6 +52,9 @@
         /** The endpoint states that it did not run the request. */
         void notRun(EndpointAttempt ended, String detail);
 
+        /** Another endpoint stands at the address, so the one that was meant has not been asked. */
+        void misdirected(EndpointAttempt ended, String detail);
+
         /** There is no whole answer; the request may have run. */
         void lost(EndpointAttempt ended, String detail);
 
@@ -189,10 +192,13 @@
 
     private void turnedAway() {
         end();
+        String detail = "the endpoint answered with status " + head.status();
         if (head.otherIncarnation()) {
             parts.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
+            owner.misdirected(this, detail);
+        } else {
+            owner.notRun(this, detail);
         }
-        owner.notRun(this, "the endpoint answered with status " + head.status());
     }
 
     @Override
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -9,6 +9,7 @@
 import org.wingstall.relay.config.RelayConfig;
 import org.wingstall.relay.endpoint.EndpointChooser;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.engine.EngineBroker;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
 import org.wingstall.relay.pool.StagePools;
@@ -47,7 +48,7 @@
         Supplier<RelayConfig> config,
         RelayEndpoints endpoints,
         StagePools pools,
-        EndpointChooser engines,
+        EngineBroker engines,
         EndpointChooser services,
         ServiceBudgets budgets,
         RetryAfter retryAfter,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -13,8 +13,9 @@
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
-import org.wingstall.relay.endpoint.EndpointChooser;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.engine.EngineTicket;
+import org.wingstall.relay.engine.Prompt;
 import org.wingstall.relay.pool.StageGraph;
 import org.wingstall.relay.pool.Urgency;
 import org.wingstall.relay.wire.EndpointCall;
@@ -64,8 +65,10 @@
     private final String service;
     private final Set<String> tried = new HashSet<>();
     private final AnswerRelay answer;
+    private final Prompt prompt;
     private StageGraph graph;
     private EndpointAttempt attempt;
+    private EngineTicket engine;
     private ScheduledFuture<?> timer;
     private boolean over;
     private int attempts;
@@ -90,6 +93,7 @@
         this.dueAtMs = arrivedMs + Math.min(route.timeoutMs(), request.deadlineMs() - ANSWER_LEAD_MS);
         this.service = route.service(parts.random().nextDouble());
         this.record = new RunRecord(request, route, workspace.name(), configVersion, arrivedMs);
+        this.prompt = Prompt.of(request.prompt());
         this.answer = new AnswerRelay(call, route.repeatable() && route.streamed());
     }
 
@@ -113,11 +117,15 @@
                 stagesDueAtMs);
     }
 
+    /** Returns where the request itself will likely run: results for it are best made near its engine. */
     private String readerDomain() {
-        List<RelayEndpoint> candidates = candidates();
-        return candidates.isEmpty()
-                ? ""
-                : chooser().likely(candidates, request).identity().failureDomain();
+        return prompted() ? parts.engines().homeDomain(candidates(), prompt) : "";
+    }
+
+    private boolean prompted() {
+        boolean engine =
+                parts.config().get().service(service).map(ServiceSpec::engine).orElse(false);
+        return engine && !prompt.tokens().isEmpty();
     }
 
     private boolean mayHaveRun() {
@@ -176,7 +184,23 @@
                     "no endpoint of '" + service + "' is left");
             return;
         }
-        RelayEndpoint endpoint = chooser().choose(candidates, request);
+        if (prompted()) {
+            String nearDomain = graph == null ? "" : readerDomain();
+            parts.engines().choose(service, candidates, prompt, nearDomain, chosen -> send(chosen, inputs));
+        } else {
+            send(parts.services().choose(candidates, request), inputs);
+        }
+    }
+
+    private void send(EngineTicket chosen, List<String> inputs) {
+        if (!over) {
+            engine = chosen;
+            record.engine(chosen);
+            send(chosen.endpoint(), inputs);
+        }
+    }
+
+    private void send(RelayEndpoint endpoint, List<String> inputs) {
         tried.add(endpoint.id());
         attempts++;
         long reuseIdleMs = route.repeatable() ? REUSE_IDLE_MS : 0;
@@ -204,12 +228,6 @@
         return usable.isEmpty() ? avoided : usable;
     }
 
-    private EndpointChooser chooser() {
-        boolean engine =
-                parts.config().get().service(service).map(ServiceSpec::engine).orElse(false);
-        return engine ? parts.engines() : parts.services();
-    }
-
     @Override
     public void handedOver() {
         handedOver++;
@@ -223,6 +241,9 @@
     @Override
     public void firstByte() {
         record.firstByte(parts.clock().nowMs());
+        if (engine != null) {
+            engine.answered();
+        }
         closeStages();
     }
 
@@ -238,6 +259,9 @@
     public void unsent(EndpointAttempt ended, String detail) {
         attempts--;
         record.attemptEnded("not-sent", detail);
+        if (engine != null) {
+            engine.unreachable();
+        }
         parts.metrics().retried("not-sent");
         callEndpoint(ended.inputs());
     }
@@ -255,6 +279,13 @@
         }
     }
 
+    /** Counts neither as sent nor as an attempt, as the endpoint that was meant is gone. */
+    @Override
+    public void misdirected(EndpointAttempt ended, String detail) {
+        attempts--;
+        notRun(ended, detail);
+    }
+
     @Override
     public void lost(EndpointAttempt ended, String detail) {
         record.attemptEnded("lost", detail);
--- a/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -49,6 +50,11 @@
                 + " ms old");
     }
 
+    void engine(EngineTicket chosen) {
+        String by = chosen.chooser() == null ? "this box" : chosen.chooser();
+        attempts.add("chosen by " + by + ", first answer expected in " + chosen.expectedMs() + " ms");
+    }
+
     void attemptEnded(String how, String detail) {
         attempts.add(how + ": " + detail);
     }
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -0,0 +1,153 @@
+package org.wingstall.relay.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import org.awaitility.Awaitility;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.peer.EngineLinks;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.wire.RelayRequest.PromptPart;
+import org.wingstall.schema.peer.EngineAsk;
+import org.wingstall.schema.peer.EngineChoice;
+import org.wingstall.schema.peer.EngineOutcome;
+import org.wingstall.schema.platform.Member;
+
+/** A box asks the one that chooses for all, and goes by what it knows itself without an answer. */
+public class EngineBrokerTest implements EngineLinks {
+    private static final Prompt PROMPT = Prompt.of(List.of(new PromptPart("menu", 1200), new PromptPart("own", 100)));
+
+    private EventLoop loop;
+    private RelayEndpoints endpoints;
+    private EngineBroker broker;
+    private boolean linked;
+    private final Map<Long, EngineAsk> asks = new java.util.concurrent.ConcurrentHashMap<>();
+    private final List<EngineChoice> choices = new ArrayList<>();
+    private final List<EngineOutcome> outcomes = new ArrayList<>();
+    private final List<EngineTicket> tickets = new CopyOnWriteArrayList<>();
+
+    @BeforeMethod
+    public void create() {
+        loop = new DefaultEventLoop();
+        linked = true;
+        asks.clear();
+        choices.clear();
+        outcomes.clear();
+        tickets.clear();
+        endpoints = new RelayEndpoints(System::nanoTime);
+        endpoints.applyList(Stream.of("a", "b").map(EngineBrokerTest::engine).toList());
+        broker = new EngineBroker(loop, System::nanoTime, this, service -> "hub", endpoints, new RelayMetrics());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        loop.shutdownGracefully();
+    }
+
+    private static Member engine(String id) {
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64);
+    }
+
+    @Override
+    public boolean ask(String boxId, long correlation, EngineAsk ask) {
+        asks.put(correlation, ask);
+        return linked;
+    }
+
+    @Override
+    public boolean tellChoice(String boxId, long correlation, EngineChoice choice) {
+        return choices.add(choice);
+    }
+
+    @Override
+    public boolean tellOutcome(String boxId, EngineOutcome outcome) {
+        return outcomes.add(outcome);
+    }
+
+    private void choose() throws Exception {
+        loop.submit(() -> broker.choose("llm", endpoints.ofService("llm"), PROMPT, "", tickets::add))
+                .sync();
+    }
+
+    private void hubChooses(String endpoint) throws Exception {
+        long correlation = asks.keySet().iterator().next();
+        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice(endpoint, 80)))
+                .sync();
+    }
+
+    @Test
+    public void theChoiceOfTheHubIsTakenAndItsOutcomeTold() throws Exception {
+        choose();
+        hubChooses("b");
+        EngineTicket ticket = tickets.get(0);
+        assertEquals(ticket.endpoint().id(), "b");
+        assertEquals(ticket.chooser(), "hub");
+        ticket.answered();
+        ticket.unreachable();
+        assertEquals(outcomes.size(), 1);
+        assertEquals(outcomes.get(0).getExpectedMs(), 80);
+        assertTrue(outcomes.get(0).getFirstAnswerMs() >= 0);
+    }
+
+    @DataProvider
+    Object[][] answersWithoutUse() {
+        return new Object[][] {{"an engine that this box does not know"}, {""}};
+    }
+
+    @Test(dataProvider = "answersWithoutUse")
+    public void anAnswerWithoutUseIsReplacedByItsOwnChoice(String endpoint) throws Exception {
+        choose();
+        hubChooses(endpoint);
+        assertEquals(tickets.size(), 1);
+        assertEquals(tickets.get(0).chooser(), null);
+    }
+
+    @Test
+    public void withoutAnAnswerThisBoxChoosesOnce() throws Exception {
+        choose();
+        Awaitility.await().until(() -> !tickets.isEmpty());
+        hubChooses("a");
+        assertEquals(tickets.size(), 1);
+        assertEquals(tickets.get(0).chooser(), null);
+    }
+
+    @Test
+    public void withoutALinkThisBoxChoosesAtOnce() throws Exception {
+        linked = false;
+        choose();
+        assertEquals(tickets.size(), 1);
+    }
+
+    @Test
+    public void aBoxThatIsAskedKeepsToWhatTheOtherWants() {
+        broker.asked("other", 3, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a")));
+        broker.asked(
+                "other", 4, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a", "b")));
+        assertEquals(choices.get(0).getEndpoint(), "b");
+        assertEquals(choices.get(1).getEndpoint(), "");
+    }
+
+    /** One box whose own links are broken must not keep all others from every engine. */
+    @Test
+    public void anEngineIsAvoidedOnceTwoBoxesCouldNotReachIt() {
+        RelayEndpoint engine = endpoints.find("a").orElseThrow();
+        broker.ended("one", new EngineOutcome("a", 80, -1));
+        broker.ended("one", new EngineOutcome("a", 80, -1));
+        assertTrue(engine.usable());
+        broker.ended("two", new EngineOutcome("a", 80, -1));
+        assertFalse(engine.usable());
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
@@ -0,0 +1,105 @@
+package org.wingstall.relay.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.wire.RelayRequest.PromptPart;
+import org.wingstall.schema.platform.Member;
+
+/** Which engine is chosen for a prompt, by what all of them were given. */
+public class EngineLedgerTest {
+    private long nowMs;
+    private RelayEndpoints endpoints;
+    private EngineLedger ledger;
+    private int prompts;
+
+    @BeforeMethod
+    public void create() {
+        nowMs = 0;
+        endpoints = new RelayEndpoints(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
+        endpoints.applyList(
+                Stream.of("a", "b", "c", "d").map(EngineLedgerTest::engine).toList());
+        ledger = new EngineLedger(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
+    }
+
+    private static Member engine(String id) {
+        String domain = id.equals("d") ? "west" : "east";
+        return new Member(id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64);
+    }
+
+    private Prompt prompt(String shared, int sharedTokens, int ownTokens) {
+        String own = "own" + prompts++;
+        return Prompt.of(List.of(new PromptPart(shared, sharedTokens), new PromptPart(own, ownTokens)));
+    }
+
+    private RelayEndpoint choose(Prompt prompt) {
+        return ledger.choose(endpoints.ofService("llm"), prompt, "").endpoint();
+    }
+
+    @Test
+    public void promptsWithTheSameSharedPartGoToOneEngineWhileItKeepsUp() {
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            chosen.add(choose(prompt("menu", 13_300, 600)).id());
+            nowMs += 200;
+        }
+        assertEquals(chosen.size(), 1);
+    }
+
+    /** Boxes that each saw only their own requests sent 20 at once to one engine, and the last waited for all before. */
+    @Test
+    public void manyPromptsAtOnceAreSpreadOnceWaitingCostsMoreThanReadingElsewhere() {
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            chosen.add(choose(prompt("menu", 13_300, 3700)).id());
+        }
+        assertEquals(chosen, Set.of("a", "b", "c", "d"));
+    }
+
+    @Test
+    public void anEngineThatAnswersLateGetsLess() {
+        String usual = choose(prompt("menu", 1200, 1000)).id();
+        for (int i = 0; i < 20; i++) {
+            ledger.answered(usual, 100, 800);
+        }
+        nowMs += 10_000;
+        assertNotEquals(choose(prompt("menu", 1200, 1000)).id(), usual);
+    }
+
+    @Test
+    public void amongEnginesWithLittleToReadTheNearOneIsChosen() {
+        for (int i = 0; i < 5; i++) {
+            Prompt alone = Prompt.of(List.of(new PromptPart("own" + i, 100)));
+            RelayEndpoint chosen =
+                    ledger.choose(endpoints.ofService("llm"), alone, "west").endpoint();
+            assertEquals(chosen.id(), "d");
+            nowMs += 1000;
+        }
+    }
+
+    @Test
+    public void theExpectedTimeCoversThePromptsThatWait() {
+        List<RelayEndpoint> one = endpoints.ofService("llm").subList(0, 1);
+        long first = ledger.choose(one, prompt("menu", 6120, 6120), "").expectedMs();
+        long second = ledger.choose(one, prompt("menu", 6120, 6120), "").expectedMs();
+        assertTrue(second >= first + 100, first + " then " + second);
+    }
+
+    @Test
+    public void whatIsKnownOfEnginesThatAreGoneIsDropped() {
+        String usual = choose(prompt("menu", 1200, 1000)).id();
+        ledger.answered(usual, 100, 800);
+        ledger.retain(Set.of());
+        assertEquals(choose(prompt("menu", 1200, 1000)).id(), usual);
+    }
+}
