Name what is asked of the box that chooses engines

Cause: reading the change as a newcomer, the broker carried the same five arguments through four methods, and a field had the name of a method. Change: a question and who waits for it are types of their own; no change in behaviour.

--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -26,7 +26,7 @@
  * requests crowd some engines and leave others idle. Without word from that box this one chooses by what it knows itself. What
  * the chooser knows is a hint; a request is sent, and never twice, by its own box. Confined to the request loop.
  *
- * <p>{@code broker.choose("wingstall-llm", candidates, prompt, "kgn-a", ticket -> send(ticket));}
+ * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, "kgn-a"), ticket -> send(ticket));}
  *
  * @since 0.4
  */
@@ -42,17 +42,22 @@
     private final RelayMetrics metrics;
     private final EngineLedger ledger;
     private final SilenceReports silences;
-    private final Map<Long, Asked> asked = new HashMap<>();
+    private final Map<Long, Pending> pending = new HashMap<>();
     private long nextCorrelation = 1;
 
-    /** A choice that another box was asked for. */
-    private record Asked(
-            String chooser,
-            List<RelayEndpoint> candidates,
-            Prompt prompt,
-            String nearDomain,
-            Consumer<EngineTicket> chosen,
-            ScheduledFuture<?> timeout) {}
+    /**
+     * An engine that is wanted.
+     *
+     * @param service service of the engines
+     * @param candidates engines that may take the prompt, at least one
+     * @param prompt the prompt
+     * @param nearDomain failure domain where its inputs lie; empty when it has none
+     */
+    public record Question(String service, List<RelayEndpoint> candidates, Prompt prompt, String nearDomain) {}
+
+    /** A question that another box was asked, and who waits for the choice. */
+    private record Pending(
+            Question question, String chooser, Consumer<EngineTicket> chosen, ScheduledFuture<?> timeout) {}
 
     /**
      * Creates a broker.
@@ -84,21 +89,13 @@
     /**
      * Has an engine chosen.
      *
-     * @param service service of the engines
-     * @param candidates engines that may take the prompt, at least one
-     * @param prompt the prompt
-     * @param nearDomain failure domain where its inputs lie; empty when it has none
+     * @param question what is wanted
      * @param chosen takes the choice, now or soon, once
      */
-    public void choose(
-            String service,
-            List<RelayEndpoint> candidates,
-            Prompt prompt,
-            String nearDomain,
-            Consumer<EngineTicket> chosen) {
-        String chooser = choosers.gathererOf(service);
-        if (chooser == null || !ask(chooser, service, candidates, prompt, nearDomain, chosen)) {
-            chooseHere("this-box", candidates, prompt, nearDomain, chosen);
+    public void choose(Question question, Consumer<EngineTicket> chosen) {
+        String chooser = choosers.gathererOf(question.service());
+        if (chooser == null || !ask(chooser, question, chosen)) {
+            chooseHere("this-box", question, chosen);
         }
     }
 
@@ -112,44 +109,43 @@
                 .orElse("");
     }
 
-    private void chooseHere(
-            String why,
-            List<RelayEndpoint> candidates,
-            Prompt prompt,
-            String nearDomain,
-            Consumer<EngineTicket> chosen) {
+    private void chooseHere(String why, Question question, Consumer<EngineTicket> chosen) {
         metrics.engineChosen(why);
-        EngineLedger.Choice choice = ledger.choose(candidates, prompt, nearDomain);
+        EngineLedger.Choice choice = ledger.choose(question.candidates(), question.prompt(), question.nearDomain());
         chosen.accept(new EngineTicket(choice.endpoint(), null, choice.expectedMs(), clock, this::endedHere));
     }
 
-    private boolean ask(
-            String chooser,
-            String service,
-            List<RelayEndpoint> candidates,
-            Prompt prompt,
-            String nearDomain,
-            Consumer<EngineTicket> chosen) {
-        Set<String> wanted = candidates.stream().map(RelayEndpoint::id).collect(Collectors.toSet());
-        List<String> excluded = endpoints.ofService(service).stream()
-                .map(RelayEndpoint::id)
-                .filter(id -> !wanted.contains(id))
-                .toList();
+    private boolean ask(String chooser, Question question, Consumer<EngineTicket> chosen) {
         long correlation = nextCorrelation++;
-        EngineAsk ask =
-                new EngineAsk(service, prompt.shared(), prompt.digests(), prompt.tokens(), nearDomain, excluded);
-        if (!links.ask(chooser, correlation, ask)) {
+        if (!links.ask(chooser, correlation, encode(question))) {
             return false;
         }
         ScheduledFuture<?> timeout = loop.schedule(() -> late(correlation), ASK_MS, TimeUnit.MILLISECONDS);
-        asked.put(correlation, new Asked(chooser, candidates, prompt, nearDomain, chosen, timeout));
+        pending.put(correlation, new Pending(question, chooser, chosen, timeout));
         return true;
     }
 
+    private EngineAsk encode(Question question) {
+        Set<String> wanted =
+                question.candidates().stream().map(RelayEndpoint::id).collect(Collectors.toSet());
+        List<String> excluded = endpoints.ofService(question.service()).stream()
+                .map(RelayEndpoint::id)
+                .filter(id -> !wanted.contains(id))
+                .toList();
+        Prompt prompt = question.prompt();
+        return new EngineAsk(
+                question.service(),
+                prompt.shared(),
+                prompt.digests(),
+                prompt.tokens(),
+                question.nearDomain(),
+                excluded);
+    }
+
     private void late(long correlation) {
-        Asked waiting = asked.remove(correlation);
+        Pending waiting = pending.remove(correlation);
         if (waiting != null) {
-            chooseHere("late", waiting.candidates(), waiting.prompt(), waiting.nearDomain(), waiting.chosen());
+            chooseHere("late", waiting.question(), waiting.chosen());
         }
     }
 
@@ -170,24 +166,22 @@
 
     @Override
     public void chosen(String boxId, long correlation, EngineChoice choice) {
-        Asked waiting = asked.get(correlation);
+        Pending waiting = pending.get(correlation);
         if (waiting == null || !waiting.chooser().equals(boxId)) {
             return;
         }
-        asked.remove(correlation);
+        pending.remove(correlation);
         waiting.timeout().cancel(false);
-        Optional<RelayEndpoint> endpoint = waiting.candidates().stream()
+        Optional<RelayEndpoint> endpoint = waiting.question().candidates().stream()
                 .filter(candidate -> candidate.id().equals(choice.getEndpoint()))
                 .findFirst();
-        if (endpoint.isPresent()) {
-            metrics.engineChosen("chooser");
-            waiting.chosen()
-                    .accept(new EngineTicket(
-                            endpoint.get(), boxId, choice.getExpectedMs(), clock, this::endedElsewhere));
-        } else {
-            chooseHere(
-                    "chooser-without", waiting.candidates(), waiting.prompt(), waiting.nearDomain(), waiting.chosen());
+        if (endpoint.isEmpty()) {
+            chooseHere("chooser-without", waiting.question(), waiting.chosen());
+            return;
         }
+        metrics.engineChosen("chooser");
+        waiting.chosen()
+                .accept(new EngineTicket(endpoint.get(), boxId, choice.getExpectedMs(), clock, this::endedElsewhere));
     }
 
     private void endedElsewhere(EngineTicket ticket, long firstAnswerMs) {
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -14,6 +14,7 @@
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.engine.EngineBroker;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.engine.Prompt;
 import org.wingstall.relay.pool.StageGraph;
@@ -186,7 +187,8 @@
         }
         if (prompted()) {
             String nearDomain = graph == null ? "" : readerDomain();
-            parts.engines().choose(service, candidates, prompt, nearDomain, chosen -> send(chosen, inputs));
+            EngineBroker.Question question = new EngineBroker.Question(service, candidates, prompt, nearDomain);
+            parts.engines().choose(question, chosen -> send(chosen, inputs));
         } else {
             send(parts.services().choose(candidates, request), inputs);
         }
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 import org.awaitility.Awaitility;
@@ -34,7 +35,7 @@
     private RelayEndpoints endpoints;
     private EngineBroker broker;
     private boolean linked;
-    private final Map<Long, EngineAsk> asks = new java.util.concurrent.ConcurrentHashMap<>();
+    private final Map<Long, EngineAsk> asks = new ConcurrentHashMap<>();
     private final List<EngineChoice> choices = new ArrayList<>();
     private final List<EngineOutcome> outcomes = new ArrayList<>();
     private final List<EngineTicket> tickets = new CopyOnWriteArrayList<>();
@@ -78,7 +79,8 @@
     }
 
     private void choose() throws Exception {
-        loop.submit(() -> broker.choose("llm", endpoints.ofService("llm"), PROMPT, "", tickets::add))
+        loop.submit(() -> broker.choose(
+                        new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, ""), tickets::add))
                 .sync();
     }
 
