--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -44,7 +44,7 @@
         return state.identity();
     }
 
-    /** Returns the identifier of this incarnation of the endpoint. */
+    /** Returns the identifier of the endpoint; one that starts again may keep it. */
     public String id() {
         return state.identity().memberId();
     }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -36,7 +36,7 @@
     private static final long RETURN_MS = 2300;
 
     private final MonotonicClock clock;
-    private final Map<String, Boolean> leavingIds = new ConcurrentHashMap<>();
+    private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
     private volatile Map<String, RelayEndpoint> byId = Map.of();
     private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
     private volatile Map<InetSocketAddress, String> domainsByAddress = Map.of();
@@ -45,6 +45,13 @@
     private boolean away;
     private long backAtMs = Long.MIN_VALUE / 2;
 
+    /** One life of an endpoint: it may start again under the identifier that it had, and knows nothing of before. */
+    private record Incarnation(String id, long number) {
+        static Incarnation of(RelayEndpoint endpoint) {
+            return new Incarnation(endpoint.id(), endpoint.identity().incarnation());
+        }
+    }
+
     /**
      * Creates a table without endpoints.
      *
@@ -102,14 +109,16 @@
             away = false;
             backAtMs = nowMs;
         }
-        Set<String> servingBefore = serving();
+        Set<Incarnation> servingBefore = serving();
         boolean first = !known();
         Map<String, RelayEndpoint> next = new HashMap<>();
         for (Member member : members) {
             next.put(member.getMemberId(), endpointOf(member));
         }
         keepLapsed(next, back, nowMs);
-        byId.values().stream().filter(before -> !next.containsKey(before.id())).forEach(this::gone);
+        byId.values().stream()
+                .filter(before -> next.get(before.id()) != before)
+                .forEach(before -> replaced(before, next));
         publish(next);
         if (first) {
             LogEvent.info("endpoints-known").with("count", next.size()).to(LOG);
@@ -131,10 +140,10 @@
         lapsedIds.forEach(id -> next.put(id, byId.get(id)));
     }
 
-    private Set<String> serving() {
+    private Set<Incarnation> serving() {
         return byId.values().stream()
                 .filter(endpoint -> !endpoint.state().leaving())
-                .map(RelayEndpoint::id)
+                .map(Incarnation::of)
                 .collect(Collectors.toSet());
     }
 
@@ -145,10 +154,11 @@
         }
     }
 
-    private void gone(RelayEndpoint endpoint) {
+    /** Ends what was known of an endpoint that has gone, or that stands under the same identifier anew. */
+    private void replaced(RelayEndpoint endpoint, Map<String, RelayEndpoint> next) {
         endpoint.state().markLeaving();
-        leavingIds.remove(endpoint.id());
-        LogEvent.info("endpoint-gone")
+        leaving.remove(Incarnation.of(endpoint));
+        LogEvent.info(next.containsKey(endpoint.id()) ? "endpoint-replaced" : "endpoint-gone")
                 .with("endpoint", endpoint.id())
                 .with("service", endpoint.identity().service())
                 .to(LOG);
@@ -157,7 +167,7 @@
     /** Marks an endpoint as leaving by what it said itself; a list that lags does not undo it. */
     public void markLeaving(RelayEndpoint endpoint, String why) {
         if (!endpoint.state().leaving()) {
-            leavingIds.put(endpoint.id(), Boolean.TRUE);
+            leaving.add(Incarnation.of(endpoint));
             endpoint.state().markLeaving();
             LogEvent.info("endpoint-leaving")
                     .with("endpoint", endpoint.id())
@@ -167,16 +177,22 @@
         }
     }
 
+    /** An entry that an earlier life of an endpoint wrote late says nothing of the one that runs now. */
     private RelayEndpoint endpointOf(Member member) {
         RelayEndpoint before = byId.get(member.getMemberId());
         EndpointIdentity identity = EndpointIdentity.of(member);
+        boolean older =
+                before != null && identity.incarnation() < before.identity().incarnation();
+        if (older) {
+            return before;
+        }
         boolean same = before != null && before.identity().equals(identity);
         EndpointState state = same ? before.state() : new EndpointState(identity, clock);
         RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, member.getSlots(), clock);
         if (member.getState() == Member.State.LEAVING) {
             markLeaving(endpoint, "list");
         }
-        if (leavingIds.containsKey(endpoint.id())) {
+        if (leaving.contains(Incarnation.of(endpoint))) {
             state.markLeaving();
         }
         if (before == null && known()) {
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -168,4 +168,40 @@
         endpoints.ofService("plain").get(0).broken(new TransportException(kind, false, "test"));
         assertEquals(usable(), staysUsable ? List.of("a") : List.of());
     }
+
+    private void listIncarnation(long incarnation, Member.State state) {
+        endpoints.applyList(List.of(
+                new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, incarnation, 4)));
+    }
+
+    @Test
+    public void anEndpointThatStartsAgainUnderItsIdentifierIsUsedAsNew() {
+        listIncarnation(1, Member.State.LEAVING);
+        RelayEndpoint before = endpoints.find("a").orElseThrow();
+        before.state().tryAcquire(1);
+        boolean changed = endpoints.applyList(List.of(
+                new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", Member.State.LIVE, 2, 4)));
+        RelayEndpoint after = endpoints.find("a").orElseThrow();
+        assertTrue(changed);
+        assertTrue(after.usable());
+        assertEquals(after.state().inFlight(), 0);
+        assertFalse(before.usable());
+    }
+
+    @Test
+    public void anEntryOfAnEarlierLifeSaysNothingOfThePresentOne() {
+        listIncarnation(2, Member.State.LIVE);
+        listIncarnation(1, Member.State.LEAVING);
+        assertEquals(usable(), List.of("a"));
+    }
+
+    @Test
+    public void anEndpointThatSaidThatItLeavesIsUsedAgainInItsNextLife() {
+        listIncarnation(1, Member.State.LIVE);
+        endpoints.markLeaving(endpoints.find("a").orElseThrow(), "its own word");
+        listIncarnation(1, Member.State.LIVE);
+        assertEquals(usable(), List.of());
+        listIncarnation(2, Member.State.LIVE);
+        assertEquals(usable(), List.of("a"));
+    }
 }
