Let engines fetch what others keep, choose them near the results, and learn how fast they read

Change: where the configuration says that engines fetch, one that lacks parts is told which other keeps them, and the engine is chosen near the results, by a cost that grows with their size. Reading rate and first steps are learned from answers by a linear trend.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -28,6 +28,7 @@
 import org.wingstall.platform.PlatformCallerWire;
 import org.wingstall.platform.PlatformEndpointWire;
 import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
@@ -152,7 +153,14 @@
                 mesh,
                 gathering);
         mesh.pieces().attach(pools);
-        this.engines = new EngineBroker(loop, clock, mesh.engines(), gathering, endpoints, metrics);
+        this.engines = new EngineBroker(
+                loop,
+                clock,
+                mesh.engines(),
+                gathering,
+                endpoints,
+                service -> state.config().service(service).flatMap(ServiceSpec::engine),
+                metrics);
         mesh.attach(engines);
         this.handler = new RelayHandler(
                 new RelayParts(
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/config/EngineSpec.java
@@ -0,0 +1,18 @@
+package org.wingstall.relay.config;
+
+/**
+ * What one model engine of a service can do.
+ *
+ * <p>{@code double ms = spec.fetchMs(6300);}
+ *
+ * @param fetches whether it can fetch parts of a prompt that another engine keeps
+ * @param tokenBytes size of one token in its memory
+ * @param linkBytesPerMs speed at which it fetches
+ * @since 0.5
+ */
+public record EngineSpec(boolean fetches, long tokenBytes, double linkBytesPerMs) {
+    /** Returns the time to fetch so many tokens, in ms. */
+    public double fetchMs(int tokens) {
+        return linkBytesPerMs <= 0 ? Double.MAX_VALUE : tokens * (double) tokenBytes / linkBytesPerMs;
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/config/ServiceSpec.java
+++ b/relay/src/main/java/org/wingstall/relay/config/ServiceSpec.java
@@ -11,7 +11,8 @@
  * @param maxConnections connections that one endpoint takes from all boxes together
  * @param slots requests that one endpoint runs at once; 0 when only the endpoints say
  * @param pool what its endpoints can do, when it does the work of stages
- * @param engine whether its endpoints are model engines
+ * @param engine what its endpoints can do, when they are model engines
  * @since 0.2
  */
-public record ServiceSpec(String name, int maxConnections, int slots, Optional<PoolSpec> pool, boolean engine) {}
+public record ServiceSpec(
+        String name, int maxConnections, int slots, Optional<PoolSpec> pool, Optional<EngineSpec> engine) {}
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,10 +10,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.EngineHost;
 import org.wingstall.peer.EngineLinks;
+import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
@@ -26,7 +30,7 @@
  * requests crowd some engines and leave others idle. Without word from that box this one chooses by what it knows itself. What
  * the chooser knows is a hint; a request is sent, and never twice, by its own box. Confined to the request loop.
  *
- * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, "kgn-a"), ticket -> send(ticket));}
+ * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, inputs), ticket -> send(ticket));}
  *
  * @since 0.4
  */
@@ -39,6 +43,7 @@
     private final EngineLinks links;
     private final PieceGathering choosers;
     private final RelayEndpoints endpoints;
+    private final Function<String, Optional<EngineSpec>> specs;
     private final RelayMetrics metrics;
     private final EngineLedger ledger;
     private final SilenceReports silences;
@@ -51,9 +56,9 @@
      * @param service service of the engines
      * @param candidates engines that may take the prompt, at least one
      * @param prompt the prompt
-     * @param nearDomain failure domain where its inputs lie; empty when it has none
+     * @param inputs where its inputs lie
      */
-    public record Question(String service, List<RelayEndpoint> candidates, Prompt prompt, String nearDomain) {}
+    public record Question(String service, List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs) {}
 
     /** A question that another box was asked, and who waits for the choice. */
     private record Pending(
@@ -67,6 +72,7 @@
      * @param links what boxes say to each other about engines
      * @param choosers says which box chooses for a service
      * @param endpoints endpoints of all services
+     * @param specs what the engines of a service can do, where the configuration says so
      * @param metrics counts choices
      */
     public EngineBroker(
@@ -75,12 +81,14 @@
             EngineLinks links,
             PieceGathering choosers,
             RelayEndpoints endpoints,
+            Function<String, Optional<EngineSpec>> specs,
             RelayMetrics metrics) {
         this.loop = loop;
         this.clock = clock;
         this.links = links;
         this.choosers = choosers;
         this.endpoints = endpoints;
+        this.specs = specs;
         this.metrics = metrics;
         this.ledger = new EngineLedger(clock);
         this.silences = new SilenceReports(clock);
@@ -111,8 +119,10 @@
 
     private void chooseHere(String why, Question question, Consumer<EngineTicket> chosen) {
         metrics.engineChosen(why);
-        EngineLedger.Choice choice = ledger.choose(question.candidates(), question.prompt(), question.nearDomain());
-        chosen.accept(new EngineTicket(choice.endpoint(), null, choice.expectedMs(), clock, this::endedHere));
+        EngineLedger.Choice choice = ledger.choose(new EngineLedger.Wanted(
+                question.candidates(), question.prompt(), question.inputs(), specs.apply(question.service())));
+        chosen.accept(new EngineTicket(
+                choice.endpoint(), null, choice.expectation(), choice.fetchFrom(), clock, this::endedHere));
     }
 
     private boolean ask(String chooser, Question question, Consumer<EngineTicket> chosen) {
@@ -138,8 +148,9 @@
                 prompt.shared(),
                 prompt.digests(),
                 prompt.tokens(),
-                question.nearDomain(),
-                excluded);
+                question.inputs().failureDomain(),
+                excluded,
+                question.inputs().bytes());
     }
 
     private void late(long correlation) {
@@ -156,12 +167,27 @@
                 .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
                 .toList();
         if (candidates.isEmpty()) {
-            links.tellChoice(boxId, correlation, new EngineChoice("", 0));
+            links.tellChoice(boxId, correlation, new EngineChoice("", 0, 0, 0, null));
             return;
         }
         Prompt prompt = new Prompt(ask.getShared(), ask.getDigests(), ask.getTokens());
-        EngineLedger.Choice choice = ledger.choose(candidates, prompt, ask.getNearDomain());
-        links.tellChoice(boxId, correlation, new EngineChoice(choice.endpoint().id(), (int) choice.expectedMs()));
+        EngineInputs inputs = new EngineInputs(ask.getNearDomain(), ask.getInputBytes());
+        links.tellChoice(
+                boxId,
+                correlation,
+                encode(ledger.choose(
+                        new EngineLedger.Wanted(candidates, prompt, inputs, specs.apply(ask.getService())))));
+    }
+
+    private static EngineChoice encode(EngineLedger.Choice choice) {
+        EngineExpectation expected = choice.expectation();
+        String fetchFrom = choice.fetchFrom() == null ? null : Addresses.format(choice.fetchFrom());
+        return new EngineChoice(
+                choice.endpoint().id(),
+                (int) expected.firstAnswerMs(),
+                expected.waitMs(),
+                expected.readTokens(),
+                fetchFrom);
     }
 
     @Override
@@ -180,18 +206,28 @@
             return;
         }
         metrics.engineChosen("chooser");
+        EngineExpectation expected =
+                new EngineExpectation(choice.getExpectedMs(), choice.getWaitMs(), choice.getReadTokens());
+        InetSocketAddress fetchFrom = choice.getFetchFrom() == null ? null : Addresses.parse(choice.getFetchFrom());
         waiting.chosen()
-                .accept(new EngineTicket(endpoint.get(), boxId, choice.getExpectedMs(), clock, this::endedElsewhere));
+                .accept(new EngineTicket(endpoint.get(), boxId, expected, fetchFrom, clock, this::endedElsewhere));
     }
 
     private void endedElsewhere(EngineTicket ticket, long firstAnswerMs) {
-        links.tellOutcome(ticket.chooser(), new EngineOutcome(ticket.endpoint().id(), (int) ticket.expectedMs(), (int)
-                firstAnswerMs));
+        EngineExpectation expected = ticket.expectation();
+        links.tellOutcome(
+                ticket.chooser(),
+                new EngineOutcome(
+                        ticket.endpoint().id(),
+                        (int) expected.firstAnswerMs(),
+                        (int) firstAnswerMs,
+                        expected.waitMs(),
+                        expected.readTokens()));
     }
 
     private void endedHere(EngineTicket ticket, long firstAnswerMs) {
         if (firstAnswerMs >= 0) {
-            ledger.answered(ticket.endpoint().id(), ticket.expectedMs(), firstAnswerMs);
+            ledger.answered(ticket.endpoint(), ticket.expectation(), firstAnswerMs);
         }
     }
 
@@ -200,7 +236,9 @@
         String id = outcome.getEndpoint();
         if (outcome.getFirstAnswerMs() >= 0) {
             silences.answered(id);
-            ledger.answered(id, outcome.getExpectedMs(), outcome.getFirstAnswerMs());
+            EngineExpectation expected =
+                    new EngineExpectation(outcome.getExpectedMs(), outcome.getWaitMs(), outcome.getReadTokens());
+            endpoints.find(id).ifPresent(engine -> ledger.answered(engine, expected, outcome.getFirstAnswerMs()));
         } else if (silences.confirms(id, boxId)) {
             endpoints.find(id).ifPresent(endpoint -> endpoint.stalled("two boxes could not reach it"));
         }
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineInputs.java
@@ -0,0 +1,21 @@
+package org.wingstall.relay.engine;
+
+/**
+ * Where the inputs of a request lie.
+ *
+ * <p>{@code new EngineInputs("kgn-a", 3_000_000)}
+ *
+ * @param failureDomain failure domain that holds most of them; empty when there are none
+ * @param bytes size of those that lie there
+ * @since 0.5
+ */
+public record EngineInputs(String failureDomain, long bytes) {
+    /** No inputs. */
+    public static final EngineInputs NONE = new EngineInputs("", 0);
+
+    /** Returns what it costs to read them in another failure domain, in ms; 0 where they lie. */
+    double extraMs(String readerDomain, double baseMs, double msPerByte) {
+        boolean near = failureDomain.isEmpty() || failureDomain.equals(readerDomain);
+        return near ? 0 : baseMs + bytes * msPerByte;
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
@@ -1,89 +1,154 @@
 package org.wingstall.relay.engine;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.wingstall.core.peer.Rendezvous;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 
 /**
  * Chooses the engine that will answer a prompt first, by what all engines were given through this box: the prompts that wait
- * to be read there, what of this prompt it keeps, what runs beside, and how slow it has been. Confined to the request loop.
+ * to be read there, what of this prompt it keeps or can fetch, what runs beside, and how slow it has been. Confined to the
+ * request loop.
  *
- * <p>{@code ledger.choose(engines, prompt, "kgn-a").orElseThrow().endpoint()}
+ * <p>{@code ledger.choose(new Wanted(engines, prompt, Inputs.NONE, Optional.empty())).endpoint()}
  *
  * @since 0.4
  */
 final class EngineLedger {
-    /** Prompt tokens that an engine reads in a millisecond; the operators' figure for their engines. */
-    private static final double READ_TOKENS_PER_MS = 61.2;
-
     /**
      * What reading a shared part once more costs beside its time, in parts of that time: other prompts wait for it as well.
      * At 0 twice as many tokens were read again as without a common choice.
      */
     private static final double READ_AGAIN = 1;
 
-    /** What a request that runs there costs the next one, in ms: each step of the engine gets a little longer. */
-    private static final double BESIDE_MS = 4;
+    /** What it costs to fetch a request's inputs from another failure domain, whatever their size, in ms. */
+    private static final double FAR_MS = 5;
+
+    /** What each megabyte of them costs beside, in ms: links between failure domains are dear, and shared by all. */
+    private static final double FAR_MS_PER_MB = 25;
 
-    /** What it costs to fetch a request's inputs from another failure domain, in ms of its own time and the links'. */
-    private static final double FAR_MS = 30;
+    private static final double BYTES_PER_MB = 1e6;
 
-    /** Time until the first event of a prompt that is read at once, in ms: fetching inputs and the first steps. */
-    private static final double FIRST_STEPS_MS = 60;
+    /** Time to set up the fetching of what another engine keeps, in ms; two ways there and back between domains. */
+    private static final double FETCH_SETUP_MS = 6;
+
+    /** Fetching between failure domains takes so many times as long as within one. */
+    private static final double FAR_FETCH = 2;
 
     private final MonotonicClock clock;
     private final Map<String, EngineLoad> loads = new HashMap<>();
+    private final Map<String, EngineSpeed> speeds = new HashMap<>();
+
+    /**
+     * What a choice is for.
+     *
+     * @param candidates engines that may take the prompt, at least one
+     * @param prompt the prompt
+     * @param inputs where its inputs lie
+     * @param spec what the engines can do, where the configuration says so
+     */
+    record Wanted(List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs, Optional<EngineSpec> spec) {}
 
     /**
      * The engine that was chosen.
      *
      * @param endpoint the engine
-     * @param expectedMs time until the first sign of an answer that is expected, in ms
+     * @param expectation what is expected of it
+     * @param fetchFrom engine that keeps parts of the prompt which the chosen one lacks, or null
      */
-    record Choice(RelayEndpoint endpoint, long expectedMs) {}
+    record Choice(RelayEndpoint endpoint, EngineExpectation expectation, InetSocketAddress fetchFrom) {}
 
-    /** What sending a prompt to an engine costs: reading it, the time until its first event, and both with what others lose. */
-    private record Cost(RelayEndpoint endpoint, double readMs, double firstMs, double wholeMs) {}
+    /** What sending a prompt to an engine costs: its parts, the time until its first event, and that with what others lose. */
+    private record Cost(
+            RelayEndpoint endpoint, int readTokens, double waitMs, double firstMs, double wholeMs, Fetch fetch) {}
+
+    /** Parts of a prompt that an engine can get from another one. */
+    private record Fetch(RelayEndpoint keeper, int tokens, double takesMs) {
+        private static final Fetch NONE = new Fetch(null, 0, 0);
+    }
+
+    /** The engine that keeps most of a prompt, and how many parts of it. */
+    private record Keeper(RelayEndpoint endpoint, int parts) {}
 
     EngineLedger(MonotonicClock clock) {
         this.clock = clock;
     }
 
-    /**
-     * Chooses an engine and takes note of what it is given.
-     *
-     * @param candidates engines that may take the prompt, at least one
-     * @param prompt the prompt
-     * @param nearDomain failure domain where its inputs lie; empty when it has none
-     */
-    Choice choose(List<RelayEndpoint> candidates, Prompt prompt, String nearDomain) {
+    /** Chooses an engine and takes note of what it is given. */
+    Choice choose(Wanted wanted) {
         long nowMs = clock.nowMs();
-        String home = homeOf(candidates, prompt);
+        String home = homeOf(wanted.candidates(), wanted.prompt());
+        Keeper keeper = keeperOf(wanted, home);
         Cost best = null;
-        for (RelayEndpoint candidate : candidates) {
-            Cost cost = cost(candidate, prompt, nearDomain, candidate.id().equals(home), nowMs);
+        for (RelayEndpoint candidate : wanted.candidates()) {
+            Cost cost = cost(candidate, wanted, home, keeper, nowMs);
             if (best == null || cost.wholeMs() < best.wholeMs()) {
                 best = cost;
             }
         }
-        loadOf(best.endpoint().id()).given(best.readMs(), nowMs);
-        prompt.remember(best.endpoint().state().prefixes());
-        return new Choice(best.endpoint(), Math.round(best.firstMs() + FIRST_STEPS_MS));
+        EngineLoad load = loadOf(best.endpoint());
+        load.given(load.readMs(best.readTokens()), nowMs);
+        wanted.prompt().remember(best.endpoint().state().prefixes());
+        RelayEndpoint from = best.fetch().keeper();
+        EngineExpectation expectation =
+                new EngineExpectation(Math.round(best.firstMs()), (int) best.waitMs(), best.readTokens());
+        return new Choice(
+                best.endpoint(), expectation, from == null ? null : from.state().address());
     }
 
-    private Cost cost(RelayEndpoint candidate, Prompt prompt, String nearDomain, boolean home, long nowMs) {
-        EngineLoad load = loadOf(candidate.id());
-        double readMs = load.slowness() * prompt.coldTokens(candidate.state().prefixes(), home) / READ_TOKENS_PER_MS;
-        boolean far =
-                !nearDomain.isEmpty() && !nearDomain.equals(candidate.identity().failureDomain());
-        double besideMs = load.slowness() * BESIDE_MS * load.running(nowMs);
-        double againMs = READ_AGAIN * Math.max(0, readMs - load.slowness() * prompt.ownTokens() / READ_TOKENS_PER_MS);
-        double firstMs = load.waitMs(nowMs) + readMs + besideMs + (far ? FAR_MS : 0);
-        return new Cost(candidate, readMs, firstMs, firstMs + againMs);
+    private static int warmParts(RelayEndpoint engine, Prompt prompt, String home) {
+        return prompt.warmParts(engine.state().prefixes(), engine.id().equals(home));
+    }
+
+    private static Keeper keeperOf(Wanted wanted, String home) {
+        Keeper most = new Keeper(null, 0);
+        for (RelayEndpoint candidate : wanted.candidates()) {
+            int parts = warmParts(candidate, wanted.prompt(), home);
+            if (parts > most.parts()) {
+                most = new Keeper(candidate, parts);
+            }
+        }
+        return most;
+    }
+
+    private Cost cost(RelayEndpoint candidate, Wanted wanted, String home, Keeper keeper, long nowMs) {
+        EngineLoad load = loadOf(candidate);
+        Prompt prompt = wanted.prompt();
+        int warm = warmParts(candidate, prompt, home);
+        Fetch fetch = fetch(candidate, wanted, warm, keeper, load);
+        int readTokens = prompt.tokensFrom(warm) - fetch.tokens();
+        double readMs = load.readMs(readTokens);
+        double againMs = READ_AGAIN * Math.max(0, readMs - load.readMs(prompt.ownTokens()));
+        double waitMs = load.waitMs(nowMs);
+        double firstMs = waitMs
+                + fetch.takesMs()
+                + readMs
+                + load.firstStepsMs(nowMs)
+                + wanted.inputs().extraMs(candidate.identity().failureDomain(), FAR_MS, FAR_MS_PER_MB / BYTES_PER_MB);
+        return new Cost(candidate, readTokens, waitMs, firstMs, firstMs + againMs, fetch);
+    }
+
+    /** Fetching is worth it when it takes less time than reading. */
+    private static Fetch fetch(RelayEndpoint candidate, Wanted wanted, int warm, Keeper keeper, EngineLoad load) {
+        boolean can = wanted.spec().map(EngineSpec::fetches).orElse(false)
+                && keeper.endpoint() != null
+                && keeper.endpoint() != candidate
+                && keeper.parts() > warm;
+        if (!can) {
+            return Fetch.NONE;
+        }
+        Prompt prompt = wanted.prompt();
+        int tokens = prompt.tokensFrom(warm) - prompt.tokensFrom(keeper.parts());
+        String keeperDomain = keeper.endpoint().identity().failureDomain();
+        boolean near = keeperDomain.equals(candidate.identity().failureDomain());
+        double takesMs = FETCH_SETUP_MS + wanted.spec().get().fetchMs(tokens) * (near ? 1 : FAR_FETCH);
+        return takesMs < load.readMs(tokens) ? new Fetch(keeper.endpoint(), tokens, takesMs) : Fetch.NONE;
     }
 
     /** Returns the engine that all boxes prefer for the last part that may be shared. */
@@ -96,8 +161,8 @@
     }
 
     /** Takes note of the time that the first answer of an engine took. */
-    void answered(String endpointId, long expectedMs, long tookMs) {
-        loadOf(endpointId).answered(expectedMs, tookMs);
+    void answered(RelayEndpoint engine, EngineExpectation expected, long tookMs) {
+        loadOf(engine).answered(expected, tookMs);
     }
 
     /** Drops what is known of engines that are gone. */
@@ -105,7 +170,14 @@
         loads.keySet().retainAll(endpointIds);
     }
 
-    private EngineLoad loadOf(String endpointId) {
-        return loads.computeIfAbsent(endpointId, id -> new EngineLoad());
+    /** An engine that started again under its identifier has none of the load that it had. */
+    private EngineLoad loadOf(RelayEndpoint engine) {
+        EngineLoad known = loads.get(engine.id());
+        if (known == null || known.incarnation() != engine.identity().incarnation()) {
+            EngineSpeed speed = speeds.computeIfAbsent(engine.identity().service(), service -> new EngineSpeed());
+            known = new EngineLoad(engine.identity().incarnation(), speed);
+            loads.put(engine.id(), known);
+        }
+        return known;
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
@@ -15,11 +15,33 @@
     /** How slow an engine may count at most; beyond, it is the last choice in any case. */
     private static final double MOST_SLOWNESS = 8;
 
+    private final long incarnation;
+    private final EngineSpeed speed;
     private double readUntilMs;
     private double running;
     private double runningAsOfMs;
     private double slowness = 1;
 
+    EngineLoad(long incarnation, EngineSpeed speed) {
+        this.incarnation = incarnation;
+        this.speed = speed;
+    }
+
+    /** Returns the life of the engine that this is about. */
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** Returns the time that it takes to read so many tokens, in ms. */
+    double readMs(int tokens) {
+        return slowness() * speed.readMs(tokens);
+    }
+
+    /** Returns the time from the end of reading to the first event beside what runs there, in ms. */
+    double firstStepsMs(long nowMs) {
+        return speed.firstStepsMs() + slowness() * speed.besideMs() * running(nowMs);
+    }
+
     /** Returns the time until the prompts that it was given are read, in ms. */
     double waitMs(long nowMs) {
         return Math.max(0, readUntilMs - nowMs);
@@ -43,8 +65,9 @@
     }
 
     /** Takes note of the time that a first answer took. */
-    void answered(long expectedMs, long tookMs) {
-        double ratio = Math.min(MOST_SLOWNESS, tookMs / (double) Math.max(1, expectedMs));
+    void answered(EngineExpectation expected, long tookMs) {
+        double ratio = Math.min(MOST_SLOWNESS, tookMs / (double) Math.max(1, expected.firstAnswerMs()));
         slowness += NEW_WEIGHT * (ratio - slowness);
+        speed.answered(expected.readTokens(), tookMs - expected.waitMs());
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineTicket.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineTicket.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.engine;
 
+import java.net.InetSocketAddress;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 
@@ -14,7 +15,8 @@
 public final class EngineTicket {
     private final RelayEndpoint endpoint;
     private final String chooser;
-    private final long expectedMs;
+    private final EngineExpectation expectation;
+    private final InetSocketAddress fetchFrom;
     private final MonotonicClock clock;
     private final long sinceMs;
     private final OutcomeListener listener;
@@ -27,10 +29,16 @@
     }
 
     EngineTicket(
-            RelayEndpoint endpoint, String chooser, long expectedMs, MonotonicClock clock, OutcomeListener listener) {
+            RelayEndpoint endpoint,
+            String chooser,
+            EngineExpectation expectation,
+            InetSocketAddress fetchFrom,
+            MonotonicClock clock,
+            OutcomeListener listener) {
         this.endpoint = endpoint;
         this.chooser = chooser;
-        this.expectedMs = expectedMs;
+        this.expectation = expectation;
+        this.fetchFrom = fetchFrom;
         this.clock = clock;
         this.sinceMs = clock.nowMs();
         this.listener = listener;
@@ -46,9 +54,14 @@
         return chooser;
     }
 
-    /** Returns the time until the first sign of an answer that was expected, in ms. */
-    public long expectedMs() {
-        return expectedMs;
+    /** Returns what was expected of it. */
+    public EngineExpectation expectation() {
+        return expectation;
+    }
+
+    /** Returns an engine that keeps parts of the prompt which the chosen one lacks, or null. */
+    public InetSocketAddress fetchFrom() {
+        return fetchFrom;
     }
 
     /** Takes note of the first sign of an answer. */
--- a/relay/src/main/java/org/wingstall/relay/engine/Prompt.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/Prompt.java
@@ -8,7 +8,7 @@
 /**
  * A prompt as the choice of an engine sees it.
  *
- * <p>{@code Prompt prompt = Prompt.of(request.prompt()); prompt.coldTokens(memory, home)}
+ * <p>{@code Prompt prompt = Prompt.of(request.prompt()); prompt.tokensFrom(prompt.warmParts(memory, home))}
  *
  * @param shared identifier of the last part that other requests may share; empty when there is none
  * @param digests digest of each part and all parts before it
@@ -40,21 +40,23 @@
     }
 
     /**
-     * Returns the tokens that an engine has to read.
+     * Returns how many leading parts of the prompt an engine keeps.
      *
      * @param memory parts that the engine was given before
      * @param home whether all boxes send the shared parts there, so that it keeps them whoever sent them
      */
-    int coldTokens(PrefixMemory memory, boolean home) {
+    int warmParts(PrefixMemory memory, boolean home) {
         int warm = memory.warmBlocks(digestArray());
-        if (home) {
-            warm = Math.max(warm, tokens.size() - 1);
-        }
-        int cold = 0;
-        for (int i = warm; i < tokens.size(); i++) {
-            cold += tokens.get(i);
+        return home ? Math.max(warm, tokens.size() - 1) : warm;
+    }
+
+    /** Returns the tokens of a part and of all after it. */
+    int tokensFrom(int part) {
+        int sum = 0;
+        for (int i = part; i < tokens.size(); i++) {
+            sum += tokens.get(i);
         }
-        return cold;
+        return sum;
     }
 
     /** Returns the tokens of the part that is the request's own. */
--- a/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
@@ -113,9 +113,9 @@
 
     private static MadePiece decode(StageResult result, String gatherer) {
         if (result.getHandle() == null) {
-            return MadePiece.failed(PieceResult.Failure.valueOf(result.getFailure()));
+            return MadePiece.failed(PieceResult.Failure.valueOf(result.getFailure()), result.getAgainMs());
         }
-        return new MadePiece(PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), gatherer);
+        return MadePiece.made(PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), gatherer);
     }
 
     /** Tells gathering boxes of the work that nobody here wants any more. */
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -59,10 +59,10 @@
 
     private static StageResult encode(int place, MadePiece made) {
         if (!made.result().made()) {
-            return new StageResult(place, null, null, made.result().failure().name());
+            return new StageResult(place, null, null, made.result().failure().name(), made.againMs());
         }
         String maker = Addresses.format(made.maker());
-        return new StageResult(place, made.result().handle(), maker, null);
+        return new StageResult(place, made.result().handle(), maker, null, 0);
     }
 
     void withdrawn(String boxId, long correlation) {
--- a/relay/src/main/java/org/wingstall/relay/pool/MadePiece.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/MadePiece.java
@@ -9,9 +9,18 @@
  * @param result the result, or why there is none
  * @param maker endpoint that keeps it; null when there is none
  * @param gatherer box that had it made and counts the maker's room; null for this box
+ * @param againMs when there is likely room for a request that was turned away, in ms; 0 when that is not known
  */
-record MadePiece(PieceResult result, InetSocketAddress maker, String gatherer) {
+record MadePiece(PieceResult result, InetSocketAddress maker, String gatherer, long againMs) {
+    static MadePiece made(PieceResult result, InetSocketAddress maker, String gatherer) {
+        return new MadePiece(result, maker, gatherer, 0);
+    }
+
     static MadePiece failed(PieceResult.Failure failure) {
-        return new MadePiece(PieceResult.failed(failure), null, null);
+        return failed(failure, 0);
+    }
+
+    static MadePiece failed(PieceResult.Failure failure, long againMs) {
+        return new MadePiece(PieceResult.failed(failure), null, null, againMs);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -138,6 +138,6 @@
         long bytes = ticket.placement().resultBytes();
         ledger.reserve(endpoint.id(), bytes);
         ledger.made(endpoint.id(), bytes, result.handle(), spec.resultLifeMs());
-        ticket.done(new MadePiece(result, endpoint.state().address(), null));
+        ticket.done(MadePiece.made(result, endpoint.state().address(), null));
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -4,11 +4,14 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
+import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.wire.Piece;
 import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.relay.wire.RelayRequest;
@@ -113,6 +116,20 @@
         return handles;
     }
 
+    /** Returns the failure domain where most of what the request itself reads lies. */
+    public EngineInputs outputPlace() {
+        Map<String, Long> bytes = new HashMap<>();
+        for (StageProgress stage : stages) {
+            if (readersOf(stage).isEmpty()) {
+                stage.results().forEach(made -> bytes.merge(pools.domainOf(made), stage.spec.resultBytes(), Long::sum));
+            }
+        }
+        return bytes.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(most -> new EngineInputs(most.getKey(), most.getValue()))
+                .orElse(EngineInputs.NONE);
+    }
+
     /** Returns how far each stage that has begun came, for the log. */
     public List<String> progress() {
         return stages.stream()
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -1,20 +1,24 @@
 package org.wingstall.relay.run;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.answer.Reason;
 import org.wingstall.core.answer.RefusedException;
 import org.wingstall.net.http.HttpCall;
+import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.engine.EngineBroker;
+import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.engine.Prompt;
 import org.wingstall.relay.pool.StageGraph;
@@ -118,15 +122,21 @@
                 stagesDueAtMs);
     }
 
-    /** Returns where the request itself will likely run: results for it are best made near its engine. */
+    /**
+     * Returns where the request itself will likely run: results for it are best made near its engine. Engines that fetch
+     * what others keep are chosen near the results instead.
+     */
     private String readerDomain() {
-        return prompted() ? parts.engines().homeDomain(candidates(), prompt) : "";
+        boolean anywhere = engineSpec().map(EngineSpec::fetches).orElse(false);
+        return prompted() && !anywhere ? parts.engines().homeDomain(candidates(), prompt) : "";
+    }
+
+    private Optional<EngineSpec> engineSpec() {
+        return parts.config().get().service(service).flatMap(ServiceSpec::engine);
     }
 
     private boolean prompted() {
-        boolean engine =
-                parts.config().get().service(service).map(ServiceSpec::engine).orElse(false);
-        return engine && !prompt.tokens().isEmpty();
+        return engineSpec().isPresent() && !prompt.tokens().isEmpty();
     }
 
     private boolean mayHaveRun() {
@@ -186,11 +196,11 @@
             return;
         }
         if (prompted()) {
-            String nearDomain = graph == null ? "" : readerDomain();
-            EngineBroker.Question question = new EngineBroker.Question(service, candidates, prompt, nearDomain);
+            EngineInputs lying = graph == null ? EngineInputs.NONE : graph.outputPlace();
+            EngineBroker.Question question = new EngineBroker.Question(service, candidates, prompt, lying);
             parts.engines().choose(question, chosen -> send(chosen, inputs));
         } else {
-            send(parts.services().choose(candidates, request), inputs);
+            send(parts.services().choose(candidates, request), null, inputs);
         }
     }
 
@@ -198,16 +208,16 @@
         if (!over) {
             engine = chosen;
             record.engine(chosen);
-            send(chosen.endpoint(), inputs);
+            send(chosen.endpoint(), chosen.fetchFrom(), inputs);
         }
     }
 
-    private void send(RelayEndpoint endpoint, List<String> inputs) {
+    private void send(RelayEndpoint endpoint, InetSocketAddress fetchFrom, List<String> inputs) {
         tried.add(endpoint.id());
         attempts++;
         long reuseIdleMs = route.repeatable() ? REUSE_IDLE_MS : 0;
         EndpointCall wanted = new EndpointCall(
-                endpoint.identity(), remainingMs(), workspace.name(), inputs, resumeAfter(), reuseIdleMs);
+                endpoint.identity(), remainingMs(), workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
         record.attempt(endpoint, parts.endpoints().ageMs());
         attempt = new EndpointAttempt(parts, request, wanted, endpoint, inputs, this);
         attempt.begin();
--- a/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.engine.EngineExpectation;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.wire.RelayRequest;
 
@@ -52,7 +53,10 @@
 
     void engine(EngineTicket chosen) {
         String by = chosen.chooser() == null ? "this box" : chosen.chooser();
-        attempts.add("chosen by " + by + ", first answer expected in " + chosen.expectedMs() + " ms");
+        EngineExpectation expected = chosen.expectation();
+        String fetched = chosen.fetchFrom() == null ? "" : ", fetching from " + chosen.fetchFrom();
+        attempts.add("chosen by " + by + ", first answer expected in " + expected.firstAnswerMs() + " ms with "
+                + expected.waitMs() + " ms of waiting and " + expected.readTokens() + " tokens to read" + fetched);
     }
 
     void attemptEnded(String how, String detail) {
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
@@ -50,7 +51,14 @@
         tickets.clear();
         endpoints = new RelayEndpoints(System::nanoTime);
         endpoints.applyList(Stream.of("a", "b").map(EngineBrokerTest::engine).toList());
-        broker = new EngineBroker(loop, System::nanoTime, this, service -> "hub", endpoints, new RelayMetrics());
+        broker = new EngineBroker(
+                loop,
+                System::nanoTime,
+                this,
+                service -> "hub",
+                endpoints,
+                service -> Optional.empty(),
+                new RelayMetrics());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -80,13 +88,14 @@
 
     private void choose() throws Exception {
         loop.submit(() -> broker.choose(
-                        new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, ""), tickets::add))
+                        new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, EngineInputs.NONE),
+                        tickets::add))
                 .sync();
     }
 
     private void hubChooses(String endpoint) throws Exception {
         long correlation = asks.keySet().iterator().next();
-        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice(endpoint, 80)))
+        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice(endpoint, 80, 0, 100, null)))
                 .sync();
     }
 
@@ -135,9 +144,9 @@
 
     @Test
     public void aBoxThatIsAskedKeepsToWhatTheOtherWants() {
-        broker.asked("other", 3, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a")));
+        broker.asked("other", 3, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a"), 0));
         broker.asked(
-                "other", 4, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a", "b")));
+                "other", 4, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a", "b"), 0));
         assertEquals(choices.get(0).getEndpoint(), "b");
         assertEquals(choices.get(1).getEndpoint(), "");
     }
@@ -146,10 +155,10 @@
     @Test
     public void anEngineIsAvoidedOnceTwoBoxesCouldNotReachIt() {
         RelayEndpoint engine = endpoints.find("a").orElseThrow();
-        broker.ended("one", new EngineOutcome("a", 80, -1));
-        broker.ended("one", new EngineOutcome("a", 80, -1));
+        broker.ended("one", new EngineOutcome("a", 80, -1, 0, 100));
+        broker.ended("one", new EngineOutcome("a", 80, -1, 0, 100));
         assertTrue(engine.usable());
-        broker.ended("two", new EngineOutcome("a", 80, -1));
+        broker.ended("two", new EngineOutcome("a", 80, -1, 0, 100));
         assertFalse(engine.usable());
     }
 }
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -42,8 +43,16 @@
         return Prompt.of(List.of(new PromptPart(shared, sharedTokens), new PromptPart(own, ownTokens)));
     }
 
+    private EngineLedger.Choice choose(List<RelayEndpoint> engines, Prompt prompt, EngineInputs inputs) {
+        return ledger.choose(new EngineLedger.Wanted(engines, prompt, inputs, Optional.empty()));
+    }
+
+    private void answeredLate(String id) {
+        ledger.answered(endpoints.find(id).orElseThrow(), new EngineExpectation(100, 0, 1000), 800);
+    }
+
     private RelayEndpoint choose(Prompt prompt) {
-        return ledger.choose(endpoints.ofService("llm"), prompt, "").endpoint();
+        return choose(endpoints.ofService("llm"), prompt, EngineInputs.NONE).endpoint();
     }
 
     @Test
@@ -70,7 +79,7 @@
     public void anEngineThatAnswersLateGetsLess() {
         String usual = choose(prompt("menu", 1200, 1000)).id();
         for (int i = 0; i < 20; i++) {
-            ledger.answered(usual, 100, 800);
+            answeredLate(usual);
         }
         nowMs += 10_000;
         assertNotEquals(choose(prompt("menu", 1200, 1000)).id(), usual);
@@ -80,8 +89,8 @@
     public void amongEnginesWithLittleToReadTheNearOneIsChosen() {
         for (int i = 0; i < 5; i++) {
             Prompt alone = Prompt.of(List.of(new PromptPart("own" + i, 100)));
-            RelayEndpoint chosen =
-                    ledger.choose(endpoints.ofService("llm"), alone, "west").endpoint();
+            RelayEndpoint chosen = choose(endpoints.ofService("llm"), alone, new EngineInputs("west", 1_000_000))
+                    .endpoint();
             assertEquals(chosen.id(), "d");
             nowMs += 1000;
         }
@@ -90,15 +99,19 @@
     @Test
     public void theExpectedTimeCoversThePromptsThatWait() {
         List<RelayEndpoint> one = endpoints.ofService("llm").subList(0, 1);
-        long first = ledger.choose(one, prompt("menu", 6120, 6120), "").expectedMs();
-        long second = ledger.choose(one, prompt("menu", 6120, 6120), "").expectedMs();
+        long first = choose(one, prompt("menu", 6120, 6120), EngineInputs.NONE)
+                .expectation()
+                .firstAnswerMs();
+        long second = choose(one, prompt("menu", 6120, 6120), EngineInputs.NONE)
+                .expectation()
+                .firstAnswerMs();
         assertTrue(second >= first + 100, first + " then " + second);
     }
 
     @Test
     public void whatIsKnownOfEnginesThatAreGoneIsDropped() {
         String usual = choose(prompt("menu", 1200, 1000)).id();
-        ledger.answered(usual, 100, 800);
+        answeredLate(usual);
         ledger.retain(Set.of());
         assertEquals(choose(prompt("menu", 1200, 1000)).id(), usual);
     }
