Choose the engine that costs least while the answer is in time

Change: the box asks with the time left until the target; a time within it counts once, beyond it three times more, and the results' way counts by their size apart from the time that it takes.

--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -30,7 +30,7 @@
  * requests crowd some engines and leave others idle. Without word from that box this one chooses by what it knows itself. What
  * the chooser knows is a hint; a request is sent, and never twice, by its own box. Confined to the request loop.
  *
- * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, inputs), ticket -> send(ticket));}
+ * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, inputs, 900), ticket -> send(ticket));}
  *
  * @since 0.4
  */
@@ -58,8 +58,10 @@
      * @param candidates engines that may take the prompt, at least one
      * @param prompt the prompt
      * @param inputs where its inputs lie
+     * @param targetMs time left until its first answer is wanted, in ms
      */
-    public record Question(String service, List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs) {}
+    public record Question(
+            String service, List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs, long targetMs) {}
 
     /** A question that another box was asked, and who waits for the choice. */
     private record Pending(
@@ -136,7 +138,11 @@
     private void chooseHere(String why, Question question, Consumer<EngineTicket> chosen) {
         metrics.engineChosen(why);
         EngineLedger.Choice choice = ledger.choose(new EngineLedger.Wanted(
-                question.candidates(), question.prompt(), question.inputs(), specs.apply(question.service())));
+                question.candidates(),
+                question.prompt(),
+                question.inputs(),
+                question.targetMs(),
+                specs.apply(question.service())));
         int ownTokens = question.prompt().ownTokens();
         chosen.accept(new EngineTicket(choice, null, ownTokens, clock, this::endedHere));
     }
@@ -166,7 +172,8 @@
                 prompt.tokens(),
                 question.inputs().failureDomain(),
                 excluded,
-                question.inputs().bytes());
+                question.inputs().bytes(),
+                question.targetMs());
     }
 
     private void late(long correlation) {
@@ -191,8 +198,8 @@
         links.tellChoice(
                 boxId,
                 correlation,
-                encode(ledger.choose(
-                        new EngineLedger.Wanted(candidates, prompt, inputs, specs.apply(ask.getService())))));
+                encode(ledger.choose(new EngineLedger.Wanted(
+                        candidates, prompt, inputs, ask.getTargetMs(), specs.apply(ask.getService())))));
     }
 
     private static EngineChoice encode(EngineLedger.Choice choice) {
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
@@ -27,11 +27,23 @@
      */
     private static final double READ_AGAIN = 1;
 
-    /** What it costs to fetch a request's inputs from another failure domain, whatever their size, in ms. */
+    /** What it takes to fetch a request's inputs from another failure domain, whatever their size, in ms. */
     private static final double FAR_MS = 5;
 
-    /** What each megabyte of them costs beside, in ms: links between failure domains are dear, and shared by all. */
-    private static final double FAR_MS_PER_MB = 25;
+    /** What each megabyte of them takes beside, in ms, over links of 1 Gbit/s. */
+    private static final double FAR_MS_PER_MB = 8;
+
+    /**
+     * What each megabyte of them costs beside its time, in ms of engines: links between failure domains are dear. While an
+     * answer is in time anyway, the near engine is chosen unless others wait for it much longer.
+     */
+    private static final double DEAR_MS_PER_MB = 50;
+
+    /** What each ms beyond the target costs, in ms within it. */
+    private static final double LATE = 3;
+
+    /** Factor on an expected time from which it is counted as late: some answers take longer. */
+    private static final double MARGIN = 1.3;
 
     private static final double BYTES_PER_MB = 1e6;
 
@@ -54,9 +66,15 @@
      * @param candidates engines that may take the prompt, at least one
      * @param prompt the prompt
      * @param inputs where its inputs lie
+     * @param targetMs time left until its first answer is wanted, in ms
      * @param spec what the engines can do, where the configuration says so
      */
-    record Wanted(List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs, Optional<EngineSpec> spec) {}
+    record Wanted(
+            List<RelayEndpoint> candidates,
+            Prompt prompt,
+            EngineInputs inputs,
+            long targetMs,
+            Optional<EngineSpec> spec) {}
 
     /**
      * The engine that was chosen.
@@ -133,12 +151,17 @@
         double readMs = load.readMs(readTokens);
         double againMs = READ_AGAIN * Math.max(0, readMs - load.readMs(prompt.ownTokens()));
         double waitMs = load.waitMs(nowMs);
-        double firstMs = waitMs
-                + fetch.takesMs()
-                + readMs
-                + load.firstStepsMs(nowMs)
-                + wanted.inputs().extraMs(candidate.identity().failureDomain(), FAR_MS, FAR_MS_PER_MB / BYTES_PER_MB);
-        return new Cost(candidate, readTokens, waitMs, firstMs, firstMs + againMs, fetch);
+        double farMs =
+                wanted.inputs().extraMs(candidate.identity().failureDomain(), FAR_MS, FAR_MS_PER_MB / BYTES_PER_MB);
+        double firstMs = waitMs + fetch.takesMs() + readMs + load.firstStepsMs(nowMs) + farMs;
+        double dearMs = wanted.inputs().extraMs(candidate.identity().failureDomain(), 0, DEAR_MS_PER_MB / BYTES_PER_MB);
+        double wholeMs = timeCostMs(firstMs, wanted.targetMs()) + againMs + dearMs;
+        return new Cost(candidate, readTokens, waitMs, firstMs, wholeMs, fetch);
+    }
+
+    /** Time within the target costs what it keeps others waiting; beyond, the answer is worth little. */
+    private static double timeCostMs(double firstMs, long targetMs) {
+        return firstMs + LATE * Math.max(0, firstMs * MARGIN - targetMs);
     }
 
     /** Fetching is worth it when it takes less time than reading. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -96,6 +96,10 @@
         return handedOver > 0;
     }
 
+    private long untilTargetMs() {
+        return Math.max(0, arrivedMs + route.targetMs() - parts.clock().nowMs());
+    }
+
     private long remainingMs() {
         return dueAtMs - parts.clock().nowMs();
     }
@@ -154,7 +158,7 @@
         if (service.readsPrompt()) {
             EngineInputs lying = graph == null ? EngineInputs.NONE : graph.outputPlace();
             EngineBroker.Question question =
-                    new EngineBroker.Question(service.name(), candidates, service.prompt(), lying);
+                    new EngineBroker.Question(service.name(), candidates, service.prompt(), lying, untilTargetMs());
             parts.engines().choose(question, chosen -> send(chosen, inputs));
         } else {
             send(parts.services().choose(candidates, request), null, inputs);
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -88,7 +88,7 @@
 
     private void choose() throws Exception {
         loop.submit(() -> broker.choose(
-                        new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, EngineInputs.NONE),
+                        new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, EngineInputs.NONE, 1000),
                         tickets::add))
                 .sync();
     }
@@ -144,9 +144,12 @@
 
     @Test
     public void aBoxThatIsAskedKeepsToWhatTheOtherWants() {
-        broker.asked("other", 3, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a"), 0));
         broker.asked(
-                "other", 4, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a", "b"), 0));
+                "other", 3, new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a"), 0, 1000));
+        broker.asked(
+                "other",
+                4,
+                new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of("a", "b"), 0, 1000));
         assertEquals(choices.get(0).getEndpoint(), "b");
         assertEquals(choices.get(1).getEndpoint(), "");
     }
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
@@ -44,7 +44,7 @@
     }
 
     private EngineLedger.Choice choose(List<RelayEndpoint> engines, Prompt prompt, EngineInputs inputs) {
-        return ledger.choose(new EngineLedger.Wanted(engines, prompt, inputs, Optional.empty()));
+        return ledger.choose(new EngineLedger.Wanted(engines, prompt, inputs, 1000, Optional.empty()));
     }
 
     private void answeredLate(String id) {
