Wait for endpoints near heavy inputs while in time, and let pieces taken back wait together

Ruled out: engines (90 MB by the new part of the request's line). Pieces that a call brought back waited one by one, and were spread over calls. Change: a group waits for a near endpoint for a time that grows with the bytes it would move, while it is in time and one serves there. Pieces of one stage of a request that come back wait as one group. Retry-After of refusals by forecast is at most 3 s.

--- a/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
@@ -93,7 +93,8 @@
                 Math.max(0, ticket.urgency().dueAtMs() - nowMs),
                 Math.max(0, ticket.urgency().targetAtMs() - nowMs),
                 ticket.placement().resultBytes(),
-                ticket.placement().nearDomain());
+                ticket.placement().nearDomain(),
+                ticket.placement().awayBytes());
     }
 
     void resultCame(String boxId, long correlation, StageResult result) {
--- a/relay/src/main/java/org/wingstall/relay/pool/CallPlanner.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallPlanner.java
@@ -15,13 +15,13 @@
     /**
      * Plans a call.
      *
-     * @param waiting groups that wait, in any order
+     * @param inOrder groups that wait, the first to go first
      * @param makers endpoints that serve
      * @param spec what an endpoint can do
      * @param nowMs monotonic clock, in ms
      * @return the call; empty when nothing can go now
      */
-    Optional<PlannedCall> next(List<PieceGroup> waiting, List<Maker> makers, PoolSpec spec, long nowMs);
+    Optional<PlannedCall> next(List<PieceGroup> inOrder, List<Maker> makers, PoolSpec spec, long nowMs);
 
     /**
      * An endpoint as a planner sees it.
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/pool/EarliestTarget.java
@@ -0,0 +1,19 @@
+package org.wingstall.relay.pool;
+
+import java.util.Comparator;
+import java.util.List;
+
+/** See {@link GroupOrder#EARLIEST_TARGET}. */
+final class EarliestTarget implements GroupOrder {
+    @Override
+    public List<PieceGroup> sorted(List<PieceGroup> groups, PoolForecast forecast, long nowMs) {
+        return byRank(groups, nowMs);
+    }
+
+    static List<PieceGroup> byRank(List<PieceGroup> groups, long nowMs) {
+        Comparator<PieceGroup> order = Comparator.<PieceGroup>comparingInt(group -> group.lateAt(nowMs) ? 1 : 0)
+                .thenComparingInt(group -> group.urgency().rank())
+                .thenComparingLong(PieceGroup::latestBeginAtMs);
+        return groups.stream().sorted(order).toList();
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/pool/ForecastAdmission.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ForecastAdmission.java
@@ -15,20 +15,23 @@
      */
     private static final double LEAST_SPARE = 0.1;
 
+    /** Longest time after which to come back, in ms: how long a burst lasts can't be foreseen for longer. */
+    private static final long MOST_AGAIN_MS = 3000;
+
     @Override
     public List<TurnedAway> turnedAway(List<PieceGroup> inOrder, PoolOutlook outlook, long nowMs) {
         List<Long> ends = outlook.forecast()
                 .endsAtMs(inOrder.stream().map(PieceGroup::size).toList());
         double spare = Math.max(LEAST_SPARE, 1 - outlook.load());
         List<TurnedAway> away = new ArrayList<>();
-        long idleInMs = ends.isEmpty() ? 0 : untilMs(ends.get(ends.size() - 1), nowMs, spare);
+        long againMs = ends.isEmpty() ? 0 : Math.min(MOST_AGAIN_MS, untilMs(ends.get(ends.size() - 1), nowMs, spare));
         for (int i = 0; i < ends.size(); i++) {
             PieceGroup group = inOrder.get(i);
             double part = group.lateAt(nowMs) ? spare : 1;
             long roomAtMs = outlook.roomAtMs().applyAsLong(group);
             long endsAtMs = Math.max(nowMs + untilMs(ends.get(i), nowMs, part), roomAtMs + group.callMs());
             if (endsAtMs > group.urgency().dueAtMs()) {
-                away.add(new TurnedAway(group, Math.max(idleInMs, roomAtMs - nowMs)));
+                away.add(new TurnedAway(group, Math.max(againMs, roomAtMs - nowMs)));
             }
         }
         return away;
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -40,7 +40,7 @@
         return new PieceTicket(
                 new Piece(piece.getRequestId(), piece.getStage(), piece.getIndex(), piece.getKey(), piece.getInputs()),
                 new Urgency(piece.getRank(), nowMs + piece.getTargetMs(), nowMs + piece.getRemainingMs()),
-                new PieceTicket.Placement(piece.getNearDomain(), piece.getResultBytes()),
+                new PieceTicket.Placement(piece.getNearDomain(), piece.getResultBytes(), piece.getAwayBytes()),
                 owner);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/GroupOrder.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GroupOrder.java
@@ -1,45 +1,27 @@
 package org.wingstall.relay.pool;
 
-import java.util.Comparator;
 import java.util.List;
 
 /**
  * Says which groups of pieces go to an endpoint first.
  *
- * <p>{@code order.sorted(groups, "kgn-a", nowMs)}
+ * <p>{@code order.sorted(groups, forecast, nowMs)}
  *
  * @since 0.2
  */
 public interface GroupOrder {
-    /** Returns the groups in the order in which an endpoint of the failure domain takes them. */
-    List<PieceGroup> sorted(List<PieceGroup> groups, String failureDomain, long nowMs);
-
-    /** In the order of arrival; the baseline. */
-    GroupOrder ARRIVAL = (groups, failureDomain, nowMs) -> List.copyOf(groups);
-
     /**
-     * Those that can still be in time first, then by rank, then the earliest target; a group whose inputs or reader are in
-     * the endpoint's failure domain counts as somewhat earlier.
+     * Returns the groups in the order in which they go.
+     *
+     * @param groups the groups, in any order
+     * @param forecast when the pool's slots are free, and how long calls take
+     * @param nowMs monotonic clock, in ms
      */
-    GroupOrder EARLIEST_TARGET = new EarliestTarget();
+    List<PieceGroup> sorted(List<PieceGroup> groups, PoolForecast forecast, long nowMs);
 
-    /** See {@link #EARLIEST_TARGET}. */
-    final class EarliestTarget implements GroupOrder {
-        /** What nearness is worth, in ms of target; about a call without its pieces. */
-        private static final long NEAR_MS = 150;
-
-        private EarliestTarget() {}
-
-        @Override
-        public List<PieceGroup> sorted(List<PieceGroup> groups, String failureDomain, long nowMs) {
-            Comparator<PieceGroup> order = Comparator.<PieceGroup>comparingInt(group -> group.lateAt(nowMs) ? 1 : 0)
-                    .thenComparingInt(group -> group.urgency().rank())
-                    .thenComparingLong(group -> group.latestBeginAtMs() - nearMs(group, failureDomain));
-            return groups.stream().sorted(order).toList();
-        }
+    /** In the order of arrival; the baseline. */
+    GroupOrder ARRIVAL = (groups, forecast, nowMs) -> List.copyOf(groups);
 
-        private static long nearMs(PieceGroup group, String failureDomain) {
-            return group.placement().nearDomain().equals(failureDomain) ? NEAR_MS : 0;
-        }
-    }
+    /** Those that can still be in time first, then by rank, then the earliest target. */
+    GroupOrder EARLIEST_TARGET = new EarliestTarget();
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -12,8 +12,14 @@
  * @since 0.2
  */
 public final class PieceGroup {
-    /** Time for which a group waits for an endpoint near its inputs or reader, in ms; less than a call. */
-    private static final long NEAR_ONLY_MS = 120;
+    /**
+     * Time for which a group waits for an endpoint near its inputs or reader, in ms for each megabyte that would go between
+     * failure domains: each piece reads all its inputs, so a group's readings of other stages are the most of what goes there
+     * (500 of 586 MB in 20 s, at 120 ms of waiting for all).
+     */
+    private static final double NEAR_ONLY_MS_PER_MB = 300;
+
+    private static final double BYTES_PER_MB = 1e6;
 
     /** Time left until the pieces have to begin below which any endpoint will do, in ms; about a call. */
     private static final long HURRY_MS = 200;
@@ -50,7 +56,11 @@
     /** Returns whether an endpoint of the failure domain may take the group now. */
     boolean mayGoTo(String failureDomain, long nowMs) {
         boolean hurries = latestBeginAtMs() - nowMs < HURRY_MS;
-        return near(failureDomain) || hurries || nowMs - sinceMs >= NEAR_ONLY_MS;
+        return near(failureDomain) || hurries || nowMs - sinceMs >= nearOnlyMs();
+    }
+
+    private double nearOnlyMs() {
+        return NEAR_ONLY_MS_PER_MB * size() * placement.awayBytes() / BYTES_PER_MB;
     }
 
     /** Returns whether the failure domain is that of its inputs or reader, or makes no difference. */
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceTicket.java
@@ -22,8 +22,9 @@
      *
      * @param nearDomain failure domain of its inputs or of its reader; empty when it does not matter
      * @param resultBytes approximate size of its result
+     * @param awayBytes what goes between failure domains when it is made in another one
      */
-    record Placement(String nearDomain, long resultBytes) {}
+    record Placement(String nearDomain, long resultBytes, long awayBytes) {}
 
     PieceTicket(Piece piece, Urgency urgency, Placement placement, PieceOwner owner) {
         this.piece = piece;
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolPolicies.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolPolicies.java
@@ -12,10 +12,10 @@
  */
 public record PoolPolicies(GroupOrder order, PoolAdmission admission, CallPlanner planner) {
     /** What a gateway goes by. */
-    public static final PoolPolicies STANDARD = new PoolPolicies(
-            GroupOrder.EARLIEST_TARGET, PoolAdmission.BY_FORECAST, new WholeGroups(GroupOrder.EARLIEST_TARGET));
+    public static final PoolPolicies STANDARD =
+            new PoolPolicies(GroupOrder.EARLIEST_TARGET, PoolAdmission.BY_FORECAST, new WholeGroups());
 
     /** In the order of arrival, and everything waits. */
     public static final PoolPolicies BASELINE =
-            new PoolPolicies(GroupOrder.ARRIVAL, PoolAdmission.TAKE_ALL, new WholeGroups(GroupOrder.ARRIVAL));
+            new PoolPolicies(GroupOrder.ARRIVAL, PoolAdmission.TAKE_ALL, new WholeGroups());
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -184,7 +184,7 @@
                 .toList();
         String key = inputs.isEmpty() ? request.pieceKey() : null;
         Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - laterMs(stage), urgency.dueAtMs());
-        PieceTicket.Placement placement = new PieceTicket.Placement(nearDomain(stage), stage.spec.resultBytes());
+        PieceTicket.Placement placement = placement(stage);
         for (int i = 0; i < stage.made.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
             stage.tickets.add(
@@ -195,19 +195,21 @@
         }
     }
 
-    /** Returns the failure domain that saves the most bytes between domains: where the inputs lie, or where the reader is. */
-    private String nearDomain(StageProgress stage) {
+    /** Returns where a stage's pieces save the most bytes between domains: where the inputs lie, or where the reader is. */
+    private PieceTicket.Placement placement(StageProgress stage) {
+        long resultBytes = stage.spec.resultBytes();
         long inputBytes = before(stage).stream()
                 .mapToLong(input -> input.made.length * input.spec.resultBytes())
                 .sum();
-        long outputBytes = stage.spec.resultBytes() * (readersOf(stage).isEmpty() ? 1 : 0);
+        long outputBytes = readersOf(stage).isEmpty() && !readerDomain.isEmpty() ? resultBytes : 0;
         if (inputBytes > outputBytes) {
-            return mostCommon(before(stage).stream()
+            String inputDomain = mostCommon(before(stage).stream()
                     .flatMap(StageProgress::results)
                     .map(pools::domainOf)
                     .toList());
+            return new PieceTicket.Placement(inputDomain, resultBytes, inputBytes);
         }
-        return outputBytes > 0 ? readerDomain : "";
+        return new PieceTicket.Placement(outputBytes > 0 ? readerDomain : "", resultBytes, outputBytes);
     }
 
     private static String mostCommon(List<String> domains) {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -155,7 +155,8 @@
         long nowMs = parts.clock().nowMs();
         List<CallPlanner.Maker> makers =
                 serving.stream().map(endpoint -> maker(endpoint, spec)).toList();
-        Optional<CallPlanner.PlannedCall> planned = parts.policies().planner().next(waiting, makers, spec, nowMs);
+        List<PieceGroup> inOrder = parts.policies().order().sorted(waiting, forecast(spec, serving, nowMs), nowMs);
+        Optional<CallPlanner.PlannedCall> planned = parts.policies().planner().next(inOrder, makers, spec, nowMs);
         planned.ifPresent(call -> send(call, spec, serving));
         return planned.isPresent();
     }
@@ -210,7 +211,7 @@
         long nowMs = parts.clock().nowMs();
         PoolForecast forecast = forecast(spec.get(), serving, nowMs);
         double loadNow = load.against(forecast.slotsFreeAtMs().size());
-        List<PieceGroup> inOrder = parts.policies().order().sorted(waiting, "", nowMs);
+        List<PieceGroup> inOrder = parts.policies().order().sorted(waiting, forecast, nowMs);
         PoolOutlook outlook = new PoolOutlook(forecast, group -> roomAtMs(group, spec.get(), serving), loadNow);
         List<PoolAdmission.TurnedAway> away = parts.policies().admission().turnedAway(inOrder, outlook, nowMs);
         away.forEach(refused -> turnAway(refused, inOrder.size(), loadNow));
@@ -312,10 +313,18 @@
                 ticket.done(MadePiece.failed(failure));
             }
         }
-        back.forEach(ticket -> waiting.add(group(List.of(ticket))));
+        wait(back);
         offerSoon();
     }
 
+    /** Lets pieces wait again, those of one stage of a request together. */
+    private void wait(List<PieceTicket> tickets) {
+        tickets.stream()
+                .collect(Collectors.groupingBy(ticket -> ticket.piece().ofStage()))
+                .values()
+                .forEach(ofStage -> waiting.add(group(ofStage)));
+    }
+
     /**
      * Takes pieces back that found no room. They wait for it until their time is over, however often they were offered: 11 of
      * 21 requests of the first kind were refused after three calls within two seconds of a restart of all boxes.
--- a/relay/src/main/java/org/wingstall/relay/pool/WholeGroups.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/WholeGroups.java
@@ -18,21 +18,16 @@
     /** Part of an endpoint's room that a result may take at most to pass a group that waits for room there. */
     private static final double SMALL_PART = 0.01;
 
-    private final GroupOrder order;
-
-    WholeGroups(GroupOrder order) {
-        this.order = order;
-    }
-
     @Override
-    public Optional<PlannedCall> next(List<PieceGroup> waiting, List<Maker> makers, PoolSpec spec, long nowMs) {
+    public Optional<PlannedCall> next(List<PieceGroup> inOrder, List<Maker> makers, PoolSpec spec, long nowMs) {
         Maker kept = null;
-        for (PieceGroup group : order.sorted(waiting, "", nowMs)) {
+        for (PieceGroup group : inOrder) {
             Optional<Maker> maker = best(makers, group, spec, kept, nowMs);
             if (maker.isPresent()) {
-                return Optional.of(new PlannedCall(maker.get(), fill(maker.get(), group, waiting, spec, kept, nowMs)));
+                return Optional.of(
+                        new PlannedCall(maker.get(), fill(maker.get(), group, inOrder, makers, spec, kept, nowMs)));
             }
-            if (kept == null && blockedByRoom(makers, group, spec, nowMs)) {
+            if (kept == null && blockedByRoom(makers, group, nowMs)) {
                 kept = mostRoom(makers);
             }
         }
@@ -43,13 +38,19 @@
     private static Optional<Maker> best(List<Maker> makers, PieceGroup group, PoolSpec spec, Maker kept, long nowMs) {
         return makers.stream()
                 .filter(maker -> maker.freeSlots() > 0)
-                .filter(maker -> group.mayGoTo(maker.failureDomain(), nowMs))
+                .filter(maker -> mayGoTo(maker, group, makers, nowMs))
                 .filter(maker -> fits(maker, group, spec) && !keptFrom(maker, group, spec, kept))
                 .min(Comparator.comparingDouble(maker -> maker.load() + (group.near(maker.failureDomain()) ? 0 : 1)));
     }
 
-    private static boolean blockedByRoom(List<Maker> makers, PieceGroup group, PoolSpec spec, long nowMs) {
-        return makers.stream().anyMatch(maker -> maker.freeSlots() > 0 && group.mayGoTo(maker.failureDomain(), nowMs));
+    private static boolean blockedByRoom(List<Maker> makers, PieceGroup group, long nowMs) {
+        return makers.stream().anyMatch(maker -> maker.freeSlots() > 0 && mayGoTo(maker, group, makers, nowMs));
+    }
+
+    /** A group waits for a near endpoint only while there is one. */
+    private static boolean mayGoTo(Maker maker, PieceGroup group, List<Maker> makers, long nowMs) {
+        return group.mayGoTo(maker.failureDomain(), nowMs)
+                || makers.stream().noneMatch(other -> group.near(other.failureDomain()));
     }
 
     private static Maker mostRoom(List<Maker> makers) {
@@ -68,12 +69,18 @@
         return Math.max(1, group.placement().resultBytes());
     }
 
-    private List<Part> fill(
-            Maker maker, PieceGroup first, List<PieceGroup> waiting, PoolSpec spec, Maker kept, long nowMs) {
+    private static List<Part> fill(
+            Maker maker,
+            PieceGroup first,
+            List<PieceGroup> inOrder,
+            List<Maker> makers,
+            PoolSpec spec,
+            Maker kept,
+            long nowMs) {
         List<PieceGroup> allowed = new ArrayList<>();
         allowed.add(first);
-        order.sorted(waiting, maker.failureDomain(), nowMs).stream()
-                .filter(group -> group != first && group.mayGoTo(maker.failureDomain(), nowMs))
+        inOrder.stream()
+                .filter(group -> group != first && mayGoTo(maker, group, makers, nowMs))
                 .filter(group -> !keptFrom(maker, group, spec, kept))
                 .forEach(allowed::add);
         List<Part> parts = new ArrayList<>();
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -96,6 +96,10 @@
         return handedOver > 0;
     }
 
+    private EngineInputs outputPlace() {
+        return graph == null ? EngineInputs.NONE : graph.outputPlace();
+    }
+
     private long untilTargetMs() {
         return Math.max(0, arrivedMs + route.targetMs() - parts.clock().nowMs());
     }
@@ -156,9 +160,9 @@
             return;
         }
         if (service.readsPrompt()) {
-            EngineInputs lying = graph == null ? EngineInputs.NONE : graph.outputPlace();
-            EngineBroker.Question question =
-                    new EngineBroker.Question(service.name(), candidates, service.prompt(), lying, untilTargetMs());
+
+            EngineBroker.Question question = new EngineBroker.Question(
+                    service.name(), candidates, service.prompt(), outputPlace(), untilTargetMs());
             parts.engines().choose(question, chosen -> send(chosen, inputs));
         } else {
             send(parts.services().choose(candidates, request), null, inputs);
@@ -168,7 +172,7 @@
     private void send(EngineTicket chosen, List<String> inputs) {
         if (!over) {
             engine = chosen;
-            record.engine(chosen);
+            record.engine(chosen, outputPlace());
             send(chosen.endpoint(), chosen.fetchFrom(), inputs);
         }
     }
--- a/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -5,6 +5,7 @@
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.engine.EngineExpectation;
+import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.wire.RelayRequest;
 
@@ -51,12 +52,19 @@
                 + " ms old");
     }
 
-    void engine(EngineTicket chosen) {
+    void engine(EngineTicket chosen, EngineInputs inputs) {
         String by = chosen.chooser() == null ? "this box" : chosen.chooser();
         EngineExpectation expected = chosen.expectation();
         String fetched = chosen.fetchFrom() == null ? "" : ", fetching from " + chosen.fetchFrom();
         attempts.add("chosen by " + by + ", first answer expected in " + expected.firstAnswerMs() + " ms with "
-                + expected.waitMs() + " ms of waiting and " + expected.readTokens() + " tokens to read" + fetched);
+                + expected.waitMs() + " ms of waiting and " + expected.readTokens() + " tokens to read" + fetched
+                + place(chosen, inputs));
+    }
+
+    private static String place(EngineTicket chosen, EngineInputs inputs) {
+        String engineDomain = chosen.endpoint().identity().failureDomain();
+        return ", in " + engineDomain
+                + (inputs.bytes() == 0 ? "" : ", " + inputs.bytes() + " bytes to fetch from " + inputs.failureDomain());
     }
 
     void attemptEnded(String how, String detail) {
--- a/relay/src/main/java/org/wingstall/relay/wire/Piece.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/Piece.java
@@ -14,4 +14,17 @@
  * @param inputs results that it reads: all of all stages before it
  * @since 0.2
  */
-public record Piece(String requestId, int stage, int index, String key, List<String> inputs) {}
+public record Piece(String requestId, int stage, int index, String key, List<String> inputs) {
+    /**
+     * A stage of a request.
+     *
+     * @param requestId the request
+     * @param stage number of the stage
+     */
+    public record OfStage(String requestId, int stage) {}
+
+    /** Returns the stage that the piece belongs to. */
+    public OfStage ofStage() {
+        return new OfStage(requestId, stage);
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/pool/PieceGroups.java
@@ -0,0 +1,27 @@
+package org.wingstall.relay.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wingstall.relay.wire.Piece;
+
+/** Groups of pieces for tests. */
+final class PieceGroups {
+    private static final long MB = 1_000_000;
+
+    private PieceGroups() {}
+
+    static PieceGroup group(int rank, long targetAtMs, int pieces, long resultBytes, String nearDomain) {
+        Urgency urgency = new Urgency(rank, targetAtMs, 9000);
+        List<PieceTicket> tickets = new ArrayList<>();
+        for (int i = 0; i < pieces; i++) {
+            Piece piece = new Piece("request", 0, i, "key", List.of());
+            tickets.add(new PieceTicket(
+                    piece, urgency, new PieceTicket.Placement(nearDomain, resultBytes, MB), (ticket, made) -> {}));
+        }
+        return new PieceGroup(tickets, 0, 0);
+    }
+
+    static PieceGroup group(int rank, long targetAtMs, int pieces) {
+        return group(rank, targetAtMs, pieces, 1, "");
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/pool/WholeGroupsTest.java
@@ -0,0 +1,105 @@
+package org.wingstall.relay.pool;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.relay.config.PoolSpec;
+import org.wingstall.relay.pool.CallPlanner.Maker;
+import org.wingstall.relay.pool.CallPlanner.Part;
+import org.wingstall.relay.pool.CallPlanner.PlannedCall;
+
+/** What a call carries and where it goes. */
+public class WholeGroupsTest {
+    private static final long NOW_MS = 50;
+    private static final PoolSpec SPEC = new PoolSpec(1, 2, 7, 200, 24, 100, 4000);
+
+    private final CallPlanner planner = new WholeGroups();
+
+    private static Maker maker(String id, String domain, int freeSlots, double freeBytes) {
+        return new Maker(id, domain, freeSlots, freeBytes, 0);
+    }
+
+    private Optional<PlannedCall> next(List<PieceGroup> groups, Maker... makers) {
+        return planner.next(groups, List.of(makers), SPEC, NOW_MS);
+    }
+
+    private static List<Integer> sizes(PlannedCall call) {
+        return call.parts().stream().map(Part::pieces).toList();
+    }
+
+    @Test
+    public void groupsGoWholeAndOneThatDoesNotFitWaits() {
+        PlannedCall call = next(
+                        List.of(
+                                PieceGroups.group(1, 2000, 5),
+                                PieceGroups.group(1, 2000, 3),
+                                PieceGroups.group(1, 2000, 2)),
+                        maker("a", "east", 1, 100))
+                .orElseThrow();
+        assertEquals(sizes(call), List.of(5, 2));
+    }
+
+    @Test
+    public void aGroupThatIsLargerThanACallIsSplit() {
+        assertEquals(
+                sizes(next(List.of(PieceGroups.group(1, 2000, 10)), maker("a", "east", 1, 100))
+                        .orElseThrow()),
+                List.of(7));
+    }
+
+    /** Before, two of four pieces were made and held their room until there was some for the others. */
+    @Test
+    public void aGroupWithoutRoomForAllOfItsResultsGoesToNoEndpoint() {
+        PieceGroup group = PieceGroups.group(1, 2000, 4, 20, "");
+        assertTrue(next(List.of(group), maker("a", "east", 1, 40)).isEmpty());
+        assertEquals(
+                sizes(next(List.of(group), maker("a", "east", 1, 40), maker("b", "east", 1, 80))
+                        .orElseThrow()),
+                List.of(4));
+    }
+
+    @Test
+    public void theEndpointWithTheMostRoomIsKeptForTheFirstGroupThatFindsNone() {
+        PieceGroup large = PieceGroups.group(1, 2000, 4, 20, "");
+        PieceGroup small = PieceGroups.group(2, 2000, 1, 20, "");
+        PieceGroup tiny = PieceGroups.group(3, 2000, 1, 1, "");
+        assertTrue(next(List.of(large, small), maker("a", "east", 1, 60)).isEmpty());
+        assertEquals(
+                next(List.of(large, small), maker("a", "east", 1, 60), maker("b", "east", 1, 40))
+                        .orElseThrow()
+                        .maker()
+                        .endpointId(),
+                "b");
+        assertEquals(
+                next(List.of(large, tiny), maker("a", "east", 1, 60))
+                        .orElseThrow()
+                        .parts()
+                        .get(0)
+                        .group(),
+                tiny);
+    }
+
+    /** Time until the pieces have to begin, and where they go while the near endpoint is busy. */
+    @DataProvider
+    public Object[][] hurries() {
+        return new Object[][] {{2000L, ""}, {200L, "far"}};
+    }
+
+    @Test(dataProvider = "hurries")
+    public void aGroupWaitsForANearEndpointWhileItHasTime(long targetAtMs, String expected) {
+        PieceGroup group = PieceGroups.group(1, targetAtMs, 2, 1, "east");
+        Maker far = maker("far", "west", 1, 100);
+        Maker near = maker("near", "east", 1, 100);
+        Maker busy = maker("near", "east", 0, 100);
+        assertEquals(
+                next(List.of(group), far, busy)
+                        .map(call -> call.maker().endpointId())
+                        .orElse(""),
+                expected);
+        assertEquals(next(List.of(group), far, near).orElseThrow().maker().endpointId(), "near");
+    }
+}
