Ask a failure domain when its boxes fall silent, beat faster, and keep plain endpoints of a silent domain away

Change: heartbeats every 200 ms and silence after 650 ms; a domain none of whose boxes is heard is asked at once, and so is that of any silent endpoint; its plain endpoints stay away until one of it answers.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -84,11 +84,14 @@
     /** Pause between looks whether both are there, in ms; a tenth of the time that they usually take. */
     private static final long KNOWN_CHECK_MS = 5;
 
-    /** Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. */
-    private static final long HEARTBEAT_MS = 400;
+    /**
+     * Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. At 400 ms and 1.3 s of silence,
+     * pieces of three domains waited 1.2 s for a gatherer that was cut off, longer than the shortest target.
+     */
+    private static final long HEARTBEAT_MS = 200;
 
     /** Silence after which a box gathers no pieces, in ms; three heartbeats and some. */
-    private static final long SILENT_AFTER_MS = 1300;
+    private static final long SILENT_AFTER_MS = 650;
 
     /**
      * Bytes a second for heartbeats, both ways; enough for a hub of 370 boxes at the pause above, so that hubs are never
@@ -166,25 +169,10 @@
                 service -> state.config().service(service).flatMap(ServiceSpec::engine),
                 metrics);
         mesh.attach(engines);
-        new SilenceWatch(loop, clock, endpoints, reports, this::answersReports, pools::abandon).start();
-        this.handler = new RelayHandler(
-                new RelayParts(
-                        loop,
-                        clock,
-                        random,
-                        client,
-                        new PlatformCallerWire(),
-                        wire,
-                        state::config,
-                        endpoints,
-                        pools,
-                        engines,
-                        new LeastLoaded(settings.getFailureDomain(), random),
-                        budgets,
-                        new RetryAfter(random::nextDouble),
-                        metrics,
-                        new RequestLog(clock, metrics)),
-                this::known);
+        new SilenceWatch(loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
+                        .silentDomains())
+                .start();
+        this.handler = new RelayHandler(requestParts(loop, wire), this::known);
         this.store = new StoreFollowers(
                 settings,
                 control,
@@ -198,6 +186,25 @@
         this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
 
+    private RelayParts requestParts(EventLoop loop, EndpointWire wire) {
+        return new RelayParts(
+                loop,
+                clock,
+                random,
+                client,
+                new PlatformCallerWire(),
+                wire,
+                state::config,
+                endpoints,
+                pools,
+                engines,
+                new LeastLoaded(settings.getFailureDomain(), random),
+                budgets,
+                new RetryAfter(random::nextDouble),
+                metrics,
+                new RequestLog(clock, metrics));
+    }
+
     /** Engines and endpoints that do the work of stages tell their state; plain services have nothing to ask. */
     private boolean answersReports(String service) {
         return state.config()
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -103,6 +103,17 @@
         return peer != null && heard(peer);
     }
 
+    /** Returns the other failure domains of which boxes are known and none is heard. */
+    public Set<String> silentDomains() {
+        Set<String> silent = new HashSet<>();
+        Set<String> heard = new HashSet<>(Set.of(self.failureDomain()));
+        for (PeerState peer : all()) {
+            (heard(peer) ? heard : silent).add(peer.hello().getFailureDomain());
+        }
+        silent.removeAll(heard);
+        return silent;
+    }
+
     /** Returns the box that commits claims for this failure domain at the moment; may be this one. */
     public String batcher() {
         List<String> boxes = committing(true);
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
@@ -23,7 +23,7 @@
  *
  * @since 0.5
  */
-public final class EndpointReports {
+public final class EndpointReports implements StateQuestions {
     private static final Logger LOG = LogManager.getLogger(EndpointReports.class);
 
     /**
@@ -55,13 +55,7 @@
         this.wire = wire;
     }
 
-    /**
-     * Asks an endpoint; one that is being asked already gives the same answer to both.
-     *
-     * @param endpoint the endpoint
-     * @param answered takes its report; empty when its answer was none, which is a sign of life still
-     * @param silent told when no answer came
-     */
+    @Override
     public void ask(RelayEndpoint endpoint, Consumer<Optional<EndpointReport>> answered, Runnable silent) {
         List<Waiting> waiting = asked.get(endpoint.key());
         if (waiting == null) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -9,9 +9,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.log.LogEvent;
 
 /**
@@ -23,7 +26,7 @@
  * avoided at once and the work they hold is done elsewhere. An endpoint that fell silent gets no work until it answers such a
  * question, so no request is spent on a trial. Confined to the request loop.
  *
- * <p>{@code new SilenceWatch(loop, clock, endpoints, reports, answersReports, pools::abandon).start();}
+ * <p>{@code new SilenceWatch(loop, clock, endpoints, reports, answersReports, pools::abandon, silentDomains).start();}
  *
  * @since 0.5
  */
@@ -39,16 +42,22 @@
     /** Time within which a failure domain is asked once, in ms; its endpoints are found out by the first time. */
     private static final long DOMAIN_AGAIN_MS = 400;
 
+    /** Pause between two looks at which boxes are heard, in ms; half of the pause between their heartbeats. */
+    private static final long BOXES_CHECK_MS = 100;
+
     /** Silent endpoints from which a failure domain whose asked endpoints are all silent counts as cut off. */
     private static final int CUT_OFF_FROM = 2;
 
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final RelayEndpoints endpoints;
-    private final EndpointReports reports;
+    private final StateQuestions reports;
     private final Predicate<String> answersReports;
     private final Consumer<RelayEndpoint> abandon;
+    private final Supplier<Set<String>> silentDomains;
+    private Set<String> silentBoxes = Set.of();
     private final Set<String> followed = new HashSet<>();
+    private final Set<String> cutOff = new HashSet<>();
     private final Map<String, Long> domainAskedAtMs = new HashMap<>();
 
     /** The questions to one failure domain. */
@@ -67,14 +76,17 @@
      * @param reports asks endpoints for their state
      * @param answersReports whether endpoints of a service answer such questions
      * @param abandon takes an endpoint whose work is to be done elsewhere
+     * @param silentDomains returns failure domains of which no box is heard any more
      */
     public SilenceWatch(
             EventLoop loop,
             MonotonicClock clock,
             RelayEndpoints endpoints,
-            EndpointReports reports,
+            StateQuestions reports,
             Predicate<String> answersReports,
-            Consumer<RelayEndpoint> abandon) {
+            Consumer<RelayEndpoint> abandon,
+            Supplier<Set<String>> silentDomains) {
+        this.silentDomains = silentDomains;
         this.loop = loop;
         this.clock = clock;
         this.endpoints = endpoints;
@@ -83,20 +95,27 @@
         this.abandon = abandon;
     }
 
-    /** Begins to hear of silent endpoints. */
+    /** Begins to hear of silent endpoints and boxes. */
     public void start() {
         endpoints.onSilence(this::silent);
+        PeriodicTask.start(loop, "silent-domains", () -> BOXES_CHECK_MS, this::lookAtBoxes);
+    }
+
+    /** Endpoints of a failure domain none of whose boxes is heard any more are likely as silent to this box. */
+    private void lookAtBoxes() {
+        Set<String> now = Set.copyOf(silentDomains.get());
+        now.stream().filter(domain -> !silentBoxes.contains(domain)).forEach(this::askDomain);
+        silentBoxes = now;
     }
 
     private void silent(RelayEndpoint endpoint) {
-        if (!asks(endpoint)) {
-            return;
-        }
-        abandon.accept(endpoint);
-        if (followed.add(endpoint.key())) {
-            follow(endpoint, FIRST_MS);
-            askDomain(endpoint.identity().failureDomain());
+        if (asks(endpoint)) {
+            abandon.accept(endpoint);
+            if (followed.add(endpoint.key())) {
+                follow(endpoint, FIRST_MS);
+            }
         }
+        askDomain(endpoint.identity().failureDomain());
     }
 
     private boolean asks(RelayEndpoint endpoint) {
@@ -111,17 +130,35 @@
         boolean listed = endpoints.find(endpoint.id()).orElse(null) == endpoint;
         if (!listed) {
             followed.remove(endpoint.key());
+            cutOff.remove(endpoint.identity().failureDomain());
             return;
         }
         reports.ask(endpoint, report -> answersAgain(endpoint), () -> {
-            endpoint.staysSilent();
+            staysSilent(endpoint);
             follow(endpoint, Math.min(MOST_MS, 2 * delayMs));
         });
     }
 
+    private void staysSilent(RelayEndpoint endpoint) {
+        endpoint.staysSilent();
+        String domain = endpoint.identity().failureDomain();
+        if (cutOff.contains(domain)) {
+            notAsked(domain).forEach(RelayEndpoint::staysSilent);
+        }
+    }
+
+    private Stream<RelayEndpoint> notAsked(String failureDomain) {
+        return endpoints.all().stream()
+                .filter(endpoint -> endpoint.identity().failureDomain().equals(failureDomain) && !asks(endpoint));
+    }
+
     private void answersAgain(RelayEndpoint endpoint) {
         followed.remove(endpoint.key());
         endpoint.answersAgain();
+        String domain = endpoint.identity().failureDomain();
+        if (cutOff.remove(domain)) {
+            notAsked(domain).forEach(RelayEndpoint::answersAgain);
+        }
         LogEvent.info("endpoint-answers-again").with("endpoint", endpoint.id()).to(LOG);
     }
 
@@ -152,19 +189,16 @@
         }
     }
 
-    /** Endpoints that can't be asked are avoided as well when none of those asked answers. */
+    /** Endpoints that can't be asked are avoided as well from when none of those asked answers until one does. */
     private void ended(String failureDomain, DomainQuestions questions) {
         questions.open--;
-        boolean cutOff = questions.open == 0 && questions.answered == 0 && questions.silent >= CUT_OFF_FROM;
-        if (!cutOff) {
-            return;
+        boolean allSilent = questions.open == 0 && questions.answered == 0 && questions.silent >= CUT_OFF_FROM;
+        if (allSilent && cutOff.add(failureDomain)) {
+            LogEvent.warn("failure-domain-silent")
+                    .with("domain", failureDomain)
+                    .with("silent", questions.silent)
+                    .to(LOG);
+            notAsked(failureDomain).forEach(endpoint -> endpoint.stalled("its failure domain is silent"));
         }
-        LogEvent.warn("failure-domain-silent")
-                .with("domain", failureDomain)
-                .with("silent", questions.silent)
-                .to(LOG);
-        endpoints.all().stream()
-                .filter(endpoint -> endpoint.identity().failureDomain().equals(failureDomain) && !asks(endpoint))
-                .forEach(endpoint -> endpoint.stalled("its failure domain is silent"));
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
@@ -5,8 +5,8 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
-import org.wingstall.relay.endpoint.EndpointReports;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.endpoint.StateQuestions;
 import org.wingstall.relay.run.ServiceBudgets;
 import org.wingstall.relay.wire.EndpointWire;
 
@@ -31,7 +31,7 @@
         MonotonicClock clock,
         HttpClient client,
         EndpointWire wire,
-        EndpointReports reports,
+        StateQuestions reports,
         RelayEndpoints endpoints,
         Supplier<RelayConfig> config,
         ServiceBudgets budgets,
--- a/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
@@ -8,8 +8,8 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
-import org.wingstall.relay.endpoint.EndpointReports;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.StateQuestions;
 import org.wingstall.relay.wire.EndpointReport;
 
 /**
@@ -26,10 +26,10 @@
     private static final double LEAST_PART = 0.02;
 
     private final EventLoop loop;
-    private final EndpointReports reports;
+    private final StateQuestions reports;
     private final RoomLedger ledger;
 
-    RoomReports(EventLoop loop, EndpointReports reports, RoomLedger ledger) {
+    RoomReports(EventLoop loop, StateQuestions reports, RoomLedger ledger) {
         this.loop = loop;
         this.reports = reports;
         this.ledger = ledger;
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -25,7 +25,7 @@
  */
 public final class StagePools implements PieceHost {
     /** Pause between two looks at whether a box that gathers is heard, in ms; short against the shortest target. */
-    private static final long SILENCE_CHECK_MS = 200;
+    private static final long SILENCE_CHECK_MS = 100;
 
     /** Part of a call without pieces for which a group waits until a slot is free, while the pool keeps up. */
     private static final double SLOT_WAIT_PART = 0.5;
