--- a/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashSet;
@@ -12,6 +13,7 @@
 import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.wire.RelayRequest.PromptPart;
@@ -34,8 +36,13 @@
     }
 
     private static Member engine(String id) {
+        return engine(id, 1);
+    }
+
+    private static Member engine(String id, long incarnation) {
         String domain = id.equals("d") ? "west" : "east";
-        return new Member(id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64);
+        return new Member(
+                id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", "llm", "v1", Member.State.LIVE, incarnation, 64);
     }
 
     private Prompt prompt(String shared, int sharedTokens, int ownTokens) {
@@ -115,4 +122,51 @@
         ledger.retain(Set.of());
         assertEquals(choose(prompt("menu", 1200, 1000)).id(), usual);
     }
+
+    private static final EngineSpec FETCHING = new EngineSpec(true, 163_840, 32_500_000, 300_000);
+
+    private EngineLedger.Choice chooseFetching(Prompt prompt, String inputDomain) {
+        EngineInputs inputs = new EngineInputs(inputDomain, 4_000_000);
+        return ledger.choose(
+                new EngineLedger.Wanted(endpoints.ofService("llm"), prompt, inputs, 1000, Optional.of(FETCHING)));
+    }
+
+    /** Before, the one engine that keeps the shared part was chosen, and 4 MB of inputs went to its failure domain. */
+    @Test
+    public void theEngineNearTheInputsFetchesWhatAnotherHasRead() {
+        EngineLedger.Choice first = chooseFetching(prompt("menu", 6300, 500), "east");
+        nowMs += 2000;
+        EngineLedger.Choice second = chooseFetching(prompt("menu", 6300, 500), "west");
+        assertEquals(second.endpoint().id(), "d");
+        assertEquals(second.fetchFrom(), first.endpoint().state().address());
+        assertEquals(second.expectation().readTokens(), 500);
+    }
+
+    @Test
+    public void whatIsNotYetReadIsNotFetched() {
+        chooseFetching(prompt("menu", 6300, 500), "east");
+        assertNull(chooseFetching(prompt("menu", 6300, 500), "west").fetchFrom());
+    }
+
+    @Test
+    public void anEngineThatStartedAgainKeepsNothing() {
+        String chosen =
+                chooseFetching(prompt("menu", 6300, 500), "west").endpoint().id();
+        nowMs += 2000;
+        endpoints.applyList(Stream.of("a", "b", "c", "d")
+                .map(id -> engine(id, id.equals(chosen) ? 2 : 1))
+                .toList());
+        ledger.retain(Set.of("a", "b", "c", "d"));
+        assertNull(chooseFetching(prompt("menu", 6300, 500), "west").fetchFrom());
+    }
+
+    @Test
+    public void partsUnusedLongestGiveWayInAnEnginesMemory() {
+        EngineMemory memory = new EngineMemory(10_000);
+        Prompt first = prompt("menu", 6300, 100);
+        memory.remember(first, 0);
+        assertEquals(memory.given(first), 2);
+        memory.remember(prompt("lunch", 6300, 100), 0);
+        assertEquals(memory.given(first), 0);
+    }
 }
