--- a/relay/src/main/java/org/wingstall/relay/pool/CallPatience.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallPatience.java
@@ -13,8 +13,8 @@
     private static final int CALLS_AHEAD = 1;
 
     /**
-     * Factor on the expected time. Endpoints of a service differ by less than half; at 2.5 and two calls ahead, a call to
-     * one that had stopped held pieces for 1.9 s, longer than the target of any route (incident inc-276b, INCIDENTS.md).
+     * Factor on the expected time. Endpoints of a service differ by less than half; at 2.5 and two calls ahead, a call to one
+     * that had stopped held pieces for 1.9 s, longer than the target of any route.
      */
     private static final double FACTOR = 2;
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -313,12 +313,12 @@
                 ticket.done(MadePiece.failed(failure));
             }
         }
-        wait(back);
+        queueAgain(back);
         offerSoon();
     }
 
     /** Lets pieces wait again, those of one stage of a request together. */
-    private void wait(List<PieceTicket> tickets) {
+    private void queueAgain(List<PieceTicket> tickets) {
         tickets.stream()
                 .collect(Collectors.groupingBy(ticket -> ticket.piece().ofStage()))
                 .values()
@@ -335,10 +335,8 @@
                 .min()
                 .orElse(0);
         ledger.noRoom(endpoint.key(), leastBytes);
-        tickets.stream().filter(ticket -> !ticket.withdrawn()).forEach(ticket -> {
-            ticket.notCalled();
-            waiting.add(group(List.of(ticket)));
-        });
+        tickets.forEach(PieceTicket::notCalled);
+        queueAgain(tickets.stream().filter(ticket -> !ticket.withdrawn()).toList());
         offerSoon();
     }
 
--- a/relay/src/test/java/org/wingstall/relay/pool/PoolReplayTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/PoolReplayTest.java
@@ -112,6 +112,30 @@
         assertTrue(after >= 1.1 * before, "in time " + before + " before, " + after + " after");
     }
 
+    /** While room is short, small groups would pass a large one again and again. */
+    @Test
+    public void theLargestRequestsAreServedNearlyAsOftenAsAllWhileRoomIsShort() {
+        PoolSpec little = new PoolSpec(1, 2, 7, 200, 24, 6 * MB, 4000);
+        Kind heavy = new Kind("heavy", 0, 9, 4, 3 * MB / 2, 2000, 4.7);
+        Site site = new Site(little, threeDomains(), List.of(heavy), List.of(), 0, 20_000, 400);
+        double asked = 0;
+        double inTime = 0;
+        double largestAsked = 0;
+        double largestInTime = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            PoolReplay.Outcome outcome = new PoolReplay(site, PoolPolicies.STANDARD, seed)
+                    .play()
+                    .kinds()
+                    .get("heavy");
+            asked += outcome.asked();
+            inTime += outcome.inTime();
+            largestAsked += outcome.largestAsked();
+            largestInTime += outcome.largestInTime();
+        }
+        String figures = inTime + " of " + asked + " in time, " + largestInTime + " of the largest " + largestAsked;
+        assertTrue(largestInTime / largestAsked >= 0.6 * inTime / asked, figures);
+    }
+
     private static Site drawn(SplittableRandom random) {
         int batch = random.nextInt(4, 60);
         double baseMs = random.nextDouble(50, 400);
