Take numbers with a fraction in all settings

Cause: a small twin of the large site ended every process at its start: retryBudgetExtra '37.09...' was not valid, since its schema asked for an integer. The template also appended three zeros to the grace of a stop, so a grace of 8.5 s would have been read as 8.5 ms.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -328,7 +328,7 @@
         LogEvent.info("settings-reloaded")
                 .with("retryBudgetRatio", next.getRetryBudgetRatio())
                 .with("retryBudgetExtra", next.getRetryBudgetExtra())
-                .with("stopGraceMs", next.getStopGraceMs())
+                .with("stopGraceSeconds", next.getStopGraceSeconds())
                 .to(LOG);
     }
 
@@ -342,7 +342,7 @@
      * its way into the process while none is counted yet, so the end waits for the last connection.
      */
     public void stop() {
-        long untilMs = clock.nowMs() + settings.getStopGraceMs() - MARGIN_MS;
+        long untilMs = clock.nowMs() + stopGraceMs() - MARGIN_MS;
         LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
         stopping = true;
         mesh.beatNow();
@@ -356,6 +356,10 @@
         LogManager.shutdown();
     }
 
+    private long stopGraceMs() {
+        return Math.round(settings.getStopGraceSeconds() * TimeUnit.SECONDS.toMillis(1));
+    }
+
     private void waitUntil(long untilMs, java.util.function.BooleanSupplier done) {
         while (clock.nowMs() < untilMs && !done.getAsBoolean()) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MS));
