--- a/net/src/main/java/org/wingstall/net/frame/FrameCodec.java
+++ b/net/src/main/java/org/wingstall/net/frame/FrameCodec.java
@@ -13,7 +13,7 @@
 /**
  * Turns length-prefixed MessagePack frames into objects of one generated class and back.
  *
- * <p>{@code FrameCodec.addTo(pipeline, PeerFrame.class);}
+ * <p>{@code FrameCodec.addTo(pipeline, PeerFrame.class, FrameFormat.mapped(PeerFrame.class));}
  *
  * @param <T> generated class of the frames
  * @since 0.1
@@ -25,11 +25,11 @@
     /** Bytes of the length before each frame. */
     public static final int LENGTH_BYTES = 4;
 
-    private final Class<T> type;
+    private final FrameFormat<T> format;
 
-    private FrameCodec(Class<T> type) {
+    private FrameCodec(Class<T> type, FrameFormat<T> format) {
         super(ByteBuf.class, type);
-        this.type = type;
+        this.format = format;
     }
 
     /**
@@ -37,21 +37,22 @@
      *
      * @param pipeline the pipeline
      * @param type generated class of the frames
+     * @param format how they are written
      * @param <T> generated class of the frames
      */
-    public static <T> void addTo(ChannelPipeline pipeline, Class<T> type) {
+    public static <T> void addTo(ChannelPipeline pipeline, Class<T> type, FrameFormat<T> format) {
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new FrameCodec<>(type));
+                .addLast(new FrameCodec<>(type, format));
     }
 
     @Override
     protected void encode(ChannelHandlerContext ctx, T message, List<Object> out) {
-        out.add(ctx.alloc().buffer().writeBytes(MessagePack.write(message)));
+        out.add(ctx.alloc().buffer().writeBytes(format.write(message)));
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf frame, List<Object> out) throws InvalidDocumentException {
-        out.add(MessagePack.read(ByteBufUtil.getBytes(frame), type));
+        out.add(format.read(ByteBufUtil.getBytes(frame)));
     }
 }
--- a/net/src/main/java/org/wingstall/net/log/LogEvent.java
+++ b/net/src/main/java/org/wingstall/net/log/LogEvent.java
@@ -2,7 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
+import org.apache.logging.log4j.message.MapMessage;
 
 /**
  * Builds one log line of named fields.
@@ -13,9 +13,14 @@
  */
 public final class LogEvent {
     private final Level level;
-    private final StringMapMessage message = new StringMapMessage();
+    private final FieldsMessage message = new FieldsMessage();
     private Throwable cause;
 
+    /** The fields of a line; numbers and truth values stay what they are, so that readers can reckon with them. */
+    private static final class FieldsMessage extends MapMessage<FieldsMessage, Object> {
+        private static final long serialVersionUID = 1;
+    }
+
     private LogEvent(Level level, String event) {
         this.level = level;
         message.with("event", event);
@@ -38,7 +43,9 @@
 
     /** Adds a field; null is passed over. */
     public LogEvent with(String field, Object value) {
-        if (value != null) {
+        if (value instanceof Number || value instanceof Boolean) {
+            message.with(field, value);
+        } else if (value != null) {
             message.with(field, String.valueOf(value));
         }
         return this;
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -25,8 +25,8 @@
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.frame.FrameCodec;
-import org.wingstall.net.frame.MessagePack;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.format.PeerFrameFormat;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.Hello;
@@ -253,7 +253,7 @@
     }
 
     private static int frameBytes(Heartbeat heartbeat) {
-        return MessagePack.write(Frames.heartbeat(heartbeat)).length + FrameCodec.LENGTH_BYTES;
+        return PeerFrameFormat.INSTANCE.write(Frames.heartbeat(heartbeat)).length + FrameCodec.LENGTH_BYTES;
     }
 
     private static Heartbeat with(Heartbeat own, List<WorkspaceDemand> demand, List<DomainSummary> summaries) {
@@ -275,7 +275,7 @@
                 // The frames that one event gives rise to, such as the results of a call, leave in one write.
                 channel.pipeline().addLast(new FlushConsolidationHandler(FRAMES_A_WRITE, true));
                 channel.pipeline().addLast(bytes);
-                FrameCodec.addTo(channel.pipeline(), PeerFrame.class);
+                FrameCodec.addTo(channel.pipeline(), PeerFrame.class, PeerFrameFormat.INSTANCE);
                 channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialledAddress));
             }
         };
--- a/schema/src/main/java/org/wingstall/schema/check/Json.java
+++ b/schema/src/main/java/org/wingstall/schema/check/Json.java
@@ -22,7 +22,11 @@
     /** Mapper of JSON documents; fields that a document leaves out keep their schema's default. */
     public static final ObjectMapper MAPPER = configure(JsonMapper.builder()).build();
 
-    private static final ObjectMapper YAML = configure(YAMLMapper.builder()).build();
+    /** Made when the first YAML document is read, which is never in the ordinary start of a relay. */
+    private static final class Yaml {
+        private static final ObjectMapper MAPPER =
+                configure(YAMLMapper.builder()).build();
+    }
 
     private Json() {}
 
@@ -88,7 +92,7 @@
      */
     public static JsonNode readYaml(String document) throws InvalidDocumentException {
         try {
-            return YAML.readTree(document);
+            return Yaml.MAPPER.readTree(document);
         } catch (JsonProcessingException e) {
             throw InvalidDocumentException.unreadable("document", e);
         }
--- a/scripts/class-archive.sh
+++ b/scripts/class-archive.sh
@@ -15,7 +15,7 @@
   waited=$((waited + 1))
 done
 java -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Dio.netty.jfr.enabled=false -XX:ArchiveClassesAtExit="$archive" \
-  -jar target/wingstall-gateway.jar --settings "$folder/relay.yaml" >"$folder/gateway.out" 2>&1 &
+  -jar target/wingstall-relay.jar --settings "$folder/relay.yaml" >"$folder/gateway.out" 2>&1 &
 gateway=$!
 wait $rehearsal
 kill -TERM $gateway
--- a/scripts/start-cost.sh
+++ b/scripts/start-cost.sh
@@ -10,4 +10,4 @@
 parts=standin/target/classes:net/target/classes:core/target/classes:schema/target/classes
 read -r -a command <<<"$(sed -n 's/^run = "java \(.*\) -jar .*/\1/p' deploy/system.toml)"
 exec java -Xmx128m -cp "$parts:target/lib/*" org.wingstall.standin.fleet.StartCost "$starts" \
-  java "${command[@]}" "$@" -jar target/wingstall-gateway.jar
+  java "${command[@]}" "$@" -jar target/wingstall-relay.jar
