Don't take a start's own slowness for the source's silence, and greet only the new peer

Meanwhile each new link made a box send a whole heartbeat over all its links, so 23 boxes that started together sent and read the square of their number, and each one copied the table of peers. Change: until configuration and list are known a read has 2.5 s, and another goes out beside it after 0.7 s (FirstAnswer); a new link is greeted alone; a heartbeat changes one entry of the table.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -41,6 +41,12 @@
     /** Shortest time between two reads of the list, in ms; the store allows the fleet 2,000 calls a second. */
     private static final long LEAST_INTERVAL_MS = 100;
 
+    /** Time for an answer of the store, in ms; it takes about 4, and a packet that is sent again 200. */
+    private static final long ANSWER_MS = 700;
+
+    /** The same for a box that knows nothing yet, in ms: on a third of a processor a start takes most of a second itself. */
+    private static final long FIRST_ANSWER_MS = 2500;
+
     private final RelaySettings settings;
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
@@ -74,7 +80,11 @@
         this.settings = settings;
         this.mesh = mesh;
         this.boxesKnown = boxesKnown;
-        StoreClient store = new StoreClient(client, control, Addresses.parse(settings.getStoreAddress()));
+        StoreClient store = new StoreClient(
+                client,
+                control,
+                Addresses.parse(settings.getStoreAddress()),
+                () -> state.config().known() && endpoints.known() ? ANSWER_MS : FIRST_ANSWER_MS);
         this.configFollower =
                 new RelayConfigFollower(control, new PlatformConfigSource(store, this::configWaitMs), state);
         this.listFollower = new ListFollower(
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -242,9 +242,8 @@
     private void sendHeartbeats(boolean full) {
         Heartbeat own = host.heartbeat();
         Heartbeat plain = with(own, null, null);
-        Heartbeat inside = with(own, own.getDemand(), domains.direct());
-        DomainSummary ownDomain = domains.summarize(own, peers.inDomain(), peers::heard);
-        Heartbeat across = with(own, own.getDemand(), List.of(ownDomain));
+        Heartbeat inside = inside(own);
+        Heartbeat across = across(own);
         plan = pacer.plan(links.size(), frameBytes(plain), Math.max(frameBytes(inside), frameBytes(across)));
         for (PeerLink link : List.copyOf(links.values())) {
             Heartbeat whole = isLocal(link) ? inside : across;
@@ -306,7 +305,24 @@
                 .with("peer", boxId)
                 .with("revision", host.revision())
                 .to(LOG);
-        sendHeartbeats(true);
+        sendFirstHeartbeat(link);
+    }
+
+    /**
+     * Only the new peer is told at once; the others hear with the next heartbeats. When all were told of each link, boxes that
+     * started together sent each other as many frames as the square of their number, at the busiest moment that they have.
+     */
+    private void sendFirstHeartbeat(PeerLink link) {
+        Heartbeat own = host.heartbeat();
+        link.send(Frames.heartbeat(isLocal(link) ? inside(own) : across(own)));
+    }
+
+    private Heartbeat inside(Heartbeat own) {
+        return with(own, own.getDemand(), domains.direct());
+    }
+
+    private Heartbeat across(Heartbeat own) {
+        return with(own, own.getDemand(), List.of(domains.summarize(own, peers.inDomain(), peers::heard)));
     }
 
     /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.peer.Rendezvous;
@@ -18,7 +18,7 @@
 /**
  * What is known of the peers, by their last heartbeats, and whom that makes the choice for a purpose.
  *
- * <p>Read on any thread; an immutable map is swapped with each heartbeat. A wrong or late choice costs efficiency only.
+ * <p>Read on any thread. A heartbeat changes one entry, since a box that works for hundreds hears as many each 0.4 s. A wrong or late choice costs efficiency only.
  *
  * <p>{@code if (peers.amongFirst("engine-orders", 2)) { takeLease(); }}
  *
@@ -30,7 +30,7 @@
     private final BooleanSupplier tableUnheard;
     private final PromptReplies replies;
     private final MonotonicClock clock;
-    private volatile Map<String, PeerState> byBox = Map.of();
+    private final Map<String, PeerState> byBox = new ConcurrentHashMap<>();
 
     PeerTable(
             LinkPlan.Box self,
@@ -47,8 +47,7 @@
 
     /** Takes in a heartbeat, on the control loop. */
     void heard(Hello hello, Heartbeat heartbeat) {
-        Map<String, PeerState> next = new HashMap<>(byBox);
-        PeerState before = next.get(hello.getBoxId());
+        PeerState before = byBox.get(hello.getBoxId());
         List<WorkspaceDemand> known = before == null ? List.of() : before.demand();
         List<WorkspaceDemand> demand = heartbeat.getDemand() == null ? known : heartbeat.getDemand();
         PeerState state = new PeerState(
@@ -59,8 +58,7 @@
                 heartbeat.isTableUnheard(),
                 heartbeat.getListTag(),
                 demand);
-        next.put(hello.getBoxId(), state);
-        byBox = Map.copyOf(next);
+        byBox.put(hello.getBoxId(), state);
     }
 
     /** Returns the peers, heard lately or not. */
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -184,10 +185,14 @@
     private void readUnlessReading() {
         if (!reading) {
             reading = true;
-            source.read().whenCompleteAsync(this::read, loop);
+            readSource().whenCompleteAsync(this::read, loop);
         }
     }
 
+    private CompletableFuture<EndpointSource.Listing> readSource() {
+        return table.known() ? source.read() : FirstAnswer.of(loop, source::read);
+    }
+
     private void read(EndpointSource.Listing listing, Throwable failure) {
         reading = false;
         if (failure == null) {
--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -1,7 +1,10 @@
 package org.wingstall.relay.control;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.wingstall.relay.config.RelayConfig;
 import org.wingstall.relay.wire.ConfigSource;
 
 /**
@@ -38,8 +41,7 @@
     }
 
     private void followConfig() {
-        config.next(readWhole)
-                .whenCompleteAsync(
+        next().whenCompleteAsync(
                         (newest, failure) -> {
                             if (failure == null) {
                                 readWhole = false;
@@ -54,6 +56,10 @@
                         loop);
     }
 
+    private CompletableFuture<Optional<RelayConfig>> next() {
+        return state.config().known() ? config.next(readWhole) : FirstAnswer.of(loop, () -> config.next(true));
+    }
+
     /**
      * Reads the configuration now if a peer has a newer one: the call that waits for changes may wait on a connection that
      * has fallen silent. For use on any thread.
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/control/FirstAnswerTest.java
@@ -0,0 +1,82 @@
+package org.wingstall.relay.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A box that starts is slower than its source, and doesn't take its own slowness for the source's silence. */
+public class FirstAnswerTest {
+    private final List<CompletableFuture<String>> calls = new ArrayList<>();
+    private EmbeddedChannel channel;
+    private CompletableFuture<String> answer;
+
+    @BeforeMethod
+    public void ask() {
+        calls.clear();
+        channel = new EmbeddedChannel();
+        channel.freezeTime();
+        answer = FirstAnswer.of(channel.eventLoop(), () -> {
+            calls.add(new CompletableFuture<>());
+            return calls.get(calls.size() - 1);
+        });
+    }
+
+    private void pass(long ms) {
+        channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+        channel.runPendingTasks();
+        channel.runScheduledPendingTasks();
+    }
+
+    /** Before, the call was given up after 700 ms, and the one made then had to wait for as long again. */
+    @Test
+    public void anAnswerThatComesLateStillCounts() {
+        pass(FirstAnswer.AGAIN_AFTER_MS + 1);
+        assertEquals(calls.size(), 2);
+        calls.get(0).complete("late");
+        pass(1);
+        assertEquals(answer.join(), "late");
+    }
+
+    @Test
+    public void anAnswerThatWasLostIsReplacedByTheSecond() {
+        pass(FirstAnswer.AGAIN_AFTER_MS + 1);
+        calls.get(1).complete("second");
+        pass(1);
+        assertEquals(answer.join(), "second");
+    }
+
+    @Test
+    public void anAnswerInTimeIsAskedForOnce() {
+        calls.get(0).complete("at once");
+        pass(2 * FirstAnswer.AGAIN_AFTER_MS);
+        assertEquals(answer.join(), "at once");
+        assertEquals(calls.size(), 1);
+    }
+
+    @Test
+    public void aSourceThatTurnsTheBoxAwayIsNotAskedAgainHere() {
+        calls.get(0).completeExceptionally(new IllegalStateException("429"));
+        pass(2 * FirstAnswer.AGAIN_AFTER_MS);
+        assertTrue(answer.isCompletedExceptionally());
+        assertEquals(calls.size(), 1);
+    }
+
+    @Test
+    public void oneOfTwoCallsThatFailsLeavesTheOther() {
+        pass(FirstAnswer.AGAIN_AFTER_MS + 1);
+        calls.get(0).completeExceptionally(new IllegalStateException("reset"));
+        pass(1);
+        assertFalse(answer.isDone());
+        calls.get(1).complete("second");
+        pass(1);
+        assertEquals(answer.join(), "second");
+    }
+}
