Send a request elsewhere when its engine is silent and it may run again

Change: where a route allows another attempt, the attempt ends once the engine's first answer is overdue and it doesn't tell its state. Requests that may be sent once wait on, as before. Test: RelayRetryTest, an engine that takes connections and says nothing.

--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -23,6 +23,9 @@
     /** Retries that one box of nine may make at once out of the 58 in the settings. */
     private static final int RETRIES_SAVED = 4;
 
+    /** Time in which a few requests are served although the first is given to an engine that is silent, in ms. */
+    private static final long DARK_FOUND_MS = 4000;
+
     private final AtomicInteger ids = new AtomicInteger();
     private final Map<String, WorkerStandin> workers = new HashMap<>();
     private FleetStandin fleet;
@@ -86,6 +89,36 @@
         }
     }
 
+    /**
+     * An engine that takes connections and says nothing breaks none of them; before, requests waited for it until their
+     * deadline, 8 s here, and went on to be given to it.
+     */
+    @Test
+    public void aRequestAtAnEngineThatWentDarkGoesToAnotherAndNoneFollowsIt() throws Exception {
+        add("engine", 5, Behaviour.ANSWERS, "dark");
+        add("engine", 5, Behaviour.ANSWERS, "sound");
+        box = new RelayBox(fleet, "dark").awaitReady();
+        workers.values().forEach(worker -> worker.behave(Behaviour.ANSWERS));
+        String home = homeOfPrompts();
+        workers.get(home).behave(Behaviour.DARK);
+        long beganMs = System.nanoTime() / 1_000_000;
+        for (int i = 0; i < RETRIES_SAVED; i++) {
+            assertEquals(
+                    box.post("resumable", "request-" + ids.incrementAndGet()).status(), 200);
+        }
+        long tookMs = System.nanoTime() / 1_000_000 - beganMs;
+        assertTrue(tookMs < DARK_FOUND_MS, "took " + tookMs + " ms");
+    }
+
+    /** All prompts here share their first parts, so they go to the engine that has read them. */
+    private String homeOfPrompts() throws Exception {
+        box.post("resumable", "request-" + ids.incrementAndGet());
+        return workers.keySet().stream()
+                .filter(name -> !workers.get(name).runs().isEmpty())
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     public void anEndpointAtAnotherOnesAddressNeverRunsItsRequests() throws Exception {
         WorkerStandin successor = new WorkerStandin("successor", 0, 0);
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -214,7 +214,8 @@
         }
     }
 
-    private void breakOff(String detail) {
+    /** Ends the attempt without an answer of its endpoint; its owner may send the request elsewhere. */
+    void breakOff(String detail) {
         if (end()) {
             endpoint.failed(detail);
             exchange.cancel();
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -191,10 +191,21 @@
         }
     }
 
-    /** The request itself waits on; those that come after it are spared an engine that is silent. */
     private void doubtUnlessAnswered(EndpointAttempt sent, EngineTicket chosen) {
-        if (!over && attempt == sent && !chosen.ended()) {
-            parts.doubts().accept(chosen.endpoint(), chosen::unreachable);
+        if (waitsFor(sent) && !chosen.ended()) {
+            parts.doubts().accept(chosen.endpoint(), () -> engineSilent(sent, chosen));
+        }
+    }
+
+    private boolean waitsFor(EndpointAttempt sent) {
+        return !over && attempt == sent && !answer.begun();
+    }
+
+    /** A request that may be sent once waits on, since its engine may come back; another one is not left to wait there. */
+    private void engineSilent(EndpointAttempt sent, EngineTicket chosen) {
+        chosen.unreachable();
+        if (waitsFor(sent) && route.repeatable() && attempts < route.maxAttempts()) {
+            sent.breakOff("its first answer is overdue and its engine is silent");
         }
     }
 
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -70,7 +70,9 @@
         /** It runs requests and closes their connections. */
         CLOSES,
         /** It runs requests and never answers. */
-        SILENT
+        SILENT,
+        /** It takes connections and answers nothing, not even what its state is. */
+        DARK
     }
 
     /** A request that the endpoint ran. */
@@ -148,6 +150,11 @@
             respond(call, OTHER_INCARNATION, headers(call).set("X-Wingstall-Instance-Id", incarnation), "");
             return;
         }
+        if (behaviour == Behaviour.DARK) {
+            arrived(call, false);
+            call.onDisconnect(cancelled::incrementAndGet);
+            return;
+        }
         switch (call.path()) {
             case "/v1/stage-run" -> runPieces(call);
             case "/v1/stage-free" -> free(call);
@@ -188,7 +195,7 @@
             case OTHER_ID -> respond(call, OK, signed.set(ID, "of-another"), "of another");
             case UNSIGNED -> respond(call, OK, headers(call), "unsigned");
             case CLOSES -> call.abort();
-            case SILENT -> {
+            case SILENT, DARK -> {
                 // No answer is the fault.
             }
             case ANSWERS, CUTS_ANSWER, FULL -> answer(call, signed);
