--- a/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
+++ b/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
@@ -165,7 +165,8 @@
         return box.process()
                 .log()
                 .lines()
-                .filter(line -> line.contains("\"engine-ordered\"") && line.contains("\"version\":\"" + version + "\""))
+                .filter(line ->
+                        line.contains("\"engine-ordered\"") && line.matches(".*\"version\":" + version + "[,}].*"))
                 .count();
     }
 
