Wait for boxes that stop before looking whether all are ready

Traced: CombinedFaultsTest, beside load of 15 to 19: box-c2 was told to stop at 02:09:19.95 in one of the last steps and had ended at 21.07, 0.1 s after the last look that starts ended boxes again (logs of the run); nobody started it, and the test waited 40 s for it in vain. The look now waits for what was told to stop, 30 s at most each, which is one check more than before.

--- a/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
+++ b/it/src/test/java/org/wingstall/it/CombinedFaultsTest.java
@@ -90,6 +90,8 @@
             Pauses.ofMs(STEP_MS);
         }
         healAll();
+        fleet.awaitStops(30);
+        healAll();
         fleet.boxes().forEach(fleet::awaitReady);
     }
 
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -292,6 +292,11 @@
         });
     }
 
+    /** Waits for boxes that were told to stop; until they have ended they can't be started again. */
+    public void awaitStops(long seconds) {
+        boxes.values().forEach(box -> box.process().awaitStop(seconds));
+    }
+
     /** Thaws every box and starts again those whose process has ended. */
     public void reviveBoxes() {
         for (Box box : boxes.values()) {
--- a/it/src/test/java/org/wingstall/it/harness/TestProcess.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestProcess.java
@@ -16,6 +16,7 @@
     private final List<String> command;
     private final Path log;
     private Process process;
+    private boolean stopping;
 
     private TestProcess(String name, List<String> command, Path folder) {
         this.name = name;
@@ -40,6 +41,7 @@
     }
 
     public void restart() {
+        stopping = false;
         try {
             process = new ProcessBuilder(command)
                     .redirectErrorStream(true)
@@ -80,9 +82,17 @@
     }
 
     public void terminate() {
+        stopping = true;
         signal("TERM");
     }
 
+    /** Waits until a process that was told to stop has ended; others go on. */
+    public void awaitStop(long seconds) {
+        if (stopping && alive()) {
+            awaitExit(seconds);
+        }
+    }
+
     public int awaitExit(long seconds) {
         try {
             if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
