--- a/it/src/test/java/org/wingstall/it/relay/RelayProcessTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayProcessTest.java
@@ -56,6 +56,10 @@
         return Files.readString(out).contains(text);
     }
 
+    private void awaitEvent(String event) {
+        Awaitility.await(event).until(() -> says("\"event\":\"" + event + "\""));
+    }
+
     private void signal(String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
                 .start()
@@ -65,12 +69,12 @@
     @Test
     public void aSignalToReloadReadsTheSettingsAgainAndABadFileChangesNothing() throws Exception {
         run();
-        Awaitility.await().until(() -> says("\"event\":\"started\""));
+        awaitEvent("started");
         signal("HUP");
-        Awaitility.await().until(() -> says("\"event\":\"settings-reloaded\""));
+        awaitEvent("settings-reloaded");
         Files.writeString(settings, "boxId: 1");
         signal("HUP");
-        Awaitility.await().until(() -> says("\"event\":\"settings-not-reloaded\""));
+        awaitEvent("settings-not-reloaded");
         assertTrue(process.isAlive());
         signal("TERM");
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
