--- a/gateway/src/main/java/org/wingstall/gateway/relay/LineLoggerContext.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/LineLoggerContext.java
@@ -14,7 +14,13 @@
 import org.apache.logging.log4j.spi.LoggerRegistry;
 import org.apache.logging.log4j.util.PropertiesUtil;
 
-/** The one context of the relay's loggers, which hand their lines to a {@link LogLines}. Safe for use on any thread. */
+/**
+ * The one context of the relay's loggers, which hand their lines to a {@link LogLines}. Safe for use on any thread.
+ *
+ * <p>{@code LogManager.getLogger(Box.class).info("started")}, once {@link RelayLogs#install} was called.
+ *
+ * @since 0.6
+ */
 public final class LineLoggerContext implements LoggerContext, LoggerContextFactory {
     /** Libraries whose warnings tell operators nothing. */
     private static final List<String> CHATTY_LIBRARIES = List.of("com.networknt", "io.netty");
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayLogs.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayLogs.java
@@ -22,7 +22,13 @@
         InternalLoggerFactory.setDefaultFactory(Log4J2LoggerFactory.INSTANCE);
     }
 
-    /** Names the context of loggers; made by Log4j. */
+    /**
+     * Names the context of loggers; made by Log4j, by its class name.
+     *
+     * <p>{@code -Dlog4j.provider=org.wingstall.gateway.relay.RelayLogs$LineProvider}
+     *
+     * @since 0.6
+     */
     public static final class LineProvider extends Provider {
         /** No other provider is asked, so any priority will do. */
         private static final int PRIORITY = 100;
