Write the last log lines before the end, and trace the two red tests

Cause 1: the thread that writes the log ended at the word to end without a flush, so the last lines of a stop were lost when that word waited behind them (found by RelayProcessTest, 'stopped' missing). Change: a flush at the end. Cause 3: the test of the dark engine looked for its engine among those of earlier tests; it begins with none now, as strict. Ruled out: the reload itself, the choice of engines.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/LogLines.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/LogLines.java
@@ -85,6 +85,7 @@
                 write(line);
                 line = waiting.take();
             }
+            out.flush();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException e) {
--- a/gateway/src/test/java/org/wingstall/gateway/relay/LogLinesTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/relay/LogLinesTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedOutputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -20,6 +21,7 @@
 
 public class LogLinesTest {
     private static final int MORE_THAN_WAIT = 3000;
+    private static final int ROUNDS = 200;
 
     /** An output whose reader takes nothing until it is let go. */
     private static final class HeldOutput extends OutputStream {
@@ -102,6 +104,20 @@
         assertEquals(read.size() + missed, MORE_THAN_WAIT + 1);
     }
 
+    /** The last lines of a process say how it ended; they wait together with the word to end. */
+    @Test
+    public void allLinesAreWrittenBeforeTheEnd() throws Exception {
+        ByteArrayOutputStream taken = new ByteArrayOutputStream();
+        for (int round = 0; round < ROUNDS; round++) {
+            taken.reset();
+            LogLines lines = new LogLines(new BufferedOutputStream(taken));
+            lines.add(numbered(1));
+            lines.add(numbered(2));
+            lines.close();
+            assertEquals(taken.toString(StandardCharsets.UTF_8).lines().count(), 2, "round " + round);
+        }
+    }
+
     private static LogLines.Line numbered(int number) {
         return new LogLines.Line(0, Level.INFO, "box", new SimpleMessage("line " + number), null);
     }
--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -36,6 +36,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
+        workers.clear();
         fleet = new FleetStandin();
         fleet.configure(1, 3000);
     }
