Let lines tell whether two requests are the same, and how an endpoint's connection ended

Cause: a request's line named its route and workspace, so repeats of one request could not be told from others, and a loss showed only inside the line of the whole run.

Change: each request line carries a fingerprint of workspace, method, path and body (Murmur3, 128 bits; no body is kept), and a sending that may have run and got no whole answer writes endpoint-lost with the endpoint, the time since it was sent and since its head, and the runs beside it; a counter by kind of failure. No logic changes.

--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
@@ -0,0 +1,38 @@
+package org.wingstall.core.quarantine;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * What makes two requests the same one, whichever box they come to and whatever identifier they carry: caller, method, path and
+ * body. The body itself is not kept.
+ *
+ * <p>{@code Fingerprint.of("canteen", "POST", "/menu?day=3", body).hex()}
+ *
+ * @param hex 128 bits of a hash, in hex
+ * @since 0.7
+ */
+public record Fingerprint(String hex) {
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param workspace holder of the caller's key; empty without one
+     * @param method HTTP method, or what stands for it
+     * @param target path and query
+     * @param body the body
+     */
+    public static Fingerprint of(String workspace, String method, String target, byte[] body) {
+        return new Fingerprint(Hashing.murmur3_128()
+                .hashStream()
+                .putString(workspace)
+                .putString(method)
+                .putString(target)
+                .putByteArray(body)
+                .get()
+                .toString());
+    }
+
+    @Override
+    public String toString() {
+        return hex;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/log/EndpointLoss.java
@@ -0,0 +1,17 @@
+package org.wingstall.relay.log;
+
+import org.wingstall.net.http.TransportException;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+
+/**
+ * A sending of a request that the endpoint may have run and that got no whole answer.
+ *
+ * <p>{@code log.endpointLost(record, new EndpointLoss(endpoint, 130, 100, failure));}
+ *
+ * @param endpoint where it was sent
+ * @param sentMsAgo time since it was sent, in ms
+ * @param headMsAgo time since the head of its answer came, in ms; -1 when none came
+ * @param failure how the connection ended
+ * @since 0.7
+ */
+public record EndpointLoss(RelayEndpoint endpoint, long sentMsAgo, long headMsAgo, TransportException failure) {}
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -23,6 +23,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<Reason, Counter> reasons = new EnumMap<>(Reason.class);
     private final Map<String, Counter> retries = new ConcurrentHashMap<>();
+    private final Map<String, Counter> losses = new ConcurrentHashMap<>();
     private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
     private final Counter dropped = registry.counter("wingstall.answers.dropped");
     private final Counter linesDropped = registry.counter("wingstall.log.lines.dropped");
@@ -67,6 +68,12 @@
                 .increment();
     }
 
+    /** Counts a request that an endpoint may have run and that got no whole answer, by how its connection ended. */
+    public void endpointLost(String kind) {
+        losses.computeIfAbsent(kind, name -> registry.counter("wingstall.endpoint.losses", "kind", name))
+                .increment();
+    }
+
     /** Counts a choice of an engine, by who made it and why. */
     public void engineChosen(String by) {
         engineChoices
--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -42,6 +42,7 @@
         }
         LogEvent.info("request")
                 .with("requestId", record.requestId())
+                .with("fingerprint", record.fingerprint())
                 .with("route", record.route())
                 .with("workspace", record.workspace())
                 .with("outcome", outcome)
@@ -56,6 +57,25 @@
                 .to(LOG);
     }
 
+    /** Writes the line of a sending whose connection ended before the answer was whole. */
+    public void endpointLost(RunRecord record, EndpointLoss loss) {
+        metrics.endpointLost(loss.failure().kind().code());
+        if (!allowed()) {
+            return;
+        }
+        LogEvent.warn("endpoint-lost")
+                .with("requestId", record.requestId())
+                .with("fingerprint", record.fingerprint())
+                .with("endpoint", loss.endpoint().id())
+                .with("service", loss.endpoint().identity().service())
+                .with("address", loss.endpoint().identity().address())
+                .with("sentMsAgo", loss.sentMsAgo())
+                .with("headMsAgo", loss.headMsAgo())
+                .with("othersThere", loss.endpoint().state().inFlight())
+                .with("why", loss.failure().getMessage())
+                .to(LOG);
+    }
+
     /** Writes the line of a request that was refused before it had a route. */
     public void turnedAway(String requestId, String target, RefusedException refusal, long configVersion) {
         if (!allowed()) {
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -8,6 +8,7 @@
 import org.wingstall.net.http.ResponseListener;
 import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.wire.AnswerHead;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.RelayRequest;
@@ -29,6 +30,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpExchange exchange;
     private AnswerHead head;
+    private long headMs;
     private boolean streaming;
     private boolean ended;
 
@@ -58,6 +60,9 @@
         /** There is no whole answer; the request may have run. */
         void lost(EndpointAttempt ended, String detail);
 
+        /** The connection ended under a request that may run; {@link #lost} follows. */
+        void connectionEnded(EndpointLoss loss);
+
         /** Returns whether a failure that the endpoint answered with goes to the caller. */
         boolean failedAnswerIsFinal(int status);
 
@@ -108,6 +113,7 @@
     @Override
     public void head(int status, HttpHeaders headers) {
         head = parts.wire().answerHead(status, headers);
+        headMs = parts.clock().nowMs();
         head.load().ifPresent(endpoint.state()::reported);
         if (head.notRun()) {
             return;
@@ -208,12 +214,18 @@
         }
         endpoint.broken(failure);
         if (failure.requestWritten()) {
+            owner.connectionEnded(loss(failure));
             owner.lost(this, failure.getMessage());
         } else {
             owner.unsent(this, failure.getMessage());
         }
     }
 
+    private EndpointLoss loss(TransportException failure) {
+        long nowMs = parts.clock().nowMs();
+        return new EndpointLoss(endpoint, nowMs - beganMs, head == null ? -1 : nowMs - headMs, failure);
+    }
+
     /** Ends the attempt without an answer of its endpoint; its owner may send the request elsewhere. */
     void breakOff(String detail) {
         if (end()) {
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -15,6 +15,7 @@
 import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.engine.Prompt;
+import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.pool.StageGraph;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.PieceResult;
@@ -295,6 +296,11 @@
         }
     }
 
+    @Override
+    public void connectionEnded(EndpointLoss loss) {
+        parts.log().endpointLost(record, loss);
+    }
+
     @Override
     public boolean failedAnswerIsFinal(int status) {
         return !(route.repeatable() && maySendAgain("failed"));
--- a/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.wingstall.core.quarantine.Fingerprint;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.engine.EngineExpectation;
@@ -22,6 +23,7 @@
     private final String workspace;
     private final long configVersion;
     private final long arrivedMs;
+    private Fingerprint fingerprint;
     private final List<String> attempts = new ArrayList<>();
     private List<String> stages = List.of();
     private long stagesMs = -1;
@@ -86,6 +88,14 @@
         return workspace;
     }
 
+    /** Returns what tells whether another request is the same; hashed when first asked for. */
+    public Fingerprint fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = Fingerprint.of(workspace, request.method(), request.target(), request.body());
+        }
+        return fingerprint;
+    }
+
     /** Returns the version of the configuration that it went by. */
     public long configVersion() {
         return configVersion;
