Hold back a request that has ended three endpoints, at all boxes

Cause: a query of death. Every count of a box (attempts, endpoints tried, budget) ended with one attempt of the caller, so a repeat was a first sending again, at the same box or at another. Ruled out: the box's own retries (routes with one attempt failed alike), sends to endpoints known to have ended (each had just answered).

Change: core.quarantine counts the distinct incarnations that ended under a request, whoever saw it. What boxes learn adds up in any order (sets that only grow, losses and withdrawals); it is told over the links, passed on, said whole when a link opens, and kept in the store from the second loss on, which new boxes and boxes without links read. A success clears a request, an answer of the endpoint to a later sending shows that only its connection broke. After two losses one box at a time sends it, to an endpoint that others stay away from; after three it is refused at once with quarantined, before its stages, for ten minutes doubling with each further loss. Operators see and lift it at the operator address.

--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -46,6 +46,10 @@
     ENDPOINTS_BUSY("endpoints-busy", Answer.Outcome.NOT_RUN, 503),
     /** A stage before the request made no result, so the request itself was never sent. */
     STAGE_WITHOUT_RESULT("stage-without-result", Answer.Outcome.NOT_RUN, 503),
+    /** Endpoints ended while they ran this request, so it is sent to no other. */
+    QUARANTINED("quarantined", Answer.Outcome.NOT_RUN, 503),
+    /** Endpoints ended while they ran this request, and another box tries it now. */
+    SUSPECT_ON_TRIAL("suspect-on-trial", Answer.Outcome.NOT_RUN, 503),
     /** The platform's table could not decide the claim in time. */
     TABLE_UNAVAILABLE("table-unavailable", Answer.Outcome.NOT_RUN, 503),
     /** The gateway has no configuration or no membership list yet. */
--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
@@ -0,0 +1,57 @@
+package org.wingstall.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.wingstall.schema.peer.CrashReport;
+
+/**
+ * The endpoints that ended under one request. Records of several boxes add up to the same one in whatever order they come: sets
+ * only grow, and what was withdrawn stays so.
+ *
+ * @param losses incarnations that ended under it
+ * @param withdrawn incarnations of which that turned out wrong
+ * @param lastAtMs when the last loss became known, in ms of the monotonic clock
+ */
+record CrashRecord(Set<String> losses, Set<String> withdrawn, long lastAtMs) {
+    /** Incarnations that a record keeps: several times the losses that decide. */
+    private static final int MOST_INCARNATIONS = 32;
+
+    static final CrashRecord NONE = new CrashRecord(Set.of(), Set.of(), Long.MIN_VALUE / 2);
+
+    /** Returns a record with the losses that a report adds, and without those that it withdraws. */
+    CrashRecord plus(CrashReport report, long nowMs) {
+        Set<String> allLosses = union(losses, report.getLosses());
+        long reportedAtMs = nowMs - report.getAgeMs();
+        return new CrashRecord(allLosses, union(withdrawn, report.getWithdrawn()), Math.max(lastAtMs, reportedAtMs));
+    }
+
+    /** The oldest give way: they have been decided on long since. */
+    private static Set<String> union(Set<String> known, Collection<String> more) {
+        List<String> all = new ArrayList<>(new LinkedHashSet<>(known));
+        more.stream().filter(incarnation -> !known.contains(incarnation)).forEach(all::add);
+        return new LinkedHashSet<>(all.subList(Math.max(0, all.size() - MOST_INCARNATIONS), all.size()));
+    }
+
+    /** Returns the losses that count. */
+    int standing() {
+        int standing = 0;
+        for (String incarnation : losses) {
+            if (!withdrawn.contains(incarnation)) {
+                standing++;
+            }
+        }
+        return standing;
+    }
+
+    boolean saysMoreThan(CrashRecord other) {
+        return !other.losses.containsAll(losses) || !other.withdrawn.containsAll(withdrawn);
+    }
+
+    CrashReport report(Fingerprint request, long nowMs) {
+        return new CrashReport(
+                request.hex(), List.copyOf(losses), List.copyOf(withdrawn), Math.max(0, nowMs - lastAtMs));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/CrashReports.java
@@ -0,0 +1,99 @@
+package org.wingstall.gateway.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.limit.TokenBucket;
+import org.wingstall.core.quarantine.Quarantine;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
+import org.wingstall.peer.CrashHost;
+import org.wingstall.peer.CrashLinks;
+import org.wingstall.schema.peer.CrashNews;
+import org.wingstall.schema.peer.CrashReport;
+
+/**
+ * Carries what the quarantine learns to the links, to the store and to the log, and what peers tell to the quarantine.
+ *
+ * <p>{@code CrashReports reports = CrashReports.over(links, loop, clock, store::keep); reports.quarantine().hold(request);}
+ */
+final class CrashReports implements Quarantine.Listener, CrashHost {
+    private static final Logger LOG = LogManager.getLogger(CrashReports.class);
+
+    /** Lines a second about requests that are suspected only: a lost engine may leave as many as it ran at once. */
+    private static final double LINES_PER_SECOND = 20;
+
+    /** Losses from which a line is never left out. */
+    private static final int ALWAYS_FROM = 2;
+
+    private final CrashLinks links;
+    private final EventLoop loop;
+    private final Consumer<CrashReport> keeper;
+    private final TokenBucket lines;
+    private final Quarantine quarantine;
+
+    private CrashReports(CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+        this.links = links;
+        this.loop = loop;
+        this.keeper = keeper;
+        this.lines = new TokenBucket(clock);
+        this.quarantine = new Quarantine(clock, this);
+    }
+
+    /**
+     * Creates a quarantine and connects it.
+     *
+     * @param links links to other boxes
+     * @param loop the links' event loop
+     * @param clock monotonic clock
+     * @param keeper keeps reports where they outlive the boxes
+     */
+    static CrashReports over(CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+        CrashReports reports = new CrashReports(links, loop, clock, keeper);
+        links.attach(reports);
+        return reports;
+    }
+
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    @Override
+    public void tell(CrashNews news, String exceptBox) {
+        if (loop.inEventLoop()) {
+            links.tell(news, exceptBox);
+        } else {
+            loop.execute(() -> links.tell(news, exceptBox));
+        }
+    }
+
+    @Override
+    public void keep(CrashReport report) {
+        keeper.accept(report);
+    }
+
+    @Override
+    public void changed(CrashReport report, int standing) {
+        if (standing >= ALWAYS_FROM || lines.tryTake(LINES_PER_SECOND)) {
+            LogEvent.warn("crash-report")
+                    .with("fingerprint", report.getFingerprint())
+                    .with("standing", standing)
+                    .with("losses", report.getLosses())
+                    .with("withdrawn", report.getWithdrawn())
+                    .with("ageMs", report.getAgeMs())
+                    .to(LOG);
+        }
+    }
+
+    @Override
+    public void heard(String boxId, CrashNews news) {
+        quarantine.heard(boxId, news);
+    }
+
+    @Override
+    public List<CrashNews> known() {
+        return quarantine.known();
+    }
+}
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -118,6 +118,7 @@
     private final PeerMesh mesh;
     private final StagePools pools;
     private final SilenceWatch silence;
+    private final CrashReports crashes;
     private final EngineBroker engines;
     private final RelayHandler handler;
     private final StoreFollowers store;
@@ -149,6 +150,7 @@
                 new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::listFollower),
                 loop,
                 clock);
+        this.crashes = CrashReports.over(mesh.crashes(), loop, clock, report -> store().keep(report));
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         EndpointReports reports = new EndpointReports(loop, client, wire);
@@ -183,6 +185,7 @@
                 endpoints,
                 mesh,
                 () -> loop.execute(this::endpointsChanged),
+                crashes.quarantine()::read,
                 boxes -> budgets.change(budgetPart(this.settings, boxes)));
         this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
@@ -202,6 +205,7 @@
                 silence::doubt,
                 new LeastLoaded(settings.getFailureDomain(), random),
                 budgets,
+                crashes.quarantine(),
                 new RetryAfter(random::nextDouble),
                 metrics,
                 new RequestLog(clock, metrics));
@@ -242,6 +246,10 @@
         engines.endpointsChanged();
     }
 
+    private StoreFollowers store() {
+        return store;
+    }
+
     private ListFollower listFollower() {
         return store.list();
     }
@@ -276,7 +284,7 @@
                 requests,
                 Addresses.parse(settings.getOperatorAddress()),
                 INSIDE_LIMITS,
-                this::answerOperator,
+                new OperatorHandler(metrics::scrape, crashes.quarantine()),
                 rejection -> new byte[0]);
         showGauges();
         LogEvent.info("started")
@@ -308,10 +316,6 @@
         call.respond(ready ? 200 : 503, "text/plain", new byte[0]);
     }
 
-    private void answerOperator(HttpCall call) {
-        call.respond(200, "text/plain; version=0.0.4", metrics.scrape().getBytes(StandardCharsets.UTF_8));
-    }
-
     private void showGauges() {
         metrics.gauge("wingstall.config.version", () -> state.config().version());
         metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
@@ -319,6 +323,7 @@
         metrics.gauge("wingstall.stages.waiting", pools::waiting);
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
         metrics.gauge("wingstall.caller.connections", callers::connections);
+        metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().heldBack());
     }
 
     /**
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.LinkPlan;
@@ -14,15 +15,18 @@
 import org.wingstall.peer.PeerTable;
 import org.wingstall.platform.PlatformBoxDirectory;
 import org.wingstall.platform.PlatformConfigSource;
+import org.wingstall.platform.PlatformCrashReports;
 import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.control.BoxFollower;
+import org.wingstall.relay.control.CrashReportFollower;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.OneReaderPerDomain;
 import org.wingstall.relay.control.RelayConfigFollower;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.wire.BoxDirectory;
+import org.wingstall.schema.peer.CrashReport;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.settings.RelaySettings;
 
@@ -53,6 +57,7 @@
     private final RelayConfigFollower configFollower;
     private final ListFollower listFollower;
     private final BoxFollower boxes;
+    private final CrashReportFollower crashReports;
 
     /**
      * Creates the followers.
@@ -65,6 +70,7 @@
      * @param endpoints takes the list
      * @param mesh links to the other boxes
      * @param endpointsChanged told when the list differs
+     * @param crashReportRead takes reports of requests that crash endpoints
      * @param boxesKnown told how many boxes there are
      */
     StoreFollowers(
@@ -76,6 +82,7 @@
             RelayEndpoints endpoints,
             PeerMesh mesh,
             Runnable endpointsChanged,
+            Consumer<CrashReport> crashReportRead,
             IntConsumer boxesKnown) {
         this.settings = settings;
         this.mesh = mesh;
@@ -105,6 +112,8 @@
                         mesh.tellAll(news);
                     }
                 });
+        this.crashReports =
+                new CrashReportFollower(control, new PlatformCrashReports(store, this::configWaitMs), crashReportRead);
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(),
                 settings.getFailureDomain(),
@@ -118,6 +127,12 @@
         configFollower.start();
         listFollower.start();
         boxes.start();
+        crashReports.start();
+    }
+
+    /** Keeps a report of a request that crashes endpoints. */
+    void keep(CrashReport report) {
+        crashReports.keep(report);
     }
 
     /** Returns how the list is followed, for heartbeats. */
--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -130,6 +130,8 @@
         awaitLinks();
         repeat(route, REPEATED_MS);
         assertHeldBack();
+        // Repeats came one after the other, so each loss was known before the next sending.
+        assertEquals(crashes.ended(), LOSSES);
         for (RelayBox box : boxes) {
             RelayBox.Reply refusal = crash(box, route).orElseThrow();
             assertEquals(refusal.status(), 503);
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -4,6 +4,7 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.ConfigRequest;
+import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.EngineAsk;
 import org.wingstall.schema.peer.EngineChoice;
 import org.wingstall.schema.peer.EngineOutcome;
@@ -43,6 +44,7 @@
         private EngineChoice engineChoice;
         private EngineOutcome engineOutcome;
         private boolean stageTaken;
+        private CrashNews crashNews;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -65,7 +67,8 @@
                     engineAsk,
                     engineChoice,
                     engineOutcome,
-                    stageTaken);
+                    stageTaken,
+                    crashNews);
         }
     }
 
@@ -154,6 +157,12 @@
         return parts.frame();
     }
 
+    static PeerFrame crashNews(CrashNews news) {
+        Parts parts = new Parts(0);
+        parts.crashNews = news;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -60,6 +60,7 @@
     private final PromptReplies replies;
     private final PieceLinks pieces;
     private final MeshEngineLinks engines;
+    private final CrashLinks crashes;
     private final Dialer dialer;
     private final RowLinks rows;
     private final DomainTable domains;
@@ -88,6 +89,7 @@
         this.replies = new PromptReplies(clock);
         this.pieces = new PieceLinks(links, replies);
         this.engines = new MeshEngineLinks(links, replies);
+        this.crashes = new CrashLinks(links);
         this.rows = new RowLinks(loop, links);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
         this.peers = new PeerTable(self, options.silentAfterMs(), rows::tableUnheard, replies, clock);
@@ -124,6 +126,11 @@
         return engines;
     }
 
+    /** Returns what gateways say to each other about requests that crash endpoints. */
+    public CrashLinks crashes() {
+        return crashes;
+    }
+
     /** Attaches what is done with what peers say about engines; before the mesh starts. */
     public void attach(EngineHost host) {
         engines.attach(host);
@@ -306,6 +313,7 @@
                 .with("revision", host.revision())
                 .to(LOG);
         sendFirstHeartbeat(link);
+        crashes.linked(link);
     }
 
     /**
@@ -357,7 +365,9 @@
             heartbeat(link, frame.getHeartbeat());
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
-        } else if (!rows.frame(link, frame) && !engines.frame(link.peer().getBoxId(), frame)) {
+        } else if (!rows.frame(link, frame)
+                && !engines.frame(link.peer().getBoxId(), frame)
+                && !crashes.frame(link.peer().getBoxId(), frame)) {
             pieces.frame(link.peer().getBoxId(), frame);
         }
     }
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -15,6 +15,9 @@
 import org.wingstall.schema.peer.ClaimRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.ConfigRequest;
+import org.wingstall.schema.peer.CrashNews;
+import org.wingstall.schema.peer.CrashReport;
+import org.wingstall.schema.peer.CrashTrial;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.EngineAsk;
 import org.wingstall.schema.peer.EngineChoice;
@@ -46,6 +49,10 @@
             Integer.MIN_VALUE,
             0);
 
+    private static final CrashNews CRASH_NEWS = new CrashNews(
+            List.of(new CrashReport("f4a7", List.of("e1@0", "e2@5"), List.of("e2@5"), LARGE)),
+            List.of(new CrashTrial("f4a7", "e3@0"), new CrashTrial("f4a7", null)));
+
     @DataProvider
     public Object[][] frames() {
         Member member = new Member(
@@ -90,18 +97,20 @@
             },
             {"engineChoice", frame(13, 5, new EngineChoice("e1", 65, 0, 250, null))},
             {"stageTaken", frame(15, 8, true)},
+            {"crashNews", frame(16, 0, CRASH_NEWS)},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
             {
                 "withdrawn",
                 new PeerFrame(
-                        4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false)
+                        4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false,
+                        null)
             },
         };
     }
 
     /** Makes a frame with one part, given the part's place among the properties. */
     private static PeerFrame frame(int place, long correlation, Object part) {
-        Object[] parts = new Object[16];
+        Object[] parts = new Object[17];
         parts[place] = part;
         return new PeerFrame(
                 correlation,
@@ -119,7 +128,8 @@
                 (EngineAsk) parts[12],
                 (EngineChoice) parts[13],
                 (EngineOutcome) parts[14],
-                parts[15] != null);
+                parts[15] != null,
+                (CrashNews) parts[16]);
     }
 
     @Test(dataProvider = "frames")
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -45,6 +45,9 @@
         /** The endpoint began to answer, so it has read its inputs. */
         void firstByte();
 
+        /** The endpoint gave a whole answer, a success or a failure, to what was sent at a time. */
+        void answeredWhole(RelayEndpoint endpoint, long sentAtMs, boolean success);
+
         /** A whole answer went to the caller. */
         void complete(int status);
 
@@ -162,6 +165,7 @@
         } else if (head.success()) {
             end();
             endpoint.answered(parts.clock().nowMs() - beganMs);
+            owner.answeredWhole(endpoint, beganMs, true);
             deliver();
         } else {
             failed(head.status());
@@ -171,6 +175,7 @@
     private void endStream() {
         end();
         if (owner.answer().end()) {
+            owner.answeredWhole(endpoint, beganMs, true);
             owner.complete(head.status());
         } else {
             owner.lost(this, "the stream ended within an event");
@@ -184,6 +189,7 @@
 
     private void failed(int status) {
         end();
+        owner.answeredWhole(endpoint, beganMs, false);
         if (status >= FIRST_SERVER_ERROR) {
             endpoint.failed("status " + status);
         }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
@@ -36,6 +37,7 @@
  * @param doubts takes an engine whose answer is overdue, and what to do when it turns out silent
  * @param services chooses among other endpoints
  * @param budgets retry budgets
+ * @param quarantine holds back requests that crash endpoints
  * @param retryAfter spreads the hints when to come back
  * @param metrics counters and timers
  * @param log lines about requests
@@ -55,6 +57,7 @@
         BiConsumer<RelayEndpoint, Runnable> doubts,
         EndpointChooser services,
         ServiceBudgets budgets,
+        Quarantine quarantine,
         RetryAfter retryAfter,
         RelayMetrics metrics,
         RequestLog log) {}
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -3,10 +3,13 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.answer.Reason;
 import org.wingstall.core.answer.RefusedException;
+import org.wingstall.core.quarantine.Hold;
 import org.wingstall.net.http.HttpCall;
+import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
@@ -62,6 +65,7 @@
     private EngineTicket engine;
     private ScheduledFuture<?> timer;
     private boolean over;
+    private boolean onTrial;
     private int attempts;
     private int stagesBegun;
     private int handedOver;
@@ -92,6 +96,9 @@
         call.onDisconnect(this::callerGone);
         parts.budgets().of(service.name()).called();
         timer = parts.loop().schedule(this::timePassed, Math.max(1, dueAtMs - arrivedMs), TimeUnit.MILLISECONDS);
+        if (heldBack()) {
+            return;
+        }
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
@@ -158,8 +165,36 @@
         graph.begin();
     }
 
+    /** Ends a request that crashes endpoints, before its stages, before it is sent, and before it is sent again. */
+    private boolean heldBack() {
+        endTrial();
+        Optional<Hold> hold = parts.quarantine().hold(record::fingerprint);
+        hold.ifPresent(this::refuse);
+        return hold.isPresent();
+    }
+
+    private void refuse(Hold hold) {
+        if (answer.begun()) {
+            cutOff(Reason.ENDPOINT_LOST, hold.detail());
+        } else if (mayHaveRun()) {
+            refuse(Reason.ENDPOINT_LOST, hold.detail());
+        } else {
+            refuseUntil(hold.reason(), hold.detail(), hold.againMs());
+        }
+    }
+
+    private void endTrial() {
+        if (onTrial) {
+            onTrial = false;
+            parts.quarantine().over(record.fingerprint());
+        }
+    }
+
     private void callEndpoint(List<String> inputs) {
-        List<RelayEndpoint> candidates = service.candidates();
+        if (heldBack()) {
+            return;
+        }
+        List<RelayEndpoint> candidates = service.candidates(parts.quarantine().shunned(record::fingerprint));
         if (candidates.isEmpty()) {
             refuse(
                     mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT,
@@ -176,7 +211,8 @@
     }
 
     private void send(EngineTicket chosen, List<String> inputs) {
-        if (!over) {
+        // A loss may have become known while the engine was chosen.
+        if (!over && !heldBack()) {
             engine = chosen;
             record.engine(chosen, outputPlace());
             send(chosen.endpoint(), chosen.fetchFrom(), inputs);
@@ -211,6 +247,7 @@
     }
 
     private void send(RelayEndpoint endpoint, InetSocketAddress fetchFrom, List<String> inputs) {
+        onTrial = parts.quarantine().sent(record::fingerprint, endpoint.key());
         service.asked(endpoint);
         attempts++;
         long reuseIdleMs = route.repeatable() ? REUSE_IDLE_MS : 0;
@@ -244,6 +281,11 @@
         closeStages();
     }
 
+    @Override
+    public void answeredWhole(RelayEndpoint endpoint, long sentAtMs, boolean success) {
+        parts.quarantine().answered(record::fingerprint, endpoint.key(), sentAtMs, success);
+    }
+
     @Override
     public void complete(int status) {
         if (!over) {
@@ -299,6 +341,9 @@
     @Override
     public void connectionEnded(EndpointLoss loss) {
         parts.log().endpointLost(record, loss);
+        if (loss.failure().kind() == TransportException.Kind.RESET) {
+            parts.quarantine().lost(record.fingerprint(), loss.endpoint().key());
+        }
     }
 
     @Override
@@ -348,10 +393,13 @@
     }
 
     private void refuse(Reason reason, String detail, long roomInMs) {
+        refuseUntil(reason, detail, mayHaveRun() ? 0 : parts.retryAfter().spreadMs(Math.max(SOON_MS, roomInMs)));
+    }
+
+    private void refuseUntil(Reason reason, String detail, long againMs) {
         if (over) {
             return;
         }
-        long againMs = mayHaveRun() ? 0 : parts.retryAfter().spreadMs(Math.max(SOON_MS, roomInMs));
         parts.metrics().refused(reason);
         finish(reason.code(), reason.httpStatus(), detail);
         parts.callers().refuse(call, new RefusedException(reason, detail, againMs));
@@ -374,6 +422,7 @@
 
     private void finish(String outcome, int status, String detail) {
         over = true;
+        endTrial();
         timer.cancel(false);
         if (attempt != null) {
             attempt.cancel();
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -59,6 +59,23 @@
 
     /** Returns the endpoints that may be asked; those that are avoided are better than none. */
     List<RelayEndpoint> candidates() {
+        return candidates(Set.of());
+    }
+
+    /**
+     * Returns the endpoints that may be asked.
+     *
+     * @param shunned names of incarnations that are better left alone, as long as half of the others are there
+     */
+    List<RelayEndpoint> candidates(Set<String> shunned) {
+        List<RelayEndpoint> all = untried();
+        List<RelayEndpoint> others = all.stream()
+                .filter(endpoint -> !shunned.contains(endpoint.key()))
+                .toList();
+        return 2 * others.size() >= all.size() && !others.isEmpty() ? others : all;
+    }
+
+    private List<RelayEndpoint> untried() {
         List<RelayEndpoint> usable = new ArrayList<>();
         List<RelayEndpoint> avoided = new ArrayList<>();
         for (RelayEndpoint endpoint : parts.endpoints().ofService(name)) {
