--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.it.harness.Pauses;
 import org.wingstall.standin.fleet.CrashingEndpoint;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
@@ -92,14 +93,19 @@
     }
 
     /** Sends the crashing request to one box after the other for a time. */
-    private void repeat(String route, long forMs) throws InterruptedException {
+    private void repeat(String route, long forMs) {
         long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMs);
         for (int i = 0; System.nanoTime() < untilNs; i++) {
             crash(boxes.get(i % boxes.size()), route);
-            Thread.sleep(PAUSE_MS);
+            Pauses.ofMs(PAUSE_MS);
         }
     }
 
+    private void awaitKnown() {
+        Awaitility.await().atMost(KNOWN_MS, TimeUnit.MILLISECONDS).until(() -> boxes.stream()
+                .allMatch(box -> box.metrics().contains("wingstall_requests_held_back 1.0")));
+    }
+
     private List<CrashingRun> laterThanKnown() {
         List<CrashingRun> runs = crashes.runs();
         assertTrue(runs.size() >= LOSSES, "only " + runs);
@@ -145,19 +151,10 @@
     @Test
     public void repeatsThatComeTogetherAreHeldBackToo() throws Exception {
         awaitLinks();
-        AtomicBoolean over = new AtomicBoolean();
         List<CompletableFuture<Void>> callers = new ArrayList<>();
-        for (RelayBox box : boxes) {
-            for (int i = 0; i < 2; i++) {
-                callers.add(CompletableFuture.runAsync(() -> {
-                    while (!over.get()) {
-                        crash(box, "stream");
-                    }
-                }));
-            }
+        for (int i = 0; i < 2 * BOXES; i++) {
+            callers.add(CompletableFuture.runAsync(() -> repeat("stream", REPEATED_MS)));
         }
-        Thread.sleep(REPEATED_MS);
-        over.set(true);
         callers.forEach(CompletableFuture::join);
         assertHeldBack();
     }
@@ -167,7 +164,7 @@
         awaitLinks();
         repeat("stream", REPEATED_MS);
         RelayBox late = startBox("late");
-        Thread.sleep(KNOWN_MS);
+        awaitKnown();
         long before = crashes.ended();
         assertEquals(crash(late, "stream").orElseThrow().status(), 503);
         assertEquals(crashes.ended(), before);
@@ -182,7 +179,7 @@
         for (int i = 0; i < BOXES; i++) {
             startBox("box-" + i);
         }
-        Thread.sleep(KNOWN_MS);
+        awaitKnown();
         repeat("stream", KNOWN_MS);
         assertHeldBack();
     }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -25,6 +25,7 @@
     private final EndpointCall wanted;
     private final RelayEndpoint endpoint;
     private final List<String> inputs;
+    private final CrashGuard crashes;
     private final Owner owner;
     private final long beganMs;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -45,9 +46,6 @@
         /** The endpoint began to answer, so it has read its inputs. */
         void firstByte();
 
-        /** The endpoint gave a whole answer, a success or a failure, to what was sent at a time. */
-        void answeredWhole(RelayEndpoint endpoint, long sentAtMs, boolean success);
-
         /** A whole answer went to the caller. */
         void complete(int status);
 
@@ -63,9 +61,6 @@
         /** There is no whole answer; the request may have run. */
         void lost(EndpointAttempt ended, String detail);
 
-        /** The connection ended under a request that may run; {@link #lost} follows. */
-        void connectionEnded(EndpointLoss loss);
-
         /** Returns whether a failure that the endpoint answered with goes to the caller. */
         boolean failedAnswerIsFinal(int status);
 
@@ -79,12 +74,14 @@
             EndpointCall wanted,
             RelayEndpoint endpoint,
             List<String> inputs,
+            CrashGuard crashes,
             Owner owner) {
         this.parts = parts;
         this.request = request;
         this.wanted = wanted;
         this.endpoint = endpoint;
         this.inputs = inputs;
+        this.crashes = crashes;
         this.owner = owner;
         this.beganMs = parts.clock().nowMs();
     }
@@ -165,7 +162,7 @@
         } else if (head.success()) {
             end();
             endpoint.answered(parts.clock().nowMs() - beganMs);
-            owner.answeredWhole(endpoint, beganMs, true);
+            crashes.answered(endpoint, beganMs, true);
             deliver();
         } else {
             failed(head.status());
@@ -175,7 +172,7 @@
     private void endStream() {
         end();
         if (owner.answer().end()) {
-            owner.answeredWhole(endpoint, beganMs, true);
+            crashes.answered(endpoint, beganMs, true);
             owner.complete(head.status());
         } else {
             owner.lost(this, "the stream ended within an event");
@@ -189,7 +186,7 @@
 
     private void failed(int status) {
         end();
-        owner.answeredWhole(endpoint, beganMs, false);
+        crashes.answered(endpoint, beganMs, false);
         if (status >= FIRST_SERVER_ERROR) {
             endpoint.failed("status " + status);
         }
@@ -220,7 +217,7 @@
         }
         endpoint.broken(failure);
         if (failure.requestWritten()) {
-            owner.connectionEnded(loss(failure));
+            crashes.lost(loss(failure));
             owner.lost(this, failure.getMessage());
         } else {
             owner.unsent(this, failure.getMessage());
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -9,7 +9,6 @@
 import org.wingstall.core.answer.RefusedException;
 import org.wingstall.core.quarantine.Hold;
 import org.wingstall.net.http.HttpCall;
-import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
@@ -18,7 +17,6 @@
 import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.engine.Prompt;
-import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.pool.StageGraph;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.PieceResult;
@@ -37,12 +35,6 @@
     /** When a caller is told to come back after a refusal whose cause passes quickly, in ms. */
     private static final long SOON_MS = 300;
 
-    /** Part of the usual first answers beyond which one is overdue. */
-    private static final double OVERDUE_FACTOR = 2;
-
-    /** Time that is added to it, in ms: a packet that is lost is sent again within. */
-    private static final long OVERDUE_EXTRA_MS = 200;
-
     /** Idle time after which a kept connection is not used for requests that may be repeated, in ms. */
     private static final long REUSE_IDLE_MS = 3000;
 
@@ -56,6 +48,7 @@
     private final Workspace workspace;
     private final Runnable whenOver;
     private final RunRecord record;
+    private final CrashGuard crashes;
     private final long arrivedMs;
     private final long dueAtMs;
     private final RunService service;
@@ -65,7 +58,6 @@
     private EngineTicket engine;
     private ScheduledFuture<?> timer;
     private boolean over;
-    private boolean onTrial;
     private int attempts;
     private int stagesBegun;
     private int handedOver;
@@ -89,6 +81,7 @@
         this.service =
                 new RunService(parts, route.service(parts.random().nextDouble()), route, Prompt.of(request.prompt()));
         this.record = new RunRecord(request, route, workspace.name(), configVersion, arrivedMs);
+        this.crashes = new CrashGuard(parts, record);
         this.answer = new AnswerRelay(call, route.repeatable() && route.streamed());
     }
 
@@ -167,8 +160,7 @@
 
     /** Ends a request that crashes endpoints, before its stages, before it is sent, and before it is sent again. */
     private boolean heldBack() {
-        endTrial();
-        Optional<Hold> hold = parts.quarantine().hold(record::fingerprint);
+        Optional<Hold> hold = crashes.hold();
         hold.ifPresent(this::refuse);
         return hold.isPresent();
     }
@@ -183,18 +175,11 @@
         }
     }
 
-    private void endTrial() {
-        if (onTrial) {
-            onTrial = false;
-            parts.quarantine().over(record.fingerprint());
-        }
-    }
-
     private void callEndpoint(List<String> inputs) {
         if (heldBack()) {
             return;
         }
-        List<RelayEndpoint> candidates = service.candidates(parts.quarantine().shunned(record::fingerprint));
+        List<RelayEndpoint> candidates = service.candidates(crashes.shunned());
         if (candidates.isEmpty()) {
             refuse(
                     mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT,
@@ -220,17 +205,7 @@
                     chosen.expectation().firstAnswerMs(),
                     parts.engines().firstAnswerMs(service.name(), service.prompt()));
             EndpointAttempt sent = attempt;
-            parts.loop()
-                    .schedule(
-                            () -> doubtUnlessAnswered(sent, chosen),
-                            Math.round(OVERDUE_FACTOR * usualMs) + OVERDUE_EXTRA_MS,
-                            TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void doubtUnlessAnswered(EndpointAttempt sent, EngineTicket chosen) {
-        if (waitsFor(sent) && !chosen.ended()) {
-            parts.doubts().accept(chosen.endpoint(), () -> engineSilent(sent, chosen));
+            OverdueAnswer.watch(parts, chosen, usualMs, () -> waitsFor(sent), () -> engineSilent(sent, chosen));
         }
     }
 
@@ -247,14 +222,14 @@
     }
 
     private void send(RelayEndpoint endpoint, InetSocketAddress fetchFrom, List<String> inputs) {
-        onTrial = parts.quarantine().sent(record::fingerprint, endpoint.key());
+        crashes.sent(endpoint);
         service.asked(endpoint);
         attempts++;
         long reuseIdleMs = route.repeatable() ? REUSE_IDLE_MS : 0;
         EndpointCall wanted = new EndpointCall(
                 endpoint.identity(), remainingMs(), workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
         record.attempt(endpoint, parts.endpoints().ageMs());
-        attempt = new EndpointAttempt(parts, request, wanted, endpoint, inputs, this);
+        attempt = new EndpointAttempt(parts, request, wanted, endpoint, inputs, crashes, this);
         attempt.begin();
     }
 
@@ -281,11 +256,6 @@
         closeStages();
     }
 
-    @Override
-    public void answeredWhole(RelayEndpoint endpoint, long sentAtMs, boolean success) {
-        parts.quarantine().answered(record::fingerprint, endpoint.key(), sentAtMs, success);
-    }
-
     @Override
     public void complete(int status) {
         if (!over) {
@@ -338,14 +308,6 @@
         }
     }
 
-    @Override
-    public void connectionEnded(EndpointLoss loss) {
-        parts.log().endpointLost(record, loss);
-        if (loss.failure().kind() == TransportException.Kind.RESET) {
-            parts.quarantine().lost(record.fingerprint(), loss.endpoint().key());
-        }
-    }
-
     @Override
     public boolean failedAnswerIsFinal(int status) {
         return !(route.repeatable() && maySendAgain("failed"));
@@ -422,7 +384,7 @@
 
     private void finish(String outcome, int status, String detail) {
         over = true;
-        endTrial();
+        crashes.over();
         timer.cancel(false);
         if (attempt != null) {
             attempt.cancel();
