--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -104,6 +104,18 @@
                         settings.getCallerAddress(), "/" + route + "/x?y=1", id, DEADLINE_MS, body)
                 .timeout(Duration.ofSeconds(20))
                 .build();
+        return answer(request);
+    }
+
+    /** Sends a request of the staged route whose first piece is made from a key; empty when it got no whole answer. */
+    Optional<Reply> postPiece(String id, String pieceKey) {
+        HttpRequest request = request("staged", id)
+                .setHeader("X-Wingstall-Piece-Key", pieceKey)
+                .build();
+        return answer(request);
+    }
+
+    private static Optional<Reply> answer(HttpRequest request) {
         try {
             return Optional.of(send(request));
         } catch (CompletionException e) {
--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -21,6 +21,7 @@
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.WorkerStandin;
 
 /**
  * A caller's request ended each engine that began to run it, about 100 ms after its head had come, and came again every one or
@@ -197,6 +198,34 @@
         assertHeldBack();
     }
 
+    /**
+     * A piece crashes the endpoint of its stage, and with it the calls for other requests' pieces. Before, each request sent it
+     * to three endpoints, and its repeats to three more.
+     */
+    @Test
+    public void aPieceThatCrashesItsEndpointsIsHeldBackToo() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            new CrashingEndpoint(fleet, crashes, new Kind("first", "east", "f" + i, 0)).start();
+        }
+        fleet.add("second", "east", "s1", new WorkerStandin("s1", 0, 20));
+        awaitLinks();
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPEATED_MS);
+        for (int i = 0; System.nanoTime() < untilNs; i++) {
+            boxes.get(i % BOXES).postPiece(nextId(), CrashingEndpoint.CRASH);
+            boxes.get(i % BOXES).postPiece(nextId(), "innocent-" + i);
+            Pauses.ofMs(PAUSE_MS);
+        }
+        assertHeldBack();
+        assertEquals(crashes.ended(), LOSSES);
+        for (RelayBox box : boxes) {
+            RelayBox.Reply refusal =
+                    box.postPiece(nextId(), CrashingEndpoint.CRASH).orElseThrow();
+            assertEquals(refusal.status(), 503);
+            assertTrue(refusal.body().contains("quarantined"), refusal.body());
+            assertEquals(box.postPiece(nextId(), "innocent").orElseThrow().status(), 200);
+        }
+    }
+
     /** Beside the crashing one runs a request that many callers send with the same path and body. */
     @Test
     public void aPopularRequestBesideItIsServed() throws Exception {
