Hold back a piece that has ended three endpoints of its stage

Cause: the same as for requests, one layer down. A call carries pieces of many requests, so all of them are suspected when its endpoint ends, and all were sent together again.

Change: pieces are told apart by service, stage, place and what the request's pieces are made from, so a piece that many requests share counts once. From the first loss on a request's pieces of a stage go in calls of their own; from the third on they are refused at the pool that gathers, and the request with quarantined.

Price: after a loss a call's requests take a call each once.

--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -162,10 +162,26 @@
     }
 
     /** Takes note that the connection to an endpoint ended while it may have run a request. */
-    public synchronized void lost(Fingerprint request, String endpoint) {
-        long nowMs = clock.nowMs();
-        endedAtMs.put(endpoint, nowMs);
-        learn(List.of(new CrashReport(request.hex(), List.of(endpoint), List.of(), 0)), null, true);
+    public void lost(Fingerprint request, String endpoint) {
+        lost(List.of(request), endpoint);
+    }
+
+    /** Takes note that the connection to an endpoint ended while it may have run some requests. */
+    public synchronized void lost(List<Fingerprint> requests, String endpoint) {
+        endedAtMs.put(endpoint, clock.nowMs());
+        List<CrashReport> reports = requests.stream()
+                .map(request -> new CrashReport(request.hex(), List.of(endpoint), List.of(), 0))
+                .toList();
+        learn(reports, null, true);
+    }
+
+    /** Returns whether an endpoint ended under a request that has not been cleared since. */
+    public boolean suspects(Supplier<Fingerprint> request) {
+        return !idle && standing(request.get()) > 0;
+    }
+
+    private synchronized int standing(Fingerprint request) {
+        return ledger.find(request, clock.nowMs()).standing();
     }
 
     /**
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -156,7 +156,16 @@
         EndpointReports reports = new EndpointReports(loop, client, wire);
         this.pools = new StagePools(
                 new PoolParts(
-                        loop, clock, client, wire, reports, endpoints, state::config, budgets, PoolPolicies.STANDARD),
+                        loop,
+                        clock,
+                        client,
+                        wire,
+                        reports,
+                        endpoints,
+                        state::config,
+                        budgets,
+                        crashes.quarantine(),
+                        PoolPolicies.STANDARD),
                 random,
                 mesh,
                 gathering);
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -49,6 +49,11 @@
             Integer.MIN_VALUE,
             0);
 
+    private static final StageWork STAGE_WORK = new StageWork(
+            "pay-ledger",
+            List.of(
+                    new StagePiece("r", 0, 1, "key", null, 101, 900, 0, 3_000_000, "", 0, "key"),
+                    new StagePiece("r", 2, 300, null, List.of("h1", "h2"), 1, 1, 70_000, 8, null, 5, null)));
     private static final CrashNews CRASH_NEWS = new CrashNews(
             List.of(new CrashReport("f4a7", List.of("e1@0", "e2@5"), List.of("e2@5"), LARGE)),
             List.of(new CrashTrial("f4a7", "e3@0"), new CrashTrial("f4a7", null)));
@@ -65,18 +70,7 @@
             {"configReply", frame(4, 9, new ConfigReply(7, true, List.of(), List.of(member), "tag"))},
             {"claimRequest", frame(5, 9, new ClaimRequest("canteen/1", 0, null))},
             {"memberNews", frame(7, 0, new MemberNews("a", "b", List.of(member), List.of("e2"), 77))},
-            {
-                "stageWork",
-                frame(
-                        8,
-                        LARGE,
-                        new StageWork(
-                                "pay-ledger",
-                                List.of(
-                                        new StagePiece("r", 0, 1, "key", null, 101, 900, 0, 3_000_000, "", 0),
-                                        new StagePiece(
-                                                "r", 2, 300, null, List.of("h1", "h2"), 1, 1, 70_000, 8, null, 5))))
-            },
+            {"stageWork", frame(8, LARGE, STAGE_WORK)},
             {"stageResult", frame(9, 1, new StageResult(2, "handle", "10.1.0.9:80", null, 0))},
             {"failed stageResult", frame(9, 1, new StageResult(2, null, null, "NOT_IN_TIME", 2400))},
             {"stageFreed", frame(11, 0, new StageFreed("10.1.0.9:80", List.of("h1", "h2")))},
--- a/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/AskedPieces.java
@@ -94,7 +94,8 @@
                 Math.max(0, ticket.urgency().targetAtMs() - nowMs),
                 ticket.placement().resultBytes(),
                 ticket.placement().nearDomain(),
-                ticket.placement().awayBytes());
+                ticket.placement().awayBytes(),
+                piece.origin());
     }
 
     void resultCame(String boxId, long correlation, StageResult result) {
@@ -114,7 +115,7 @@
 
     private static MadePiece decode(StageResult result, String gatherer) {
         if (result.getHandle() == null) {
-            return MadePiece.failed(PieceResult.Failure.valueOf(result.getFailure()), result.getAgainMs());
+            return MadePiece.failed(PieceResult.Failure.named(result.getFailure()), result.getAgainMs());
         }
         return MadePiece.made(PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), gatherer);
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/GatheredPieces.java
@@ -38,7 +38,13 @@
     private PieceTicket decode(StagePiece piece, PieceTicket.PieceOwner owner) {
         long nowMs = clock.nowMs();
         return new PieceTicket(
-                new Piece(piece.getRequestId(), piece.getStage(), piece.getIndex(), piece.getKey(), piece.getInputs()),
+                new Piece(
+                        piece.getRequestId(),
+                        piece.getStage(),
+                        piece.getIndex(),
+                        piece.getKey(),
+                        piece.getInputs(),
+                        piece.getOrigin()),
                 new Urgency(piece.getRank(), nowMs + piece.getTargetMs(), nowMs + piece.getRemainingMs()),
                 new PieceTicket.Placement(piece.getNearDomain(), piece.getResultBytes(), piece.getAwayBytes()),
                 owner);
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceCrashes.java
@@ -0,0 +1,60 @@
+package org.wingstall.relay.pool;
+
+import java.util.List;
+import java.util.Optional;
+import org.wingstall.core.quarantine.Hold;
+import org.wingstall.core.quarantine.Quarantine;
+import org.wingstall.net.http.TransportException;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+
+/**
+ * What the quarantine says of the pieces of one service, and is told of their calls. A piece may be part of many requests, and
+ * a call carries pieces of several: all of them are suspected when its endpoint ends. Confined to the request loop.
+ */
+final class PieceCrashes {
+    private final String service;
+    private final Quarantine quarantine;
+
+    PieceCrashes(String service, Quarantine quarantine) {
+        this.service = service;
+        this.quarantine = quarantine;
+    }
+
+    /** Returns why one of some pieces is not to be sent now. */
+    Optional<Hold> hold(List<PieceTicket> tickets) {
+        return tickets.stream()
+                .filter(ticket -> ticket.piece().known())
+                .map(ticket -> quarantine.hold(() -> ticket.piece().fingerprint(service)))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
+    /** Returns whether an endpoint ended under one of some pieces: they are made apart from other requests' pieces then. */
+    boolean suspects(List<PieceTicket> tickets) {
+        return tickets.stream()
+                .filter(ticket -> ticket.piece().known())
+                .anyMatch(ticket -> quarantine.suspects(() -> ticket.piece().fingerprint(service)));
+    }
+
+    /** Takes note that a call ended without an answer. */
+    void lost(List<PieceTicket> tickets, RelayEndpoint endpoint, Throwable failure) {
+        boolean ended = failure instanceof TransportException broken
+                && broken.kind() == TransportException.Kind.RESET
+                && broken.requestWritten();
+        if (ended) {
+            quarantine.lost(
+                    tickets.stream()
+                            .filter(ticket -> ticket.piece().known())
+                            .map(ticket -> ticket.piece().fingerprint(service))
+                            .toList(),
+                    endpoint.key());
+        }
+    }
+
+    /** Takes note that a piece was made. */
+    void made(PieceTicket ticket, RelayEndpoint endpoint, long sentAtMs) {
+        if (ticket.piece().known()) {
+            quarantine.answered(() -> ticket.piece().fingerprint(service), endpoint.key(), sentAtMs, true);
+        }
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -29,6 +29,7 @@
     private final long callMs;
     private final Urgency urgency;
     private final PieceTicket.Placement placement;
+    private final boolean apart;
 
     /**
      * Creates a group.
@@ -36,8 +37,10 @@
      * @param tickets its pieces, at least one
      * @param sinceMs when it began to wait, in ms of the monotonic clock
      * @param callMs expected time of the call that makes it, in ms
+     * @param apart whether it goes in calls of its own, since an endpoint ended under one of its pieces
      */
-    PieceGroup(List<PieceTicket> tickets, long sinceMs, double callMs) {
+    PieceGroup(List<PieceTicket> tickets, long sinceMs, double callMs, boolean apart) {
+        this.apart = apart;
         this.sinceMs = sinceMs;
         this.callMs = Math.round(callMs);
         this.waiting = new ArrayList<>(tickets);
@@ -53,6 +56,11 @@
         return placement;
     }
 
+    /** Returns whether it goes in calls of its own. */
+    boolean apart() {
+        return apart;
+    }
+
     /** Returns whether an endpoint of the failure domain may take the group now. */
     boolean mayGoTo(String failureDomain, long nowMs) {
         boolean hurries = latestBeginAtMs() - nowMs < HURRY_MS;
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -121,6 +121,7 @@
         }
         end();
         if (failure != null) {
+            pool.crashes().lost(tickets, endpoint, failure);
             unanswered(failure.getMessage());
         } else {
             answered(reply);
@@ -214,6 +215,7 @@
             ticket.done(MadePiece.failed(result.failure()));
             return;
         }
+        pool.crashes().made(ticket, endpoint, beganMs);
         long bytes = ticket.placement().resultBytes();
         ledger.reserve(endpoint.key(), bytes);
         ledger.made(endpoint.key(), bytes, result.handle(), spec.resultLifeMs());
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.Supplier;
+import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
@@ -13,7 +14,8 @@
 /**
  * What the pools of all services share.
  *
- * <p>{@code new StagePools(new PoolParts(loop, clock, client, wire, reports, endpoints, config, budgets, PoolPolicies.STANDARD))}
+ * <p>{@code new StagePools(new PoolParts(loop, clock, client, wire, reports, endpoints, config, budgets,
+ * quarantine, PoolPolicies.STANDARD))}
  *
  * @param loop the request loop
  * @param clock monotonic clock
@@ -23,6 +25,7 @@
  * @param endpoints the endpoints
  * @param config the configuration in force
  * @param budgets retry budgets of the services
+ * @param quarantine holds back pieces that crash endpoints
  * @param policies the decisions
  * @since 0.2
  */
@@ -35,4 +38,5 @@
         RelayEndpoints endpoints,
         Supplier<RelayConfig> config,
         ServiceBudgets budgets,
+        Quarantine quarantine,
         PoolPolicies policies) {}
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -186,7 +186,7 @@
         Urgency stageUrgency = new Urgency(urgency.rank(), urgency.targetAtMs() - laterMs(stage), urgency.dueAtMs());
         PieceTicket.Placement placement = placement(stage);
         for (int i = 0; i < stage.made.length; i++) {
-            Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs);
+            Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs, request.pieceKey());
             stage.tickets.add(
                     new PieceTicket(piece, stageUrgency, placement, (ticket, made) -> ended(stage, ticket, made)));
         }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.limit.TokenBucket;
+import org.wingstall.core.quarantine.Hold;
 import org.wingstall.core.retry.RetryBudget;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
@@ -44,6 +45,7 @@
     private final List<PieceGroup> waiting = new ArrayList<>();
     private final Set<PoolCall> underWay = new HashSet<>();
     private final CallPatience patience = new CallPatience();
+    private final PieceCrashes crashes;
     private final CallTimes times = new CallTimes();
     private final PoolLoad load;
     private final TokenBucket lines;
@@ -65,6 +67,7 @@
         this.ledger = ledger;
         this.room = room;
         this.random = random;
+        this.crashes = new PieceCrashes(service, parts.quarantine());
         this.load = new PoolLoad(parts.clock());
         this.lines = new TokenBucket(parts.clock());
     }
@@ -73,11 +76,27 @@
     void submit(List<PieceTicket> tickets) {
         RetryBudget budget = parts.budgets().of(service);
         tickets.forEach(ticket -> budget.called());
+        if (heldBack(tickets)) {
+            return;
+        }
         spec().ifPresent(spec -> takeNote(spec, tickets.size()));
         waiting.add(group(tickets));
         offer();
     }
 
+    /** One piece that is not made is enough for its request to have no answer. */
+    private boolean heldBack(List<PieceTicket> tickets) {
+        Optional<Hold> hold = crashes.hold(tickets);
+        hold.ifPresent(held -> tickets.stream()
+                .filter(ticket -> !ticket.withdrawn())
+                .forEach(ticket -> ticket.done(MadePiece.failed(PieceResult.Failure.QUARANTINED, held.againMs()))));
+        return hold.isPresent();
+    }
+
+    PieceCrashes crashes() {
+        return crashes;
+    }
+
     private void takeNote(PoolSpec spec, int pieces) {
         long nowMs = parts.clock().nowMs();
         boolean others = nowMs - submittedAtMs > spec.resultLifeMs();
@@ -91,7 +110,7 @@
     private PieceGroup group(List<PieceTicket> tickets) {
         double callMs = spec().map(spec -> times.callMs(spec, Math.min(tickets.size(), spec.batch())))
                 .orElse(0.0);
-        return new PieceGroup(tickets, parts.clock().nowMs(), callMs);
+        return new PieceGroup(tickets, parts.clock().nowMs(), callMs, crashes.suspects(tickets));
     }
 
     private Optional<PoolSpec> spec() {
@@ -296,9 +315,8 @@
 
     /** Lets pieces wait again, those of one stage of a request together. */
     private void queueAgain(List<PieceTicket> tickets) {
-        tickets.stream()
-                .collect(Collectors.groupingBy(ticket -> ticket.piece().ofStage()))
-                .values()
+        tickets.stream().collect(Collectors.groupingBy(ticket -> ticket.piece().ofStage())).values().stream()
+                .filter(ofStage -> !heldBack(ofStage))
                 .forEach(ofStage -> waiting.add(group(ofStage)));
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/WholeGroups.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/WholeGroups.java
@@ -53,8 +53,10 @@
             Maker maker, PieceGroup first, List<PieceGroup> inOrder, List<Maker> makers, PoolSpec spec, long nowMs) {
         List<PieceGroup> allowed = new ArrayList<>();
         allowed.add(first);
+        // Beside a piece that crashes its endpoint the other requests' pieces of a call would be lost as well.
         inOrder.stream()
-                .filter(group -> group != first && mayGoTo(maker, group, makers, nowMs))
+                .filter(group -> group != first && !first.apart() && !group.apart())
+                .filter(group -> mayGoTo(maker, group, makers, nowMs))
                 .forEach(allowed::add);
         List<Part> parts = new ArrayList<>();
         int slots = spec.batch();
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -129,10 +129,11 @@
             return;
         }
         String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
-        boolean inputsLost = failure == PieceResult.Failure.INPUT_GONE;
-        if (inputsLost && mayBeginStagesAgain(stage.service())) {
+        if (failure == PieceResult.Failure.INPUT_GONE && mayBeginStagesAgain(stage.service())) {
             record.attemptEnded("stages-again", detail);
             beginStages();
+        } else if (failure == PieceResult.Failure.QUARANTINED) {
+            refuseUntil(Reason.QUARANTINED, detail, againMs);
         } else if (failure == PieceResult.Failure.NOT_IN_TIME) {
             refuse(Reason.DEADLINE_UNREACHABLE, detail, againMs);
         } else {
--- a/relay/src/main/java/org/wingstall/relay/wire/PieceResult.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/PieceResult.java
@@ -25,7 +25,19 @@
         /** The call had no answer. */
         UNANSWERED,
         /** No endpoint of the service serves. */
-        NO_ENDPOINT
+        NO_ENDPOINT,
+        /** Endpoints ended while they made it, so it is sent to no other. */
+        QUARANTINED;
+
+        /** Returns a failure by its name; one that only later versions know is an error. */
+        public static Failure named(String name) {
+            for (Failure failure : values()) {
+                if (failure.name().equals(name)) {
+                    return failure;
+                }
+            }
+            return ERROR;
+        }
     }
 
     /** Returns a result. */
--- a/relay/src/test/java/org/wingstall/relay/pool/PieceGroups.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/PieceGroups.java
@@ -10,15 +10,24 @@
 
     private PieceGroups() {}
 
+    static PieceGroup suspected(int rank, long targetAtMs, int pieces) {
+        return group(rank, targetAtMs, pieces, 1, "", true);
+    }
+
     static PieceGroup group(int rank, long targetAtMs, int pieces, long resultBytes, String nearDomain) {
+        return group(rank, targetAtMs, pieces, resultBytes, nearDomain, false);
+    }
+
+    private static PieceGroup group(
+            int rank, long targetAtMs, int pieces, long resultBytes, String nearDomain, boolean apart) {
         Urgency urgency = new Urgency(rank, targetAtMs, 9000);
         List<PieceTicket> tickets = new ArrayList<>();
         for (int i = 0; i < pieces; i++) {
-            Piece piece = new Piece("request", 0, i, "key", List.of());
+            Piece piece = new Piece("request", 0, i, "key", List.of(), "key");
             tickets.add(new PieceTicket(
                     piece, urgency, new PieceTicket.Placement(nearDomain, resultBytes, MB), (ticket, made) -> {}));
         }
-        return new PieceGroup(tickets, 0, 0);
+        return new PieceGroup(tickets, 0, 0, apart);
     }
 
     static PieceGroup group(int rank, long targetAtMs, int pieces) {
--- a/relay/src/test/java/org/wingstall/relay/pool/PoolReplay.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/PoolReplay.java
@@ -201,7 +201,7 @@
         List<PieceTicket> tickets = new ArrayList<>();
         for (int i = 0; i < pieces; i++) {
             tickets.add(new PieceTicket(
-                    new Piece(kind.name() + nowMs, 0, i, "key", List.of()),
+                    new Piece(kind.name() + nowMs, 0, i, "key", List.of(), "key"),
                     urgency,
                     new PieceTicket.Placement("", kind.resultBytes(), 0),
                     (ticket, made) -> {}));
@@ -209,7 +209,8 @@
         PieceGroup group = new PieceGroup(
                 tickets,
                 nowMs,
-                times.callMs(site.spec(), Math.min(pieces, site.spec().batch())));
+                times.callMs(site.spec(), Math.min(pieces, site.spec().batch())),
+                false);
         works.put(group, work);
         waiting.add(group);
         load.arrived(times.workMs(site.spec(), pieces));
--- a/relay/src/test/java/org/wingstall/relay/pool/WholeGroupsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/WholeGroupsTest.java
@@ -43,6 +43,17 @@
         assertEquals(sizes(call), List.of(5, 2));
     }
 
+    /** An endpoint ended under a call for pieces of several requests; which of them did it shows when they go apart. */
+    @Test
+    public void aSuspectedGroupGoesInACallOfItsOwn() {
+        PieceGroup suspect = PieceGroups.suspected(1, 2000, 2);
+        PieceGroup other = PieceGroups.group(1, 2000, 3);
+        PieceGroup further = PieceGroups.group(1, 2000, 1);
+        Maker maker = maker("a", "east", 1, 100);
+        assertEquals(sizes(next(List.of(suspect, other, further), maker).orElseThrow()), List.of(2));
+        assertEquals(sizes(next(List.of(other, suspect, further), maker).orElseThrow()), List.of(3, 1));
+    }
+
     @Test
     public void aGroupThatIsLargerThanACallIsSplit() {
         assertEquals(
