--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -49,6 +49,7 @@
     /** Reports in one message; bounds a frame to some ten KB. */
     private static final int REPORTS_A_MESSAGE = 100;
 
+    private final String boxId;
     private final MonotonicClock clock;
     private final Listener listener;
     private final CrashLedger ledger = new CrashLedger();
@@ -78,10 +79,12 @@
     /**
      * Creates a quarantine that holds nothing back.
      *
+     * @param boxId name of this box
      * @param clock monotonic clock
      * @param listener passes on what this box learns
      */
-    public Quarantine(MonotonicClock clock, Listener listener) {
+    public Quarantine(String boxId, MonotonicClock clock, Listener listener) {
+        this.boxId = boxId;
         this.clock = clock;
         this.listener = listener;
     }
--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
@@ -43,10 +43,11 @@
         private final String name;
         private final List<CrashReport> kept = new ArrayList<>();
         private final List<CrashNews> told = new ArrayList<>();
-        private final Quarantine quarantine = new Quarantine(() -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
+        private final Quarantine quarantine;
 
         Box(String name) {
             this.name = name;
+            this.quarantine = new Quarantine(name, () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
         }
 
         @Override
--- a/gateway/src/main/java/org/wingstall/gateway/relay/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/CrashReports.java
@@ -17,7 +17,7 @@
 /**
  * Carries what the quarantine learns to the links, to the store and to the log, and what peers tell to the quarantine.
  *
- * <p>{@code CrashReports reports = CrashReports.over(links, loop, clock, store::keep); reports.quarantine().hold(request);}
+ * <p>{@code CrashReports reports = CrashReports.over("kgn-a-1", links, loop, clock, store::keep); reports.quarantine().hold(request);}
  */
 final class CrashReports implements Quarantine.Listener, CrashHost {
     private static final Logger LOG = LogManager.getLogger(CrashReports.class);
@@ -34,24 +34,27 @@
     private final TokenBucket lines;
     private final Quarantine quarantine;
 
-    private CrashReports(CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+    private CrashReports(
+            String boxId, CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
         this.links = links;
         this.loop = loop;
         this.keeper = keeper;
         this.lines = new TokenBucket(clock);
-        this.quarantine = new Quarantine(clock, this);
+        this.quarantine = new Quarantine(boxId, clock, this);
     }
 
     /**
      * Creates a quarantine and connects it.
      *
+     * @param boxId name of this box
      * @param links links to other boxes
      * @param loop the links' event loop
      * @param clock monotonic clock
      * @param keeper keeps reports where they outlive the boxes
      */
-    static CrashReports over(CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
-        CrashReports reports = new CrashReports(links, loop, clock, keeper);
+    static CrashReports over(
+            String boxId, CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+        CrashReports reports = new CrashReports(boxId, links, loop, clock, keeper);
         links.attach(reports);
         return reports;
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -150,7 +150,8 @@
                 new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::listFollower),
                 loop,
                 clock);
-        this.crashes = CrashReports.over(mesh.crashes(), loop, clock, report -> store().keep(report));
+        this.crashes =
+                CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         EndpointReports reports = new EndpointReports(loop, client, wire);
