Let news of a trial go round once: a trial begins once and ends once

Cause: begin and end of a trial, each passed on by whoever it was new to, undid each other. Change: a trial has a name of its own, and its end is remembered for a minute, so that what is said of it only grows (not begun, begun, over). Sets of incarnations that are full take no more, instead of dropping the oldest, for the same reason.

Fingerprints are written without 0x.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
@@ -1,6 +1,5 @@
 package org.wingstall.core.quarantine;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,11 +27,11 @@
         return new CrashRecord(allLosses, union(withdrawn, report.getWithdrawn()), Math.max(lastAtMs, reportedAtMs));
     }
 
-    /** The oldest give way: they have been decided on long since. */
+    /** A full set takes no more: if older ones gave way, boxes that dropped different ones would tell each other for ever. */
     private static Set<String> union(Set<String> known, Collection<String> more) {
-        List<String> all = new ArrayList<>(new LinkedHashSet<>(known));
-        more.stream().filter(incarnation -> !known.contains(incarnation)).forEach(all::add);
-        return new LinkedHashSet<>(all.subList(Math.max(0, all.size() - MOST_INCARNATIONS), all.size()));
+        Set<String> all = new LinkedHashSet<>(known);
+        more.stream().filter(incarnation -> all.size() < MOST_INCARNATIONS).forEach(all::add);
+        return all;
     }
 
     /** Returns the losses that count. */
--- a/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
@@ -1,6 +1,8 @@
 package org.wingstall.core.quarantine;
 
+import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HexFormat;
 
 /**
  * What makes two requests the same one, whichever box they come to and whatever identifier they carry: caller, method, path and
@@ -21,14 +23,14 @@
      * @param body the body
      */
     public static Fingerprint of(String workspace, String method, String target, byte[] body) {
-        return new Fingerprint(Hashing.murmur3_128()
+        HashValue128 hash = Hashing.murmur3_128()
                 .hashStream()
                 .putString(workspace)
                 .putString(method)
                 .putString(target)
                 .putByteArray(body)
-                .get()
-                .toString());
+                .get();
+        return new Fingerprint(HexFormat.of().formatHex(hash.toByteArray()));
     }
 
     @Override
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -40,6 +40,9 @@
     /** Time for which a trial counts when no end of it is heard, in ms; crashes come within a second of a run's begin. */
     private static final long TRIAL_MS = 5000;
 
+    /** Time for which the end of a trial is remembered, in ms: far longer than news is under way. */
+    private static final long TRIAL_REMEMBERED_MS = 60_000;
+
     /** When to come back while another box tries the same request, in ms. */
     private static final long TRIAL_AGAIN_MS = 1000;
 
@@ -54,8 +57,10 @@
     private final Listener listener;
     private final CrashLedger ledger = new CrashLedger();
     private final Map<Fingerprint, Trial> trials = new HashMap<>();
+    private final Map<String, Long> overAtMs = new HashMap<>();
     private final Map<String, Long> endedAtMs = new HashMap<>();
 
+    private long trialsBegun;
     private long droppedAtMs = Long.MIN_VALUE / 2;
 
     /** Whether nothing is suspected, as on most days: requests are not even hashed then. */
@@ -73,8 +78,8 @@
         void changed(CrashReport report, int standing);
     }
 
-    /** A suspected request that some box has sent; {@code boxId} is null for this one. */
-    private record Trial(String boxId, String endpoint, long untilMs) {}
+    /** A suspected request that some box has sent. */
+    private record Trial(String id, String endpoint, long untilMs) {}
 
     /**
      * Creates a quarantine that holds nothing back.
@@ -139,28 +144,28 @@
     /**
      * Takes note that a request is sent to an endpoint.
      *
-     * @return whether it is on trial there: whoever sent it tells when that is {@link #over}
+     * @return the trial that it is on there, which whoever sent it ends by {@link #over}; empty for one that is not suspected
      */
-    public boolean sent(Supplier<Fingerprint> request, String endpoint) {
-        return !idle && sent(request.get(), endpoint);
+    public Optional<String> sent(Supplier<Fingerprint> request, String endpoint) {
+        return idle ? Optional.empty() : sent(request.get(), endpoint);
     }
 
-    private synchronized boolean sent(Fingerprint request, String endpoint) {
+    private synchronized Optional<String> sent(Fingerprint request, String endpoint) {
         long nowMs = clock.nowMs();
         if (!suspected(ledger.find(request, nowMs))) {
-            return false;
+            return Optional.empty();
         }
-        trials.put(request, new Trial(null, endpoint, nowMs + TRIAL_MS));
-        listener.tell(news(new CrashTrial(request.hex(), endpoint)), null);
-        return true;
+        String id = boxId + "/" + Long.toHexString(clock.nanoTime()) + "/" + trialsBegun++;
+        trials.put(request, new Trial(id, endpoint, nowMs + TRIAL_MS));
+        listener.tell(news(new CrashTrial(request.hex(), id, endpoint)), null);
+        return Optional.of(id);
     }
 
     /** Takes note that a trial of this box has ended, in whatever way. */
-    public synchronized void over(Fingerprint request) {
-        Trial trial = trials.get(request);
-        if (trial != null && trial.boxId() == null) {
-            trials.remove(request);
-            listener.tell(news(new CrashTrial(request.hex(), null)), null);
+    public synchronized void over(Fingerprint request, String trialId) {
+        CrashTrial over = new CrashTrial(request.hex(), trialId, null);
+        if (trialChanged(over)) {
+            listener.tell(news(over), null);
         }
     }
 
@@ -239,7 +244,7 @@
         learn(news.getReports(), boxId, false);
         List<CrashTrial> changed = new ArrayList<>();
         for (CrashTrial trial : news.getTrials()) {
-            if (trialChanged(boxId, trial)) {
+            if (trialChanged(trial)) {
                 changed.add(trial);
             }
         }
@@ -248,17 +253,21 @@
         }
     }
 
-    private boolean trialChanged(String boxId, CrashTrial told) {
+    /** A trial begins once and ends once, in whatever order that is heard, so that news of it comes to rest. */
+    private boolean trialChanged(CrashTrial told) {
         Fingerprint request = new Fingerprint(told.getFingerprint());
         Trial known = trials.get(request);
+        boolean same = known != null && known.id().equals(told.getTrialId());
         if (told.getEndpoint() == null) {
-            return known != null && known.boxId() != null && trials.remove(request) != null;
+            if (same) {
+                trials.remove(request);
+            }
+            return overAtMs.put(told.getTrialId(), clock.nowMs()) == null;
         }
-        boolean same = known != null && known.endpoint().equals(told.getEndpoint());
-        if (same) {
+        if (same || overAtMs.containsKey(told.getTrialId())) {
             return false;
         }
-        trials.put(request, new Trial(boxId, told.getEndpoint(), clock.nowMs() + TRIAL_MS));
+        trials.put(request, new Trial(told.getTrialId(), told.getEndpoint(), clock.nowMs() + TRIAL_MS));
         idle = false;
         return true;
     }
@@ -301,12 +310,14 @@
         if (nowMs - droppedAtMs >= DROP_MS) {
             droppedAtMs = nowMs;
             endedAtMs.values().removeIf(atMs -> nowMs - atMs >= HOLD_MS);
+            overAtMs.values().removeIf(atMs -> nowMs - atMs >= TRIAL_REMEMBERED_MS);
             dropExpired(nowMs);
         }
     }
 
     private void dropExpired(long nowMs) {
         ledger.dropExpired(nowMs);
+        trials.values().removeIf(trial -> trial.untilMs() <= nowMs);
         idle = ledger.isEmpty() && trials.isEmpty();
     }
 
--- a/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -78,9 +79,9 @@
         deliverAll(random);
         for (int i = 0; i < 6; i++) {
             Quarantine sender = boxes.get(random.nextInt(BOXES)).quarantine;
-            sender.sent(() -> SUSPECT, "e" + (3 + i));
+            Optional<String> trial = sender.sent(() -> SUSPECT, "e" + (3 + i));
             deliver(random, random.nextInt(8));
-            sender.over(SUSPECT);
+            trial.ifPresent(id -> sender.over(SUSPECT, id));
             deliver(random, random.nextInt(8));
         }
         deliverAll(random);
--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
@@ -81,7 +81,7 @@
             return quarantine.hold(() -> request).map(Hold::reason).orElse(null);
         }
 
-        boolean sent(Fingerprint request, String endpoint) {
+        Optional<String> sent(Fingerprint request, String endpoint) {
             return quarantine.sent(() -> request, endpoint);
         }
     }
@@ -154,10 +154,10 @@
     @Test
     public void afterTwoLossesOneBoxTriesItAtATime() {
         fleet.first.lost(CULPRIT, "e1", "e2");
-        assertTrue(fleet.first.sent(CULPRIT, "e3"));
+        String trial = fleet.first.sent(CULPRIT, "e3").orElseThrow();
         assertEquals(fleet.second.reason(CULPRIT), Reason.SUSPECT_ON_TRIAL);
         assertEquals(fleet.first.reason(CULPRIT), Reason.SUSPECT_ON_TRIAL);
-        fleet.first.quarantine.over(CULPRIT);
+        fleet.first.quarantine.over(CULPRIT, trial);
         assertEquals(fleet.second.reason(CULPRIT), null);
     }
 
@@ -173,10 +173,10 @@
     @Test
     public void othersStayAwayFromAnEndpointWithATrial() {
         fleet.first.lost(CULPRIT, "e1", "e2");
-        fleet.first.sent(CULPRIT, "e3");
+        String trial = fleet.first.sent(CULPRIT, "e3").orElseThrow();
         assertEquals(fleet.second.quarantine.shunned(() -> POPULAR), Set.of("e3"));
         assertEquals(fleet.second.quarantine.shunned(() -> CULPRIT), Set.of());
-        fleet.first.quarantine.over(CULPRIT);
+        fleet.first.quarantine.over(CULPRIT, trial);
         assertEquals(fleet.second.quarantine.shunned(() -> POPULAR), Set.of());
     }
 
@@ -211,7 +211,7 @@
         assertEquals(hold.orElseThrow().againMs(), 1);
         nowMs++;
         assertEquals(fleet.second.reason(CULPRIT), null);
-        assertTrue(fleet.second.sent(CULPRIT, "e-trial"));
+        assertTrue(fleet.second.sent(CULPRIT, "e-trial").isPresent());
         assertEquals(fleet.first.reason(CULPRIT), Reason.SUSPECT_ON_TRIAL);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/CrashGuard.java
+++ b/relay/src/main/java/org/wingstall/relay/run/CrashGuard.java
@@ -17,7 +17,7 @@
     private final RequestLog log;
     private final RunRecord record;
     private final Supplier<Fingerprint> request;
-    private boolean onTrial;
+    private Optional<String> trial = Optional.empty();
 
     CrashGuard(RelayParts parts, RunRecord record) {
         this.quarantine = parts.quarantine();
@@ -38,7 +38,7 @@
     }
 
     void sent(RelayEndpoint endpoint) {
-        onTrial = quarantine.sent(request, endpoint.key());
+        trial = quarantine.sent(request, endpoint.key());
     }
 
     /** An endpoint that ends closes its connections; one that is silent may be cut off, and is no evidence. */
@@ -55,9 +55,7 @@
 
     /** Takes note that its last sending has ended, in whatever way. */
     void over() {
-        if (onTrial) {
-            onTrial = false;
-            quarantine.over(request.get());
-        }
+        trial.ifPresent(id -> quarantine.over(request.get(), id));
+        trial = Optional.empty();
     }
 }
