--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
@@ -12,6 +12,7 @@
  * @param wrongId answers and tokens are those of another request, with its identifier
  * @param twice tokens come twice
  * @param dieAfterTokens streams break after this many tokens; 0 for never
+ * @param endsOn the process ends when it begins to run a call with this text in its input; empty for never
  * @param leaving answers say that the endpoint is leaving
  */
 public record EndpointFaults(
@@ -22,8 +23,9 @@
         boolean wrongId,
         boolean twice,
         int dieAfterTokens,
+        String endsOn,
         boolean leaving) {
-    static final EndpointFaults NONE = new EndpointFaults(1, false, false, false, false, false, 0, false);
+    static final EndpointFaults NONE = new EndpointFaults(1, false, false, false, false, false, 0, "", false);
 
     static EndpointFaults read(JsonNode tree) {
         return new EndpointFaults(
@@ -34,6 +36,7 @@
                 tree.path("wrongId").asBoolean(),
                 tree.path("twice").asBoolean(),
                 tree.path("dieAfterTokens").asInt(),
+                tree.path("endsOn").asText(""),
                 tree.path("leaving").asBoolean());
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
@@ -104,6 +104,11 @@
             call.respond(INTERNAL_ERROR, HttpCall.JSON, new byte[0]);
             return;
         }
+        boolean ends =
+                !now.endsOn().isEmpty() && stageCall.getInput().toString().contains(now.endsOn());
+        if (ends) {
+            Runtime.getRuntime().halt(1);
+        }
         worker.take(call, stageCall);
     }
 }
