Hold back an input that has ended three endpoints on the project's own interface as well

What is counted there is a stage's input with workspace and service, since that is what an endpoint runs.

Change: stages ask the quarantine before they wait for a slot and before each call; links carry what gateways learn. It is not kept in the table, so a start of all gateways at once forgets it.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.wingstall.gateway.control.DomainListReaders;
 import org.wingstall.gateway.control.MemberFollower;
 import org.wingstall.gateway.control.Prober;
+import org.wingstall.gateway.crash.CrashReports;
 import org.wingstall.gateway.engine.EngineOrderGiver;
 import org.wingstall.gateway.run.RecentRequests;
 import org.wingstall.gateway.run.RetryBudgets;
@@ -87,6 +88,7 @@
     private final HttpPlatform platform;
     private final ControlHost host;
     private final PeerMesh mesh;
+    private final CrashReports crashes;
     private final ServiceGates gates;
     private final MemberFollower members;
     private final ConfigFollower follower;
@@ -121,6 +123,8 @@
         this.host = new ControlHost(
                 config, registry, limiter, clock, state::isStopping, platform::suspect, this::endpointsChanged);
         this.mesh = new PeerMesh(peerOptions(), host, control, clock);
+        // Kept by the boxes alone: the links carry it to every box as long as one of the fleet lives.
+        this.crashes = CrashReports.over(settings.getBoxId(), mesh.crashes(), control, clock, report -> {});
         this.gates = new ServiceGates(
                 registry,
                 config,
@@ -194,6 +198,7 @@
                 new RetryBudgets(settings.getPolicy().getRetryBudgetPercent()),
                 HedgePolicy.of(settings.getPolicy()),
                 new RetryBudgets(settings.getPolicy().getHedgeBudgetPercent()),
+                crashes.quarantine(),
                 claims,
                 retryAfter,
                 metrics,
--- a/gateway/src/main/java/org/wingstall/gateway/relay/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -1,4 +1,4 @@
-package org.wingstall.gateway.relay;
+package org.wingstall.gateway.crash;
 
 import io.netty.channel.EventLoop;
 import java.util.List;
@@ -18,8 +18,10 @@
  * Carries what the quarantine learns to the links, to the store and to the log, and what peers tell to the quarantine.
  *
  * <p>{@code CrashReports reports = CrashReports.over("kgn-a-1", links, loop, clock, store::keep); reports.quarantine().hold(request);}
+ *
+ * @since 0.7
  */
-final class CrashReports implements Quarantine.Listener, CrashHost {
+public final class CrashReports implements Quarantine.Listener, CrashHost {
     private static final Logger LOG = LogManager.getLogger(CrashReports.class);
 
     /** Lines a second about requests that are suspected only: a lost engine may leave as many as it ran at once. */
@@ -52,14 +54,15 @@
      * @param clock monotonic clock
      * @param keeper keeps reports where they outlive the boxes
      */
-    static CrashReports over(
+    public static CrashReports over(
             String boxId, CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
         CrashReports reports = new CrashReports(boxId, links, loop, clock, keeper);
         links.attach(reports);
         return reports;
     }
 
-    Quarantine quarantine() {
+    /** Returns the quarantine. */
+    public Quarantine quarantine() {
         return quarantine;
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.HubLinks;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.gateway.crash.CrashReports;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.Listener;
--- a/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
@@ -205,6 +205,8 @@
         long soonMs = parts.retryAfter().spreadMs(RETRY_SOON_MS);
         switch (end) {
             case NO_ENDPOINT -> end(nothingRan ? Reason.NO_ENDPOINT : Reason.NO_ENDPOINT_LATER, detail, soonMs);
+            case QUARANTINED ->
+                end(nothingRan ? Reason.QUARANTINED : Reason.RETRIES_EXHAUSTED, detail, nothingRan ? soonMs : 0);
             case EXHAUSTED -> end(nothingRan ? Reason.NO_ENDPOINT : Reason.RETRIES_EXHAUSTED, detail, soonMs);
             case DEADLINE_UNREACHABLE ->
                 end(nothingRan ? Reason.DEADLINE_UNREACHABLE : Reason.DEADLINE_UNREACHABLE_LATER, detail, soonMs);
--- a/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -2,6 +2,7 @@
 
 import org.wingstall.core.admit.Admission;
 import org.wingstall.core.answer.RetryAfter;
+import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.retry.HedgePolicy;
 import org.wingstall.core.route.EndpointState;
 import org.wingstall.core.time.MonotonicClock;
@@ -22,6 +23,7 @@
  * @param budgets retry budgets by service
  * @param hedging says when a second endpoint is called
  * @param hedgeBudgets budgets of such calls by service
+ * @param quarantine holds back inputs that crash endpoints
  * @param claims claims of non-repeatable requests
  * @param retryAfter spread of hints
  * @param metrics counters
@@ -39,6 +41,7 @@
         RetryBudgets budgets,
         HedgePolicy hedging,
         RetryBudgets hedgeBudgets,
+        Quarantine quarantine,
         ClaimKeeper claims,
         RetryAfter retryAfter,
         Metrics metrics,
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
@@ -58,6 +58,9 @@
         /** An engine's stream is whole and had this many tokens. */
         void streamEnded(StageAttempt attempt, int tokens);
 
+        /** The connection ended under a call that may run; {@link #ended} follows. */
+        void connectionEnded(StageAttempt attempt);
+
         /** There is no answer. */
         void ended(StageAttempt attempt, AttemptEnd end, String detail);
 
@@ -158,6 +161,9 @@
 
     @Override
     public void failed(TransportException failure) {
+        if (!ended && failure.requestWritten() && failure.kind() == TransportException.Kind.RESET) {
+            owner.connectionEnded(this);
+        }
         finish(failure.requestWritten() ? AttemptEnd.LOST : AttemptEnd.NOT_SENT, failure.getMessage());
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageListener.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageListener.java
@@ -10,6 +10,7 @@
         DEADLINE_UNREACHABLE,
         STAGE_FAILED,
         EXHAUSTED,
+        QUARANTINED,
         UNANSWERED
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -4,19 +4,19 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.admit.StageTimes;
+import org.wingstall.core.quarantine.Hold;
 import org.wingstall.core.retry.AttemptTimeouts;
 import org.wingstall.core.retry.RetryBudget;
 import org.wingstall.core.retry.RetryRules;
 import org.wingstall.core.retry.RetryRules.AttemptEnd;
 import org.wingstall.core.route.EndpointState;
-import org.wingstall.core.route.PromptBlocks;
 import org.wingstall.gateway.run.StageListener.StageEnd;
 import org.wingstall.schema.caller.StageCost;
-import org.wingstall.schema.endpoint.StageCall;
 import org.wingstall.schema.table.StageRow;
 
 /**
@@ -24,22 +24,20 @@
  * whose answer is late may be called at a second endpoint as well; the first sign of an answer decides between the two.
  */
 final class StageRun implements StageWaiter, StageAttempt.Owner {
-    private static final long[] NO_DIGESTS = {};
-
     private final RunParts parts;
     private final RequestContext context;
     private final int index;
     private final StageRow stage;
-    private final JsonNode input;
+    private final StageWork work;
     private final StageListener listener;
     private final ServiceGate gate;
     private final EndpointJudge judge;
     private final RetryBudget budget;
     private final RetryBudget hedgeBudget;
-    private final long[] prefixDigests;
     private final Set<String> excluded = new HashSet<>();
     private final StageTokens tokens = new StageTokens();
     private final StageAccount account;
+    private final StageCrashes crashes;
     private final List<StageAttempt> live = new ArrayList<>();
     private ScheduledFuture<?> waitTimer;
     private boolean ended;
@@ -50,23 +48,14 @@
         this.context = context;
         this.index = index;
         this.stage = context.pipeline().getStages().get(index);
-        this.input = input;
+        this.work = new StageWork(context, stage, input);
         this.listener = listener;
         this.gate = parts.gates().of(stage.getService());
         this.judge = new EndpointJudge(parts, gate);
         this.budget = parts.budgets().of(stage.getService());
         this.hedgeBudget = parts.hedgeBudgets().of(stage.getService());
         this.account = new StageAccount(stage);
-        this.prefixDigests = isEngine() ? PromptBlocks.digests(promptOf(input)) : NO_DIGESTS;
-    }
-
-    private static String promptOf(JsonNode input) {
-        JsonNode prompt = input.path("text");
-        return prompt.isTextual() ? prompt.asText() : input.toString();
-    }
-
-    private boolean isEngine() {
-        return stage.getKind() == StageRow.Kind.ENGINE;
+        this.crashes = new StageCrashes(parts.quarantine(), context.workspace().getName(), stage.getService(), input);
     }
 
     StageRow stage() {
@@ -89,6 +78,9 @@
     }
 
     private void ask() {
+        if (heldBack()) {
+            return;
+        }
         askedMs = parts.clock().nowMs();
         gate.request(this);
         if (live.isEmpty() && !ended) {
@@ -97,6 +89,12 @@
         }
     }
 
+    private boolean heldBack() {
+        Optional<Hold> hold = crashes.hold();
+        hold.ifPresent(held -> noOutput(called() ? StageEnd.EXHAUSTED : StageEnd.QUARANTINED, held.detail()));
+        return hold.isPresent();
+    }
+
     private void waitedTooLong() {
         boolean hopeless = live.isEmpty() && !ended && !canLand();
         if (hopeless && gate.withdraw(this)) {
@@ -166,16 +164,27 @@
             noOutput(StageEnd.DEADLINE_UNREACHABLE, "the answer can't land within the deadline any more");
             return;
         }
+        if (heldBack()) {
+            giveBack(endpoint);
+            return;
+        }
         begin(endpoint);
         armHedge();
     }
 
     private void begin(EndpointState endpoint) {
         account.called(endpoint.identity().memberId());
-        endpoint.prefixes().remember(prefixDigests);
-        StageAttempt attempt =
-                new StageAttempt(parts, context, endpoint, stageCall(), isEngine(), stage.isRepeatable(), this);
+        endpoint.prefixes().remember(work.prefixDigests());
+        StageAttempt attempt = new StageAttempt(
+                parts,
+                context,
+                endpoint,
+                work.call(account.attempts(), remainingMs(), tokens.count()),
+                work.isEngine(),
+                stage.isRepeatable(),
+                this);
         live.add(attempt);
+        crashes.sent(endpoint);
         attempt.begin();
     }
 
@@ -210,20 +219,6 @@
         gate.drain();
     }
 
-    private StageCall stageCall() {
-        return new StageCall(
-                context.requestId(),
-                stage.getName(),
-                account.attempts(),
-                context.workspace().getName(),
-                context.idempotencyKey(),
-                context.pipeline().getPrecedence(),
-                remainingMs(),
-                stage.getMaxTokens(),
-                tokens.count(),
-                input);
-    }
-
     @Override
     public void noEndpoint() {
         if (context.loop().inEventLoop()) {
@@ -276,16 +271,22 @@
         keepOnly(from);
         settle(from, false);
         from.endpoint().completed(ranMs);
+        crashes.answered(from.endpoint(), parts.clock().nowMs() - ranMs);
         parts.times().whole(context.pipeline(), stage).record(ranMs);
         listener.output(output);
     }
 
+    @Override
+    public void connectionEnded(StageAttempt from) {
+        crashes.lost(from.endpoint());
+    }
+
     @Override
     public void ended(StageAttempt from, AttemptEnd end, String detail) {
         if (ended) {
             return;
         }
-        boolean wasted = !isEngine() || tokens.count() == 0;
+        boolean wasted = !work.isEngine() || tokens.count() == 0;
         settle(from, wasted);
         judge.ended(from, end);
         excluded.add(from.endpoint().identity().memberId());
@@ -320,6 +321,7 @@
     }
 
     private void settle(StageAttempt done, boolean wasted) {
+        crashes.over();
         live.remove(done);
         account.ran(done.ranMs(), wasted);
         giveBack(done.endpoint());
@@ -365,7 +367,7 @@
 
     @Override
     public long[] prefixDigests() {
-        return prefixDigests;
+        return work.prefixDigests();
     }
 
     @Override
