Repeat a request that crashes endpoints in every seed of the soak, and check what endpoints saw of it

A caller of its own sends it to whichever box, beside kills, stops, pauses, reloads, store outages and changes; the seeds' plans stay what they are. The check is the promise as written: after the third endpoint ended and 3 s, at most three sendings by boxes in touch.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
 /**
@@ -25,6 +26,8 @@
     private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
+    private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
+    private final CrashLog crashes = new CrashLog();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> leavingSinceMs = new ConcurrentHashMap<>();
     private final Map<Long, Long> versionSinceMs = new ConcurrentHashMap<>();
@@ -48,6 +51,26 @@
         disturbances.add(disturbance);
     }
 
+    /** Takes note of a repeat of the request that crashes endpoints. */
+    void repeated(String id, String box) {
+        repeatsByBox.put(id, box);
+    }
+
+    /** Returns the box that a repeat was sent to. */
+    String boxOfRepeat(String id) {
+        return repeatsByBox.get(id);
+    }
+
+    /** Returns the runs of the request that crashes endpoints. */
+    CrashLog crashes() {
+        return crashes;
+    }
+
+    /** Returns a time of the process's steady clock in ms of the soak's clock. */
+    long soakMs(long steadyMs) {
+        return steadyMs - TimeUnit.NANOSECONDS.toMillis(zeroNs);
+    }
+
     void endedByItself(String box) {
         unplannedEnds.add(box);
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -3,13 +3,16 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.soak.Observations.SeenArrival;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
 
@@ -36,6 +39,14 @@
     /** Window of the retry budget, in ms; the platform's own figure. */
     private static final long BUDGET_WINDOW_MS = 10_000;
 
+    /** Endpoints that a request may end, and its sendings that may follow; the platform's own figures. */
+    private static final int LOSSES = 3;
+
+    private static final int LATER_SENDINGS = 3;
+
+    /** Time after the third loss from which sendings count, in ms; the platform's own figure. */
+    private static final long KNOWN_MS = 3000;
+
     private static final String SEAL = "seal-of-";
 
     private Promises() {}
@@ -60,9 +71,30 @@
                 new Named("retry budget", Promises::retryBudget),
                 new Named("deadline passed on", seen -> deadlinePassedOn(seen, slackMs)),
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
+                new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
+    /** Sendings by boxes in touch later than {@link #KNOWN_MS} after the third endpoint ended under the same request. */
+    private static List<String> heldBack(Observations seen, long slackMs) {
+        Set<String> ended = new HashSet<>();
+        List<String> later = new ArrayList<>();
+        long thirdMs = Long.MAX_VALUE;
+        for (CrashingRun run : seen.crashes().runs()) {
+            long atMs = seen.soakMs(run.atMs());
+            boolean another = ended.add(run.incarnation());
+            if (another && ended.size() == LOSSES) {
+                thirdMs = atMs;
+            } else if (ended.size() >= LOSSES
+                    && atMs > thirdMs + KNOWN_MS + slackMs
+                    && seen.inTouch(seen.boxOfRepeat(run.requestId()), atMs, atMs)) {
+                later.add(run + " by " + seen.boxOfRepeat(run.requestId()) + ", " + (atMs - thirdMs)
+                        + " ms after the third loss");
+            }
+        }
+        return later.size() > LATER_SENDINGS ? later : List.of();
+    }
+
     private static List<String> ownAnswer(Observations seen) {
         return seen.calls().stream()
                 .filter(CallRecord::success)
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -13,6 +13,8 @@
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
+import org.wingstall.standin.fleet.CrashingEndpoint;
+import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.StoreStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
@@ -38,6 +40,9 @@
 
     private static final String LOOPBACK = "127.0.0.1";
     private static final List<String> DOMAINS = List.of("east", "west");
+    /** Endpoints that a request can crash. */
+    private static final int FRAGILE = 4;
+
     private static final long CALL_MS = 30;
     private static final long ROUTE_TIMEOUT_MS = 4000;
 
@@ -74,6 +79,10 @@
             add("first", 0);
             add("second", 0);
         }
+        for (int i = 0; i < FRAGILE; i++) {
+            Kind kind = new Kind("fragile", DOMAINS.get(i % DOMAINS.size()), "fragile-" + i, 0);
+            new CrashingEndpoint(standin, observations.crashes(), kind).start();
+        }
         configureNext();
         for (int i = 0; i < options.boxes(); i++) {
             startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()));
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -87,6 +87,7 @@
         for (int i = 0; i < options.callers(); i++) {
             threads.submit(new Caller("caller-" + i, options.seed() + i, fleet, observations, end));
         }
+        threads.submit(new CrashingCaller(options.seed(), fleet, observations, end));
         FaultInjector injector = new FaultInjector(fleet, observations, end);
         List<Future<?>> faults = new ArrayList<>();
         long beginMs = observations.nowMs();
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.soak.CallRecord.Route;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
@@ -71,6 +72,14 @@
             breach(
                     "answer by the deadline",
                     seen -> seen.called(call(Route.ONCE, 200, "s", "answer to a", 0, 2 * DEADLINE_MS))),
+            breach("three losses and no more", seen -> {
+                long zeroMs = -seen.soakMs(0);
+                for (int i = 0; i < 7; i++) {
+                    seen.repeated("r" + i, "box-1");
+                    long atMs = i < 3 ? i : 10_000 + i;
+                    seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
+                }
+            }),
             breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
         };
     }
--- a/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
@@ -52,13 +52,24 @@
     /** What an endpoint is: its service, failure domain, name, and the events of its streams. */
     public record Kind(String service, String failureDomain, String name, int events) {}
 
-    /** A run of a request that crashes endpoints; several may end with one incarnation. */
-    public record CrashingRun(long atMs, String incarnation) {}
+    /**
+     * A run of a request that crashes endpoints; several may end with one incarnation.
+     *
+     * @param requestId identifier of the caller's attempt; null for a call for pieces
+     * @param atMs when it began, in ms of the process's steady clock
+     * @param incarnation what ended under it
+     */
+    public record CrashingRun(String requestId, long atMs, String incarnation) {}
 
     /** All runs of requests that crash endpoints, in order. */
     public static final class CrashLog {
         private final List<CrashingRun> runs = new CopyOnWriteArrayList<>();
 
+        /** Takes note of a run. */
+        public void add(CrashingRun run) {
+            runs.add(run);
+        }
+
         /** Returns the runs so far. */
         public List<CrashingRun> runs() {
             return List.copyOf(runs);
@@ -104,7 +115,8 @@
     }
 
     private void crash(HttpCall call) {
-        log.runs.add(new CrashingRun(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), incarnation()));
+        long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        log.add(new CrashingRun(WorkerStandin.requestId(call), nowMs, incarnation()));
         if (!ending) {
             ending = true;
             after(RUN_MS, this::end);
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -32,6 +32,7 @@
 
     private static final String SERVICES = "{\"name\":\"engine\",\"max_conns\":370,\"engine\":{\"slots\":64}},"
             + "{\"name\":\"plain\",\"max_conns\":110},"
+            + "{\"name\":\"fragile\",\"max_conns\":110},"
             + "{\"name\":\"first\",\"max_conns\":370,\"pieces\":" + POOL + "},"
             + "{\"name\":\"second\",\"max_conns\":370,\"pieces\":" + POOL + "}";
 
@@ -176,6 +177,7 @@
                 route("staged", "streaming", "engine", 2, 8000, true, STAGES),
                 route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
                 route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""),
+                route("fragile", "idempotent", "fragile", 2, timeoutMs, false, ""),
                 route("versioned", "idempotent", serviceOfVersion(version), 1, timeoutMs, false, ""));
         String services = SERVICES + ",{\"name\":\"" + serviceOfVersion(version) + "\",\"max_conns\":110}";
         return "{\"version\":%d,\"routes\":[%s],\"services\":[%s],%s,%s}"
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -163,6 +163,11 @@
         }
     }
 
+    /** Returns the identifier of the request that a call carries; null without one. */
+    static String requestId(HttpCall call) {
+        return call.header(ID);
+    }
+
     private static HttpHeaders headers(HttpCall call) {
         String id = call.header(ID);
         HttpHeaders headers = new DefaultHttpHeaders();
