--- a/soak/src/main/java/org/wingstall/soak/CrashingCaller.java
+++ b/soak/src/main/java/org/wingstall/soak/CrashingCaller.java
@@ -18,7 +18,11 @@
     /** Pause between two repeats, in ms. */
     private static final long PAUSE_MS = 100;
 
+    /** Never comes: what waits for it waits its time. */
+    private static final RunEnd PAUSE = new RunEnd();
+
     private final SplittableRandom random;
+    private int number;
     private final SoakFleet fleet;
     private final Observations observations;
     private final RunEnd end;
@@ -35,17 +39,29 @@
     @Override
     public void run() {
         try {
-            for (int number = 0; !end.over(); number++) {
-                SoakFleet.Box box =
-                        fleet.boxes().get(random.nextInt(fleet.boxes().size()));
-                repeat(box, "crashing." + number);
-                end.within(PAUSE_MS);
+            while (!end.over()) {
+                repeatOnce();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Goes on for a time after the last fault, when no fault excuses a sending any more. */
+    void repeatFor(long forMs) throws InterruptedException {
+        long untilMs = observations.nowMs() + forMs;
+        while (observations.nowMs() < untilMs) {
+            repeatOnce();
+            PAUSE.within(PAUSE_MS);
+        }
+    }
+
+    private void repeatOnce() throws InterruptedException {
+        SoakFleet.Box box = fleet.boxes().get(random.nextInt(fleet.boxes().size()));
+        repeat(box, "crashing." + number++);
+        end.within(PAUSE_MS);
+    }
+
     private void repeat(SoakFleet.Box box, String id) throws InterruptedException {
         observations.repeated(id, box.id());
         try {
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -22,6 +22,9 @@
     /** Longest time for a fleet to serve every route after its start or after the last fault, in ms. */
     private static final long RECOVERY_MS = 12_000;
 
+    /** Time after the last fault for which the request that crashes endpoints is repeated, in ms: some of it counts as calm. */
+    private static final long CALM_MS = 7000;
+
     /** Pause between two looks, in ms. */
     private static final long LOOK_MS = 100;
 
@@ -52,9 +55,11 @@
             fleet.start();
             Caller probe = new Caller("probe", options.seed(), fleet, observations, end);
             awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("start", detail)));
-            playFaults(fleet);
+            CrashingCaller crashing = new CrashingCaller(options.seed(), fleet, observations, end);
+            playFaults(fleet, crashing);
             fleet.heal();
             awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("recovery", detail)));
+            crashing.repeatFor(CALM_MS);
             noteEnds(fleet);
             fleet.endpoints().forEach(endpoint -> endpoint.worker()
                     .wrongInputs()
@@ -82,12 +87,13 @@
                         .toList();
     }
 
-    private void playFaults(SoakFleet fleet) throws InterruptedException, FaultFailedException {
+    private void playFaults(SoakFleet fleet, CrashingCaller crashing)
+            throws InterruptedException, FaultFailedException {
         ExecutorService threads = Executors.newCachedThreadPool();
         for (int i = 0; i < options.callers(); i++) {
             threads.submit(new Caller("caller-" + i, options.seed() + i, fleet, observations, end));
         }
-        threads.submit(new CrashingCaller(options.seed(), fleet, observations, end));
+        threads.submit(crashing);
         FaultInjector injector = new FaultInjector(fleet, observations, end);
         List<Future<?>> faults = new ArrayList<>();
         long beginMs = observations.nowMs();
