--- a/ctl/src/main/java/org/wingstall/ctl/RequestExplanation.java
+++ b/ctl/src/main/java/org/wingstall/ctl/RequestExplanation.java
@@ -43,6 +43,11 @@
             "peer-linked",
             "peer-unlinked");
 
+    /** Events about earlier sendings of the same request, at whichever box and however long ago: they decide on later ones. */
+    private static final Set<String> OF_THE_SAME = Set.of("endpoint-lost", "crash-report", "quarantine-lifted");
+
+    private static final String FINGERPRINT = "fingerprint";
+
     private final String requestId;
     private final List<LogLine> own = new ArrayList<>();
     private final List<LogLine> changes = new ArrayList<>();
@@ -73,7 +78,7 @@
     private void take(LogLine line) {
         if (line.isAbout(requestId)) {
             own.add(line);
-        } else if (CHANGES.contains(line.event())) {
+        } else if (CHANGES.contains(line.event()) || OF_THE_SAME.contains(line.event())) {
             changes.add(line);
         }
     }
@@ -91,10 +96,18 @@
 
     /** Changes at the request's box count, and those about anything that the request's line names. */
     private boolean mayConcern(LogLine change) {
+        if (OF_THE_SAME.contains(change.event())) {
+            return own.stream().anyMatch(line -> sameRequest(line, change));
+        }
         return own.stream()
                 .anyMatch(line -> during(line, change.time()) && (sameBox(line, change) || named(line, change)));
     }
 
+    private static boolean sameRequest(LogLine line, LogLine other) {
+        String fingerprint = line.fields().get(FINGERPRINT);
+        return fingerprint != null && fingerprint.equals(other.fields().get(FINGERPRINT));
+    }
+
     private static boolean during(LogLine line, Instant time) {
         long tookMs = Optional.ofNullable(line.fields().get("tookMs"))
                 .map(Long::parseLong)
--- a/ctl/src/test/java/org/wingstall/ctl/RequestExplanationTest.java
+++ b/ctl/src/test/java/org/wingstall/ctl/RequestExplanationTest.java
@@ -33,9 +33,13 @@
     }
 
     private static String explain(String id) throws Exception {
+        return explain(id, LINES);
+    }
+
+    private static String explain(String id, String lines) throws Exception {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         RequestExplanation.explain(
-                id, new ByteArrayInputStream(LINES.getBytes(StandardCharsets.UTF_8)), new PrintStream(bytes));
+                id, new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), new PrintStream(bytes));
         return bytes.toString(StandardCharsets.UTF_8);
     }
 
@@ -63,6 +67,22 @@
         assertFalse(lines.get(0).contains("r1"));
     }
 
+    @DataProvider
+    Object[][] fingerprints() {
+        return new Object[][] {{"f1", true}, {"f2", false}};
+    }
+
+    /** An endpoint that ended under an earlier repeat, at another box and long before, is why this one was held back. */
+    @Test(dataProvider = "fingerprints")
+    public void whatTheSameRequestDidBeforeIsPartOfIt(String fingerprint, boolean expected) throws Exception {
+        String lines = String.join(
+                "\n",
+                line("box-c", "01.000", "\"event\":\"crash-report\",\"fingerprint\":\"f1\",\"losses\":\"[i-3]\""),
+                line("box-a", "40.000", "\"event\":\"request\",\"requestId\":\"r1\",\"fingerprint\":\"%s\"")
+                        .formatted(fingerprint));
+        assertEquals(explain("r1", lines).contains("losses: [i-3]"), expected);
+    }
+
     @Test
     public void aRequestWithoutLinesIsNotFound() {
         assertThrows(NotFoundException.class, () -> explain("unknown"));
