--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -65,6 +65,14 @@
                 .body();
     }
 
+    /** Returns what an operator is shown of requests that crash endpoints. */
+    String quarantine() {
+        return send(request(settings.getOperatorAddress(), "/quarantine", "probe")
+                        .GET()
+                        .build())
+                .body();
+    }
+
     /** Opens a connection of a caller. */
     Socket connect() throws IOException {
         InetSocketAddress address = Addresses.parse(settings.getCallerAddress());
--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -185,6 +185,27 @@
         assertHeldBack();
     }
 
+    /** A box took each row that it read at its start for news, so every start of a box held requests back for ten minutes more. */
+    @Test
+    public void aHoldDoesNotBeginAnewWithTheStartOfABox() throws Exception {
+        awaitLinks();
+        repeat("stream", KNOWN_MS);
+        assertEquals(crashes.ended(), LOSSES);
+        boxes.forEach(RelayBox::close);
+        boxes.clear();
+        fleet.store().advance(TimeUnit.MINUTES.toMillis(11));
+        RelayBox box = startBox("later");
+        awaitReports(box);
+        crash(box, "stream");
+        assertEquals(crashes.ended(), LOSSES + 1);
+        assertEquals(crash(box, "stream").orElseThrow().status(), 503);
+        assertEquals(crashes.ended(), LOSSES + 1);
+    }
+
+    private static void awaitReports(RelayBox box) {
+        Awaitility.await().until(() -> box.quarantine().contains("\"losses\""));
+    }
+
     /** Boxes that never hear each other, but reach the store. */
     @Test
     public void itIsHeldBackByBoxesThatAreCutOffFromEachOther() throws Exception {
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -36,6 +37,7 @@
     private final List<Change> history = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private final Set<String> hidden = ConcurrentHashMap.newKeySet();
+    private final AtomicLong aheadMs = new AtomicLong();
     private final AtomicInteger calls = new AtomicInteger();
     private volatile Mode mode = Mode.SERVING;
     private long version;
@@ -53,6 +55,11 @@
         RESET
     }
 
+    /** Lets the store's clock go ahead, as if that time had passed. */
+    public void advance(long ms) {
+        aheadMs.addAndGet(ms);
+    }
+
     private record Change(String table, String key, String value, long version) {}
 
     private record Waiter(HttpCall call, String table, long after) {}
@@ -158,7 +165,7 @@
         }
         return document.put("truncated", more)
                 .put("ver", version)
-                .put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+                .put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + aheadMs.get());
     }
 
     private synchronized void feed(HttpCall call) {
