Let a hold end when its time is over, whichever boxes have started since

Cause: a row told the age of the last loss as of when it was kept, and a box that read it took it for the age now; the hold began anew with every start, and spread from there over the links. Rows were never removed either.

Change: a row tells when it was kept by the store's steady clock, the one clock that outlives boxes; a reader adds the time since. The gauge counts holds that are in force.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.wingstall.schema.peer.CrashReport;
 
 /**
@@ -60,6 +61,10 @@
                 .toList();
     }
 
+    Set<Fingerprint> requests() {
+        return records.keySet();
+    }
+
     List<CrashReport> reports(long nowMs) {
         return records.entrySet().stream()
                 .map(entry -> entry.getValue().report(entry.getKey(), nowMs))
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -102,7 +102,7 @@
     private synchronized Optional<Hold> hold(Fingerprint request) {
         long nowMs = clock.nowMs();
         CrashRecord record = ledger.find(request, nowMs);
-        long leftMs = record.lastAtMs() + holdMs(record.standing()) - nowMs;
+        long leftMs = heldForMs(record, nowMs);
         if (leftMs > 0) {
             String detail = record.standing() + " endpoints ended while they ran this request";
             return Optional.of(new Hold(Reason.QUARANTINED, detail, leftMs));
@@ -117,8 +117,13 @@
         return Optional.empty();
     }
 
-    private static long holdMs(int standing) {
-        return standing < LOSSES ? 0 : HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
+    private static long heldForMs(CrashRecord record, long nowMs) {
+        int standing = record.standing();
+        if (standing < LOSSES) {
+            return 0;
+        }
+        long holdMs = HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
+        return Math.max(0, record.lastAtMs() + holdMs - nowMs);
     }
 
     private static boolean suspected(CrashRecord record) {
@@ -349,10 +354,8 @@
     public synchronized int heldBack() {
         long nowMs = clock.nowMs();
         dropExpired(nowMs);
-        return (int) ledger.reports(nowMs).stream()
-                .filter(report -> ledger.find(new Fingerprint(report.getFingerprint()), nowMs)
-                                .standing()
-                        >= LOSSES)
+        return (int) ledger.requests().stream()
+                .filter(request -> heldForMs(ledger.find(request, nowMs), nowMs) > 0)
                 .count();
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -112,8 +112,8 @@
                         mesh.tellAll(news);
                     }
                 });
-        this.crashReports =
-                new CrashReportFollower(control, new PlatformCrashReports(store, this::configWaitMs), crashReportRead);
+        this.crashReports = new CrashReportFollower(
+                control, new PlatformCrashReports(store, clock, this::configWaitMs), crashReportRead);
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(),
                 settings.getFailureDomain(),
--- a/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
@@ -20,6 +20,9 @@
     /** Reports that wait to be kept while the store gives no answers; the links carry them meanwhile. */
     private static final int MOST_WAITING = 200;
 
+    /** Age from which a report is of no use to anybody, in ms: a day. */
+    private static final long FORGET_MS = 86_400_000;
+
     private final EventLoop loop;
     private final CrashReportStore store;
     private final Consumer<CrashReport> listener;
@@ -56,13 +59,21 @@
         readWhole = failure != null;
         if (failure == null) {
             known = true;
-            reports.forEach(listener);
+            reports.forEach(this::take);
         }
         reading.ended(failure);
         long delayMs = failure == null ? 0 : reading.repeatMs(known);
         loop.schedule(this::follow, delayMs, TimeUnit.MILLISECONDS);
     }
 
+    private void take(CrashReport report) {
+        if (report.getAgeMs() < FORGET_MS) {
+            listener.accept(report);
+        } else {
+            store.drop(report.getFingerprint()).whenCompleteAsync((done, failure) -> keeping.ended(failure), loop);
+        }
+    }
+
     /** Keeps a report, at once or when the store answers again. For use on any thread. */
     public void keep(CrashReport report) {
         loop.execute(() -> {
--- a/relay/src/main/java/org/wingstall/relay/wire/CrashReportStore.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/CrashReportStore.java
@@ -15,11 +15,14 @@
     /** Keeps a report in place of an earlier one of the same request; fails with a {@link SourceException}. */
     CompletableFuture<Void> keep(CrashReport report);
 
+    /** Drops the report of a request; fails with a {@link SourceException}. */
+    CompletableFuture<Void> drop(String fingerprint);
+
     /**
      * Reads all reports, or waits for some that are kept after the last answer.
      *
      * @param whole whether to read all now
-     * @return the reports; empty when none came while waiting; fails with a {@link SourceException}
+     * @return the reports, with the ages that they have now; empty when none came while waiting; fails with a {@link SourceException}
      */
     CompletableFuture<List<CrashReport>> next(boolean whole);
 }
