--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
@@ -215,6 +215,26 @@
         assertEquals(fleet.first.reason(CULPRIT), Reason.SUSPECT_ON_TRIAL);
     }
 
+    /** A full record takes no more losses, so a trial that ended another endpoint left no trace and the next followed at once. */
+    @Test
+    public void aRequestThatEndedMoreEndpointsThanAreRememberedIsNotTriedAgain() {
+        for (int i = 0; i < 40; i++) {
+            fleet.first.lost(CULPRIT, "e" + i);
+        }
+        nowMs += 86_400_000 - 1;
+        assertEquals(fleet.first.reason(CULPRIT), Reason.QUARANTINED);
+    }
+
+    /** What turns out not to be a loss says nothing of when the others came. */
+    @Test
+    public void aWithdrawnLossDoesNotMakeAHoldLonger() {
+        fleet.first.lost(CULPRIT, "e1", "e2", "e3", "e4");
+        nowMs += 60_000;
+        fleet.first.quarantine.answered(() -> request("other"), "e4", nowMs, true);
+        nowMs += TEN_MINUTES_MS - 60_000;
+        assertEquals(fleet.first.reason(CULPRIT), null);
+    }
+
     @Test
     public void lossesThatLieFarApartAreNotCountedTogether() {
         fleet.first.lost(POPULAR, "e1", "e2");
