--- a/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
@@ -23,7 +23,7 @@
     private static final long SUSPECT_MS = 120_000;
 
     /** Time after which a request that was held back is forgotten, in ms: a day. */
-    private static final long FORGET_MS = 86_400_000;
+    static final long FORGET_MS = 86_400_000;
 
     private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
 
--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
@@ -23,7 +23,8 @@
     /** Returns a record with the losses that a report adds, and without those that it withdraws. */
     CrashRecord plus(CrashReport report, long nowMs) {
         Set<String> allLosses = union(losses, report.getLosses());
-        long reportedAtMs = nowMs - report.getAgeMs();
+        // A report that only withdraws losses says nothing of when they came.
+        long reportedAtMs = report.getLosses().isEmpty() ? lastAtMs : nowMs - report.getAgeMs();
         return new CrashRecord(allLosses, union(withdrawn, report.getWithdrawn()), Math.max(lastAtMs, reportedAtMs));
     }
 
@@ -45,6 +46,11 @@
         return standing;
     }
 
+    /** Returns whether it takes no more losses. */
+    boolean full() {
+        return losses.size() >= MOST_INCARNATIONS;
+    }
+
     boolean saysMoreThan(CrashRecord other) {
         return !other.losses.containsAll(losses) || !other.withdrawn.containsAll(withdrawn);
     }
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -122,7 +122,8 @@
         if (standing < LOSSES) {
             return 0;
         }
-        long holdMs = HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
+        // A full record would not show what a further trial ended, so there is none.
+        long holdMs = record.full() ? CrashLedger.FORGET_MS : HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
         return Math.max(0, record.lastAtMs() + holdMs - nowMs);
     }
 
