Count the first start of a box as a disturbance in the soak, as later starts are

The promise holds for boxes that started three seconds ago or more; kills and stops were noted with the start that follows, the first start was not.

--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -100,6 +100,10 @@
         Files.writeString(settings, text);
         BoxProcess process = new BoxProcess(boxId, settings, options.folder().resolve(boxId + ".log"));
         process.start();
+        // As after every later start, bounds in time hold from some time after it on: callers who connect meanwhile
+        // wait.
+        long startedMs = observations.nowMs();
+        observations.disturbed(new Disturbance(boxId, "BOX_START", false, startedMs, startedMs));
         boxes.put(
                 boxId,
                 new Box(
