--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -25,7 +25,7 @@
 
 /**
  * A caller's request ended each engine that began to run it, about 100 ms after its head had come, and came again every one or
- * two seconds at whichever box the balancer picked. Twelve of thirteen engines were lost within 15 s, and callers of other
+ * two seconds at whichever box the balancer picked. Twelve incarnations of thirteen engines ended within 15 s, and callers of other
  * requests lost their streams with them.
  *
  * <p>No box counted beyond one attempt of the caller: each of thirteen lines {@code endpoint-lost-midway} had one endpoint in
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceCrashes.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceCrashes.java
@@ -23,7 +23,7 @@
     /** Returns why one of some pieces is not to be sent now. */
     Optional<Hold> hold(List<PieceTicket> tickets) {
         return tickets.stream()
-                .filter(ticket -> ticket.piece().known())
+                .filter(ticket -> ticket.piece().identifiable())
                 .map(ticket -> quarantine.hold(() -> ticket.piece().fingerprint(service)))
                 .flatMap(Optional::stream)
                 .findFirst();
@@ -32,7 +32,7 @@
     /** Returns whether an endpoint ended under one of some pieces: they are made apart from other requests' pieces then. */
     boolean suspects(List<PieceTicket> tickets) {
         return tickets.stream()
-                .filter(ticket -> ticket.piece().known())
+                .filter(ticket -> ticket.piece().identifiable())
                 .anyMatch(ticket -> quarantine.suspects(() -> ticket.piece().fingerprint(service)));
     }
 
@@ -44,7 +44,7 @@
         if (ended) {
             quarantine.lost(
                     tickets.stream()
-                            .filter(ticket -> ticket.piece().known())
+                            .filter(ticket -> ticket.piece().identifiable())
                             .map(ticket -> ticket.piece().fingerprint(service))
                             .toList(),
                     endpoint.key());
@@ -53,7 +53,7 @@
 
     /** Takes note that a piece was made. */
     void made(PieceTicket ticket, RelayEndpoint endpoint, long sentAtMs) {
-        if (ticket.piece().known()) {
+        if (ticket.piece().identifiable()) {
             quarantine.answered(() -> ticket.piece().fingerprint(service), endpoint.key(), sentAtMs, true);
         }
     }
--- a/relay/src/main/java/org/wingstall/relay/wire/Piece.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/Piece.java
@@ -27,7 +27,7 @@
     public record OfStage(String requestId, int stage) {}
 
     /** Returns whether the piece can be told from others, whichever request it is made for. */
-    public boolean known() {
+    public boolean identifiable() {
         return origin != null;
     }
 
