Keep a report in the store from the third loss on, not from the second

Cause: each row that is kept wakes the waiting call of every box.

Change: from the third loss on only, and its withdrawal. Price: of a fleet cut into three parts for long, each may reach three losses of its own before it reads of the others'.

--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -295,14 +295,16 @@
         boolean senderKnows = true;
         for (CrashReport report : reports) {
             Fingerprint request = new Fingerprint(report.getFingerprint());
-            boolean keptBefore = suspected(ledger.find(request, nowMs));
+            boolean keptBefore = ledger.find(request, nowMs).standing() >= LOSSES;
             Optional<CrashReport> added = ledger.add(report, nowMs);
             if (added.isPresent()) {
                 CrashRecord known = ledger.find(request, nowMs);
                 news.add(added.get());
                 senderKnows &= !known.saysMoreThan(CrashRecord.NONE.plus(report, nowMs));
                 listener.changed(added.get(), known.standing());
-                if (own && (keptBefore || suspected(known))) {
+                // Each row that is kept wakes every box: of two losses, which a few broken connections bring about,
+                // none is.
+                if (own && (keptBefore || known.standing() >= LOSSES)) {
                     listener.keep(added.get());
                 }
             }
