Keep the age at which a report is dropped in one place

Change: one constant of the quarantine. Behaviour is the same: QuarantineTest, GossipTest and CoreIsPureTest pass.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashLedger.java
@@ -22,9 +22,6 @@
      */
     private static final long SUSPECT_MS = 120_000;
 
-    /** Time after which a request that was held back is forgotten, in ms: a day. */
-    static final long FORGET_MS = 86_400_000;
-
     private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
 
     boolean isEmpty() {
@@ -92,7 +89,7 @@
     }
 
     private static boolean expired(CrashRecord record, long nowMs) {
-        long keptMs = record.standing() >= Quarantine.LOSSES ? FORGET_MS : SUSPECT_MS;
+        long keptMs = record.standing() >= Quarantine.LOSSES ? Quarantine.FORGET_MS : SUSPECT_MS;
         return nowMs - record.lastAtMs() >= keptMs;
     }
 }
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -28,6 +28,9 @@
  * @since 0.7
  */
 public final class Quarantine {
+    /** Age from which a report is of no use to anybody, in ms: a day. */
+    public static final long FORGET_MS = 86_400_000;
+
     /** Losses from which a request is held back. */
     static final int LOSSES = 3;
 
@@ -123,7 +126,7 @@
             return 0;
         }
         // A full record would not show what a further trial ended, so there is none.
-        long holdMs = record.full() ? CrashLedger.FORGET_MS : HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
+        long holdMs = record.full() ? FORGET_MS : HOLD_MS << Math.min(MOST_DOUBLINGS, standing - LOSSES);
         return Math.max(0, record.lastAtMs() + holdMs - nowMs);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.relay.wire.CrashReportStore;
 import org.wingstall.schema.peer.CrashReport;
 
@@ -20,9 +21,6 @@
     /** Reports that wait to be kept while the store gives no answers; the links carry them meanwhile. */
     private static final int MOST_WAITING = 200;
 
-    /** Age from which a report is of no use to anybody, in ms: a day. */
-    private static final long FORGET_MS = 86_400_000;
-
     private final EventLoop loop;
     private final CrashReportStore store;
     private final Consumer<CrashReport> listener;
@@ -67,7 +65,7 @@
     }
 
     private void take(CrashReport report) {
-        if (report.getAgeMs() < FORGET_MS) {
+        if (report.getAgeMs() < Quarantine.FORGET_MS) {
             listener.accept(report);
         } else {
             store.drop(report.getFingerprint()).whenCompleteAsync((done, failure) -> keeping.ended(failure), loop);
