Tell the quarantine of a request's sendings in one place

Cause: the relay's guard of a request and the gateway's guard of a stage's input kept the same trial in the same way.

--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/quarantine/GuardedRequest.java
@@ -0,0 +1,61 @@
+package org.wingstall.core.quarantine;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * What a quarantine says of one request, and is told of its sendings. Confined to the request's event loop.
+ *
+ * <p>{@code guard.hold().ifPresent(this::refuse); guard.sent("i-7f3a@0"); ... guard.lost("i-7f3a@0");}
+ *
+ * @since 0.7
+ */
+public final class GuardedRequest {
+    private final Quarantine quarantine;
+    private final Supplier<Fingerprint> request;
+    private Optional<String> trial = Optional.empty();
+
+    /**
+     * Creates a guard.
+     *
+     * @param quarantine the quarantine
+     * @param request gives the request's fingerprint, asked for only while something is suspected
+     */
+    public GuardedRequest(Quarantine quarantine, Supplier<Fingerprint> request) {
+        this.quarantine = quarantine;
+        this.request = request;
+    }
+
+    /** Returns why the request is not to be sent now, or sent once more after its last sending ended. */
+    public Optional<Hold> hold() {
+        over();
+        return quarantine.hold(request);
+    }
+
+    /** Returns the incarnations that it had better not go to. */
+    public Set<String> shunned() {
+        return quarantine.shunned(request);
+    }
+
+    /** Takes note that it is sent to an incarnation. */
+    public void sent(String endpoint) {
+        trial = quarantine.sent(request, endpoint);
+    }
+
+    /** Takes note that the connection to an incarnation ended while it may have run the request. */
+    public void lost(String endpoint) {
+        quarantine.lost(request.get(), endpoint);
+    }
+
+    /** Takes note of a whole answer to what was sent at a time, in ms of the monotonic clock. */
+    public void answered(String endpoint, long sentAtMs, boolean success) {
+        quarantine.answered(request, endpoint, sentAtMs, success);
+    }
+
+    /** Takes note that its last sending has ended, in whatever way. */
+    public void over() {
+        trial.ifPresent(id -> quarantine.over(request.get(), id));
+        trial = Optional.empty();
+    }
+}
