--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -48,6 +48,9 @@
             return new CompletableFuture<>();
         }
         wholeReads.incrementAndGet();
+        if (stored == 0) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         if (away) {
             return CompletableFuture.failedFuture(new SourceException(SourceException.Kind.REFUSED, "away"));
         }
@@ -105,4 +108,17 @@
             assertEquals(state.config().version(), 2);
         });
     }
+
+    /**
+     * Boxes start before the operator has written a first configuration. A box that read the store over and over until then
+     * made 35 calls within its first second; the call that waits for a change tells of the first version as well.
+     */
+    @Test
+    public void aStoreWithoutConfigurationIsReadOnceAndThenWaitedFor() throws Exception {
+        stored = 0;
+        wholeReads.set(0);
+        new RelayConfigFollower(loop, this::read, new RelayState()).start();
+        settle();
+        assertEquals(wholeReads.get(), 1);
+    }
 }
