Plan a box's links only when the boxes it knows or reaches differ

Cause: each look, 2.5 times a second, asked the strategy for the links and for the carriers, which both group and sort all boxes of the fleet, and read which boxes can be reached twice. Change: the directory counts its changes, and the dialer plans when they did; links that are missing are dialled at each look as before.

--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,9 @@
     private final Function<InetSocketAddress, ChannelInitializer<SocketChannel>> initializer;
     private final Set<InetSocketAddress> dialling = new HashSet<>();
     private volatile Set<String> carriers = Set.of();
+    private Set<String> planned = Set.of();
+    private List<LinkPlan.Box> unreachable = List.of();
+    private long plannedAtChange = -1;
 
     Dialer(
             PeerOptions options,
@@ -46,10 +50,9 @@
 
     /** Dials every planned peer and every seed that has no link, and closes links that are not planned any more. */
     void dialMissing() {
-        List<LinkPlan.Box> reachable = directory.reachable();
-        Set<String> planned = options.links().linksOf(self, reachable, directory.all());
-        planned.remove(self.boxId());
-        carriers = Set.copyOf(options.links().carriers(self, reachable));
+        if (plannedAtChange != directory.changes()) {
+            plan();
+        }
         for (String boxId : planned) {
             if (!links.containsKey(boxId)) {
                 dial(directory.entry(boxId).address());
@@ -61,8 +64,22 @@
                 dial(seed);
             }
         }
-        closeUnplanned(planned);
-        retryUnreachable(planned);
+        closeUnplanned();
+        retryUnreachable();
+    }
+
+    /**
+     * Plans the links anew. With each heartbeat this was most of what an idle box of a large fleet did, since the plan looks
+     * at all boxes and they seldom change.
+     */
+    private void plan() {
+        plannedAtChange = directory.changes();
+        List<LinkPlan.Box> reachable = directory.reachable();
+        planned = new HashSet<>(options.links().linksOf(self, reachable, directory.all()));
+        planned.remove(self.boxId());
+        carriers = Set.copyOf(options.links().carriers(self, reachable));
+        unreachable = new ArrayList<>(directory.all());
+        unreachable.removeAll(reachable);
     }
 
     /** Returns the boxes that do work for others, as of the last look; read on any thread. */
@@ -71,21 +88,19 @@
     }
 
     /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
-    private void retryUnreachable(Set<String> planned) {
-        Set<String> reachable = new HashSet<>();
-        directory.reachable().forEach(box -> reachable.add(box.boxId()));
+    private void retryUnreachable() {
         boolean soon = ThreadLocalRandom.current().nextInt(4) == 0;
-        for (LinkPlan.Box box : directory.all()) {
-            if (soon
-                    && !reachable.contains(box.boxId())
-                    && !links.containsKey(box.boxId())
-                    && !planned.contains(box.boxId())) {
+        if (!soon) {
+            return;
+        }
+        for (LinkPlan.Box box : unreachable) {
+            if (!links.containsKey(box.boxId()) && !planned.contains(box.boxId())) {
                 dial(directory.entry(box.boxId()).address());
             }
         }
     }
 
-    private void closeUnplanned(Set<String> planned) {
+    private void closeUnplanned() {
         for (PeerLink link : List.copyOf(links.values())) {
             boolean known = directory.entry(link.peer().getBoxId()) != null;
             if (known && link.dialled() && !planned.contains(link.peer().getBoxId())) {
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -16,6 +16,7 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<InetSocketAddress, Integer> failures = new HashMap<>();
     private final Map<InetSocketAddress, String> boxesBehind = new HashMap<>();
+    private long changes;
 
     /** A box and where it takes links. */
     record Entry(LinkPlan.Box box, InetSocketAddress address) {}
@@ -33,15 +34,28 @@
 
     /** Takes in all boxes known from elsewhere; those that were learned from hellos since stay out. */
     void applyBoxes(List<Entry> boxes, String selfId) {
-        entries.clear();
+        Map<String, Entry> next = new HashMap<>();
         boxes.stream()
                 .filter(entry -> !entry.box().boxId().equals(selfId))
-                .forEach(entry -> entries.put(entry.box().boxId(), entry));
+                .forEach(entry -> next.put(entry.box().boxId(), entry));
+        if (!next.equals(entries)) {
+            entries.clear();
+            entries.putAll(next);
+            changes++;
+        }
     }
 
     void learned(LinkPlan.Box box, InetSocketAddress address) {
-        entries.put(box.boxId(), new Entry(box, address));
-        failures.remove(address);
+        Entry entry = new Entry(box, address);
+        if (!entry.equals(entries.put(box.boxId(), entry))) {
+            changes++;
+        }
+        dialSucceeded(address);
+    }
+
+    /** Returns a number that grows whenever other boxes are known, or other ones can be reached, than before. */
+    long changes() {
+        return changes;
     }
 
     /** Takes note of the box that answered at an address, which may not be the address that the box gives itself. */
@@ -55,11 +69,17 @@
     }
 
     void dialFailed(InetSocketAddress address) {
-        failures.merge(address, 1, Integer::sum);
+        int count = failures.merge(address, 1, Integer::sum);
+        if (count == FAILURES_TO_COUNT_AS_GONE) {
+            changes++;
+        }
     }
 
     void dialSucceeded(InetSocketAddress address) {
-        failures.remove(address);
+        Integer count = failures.remove(address);
+        if (count != null && count >= FAILURES_TO_COUNT_AS_GONE) {
+            changes++;
+        }
     }
 
     int size() {
