Send heartbeats of boxes that do no work for others at every fifth turn

Cause: in a fleet of 61 each of 55 boxes beat to six hubs 2.5 times a second, 825 frames a second, and hubs use nothing of them but that the box lives; each frame is written, read and looked at by code that a box of one minute has not compiled yet. Change: BeatTurns; a box that does no work for others counts as silent after five times the silence, and a failure domain is silent when its hubs are, so a cut is found as soon as before.

--- /dev/null
+++ b/core/src/main/java/org/wingstall/core/peer/BeatTurns.java
@@ -0,0 +1,31 @@
+package org.wingstall.core.peer;
+
+/**
+ * Says at which turns a box sends heartbeats. A box that does work for others sends at each turn, since they have to know soon
+ * when it is gone; of any other box the hubs of a large fleet need few signs of life, and they hear hundreds of them.
+ *
+ * <p>{@code if (turns.due(worksForOthers)) { sendHeartbeats(); }}
+ *
+ * @since 0.8
+ */
+public final class BeatTurns {
+    /** Turns from one heartbeat to the next of a box that does no work for others. */
+    public static final int SELDOM = 5;
+
+    private int sinceLast;
+
+    /**
+     * Takes note of a turn.
+     *
+     * @param worksForOthers whether others have work done by this box
+     * @return whether heartbeats are sent at this turn
+     */
+    public boolean due(boolean worksForOthers) {
+        sinceLast++;
+        boolean due = worksForOthers || sinceLast >= SELDOM;
+        if (due) {
+            sinceLast = 0;
+        }
+        return due;
+    }
+}
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -12,11 +12,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.BeatTurns;
 import org.wingstall.core.peer.HeartbeatPacer;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.Jitter;
@@ -68,6 +70,7 @@
     private volatile int knownBoxes = 1;
     private Channel listener;
     private volatile HeartbeatPacer.Plan plan;
+    private final BeatTurns turns = new BeatTurns();
     private int sinceFull;
 
     /**
@@ -92,7 +95,8 @@
         this.crashes = new CrashLinks(links);
         this.rows = new RowLinks(loop, links);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
-        this.peers = new PeerTable(self, options.silentAfterMs(), rows::tableUnheard, replies, clock);
+        this.peers =
+                new PeerTable(self, options.silentAfterMs(), this::beatsSeldom, rows::tableUnheard, replies, clock);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
     }
 
@@ -175,6 +179,11 @@
         return dialer.carriers().contains(boxId);
     }
 
+    private boolean beatsSeldom(String boxId) {
+        Set<String> carriers = dialer.carriers();
+        return !carriers.isEmpty() && !carriers.contains(boxId);
+    }
+
     /** Returns what is known of the peers. */
     public PeerTable peers() {
         return peers;
@@ -233,6 +242,9 @@
 
     private void tick() {
         dialer.dialMissing();
+        if (!turns.due(!beatsSeldom(self.boxId()))) {
+            return;
+        }
         sinceFull++;
         boolean full = sinceFull >= plan.fullEvery();
         sendHeartbeats(full);
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.wingstall.core.peer.BeatTurns;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.peer.Rendezvous;
 import org.wingstall.core.time.MonotonicClock;
@@ -27,6 +29,7 @@
 public final class PeerTable {
     private final LinkPlan.Box self;
     private final long silentAfterMs;
+    private final Predicate<String> beatsSeldom;
     private final BooleanSupplier tableUnheard;
     private final PromptReplies replies;
     private final MonotonicClock clock;
@@ -35,12 +38,14 @@
     PeerTable(
             LinkPlan.Box self,
             long silentAfterMs,
+            Predicate<String> beatsSeldom,
             BooleanSupplier tableUnheard,
             PromptReplies replies,
             MonotonicClock clock) {
         this.self = self;
         this.replies = replies;
         this.silentAfterMs = silentAfterMs;
+        this.beatsSeldom = beatsSeldom;
         this.tableUnheard = tableUnheard;
         this.clock = clock;
     }
@@ -68,8 +73,9 @@
 
     /** Returns whether a peer was heard lately, and owes no reply that it gives at once. */
     public boolean heard(PeerState peer) {
-        return peer.heardSince(clock.nowMs() - silentAfterMs)
-                && !replies.overdue(peer.hello().getBoxId());
+        String boxId = peer.hello().getBoxId();
+        long allowedMs = beatsSeldom.test(boxId) ? BeatTurns.SELDOM * silentAfterMs : silentAfterMs;
+        return peer.heardSince(clock.nowMs() - allowedMs) && !replies.overdue(boxId);
     }
 
     /** Returns whether a peer is in this gateway's failure domain. */
@@ -109,11 +115,17 @@
         return peer != null && heard(peer);
     }
 
-    /** Returns the other failure domains of which boxes are known and none is heard. */
+    /**
+     * Returns the other failure domains of which boxes are known and none is heard. Boxes that are heard seldom don't count:
+     * their silence would show seconds later.
+     */
     public Set<String> silentDomains() {
         Set<String> silent = new HashSet<>();
         Set<String> heard = new HashSet<>(Set.of(self.failureDomain()));
         for (PeerState peer : all()) {
+            if (beatsSeldom.test(peer.hello().getBoxId())) {
+                continue;
+            }
             (heard(peer) ? heard : silent).add(peer.hello().getFailureDomain());
         }
         silent.removeAll(heard);
--- a/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
+++ b/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,14 +22,17 @@
     private long nowMs;
     private PromptReplies replies;
     private PeerTable peers;
+    private final Set<String> seldom = new HashSet<>();
 
     @BeforeMethod
     public void create() {
         nowMs = 10_000;
+        seldom.clear();
         replies = new PromptReplies(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
         peers = new PeerTable(
                 new LinkPlan.Box("a-1", "a", 100),
                 SILENT_AFTER_MS,
+                seldom::contains,
                 () -> false,
                 replies,
                 () -> TimeUnit.MILLISECONDS.toNanos(nowMs));
@@ -93,4 +97,19 @@
         nowMs += PromptReplies.REPLY_MS + 1;
         assertTrue(peers.heard(HUB));
     }
+
+    @Test
+    public void aBoxThatIsHeardSeldomIsMissedLater() {
+        seldom.add("b-2");
+        nowMs += SILENT_AFTER_MS + 1;
+        assertEquals(peers.serving(), List.of("b-2"));
+    }
+
+    /** A failure domain is found to be cut off as soon as by heartbeats at each turn. */
+    @Test
+    public void aFailureDomainIsSilentWhenItsHubsAre() {
+        seldom.add("b-2");
+        nowMs += SILENT_AFTER_MS + 1;
+        assertEquals(peers.silentDomains(), Set.of("b"));
+    }
 }
