Keep new work from failure domains that operators evacuate

Cause: the operators' marks lie in the table of the configuration, whose follower passed over every other key. Change: one whole read or one change of that table gives configuration and marks together, so no call is added; an evacuated failure domain's endpoints are not among those that get work, at requests, retries, pieces and engines alike, while reports go on. Heartbeats carry the evacuated domains and the version of the store as of which they are known, and the later version counts, so a box that the store doesn't answer obeys as well and no box goes back. Work in flight ends by itself. Weighed against it: a follower of its own for the marks (a waiting call more a box, priced), and only the store (a call that waits on a silent connection waits up to 20 s, and the bound is 5 s). The first version of the test gave endpoints of three services one identifier, which the list can't hold; mended in the test, its checks are the same.

--- a/core/src/main/java/org/wingstall/core/member/MemberSnapshot.java
+++ b/core/src/main/java/org/wingstall/core/member/MemberSnapshot.java
@@ -47,6 +47,7 @@
             hash.putString(member.getState().value());
             hash.putLong(member.getIncarnation());
             hash.putInt(member.getSlots());
+            hash.putLong(member.getColdMs());
         }
         return new MemberSnapshot(Long.toHexString(hash.getAsLong()), sorted);
     }
--- a/core/src/test/java/org/wingstall/core/member/EndpointRegistryTest.java
+++ b/core/src/test/java/org/wingstall/core/member/EndpointRegistryTest.java
@@ -12,7 +12,7 @@
     private final EndpointRegistry registry = new EndpointRegistry(System::nanoTime);
 
     private static Member member(long incarnation, Member.State state) {
-        return new Member("e", Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", state, incarnation, 0);
+        return new Member("e", Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", state, incarnation, 0, 0);
     }
 
     private boolean leaving() {
--- a/core/src/test/java/org/wingstall/core/member/MemberChangesTest.java
+++ b/core/src/test/java/org/wingstall/core/member/MemberChangesTest.java
@@ -13,7 +13,7 @@
 
 public class MemberChangesTest {
     private static Member member(String id, long incarnation) {
-        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, incarnation, 0);
+        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, incarnation, 0, 0);
     }
 
     private static MemberSnapshot list(String tag, Member... members) {
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -111,7 +111,9 @@
                 List.of(),
                 tableUnheard(),
                 members.tagReadLately(),
-                0);
+                0,
+                0,
+                null);
     }
 
     private void updateLimits() {
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -30,6 +31,7 @@
 import org.wingstall.platform.PlatformEndpointWire;
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.config.ServiceSpec;
+import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
@@ -113,6 +115,7 @@
     private final EventLoopGroup requests;
     private final HttpClient client = new HttpClient();
     private final RelayState state = new RelayState();
+    private final EvacuationState evacuations = new EvacuationState(this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
     private final RelayMetrics metrics = new RelayMetrics();
     private final ServiceBudgets budgets;
@@ -148,7 +151,7 @@
         this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
         this.mesh = new PeerMesh(
                 peerOptions(),
-                new RelayPeers(state, () -> stopping, this::newerConfigHeard, this::listFollower),
+                new RelayPeers(state, evacuations, () -> stopping, this::newerConfigHeard, this::listFollower),
                 loop,
                 clock);
         this.crashes =
@@ -193,6 +196,7 @@
                 client,
                 clock,
                 state,
+                evacuations,
                 endpoints,
                 mesh,
                 () -> loop.execute(this::endpointsChanged),
@@ -252,6 +256,11 @@
         return (int) Math.round(HUNDREDTHS * settings.getProcessors() * settings.getProcessorShare());
     }
 
+    private void evacuate(Set<String> failureDomains) {
+        endpoints.evacuate(failureDomains);
+        requests.next().execute(this::endpointsChanged);
+    }
+
     private void endpointsChanged() {
         pools.offerAll();
         engines.endpointsChanged();
@@ -330,6 +339,9 @@
     private void showGauges() {
         metrics.gauge("wingstall.config.version", () -> state.config().version());
         metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
+        metrics.gauge(
+                "wingstall.domains.evacuated",
+                () -> evacuations.current().failureDomains().size());
         metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
         metrics.gauge("wingstall.stages.waiting", pools::waiting);
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -20,6 +20,7 @@
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.control.BoxFollower;
 import org.wingstall.relay.control.CrashReportFollower;
+import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.OneReaderPerDomain;
 import org.wingstall.relay.control.RelayConfigFollower;
@@ -67,6 +68,7 @@
      * @param client carries the calls to the store
      * @param clock monotonic clock
      * @param state takes the configuration
+     * @param evacuations takes the operators' evacuations
      * @param endpoints takes the list
      * @param mesh links to the other boxes
      * @param endpointsChanged told when the list differs
@@ -79,6 +81,7 @@
             HttpClient client,
             MonotonicClock clock,
             RelayState state,
+            EvacuationState evacuations,
             RelayEndpoints endpoints,
             PeerMesh mesh,
             Runnable endpointsChanged,
@@ -92,8 +95,8 @@
                 control,
                 Addresses.parse(settings.getStoreAddress()),
                 () -> state.config().known() && endpoints.known() ? ANSWER_MS : FIRST_ANSWER_MS);
-        this.configFollower =
-                new RelayConfigFollower(control, new PlatformConfigSource(store, this::configWaitMs), state);
+        this.configFollower = new RelayConfigFollower(
+                control, new PlatformConfigSource(store, this::configWaitMs), state, evacuations);
         this.listFollower = new ListFollower(
                 control,
                 new PlatformEndpointSource(store),
--- a/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/control/MemberFollowerTest.java
@@ -38,7 +38,7 @@
     private List<List<Member>> told;
 
     private static Member member(String id) {
-        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, 1, 0);
+        return new Member(id, Member.Kind.ENDPOINT, "d", "127.0.0.1:1", "s", "c", Member.State.LIVE, 1, 0, 0);
     }
 
     /** Answers each read with the next result; the last one stays. */
--- a/it/src/test/java/org/wingstall/it/harness/TestFleet.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestFleet.java
@@ -193,6 +193,7 @@
                         null,
                         Member.State.LIVE,
                         1,
+                        0,
                         0));
     }
 
@@ -212,6 +213,7 @@
                         "plain",
                         state,
                         incarnation,
+                        0,
                         0));
     }
 
--- a/it/src/test/java/org/wingstall/it/relay/RelayEvacuationTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayEvacuationTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertNotNull;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -20,28 +22,38 @@
     /** Time within which an evacuation has to be obeyed. */
     private static final Duration BOUND = Duration.ofSeconds(5);
 
+    /** Time of a call for pieces, in ms. */
+    private static final long CALL_MS = 20;
+
     private FleetStandin fleet;
     private RelayBox box;
-    private WorkerStandin east;
-    private WorkerStandin west;
+    private final List<WorkerStandin> east = new ArrayList<>();
+    private final List<WorkerStandin> west = new ArrayList<>();
 
     @BeforeMethod
     public void start() throws Exception {
         fleet = new FleetStandin();
-        east = new WorkerStandin("e1", 0, 20);
-        west = new WorkerStandin("w1", 0, 20);
+        east.clear();
+        west.clear();
         fleet.configure(1, 1000);
         box = new RelayBox(fleet, "evacuates");
     }
 
     private void serve(String... services) throws Exception {
         for (String service : services) {
-            fleet.add(service, "east", "e1", east);
-            fleet.add(service, "west", "w1", west);
+            east.add(add(service, "east"));
+            west.add(add(service, "west"));
         }
         box.awaitReady();
     }
 
+    private WorkerStandin add(String service, String failureDomain) throws Exception {
+        String id = service + "-" + failureDomain;
+        WorkerStandin worker = new WorkerStandin(id, 0, CALL_MS);
+        fleet.add(service, failureDomain, id, worker);
+        return worker;
+    }
+
     @AfterMethod(alwaysRun = true)
     public void stop() {
         box.close();
@@ -62,8 +74,10 @@
                 .orElse(0);
     }
 
-    private int worked(WorkerStandin worker) {
-        return worker.runs().size() + worker.batches().size();
+    private static int worked(List<WorkerStandin> workers) {
+        return workers.stream()
+                .mapToInt(worker -> worker.runs().size() + worker.batches().size())
+                .sum();
     }
 
     /** Routes of each kind, and what their requests need besides a plain service. */
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -287,7 +287,9 @@
                 summaries,
                 own.isTableUnheard(),
                 own.getListTag(),
-                own.getListVersion());
+                own.getListVersion(),
+                own.getEvacuatedAsOf(),
+                own.getEvacuated());
     }
 
     private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -47,7 +47,9 @@
             List.of(new DomainSummary("kgn-b", 2, 21, 900, DEMAND)),
             true,
             Integer.MIN_VALUE,
-            0);
+            0,
+            LARGE,
+            List.of("kgn-a", "spt-c"));
 
     private static final StageWork STAGE_WORK = new StageWork(
             "pay-ledger",
@@ -61,10 +63,10 @@
     @DataProvider
     public Object[][] frames() {
         Member member = new Member(
-                "e1", Member.Kind.ENDPOINT, "kgn-a", "10.1.0.1:80", "llm", null, Member.State.LEAVING, LARGE, 64);
+                "e1", Member.Kind.ENDPOINT, "kgn-a", "10.1.0.1:80", "llm", null, Member.State.LEAVING, LARGE, 64, 2900);
         return new Object[][] {
             {"hello", frame(1, 0, new Hello("kgn-a-1", "kgn-a", "10.1.0.1:7741", LARGE, 36))},
-            {"heartbeat", frame(2, 0, new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE))},
+            {"heartbeat", frame(2, 0, new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE, 0, null))},
             {"whole heartbeat", frame(2, 0, WHOLE_HEARTBEAT)},
             {"configRequest", frame(3, 9, new ConfigRequest(12))},
             {"configReply", frame(4, 9, new ConfigReply(7, true, List.of(), List.of(member), "tag"))},
--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -1,16 +1,15 @@
 package org.wingstall.relay.control;
 
 import io.netty.channel.EventLoop;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.wingstall.relay.config.RelayConfig;
 import org.wingstall.relay.wire.ConfigSource;
+import org.wingstall.relay.wire.OperatorNews;
 
 /**
- * Follows the configuration; keeps what it has while its source does not answer. Runs on the control loop.
+ * Follows the configuration and the operators' evacuations; keeps what it has while its source does not answer. Runs on the control loop.
  *
- * <p>{@code new RelayConfigFollower(loop, config, state).start();}
+ * <p>{@code new RelayConfigFollower(loop, config, state, evacuations).start();}
  *
  * @since 0.2
  */
@@ -18,6 +17,7 @@
     private final EventLoop loop;
     private final ConfigSource config;
     private final RelayState state;
+    private final EvacuationState evacuations;
     private final SourceHealth health = new SourceHealth("config");
     private boolean readWhole = true;
     private boolean hurrying;
@@ -28,8 +28,10 @@
      * @param loop the control loop
      * @param config where the configuration comes from
      * @param state takes the configuration
+     * @param evacuations takes the evacuations
      */
-    public RelayConfigFollower(EventLoop loop, ConfigSource config, RelayState state) {
+    public RelayConfigFollower(EventLoop loop, ConfigSource config, RelayState state, EvacuationState evacuations) {
+        this.evacuations = evacuations;
         this.loop = loop;
         this.config = config;
         this.state = state;
@@ -42,10 +44,10 @@
 
     private void followConfig() {
         next().whenCompleteAsync(
-                        (newest, failure) -> {
+                        (news, failure) -> {
                             if (failure == null) {
                                 readWhole = false;
-                                newest.ifPresent(version -> state.offer(version, "store"));
+                                take(news, "store");
                             } else {
                                 readWhole = true;
                             }
@@ -56,8 +58,13 @@
                         loop);
     }
 
+    private void take(OperatorNews news, String from) {
+        news.config().ifPresent(version -> state.offer(version, from));
+        evacuations.offer(news.evacuations(), from);
+    }
+
     /** A whole read that found no configuration is followed by a wait: the first version comes as a change, too. */
-    private CompletableFuture<Optional<RelayConfig>> next() {
+    private CompletableFuture<OperatorNews> next() {
         boolean first = readWhole && !state.config().known();
         return first ? FirstAnswer.of(loop, () -> config.next(true)) : config.next(readWhole);
     }
@@ -79,9 +86,9 @@
         hurrying = true;
         config.next(true)
                 .whenCompleteAsync(
-                        (newest, failure) -> {
+                        (news, failure) -> {
                             if (failure == null) {
-                                newest.ifPresent(found -> state.offer(found, "store, after a peer"));
+                                take(news, "store, after a peer");
                             }
                             health.ended(failure);
                             hurryAgainAfter(failure == null ? 0 : repeatMs());
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeers.java
@@ -1,22 +1,25 @@
 package org.wingstall.relay.control;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.wingstall.peer.PeerHost;
+import org.wingstall.relay.config.Evacuations;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.MemberNews;
 
 /**
- * Lends a box's state to its links with others: the version in force, what it read of the list, and whether it stops.
+ * Lends a box's state to its links with others: the version and the evacuations in force, what it read of the list, and whether it stops.
  *
- * <p>{@code new PeerMesh(options, new RelayPeers(state, stopping, follower::newerHeard, () -> list), loop, clock)}
+ * <p>{@code new PeerMesh(options, new RelayPeers(state, evacuations, stopping, follower::newerHeard, () -> list), loop, clock)}
  *
  * @since 0.2
  */
 public final class RelayPeers implements PeerHost {
     private final RelayState state;
+    private final EvacuationState evacuations;
     private final BooleanSupplier stopping;
     private final LongConsumer newerHeard;
     private final Supplier<ListFollower> list;
@@ -25,13 +28,19 @@
      * Creates the host.
      *
      * @param state the configuration in force
+     * @param evacuations the evacuations in force
      * @param stopping whether a planned stop has begun
      * @param newerHeard told of versions of the configuration that peers have and this box has not
      * @param list how this box follows the list of endpoints
      */
     public RelayPeers(
-            RelayState state, BooleanSupplier stopping, LongConsumer newerHeard, Supplier<ListFollower> list) {
+            RelayState state,
+            EvacuationState evacuations,
+            BooleanSupplier stopping,
+            LongConsumer newerHeard,
+            Supplier<ListFollower> list) {
         this.state = state;
+        this.evacuations = evacuations;
         this.stopping = stopping;
         this.newerHeard = newerHeard;
         this.list = list;
@@ -45,6 +54,8 @@
     @Override
     public Heartbeat heartbeat() {
         ListFollower follower = list.get();
+        Evacuations evacuated = evacuations.current();
+        Set<String> domains = evacuated.failureDomains();
         return new Heartbeat(
                 revision(),
                 stopping.getAsBoolean(),
@@ -53,7 +64,9 @@
                 List.of(),
                 follower.unanswered(),
                 follower.tagReadLately(),
-                follower.listVersion());
+                follower.listVersion(),
+                evacuated.asOfVersion(),
+                domains.isEmpty() ? null : List.copyOf(domains));
     }
 
     @Override
@@ -61,6 +74,8 @@
         if (heartbeat.getRevision() > revision()) {
             newerHeard.accept(heartbeat.getRevision());
         }
+        List<String> evacuated = heartbeat.getEvacuated() == null ? List.of() : heartbeat.getEvacuated();
+        evacuations.offer(new Evacuations(heartbeat.getEvacuatedAsOf(), Set.copyOf(evacuated)), "peer");
         list.get().peerHas(heartbeat.getListTag(), heartbeat.getListVersion());
         return false;
     }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -40,6 +40,7 @@
     private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
     private volatile Map<String, RelayEndpoint> byId = Map.of();
     private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
+    private Set<String> evacuated = Set.of();
     private volatile Map<InetSocketAddress, String> domainsByAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
     private volatile Consumer<RelayEndpoint> silenceListener = endpoint -> {};
@@ -78,7 +79,17 @@
         return known() ? clock.nowMs() - readAtMs : -1;
     }
 
-    /** Returns the endpoints of a service; an immutable list. */
+    /**
+     * Keeps new work from the endpoints of some failure domains; those of all others get it.
+     *
+     * @param failureDomains the evacuated failure domains
+     */
+    public synchronized void evacuate(Set<String> failureDomains) {
+        evacuated = Set.copyOf(failureDomains);
+        publish(byId);
+    }
+
+    /** Returns the endpoints of a service that are not in an evacuated failure domain; an immutable list. */
     public List<RelayEndpoint> ofService(String service) {
         return byService.getOrDefault(service, List.of());
     }
@@ -219,6 +230,9 @@
     private void publish(Map<String, RelayEndpoint> next) {
         Map<String, List<RelayEndpoint>> services = new HashMap<>();
         for (RelayEndpoint endpoint : next.values()) {
+            if (evacuated.contains(endpoint.identity().failureDomain())) {
+                continue;
+            }
             services.computeIfAbsent(endpoint.identity().service(), service -> new ArrayList<>())
                     .add(endpoint);
         }
--- a/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
@@ -63,7 +63,7 @@
 
     private static Member entry(String id, boolean leaving) {
         Member.State state = leaving ? Member.State.LEAVING : Member.State.LIVE;
-        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4);
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4, 0);
     }
 
     private static MemberSnapshot list(Member... members) {
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -14,11 +14,14 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.config.Evacuations;
 import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.wire.OperatorNews;
 import org.wingstall.relay.wire.SourceException;
 
 public class RelayConfigFollowerTest {
     private RelayState state;
+    private final EvacuationState evacuations = new EvacuationState(domains -> {});
     private final AtomicInteger wholeReads = new AtomicInteger();
     private EventLoop loop;
     private volatile long stored;
@@ -32,7 +35,7 @@
         state = new RelayState();
         stored = 1;
         away = false;
-        follower = new RelayConfigFollower(loop, this::read, state);
+        follower = new RelayConfigFollower(loop, this::read, state, evacuations);
         follower.start();
         settle();
         assertEquals(state.config().version(), 1);
@@ -43,18 +46,22 @@
         loop.shutdownGracefully();
     }
 
-    private CompletableFuture<Optional<RelayConfig>> read(boolean whole) {
+    private CompletableFuture<OperatorNews> read(boolean whole) {
         if (!whole) {
             return new CompletableFuture<>();
         }
         wholeReads.incrementAndGet();
         if (stored == 0) {
-            return CompletableFuture.completedFuture(Optional.empty());
+            return CompletableFuture.completedFuture(news(Optional.empty()));
         }
         if (away) {
             return CompletableFuture.failedFuture(new SourceException(SourceException.Kind.REFUSED, "away"));
         }
-        return CompletableFuture.completedFuture(Optional.of(config(stored)));
+        return CompletableFuture.completedFuture(news(Optional.of(config(stored))));
+    }
+
+    private static OperatorNews news(Optional<RelayConfig> config) {
+        return new OperatorNews(config, Evacuations.UNKNOWN);
     }
 
     private static RelayConfig config(long version) {
@@ -117,7 +124,7 @@
     public void aStoreWithoutConfigurationIsReadOnceAndThenWaitedFor() throws Exception {
         stored = 0;
         wholeReads.set(0);
-        new RelayConfigFollower(loop, this::read, new RelayState()).start();
+        new RelayConfigFollower(loop, this::read, new RelayState(), evacuations).start();
         settle();
         assertEquals(wholeReads.get(), 1);
     }
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayPeersTest.java
@@ -0,0 +1,86 @@
+package org.wingstall.relay.control;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.relay.config.Evacuations;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.schema.peer.MemberNews;
+
+/** What one box knows of the operators' evacuations, those that it is linked to know as well, whether the store answers them or not. */
+public class RelayPeersTest {
+    private static final MonotonicClock CLOCK = System::nanoTime;
+
+    private EventLoop loop;
+
+    /** A box whose store never answers, and its end of a link. */
+    private static final class Box {
+        private final EvacuationState evacuations = new EvacuationState(domains -> {});
+        private final RelayPeers peers;
+
+        Box(EventLoop loop) {
+            ListFollower list = new ListFollower(
+                    loop,
+                    CompletableFuture::new,
+                    new RelayEndpoints(CLOCK),
+                    () -> true,
+                    CLOCK,
+                    1000,
+                    new ListFollower.ChangeListener() {
+                        @Override
+                        public void changed() {}
+
+                        @Override
+                        public void tell(MemberNews news) {}
+                    });
+            peers = new RelayPeers(new RelayState(), evacuations, () -> false, version -> {}, () -> list);
+        }
+
+        Set<String> evacuated() {
+            return evacuations.current().failureDomains();
+        }
+    }
+
+    private Box reader;
+    private Box cutOff;
+    private Box behind;
+
+    @BeforeMethod
+    public void create() {
+        loop = new DefaultEventLoop();
+        reader = new Box(loop);
+        cutOff = new Box(loop);
+        behind = new Box(loop);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        loop.shutdownGracefully();
+    }
+
+    @Test
+    public void aBoxThatTheStoreDoesNotAnswerLearnsOfEvacuationsOverLinks() {
+        reader.evacuations.offer(new Evacuations(7, Set.of("east")), "store");
+        cutOff.peers.heard(reader.peers.heartbeat());
+        behind.peers.heard(cutOff.peers.heartbeat());
+        assertEquals(behind.evacuated(), Set.of("east"));
+        reader.evacuations.offer(new Evacuations(9, Set.of()), "store");
+        behind.peers.heard(reader.peers.heartbeat());
+        assertEquals(behind.evacuated(), Set.of());
+    }
+
+    /** A box that has just started knows nothing, which says nothing of evacuations. */
+    @Test
+    public void aBoxThatKnowsNothingEndsNoEvacuation() {
+        reader.evacuations.offer(new Evacuations(7, Set.of("east")), "store");
+        reader.peers.heard(behind.peers.heartbeat());
+        assertEquals(reader.evacuated(), Set.of("east"));
+    }
+}
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -28,7 +29,7 @@
 
     private static Member entry(String id, boolean leaving) {
         Member.State state = leaving ? Member.State.LEAVING : Member.State.LIVE;
-        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4);
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, 1, 4, 0);
     }
 
     private void list(String... ids) {
@@ -171,7 +172,7 @@
 
     private void listIncarnation(long incarnation, Member.State state) {
         endpoints.applyList(List.of(
-                new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, incarnation, 4)));
+                new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, incarnation, 4, 0)));
     }
 
     @Test
@@ -179,8 +180,8 @@
         listIncarnation(1, Member.State.LEAVING);
         RelayEndpoint before = endpoints.find("a").orElseThrow();
         before.state().tryAcquire(1);
-        boolean changed = endpoints.applyList(List.of(
-                new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", Member.State.LIVE, 2, 4)));
+        boolean changed = endpoints.applyList(List.of(new Member(
+                "a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", Member.State.LIVE, 2, 4, 0)));
         RelayEndpoint after = endpoints.find("a").orElseThrow();
         assertTrue(changed);
         assertTrue(after.usable());
@@ -204,4 +205,26 @@
         listIncarnation(2, Member.State.LIVE);
         assertEquals(usable(), List.of("a"));
     }
+
+    private List<String> usableAfter(Set<String> evacuated) {
+        endpoints.evacuate(evacuated);
+        return usable();
+    }
+
+    @Test
+    public void anEvacuatedFailureDomainGetsNoWorkUntilItIsTakenBack() {
+        list("a", "b");
+        assertEquals(usableAfter(Set.of("east")), List.of());
+        assertEquals(usableAfter(Set.of("nowhere")), List.of("a", "b"));
+    }
+
+    /** The list is read again and again meanwhile, and the endpoints are still in it. */
+    @Test
+    public void aListThatIsReadDuringAnEvacuationDoesNotEndIt() {
+        list("a");
+        endpoints.evacuate(Set.of("east"));
+        list("a", "b");
+        assertEquals(usable(), List.of());
+        assertEquals(usableAfter(Set.of()), List.of("a", "b"));
+    }
 }
--- a/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
@@ -65,7 +65,7 @@
     private static Member entry(String id) {
         String domain = id.substring(0, id.indexOf('-'));
         String service = id.endsWith("plain") ? "plain" : "pool";
-        return new Member(id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", service, "v1", Member.State.LIVE, 1, 4);
+        return new Member(id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", service, "v1", Member.State.LIVE, 1, 4, 0);
     }
 
     private List<String> usable() {
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -70,7 +70,7 @@
     }
 
     private static Member engine(String id) {
-        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64);
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64, 0);
     }
 
     @Override
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineLedgerTest.java
@@ -42,7 +42,7 @@
     private static Member engine(String id, long incarnation) {
         String domain = id.equals("d") ? "west" : "east";
         return new Member(
-                id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", "llm", "v1", Member.State.LIVE, incarnation, 64);
+                id, Member.Kind.ENDPOINT, domain, "127.0.0.1:9", "llm", "v1", Member.State.LIVE, incarnation, 64, 0);
     }
 
     private Prompt prompt(String shared, int sharedTokens, int ownTokens) {
