--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -24,6 +24,9 @@
     /** Key of the workspace {@code canteen}. */
     public static final String KEY = "key-of-canteen";
 
+    /** Requests a second that a cold endpoint of the services {@code warming} and {@code warming-plain} bears. */
+    public static final int COLD_PER_SECOND = 8;
+
     private static final String POOL = "{\"slots\":1,\"queue\":2,\"batch\":8,\"call_ms\":50,\"item_ms\":2,"
             + "\"headroom_mb\":30,\"kv_handle_s\":4,\"link_mbps\":10000}";
 
@@ -32,6 +35,10 @@
 
     private static final String SERVICES = "{\"name\":\"engine\",\"max_conns\":370,\"engine\":{\"slots\":64}},"
             + "{\"name\":\"plain\",\"max_conns\":110},"
+            + "{\"name\":\"warming\",\"max_conns\":370,\"cold_start_s\":3,\"cold_per_s\":" + COLD_PER_SECOND
+            + ",\"engine\":{\"slots\":64}},"
+            + "{\"name\":\"warming-plain\",\"max_conns\":110,\"cold_start_s\":3,\"cold_per_s\":" + COLD_PER_SECOND
+            + "},"
             + "{\"name\":\"fragile\",\"max_conns\":110},"
             + "{\"name\":\"first\",\"max_conns\":370,\"pieces\":" + POOL + "},"
             + "{\"name\":\"second\",\"max_conns\":370,\"pieces\":" + POOL + "}";
@@ -127,9 +134,15 @@
 
     /** Writes an endpoint's entry. */
     public void list(String service, String failureDomain, String incarnation, String address, String state) {
+        list(service, failureDomain, incarnation, address, state, 0);
+    }
+
+    /** Writes the entry of an endpoint that stays cold for so many ms. */
+    public void list(
+            String service, String failureDomain, String incarnation, String address, String state, long coldMs) {
         String entry = "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":4,"
-                + "\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":1}";
-        store.put("servers", incarnation, entry.formatted(service, address, failureDomain, state));
+                + "\"state\":\"%s\",\"cold_left_ms\":%d,\"sequence\":1}";
+        store.put("servers", incarnation, entry.formatted(service, address, failureDomain, state, coldMs));
     }
 
     /**
@@ -175,6 +188,8 @@
                 route("stream", "streaming", "engine", 1, 8000, false, ""),
                 route("resumable", "streaming", "engine", 2, 8000, true, ""),
                 route("staged", "streaming", "engine", 2, 8000, true, STAGES),
+                route("warming", "streaming", "warming", 2, timeoutMs, true, ""),
+                route("warming-plain", "idempotent", "warming-plain", 2, timeoutMs, false, ""),
                 route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
                 route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""),
                 route("fragile", "idempotent", "fragile", 2, timeoutMs, false, ""),
