--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -35,7 +35,9 @@
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.EndpointReports;
+import org.wingstall.relay.endpoint.FixedColdShares;
 import org.wingstall.relay.endpoint.LeastLoaded;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SilenceWatch;
@@ -121,6 +123,7 @@
     private final ServiceBudgets budgets;
     private final PeerMesh mesh;
     private final StagePools pools;
+    private final ColdLimits cold;
     private final SilenceWatch silence;
     private final CrashReports crashes;
     private final EngineBroker engines;
@@ -158,6 +161,12 @@
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
+        this.cold = new ColdLimits(
+                clock,
+                service -> state.config().service(service).flatMap(ServiceSpec::cold),
+                () -> new ColdLimits.Bounds(this.settings.getColdOverrun(), this.settings.getColdTolerance()),
+                new FleetSight(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
+                new FixedColdShares());
         EndpointReports reports = new EndpointReports(loop, client, wire);
         this.pools = new StagePools(
                 new PoolParts(
@@ -167,6 +176,7 @@
                         wire,
                         reports,
                         endpoints,
+                        cold,
                         state::config,
                         budgets,
                         crashes.quarantine(),
@@ -186,6 +196,7 @@
                 gathering,
                 endpoints,
                 service -> state.config().service(service).flatMap(ServiceSpec::engine),
+                cold,
                 engine -> silence.doubt(engine, () -> {}),
                 metrics);
         mesh.attach(engines);
@@ -217,6 +228,7 @@
                 endpoints,
                 pools,
                 engines,
+                cold,
                 silence::doubt,
                 new LeastLoaded(settings.getFailureDomain(), random),
                 budgets,
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -133,6 +133,11 @@
         crashReports.start();
     }
 
+    /** Returns whether this box has had time to learn of all others. */
+    boolean boxesSettled() {
+        return boxes.settled();
+    }
+
     /** Keeps a report of a request that crashes endpoints. */
     void keep(CrashReport report) {
         crashReports.keep(report);
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -194,6 +195,13 @@
         return domains.fresh();
     }
 
+    /** Returns the boxes that are known, this one included; on the mesh's event loop. */
+    public List<LinkPlan.Box> boxes() {
+        List<LinkPlan.Box> boxes = new ArrayList<>(directory.all());
+        boxes.add(self);
+        return boxes;
+    }
+
     /** Returns the entry boxes in the fleet, this one included. */
     public int knownBoxes() {
         return knownBoxes;
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -91,7 +91,7 @@
                                 LARGE,
                                 900))
             },
-            {"engineChoice", frame(13, 5, new EngineChoice("e1", 65, 0, 250, null))},
+            {"engineChoice", frame(13, 5, new EngineChoice("e1", 65, 0, 250, null, 350))},
             {"stageTaken", frame(15, 8, true)},
             {"crashNews", frame(16, 0, CRASH_NEWS)},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/config/ColdSpec.java
@@ -0,0 +1,12 @@
+package org.wingstall.relay.config;
+
+/**
+ * What an endpoint of a service bears while it is cold.
+ *
+ * <p>{@code new ColdSpec(3000, 9.1)}
+ *
+ * @param startMs time for which an endpoint is cold after its start, in ms
+ * @param perSecond requests a second that it takes meanwhile, from all boxes together
+ * @since 0.8
+ */
+public record ColdSpec(long startMs, double perSecond) {}
--- a/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
@@ -34,7 +34,7 @@
     private final BoxDirectory.Box self;
     private final Consumer<List<BoxDirectory.Box>> listener;
     private boolean announced;
-    private int reads;
+    private volatile int reads;
 
     /**
      * Creates a follower.
@@ -57,6 +57,11 @@
         loop.execute(this::turn);
     }
 
+    /** Returns whether boxes that started together with this one have been read; on any thread. */
+    public boolean settled() {
+        return reads >= FIRST_READS;
+    }
+
     private void turn() {
         CompletableFuture<Void> done = announced ? CompletableFuture.completedFuture(null) : directory.announce(self);
         done.thenCompose(written -> {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -8,6 +8,7 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.TransportException;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.config.ColdSpec;
 
 /**
  * An endpoint: what the list says it can do, and what this box has seen of it. Safe for use on any thread.
@@ -24,8 +25,20 @@
     private final MonotonicClock clock;
     private final Consumer<RelayEndpoint> onSilence;
     private final Backoff backoff = new Backoff();
+    private volatile long startedAtMs;
+    private volatile Warmth warmth = new Warmth(0, Long.MIN_VALUE);
 
-    RelayEndpoint(EndpointState state, int slots, MonotonicClock clock, Consumer<RelayEndpoint> onSilence) {
+    /** What the endpoint last said of how long it stays cold, and until when that is. */
+    private record Warmth(long saidMs, long coldUntilMs) {}
+
+    /**
+     * Creates an endpoint.
+     *
+     * @param startedAtMs when it was seen to start, in ms of the clock; long ago for one that was there before
+     */
+    RelayEndpoint(
+            EndpointState state, int slots, MonotonicClock clock, Consumer<RelayEndpoint> onSilence, long startedAtMs) {
+        this.startedAtMs = startedAtMs;
         this.onSilence = onSilence;
         this.state = state;
         this.slots = slots;
@@ -62,6 +75,24 @@
         return !state.leaving() && backoff.open(clock.nowMs());
     }
 
+    /** Takes note that it may have started anew out of sight, so that it counts as if it had just started. */
+    void mayHaveStarted() {
+        startedAtMs = clock.nowMs();
+    }
+
+    /** Takes note of the time for which its entry says that it stays cold; an entry that is read again says nothing new. */
+    void saysCold(long coldMs) {
+        if (coldMs != warmth.saidMs()) {
+            warmth = new Warmth(coldMs, clock.nowMs() + coldMs);
+        }
+    }
+
+    /** Returns whether it is cold, by its own word or since it started a short while ago. */
+    public boolean cold(ColdSpec spec) {
+        long nowMs = clock.nowMs();
+        return nowMs < warmth.coldUntilMs() || nowMs - startedAtMs < spec.startMs();
+    }
+
     /** Takes note of a call that was answered. */
     public void answered(double runMs) {
         backoff.answered();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -36,6 +36,8 @@
     /** Time after an outage within which lapsed entries come back, in ms; the platform's own figure is about two seconds. */
     private static final long RETURN_MS = 2300;
 
+    private static final long LONG_AGO_MS = Long.MIN_VALUE / 2;
+
     private final MonotonicClock clock;
     private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
     private volatile Map<String, RelayEndpoint> byId = Map.of();
@@ -85,6 +87,11 @@
      * @param failureDomains the evacuated failure domains
      */
     public synchronized void evacuate(Set<String> failureDomains) {
+        // While its domain was evacuated an endpoint may have turned cold, and nobody was told.
+        byId.values().stream()
+                .filter(endpoint -> evacuated.contains(endpoint.identity().failureDomain()))
+                .filter(endpoint -> !failureDomains.contains(endpoint.identity().failureDomain()))
+                .forEach(RelayEndpoint::mayHaveStarted);
         evacuated = Set.copyOf(failureDomains);
         publish(byId);
     }
@@ -210,7 +217,8 @@
         }
         boolean same = before != null && before.identity().equals(identity);
         EndpointState state = same ? before.state() : new EndpointState(identity, clock);
-        RelayEndpoint endpoint = same ? before : new RelayEndpoint(state, member.getSlots(), clock, this::silent);
+        RelayEndpoint endpoint = same ? before : newEndpoint(state, member);
+        endpoint.saysCold(member.getColdMs());
         if (member.getState() == Member.State.LEAVING) {
             markLeaving(endpoint, "list");
         }
@@ -227,6 +235,12 @@
         return endpoint;
     }
 
+    /** Endpoints of the first list were there before, and their entries tell whether they are cold. */
+    private RelayEndpoint newEndpoint(EndpointState state, Member member) {
+        long startedAtMs = known() ? clock.nowMs() : LONG_AGO_MS;
+        return new RelayEndpoint(state, member.getSlots(), clock, this::silent, startedAtMs);
+    }
+
     private void publish(Map<String, RelayEndpoint> next) {
         Map<String, List<RelayEndpoint>> services = new HashMap<>();
         for (RelayEndpoint endpoint : next.values()) {
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -17,6 +17,7 @@
 import org.wingstall.peer.EngineHost;
 import org.wingstall.peer.EngineLinks;
 import org.wingstall.relay.config.EngineSpec;
+import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
@@ -30,7 +31,7 @@
  * requests crowd some engines and leave others idle. Without word from that box this one chooses by what it knows itself. What
  * the chooser knows is a hint; a request is sent, and never twice, by its own box. Confined to the request loop.
  *
- * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, inputs, 900), ticket -> send(ticket));}
+ * <p>{@code broker.choose(new Question("wingstall-llm", candidates, prompt, inputs, 900), receiver);}
  *
  * @since 0.4
  */
@@ -47,6 +48,7 @@
     private final Function<String, Optional<EngineSpec>> specs;
     private final RelayMetrics metrics;
     private final EngineLedger ledger;
+    private final ColdLimits cold;
     private final SilenceReports silences;
     private final Map<String, FirstAnswerTimes> firstAnswers = new HashMap<>();
     private final Map<Long, Pending> pending = new HashMap<>();
@@ -65,8 +67,16 @@
             String service, List<RelayEndpoint> candidates, Prompt prompt, EngineInputs inputs, long targetMs) {}
 
     /** A question that another box was asked, and who waits for the choice. */
-    private record Pending(
-            Question question, String chooser, Consumer<EngineTicket> chosen, ScheduledFuture<?> timeout) {}
+    private record Pending(Question question, String chooser, Receiver receiver, ScheduledFuture<?> timeout) {}
+
+    /** Takes the choice of an engine, once. */
+    public interface Receiver {
+        /** An engine was chosen. */
+        void chosen(EngineTicket ticket);
+
+        /** All engines that could take the prompt are cold and have got what they bear; one may take it after so many ms. */
+        void noneNow(long againMs);
+    }
 
     /**
      * Creates a broker.
@@ -77,6 +87,7 @@
      * @param choosers says which box chooses for a service
      * @param endpoints endpoints of all services
      * @param specs what the engines of a service can do, where the configuration says so
+     * @param cold bounds what cold engines are given
      * @param doubted takes an engine that another box could not reach, to ask it
      * @param metrics counts choices
      */
@@ -87,6 +98,7 @@
             PieceGathering choosers,
             RelayEndpoints endpoints,
             Function<String, Optional<EngineSpec>> specs,
+            ColdLimits cold,
             Consumer<RelayEndpoint> doubted,
             RelayMetrics metrics) {
         this.loop = loop;
@@ -95,6 +107,7 @@
         this.choosers = choosers;
         this.endpoints = endpoints;
         this.specs = specs;
+        this.cold = cold;
         this.doubted = doubted;
         this.metrics = metrics;
         this.ledger = new EngineLedger(clock);
@@ -105,12 +118,14 @@
      * Has an engine chosen.
      *
      * @param question what is wanted
-     * @param chosen takes the choice, now or soon, once
+     * @param receiver takes the choice, now or soon
      */
-    public void choose(Question question, Consumer<EngineTicket> chosen) {
+    public void choose(Question question, Receiver receiver) {
         String chooser = choosers.gathererOf(question.service());
-        if (chooser == null || !ask(chooser, question, chosen)) {
-            chooseHere("this-box", question, chosen);
+        if (chooser == null) {
+            chooseHere("this-box", question, receiver, true);
+        } else if (!ask(chooser, question, receiver)) {
+            chooseHere("this-box", question, receiver, false);
         }
     }
 
@@ -123,8 +138,9 @@
         return firstAnswers.computeIfAbsent(service, name -> new FirstAnswerTimes());
     }
 
+    /** A cold engine is slow for a reason that passes, so nothing is learned from it. */
     private void learn(EngineTicket ticket, long firstAnswerMs) {
-        if (firstAnswerMs >= 0) {
+        if (firstAnswerMs >= 0 && !cold.cold(ticket.endpoint())) {
             firstAnswersOf(ticket.endpoint().identity().service()).observed(ticket.ownTokens(), firstAnswerMs);
         }
     }
@@ -139,25 +155,33 @@
                 .orElse("");
     }
 
-    private void chooseHere(String why, Question question, Consumer<EngineTicket> chosen) {
+    private void chooseHere(String why, Question question, Receiver receiver, boolean forAll) {
+        List<RelayEndpoint> open = cold.open(question.candidates(), forAll);
+        if (open.isEmpty()) {
+            metrics.engineChosen("none-but-cold");
+            receiver.noneNow(cold.againMs(question.candidates(), forAll));
+            return;
+        }
         metrics.engineChosen(why);
-        EngineLedger.Choice choice = ledger.choose(new EngineLedger.Wanted(
-                question.candidates(),
-                question.prompt(),
-                question.inputs(),
-                question.targetMs(),
-                specs.apply(question.service())));
+        EngineLedger.Choice choice = give(new EngineLedger.Wanted(
+                open, question.prompt(), question.inputs(), question.targetMs(), specs.apply(question.service())));
         int ownTokens = question.prompt().ownTokens();
-        chosen.accept(new EngineTicket(choice, null, ownTokens, clock, this::endedHere));
+        receiver.chosen(new EngineTicket(choice, null, ownTokens, clock, this::endedHere));
     }
 
-    private boolean ask(String chooser, Question question, Consumer<EngineTicket> chosen) {
+    private EngineLedger.Choice give(EngineLedger.Wanted wanted) {
+        EngineLedger.Choice choice = ledger.choose(wanted);
+        cold.sent(choice.endpoint());
+        return choice;
+    }
+
+    private boolean ask(String chooser, Question question, Receiver receiver) {
         long correlation = nextCorrelation++;
         if (!links.ask(chooser, correlation, encode(question))) {
             return false;
         }
         ScheduledFuture<?> timeout = loop.schedule(() -> late(correlation), ASK_MS, TimeUnit.MILLISECONDS);
-        pending.put(correlation, new Pending(question, chooser, chosen, timeout));
+        pending.put(correlation, new Pending(question, chooser, receiver, timeout));
         return true;
     }
 
@@ -183,7 +207,7 @@
     private void late(long correlation) {
         Pending waiting = pending.remove(correlation);
         if (waiting != null) {
-            chooseHere("late", waiting.question(), waiting.chosen());
+            chooseHere("late", waiting.question(), waiting.receiver(), false);
         }
     }
 
@@ -193,8 +217,10 @@
                 .filter(RelayEndpoint::usable)
                 .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
                 .toList();
-        if (candidates.isEmpty()) {
-            links.tellChoice(boxId, correlation, new EngineChoice("", 0, 0, 0, null));
+        List<RelayEndpoint> open = cold.open(candidates, true);
+        if (open.isEmpty()) {
+            long againMs = candidates.isEmpty() ? 0 : Math.max(1, cold.againMs(candidates, true));
+            links.tellChoice(boxId, correlation, new EngineChoice("", 0, 0, 0, null, againMs));
             return;
         }
         Prompt prompt = new Prompt(ask.getShared(), ask.getDigests(), ask.getTokens());
@@ -202,8 +228,8 @@
         links.tellChoice(
                 boxId,
                 correlation,
-                encode(ledger.choose(new EngineLedger.Wanted(
-                        candidates, prompt, inputs, ask.getTargetMs(), specs.apply(ask.getService())))));
+                encode(give(new EngineLedger.Wanted(
+                        open, prompt, inputs, ask.getTargetMs(), specs.apply(ask.getService())))));
     }
 
     private static EngineChoice encode(EngineLedger.Choice choice) {
@@ -214,7 +240,8 @@
                 (int) expected.firstAnswerMs(),
                 expected.waitMs(),
                 expected.readTokens(),
-                fetchFrom);
+                fetchFrom,
+                0);
     }
 
     @Override
@@ -225,11 +252,16 @@
         }
         pending.remove(correlation);
         waiting.timeout().cancel(false);
+        if (choice.getAgainMs() > 0) {
+            metrics.engineChosen("none-but-cold");
+            waiting.receiver().noneNow(choice.getAgainMs());
+            return;
+        }
         Optional<RelayEndpoint> endpoint = waiting.question().candidates().stream()
                 .filter(candidate -> candidate.id().equals(choice.getEndpoint()))
                 .findFirst();
         if (endpoint.isEmpty()) {
-            chooseHere("chooser-without", waiting.question(), waiting.chosen());
+            chooseHere("chooser-without", waiting.question(), waiting.receiver(), false);
             return;
         }
         metrics.engineChosen("chooser");
@@ -238,7 +270,7 @@
         InetSocketAddress fetchFrom = choice.getFetchFrom() == null ? null : Addresses.parse(choice.getFetchFrom());
         EngineLedger.Choice made = new EngineLedger.Choice(endpoint.get(), expected, fetchFrom);
         int ownTokens = waiting.question().prompt().ownTokens();
-        waiting.chosen().accept(new EngineTicket(made, boxId, ownTokens, clock, this::endedElsewhere));
+        waiting.receiver().chosen(new EngineTicket(made, boxId, ownTokens, clock, this::endedElsewhere));
     }
 
     private void endedElsewhere(EngineTicket ticket, long firstAnswerMs) {
@@ -256,7 +288,7 @@
 
     private void endedHere(EngineTicket ticket, long firstAnswerMs) {
         learn(ticket, firstAnswerMs);
-        if (firstAnswerMs >= 0) {
+        if (firstAnswerMs >= 0 && !cold.cold(ticket.endpoint())) {
             ledger.answered(ticket.endpoint(), ticket.expectation(), firstAnswerMs);
         }
     }
@@ -268,7 +300,10 @@
             silences.answered(id);
             EngineExpectation expected =
                     new EngineExpectation(outcome.getExpectedMs(), outcome.getWaitMs(), outcome.getReadTokens());
-            endpoints.find(id).ifPresent(engine -> ledger.answered(engine, expected, outcome.getFirstAnswerMs()));
+            endpoints
+                    .find(id)
+                    .filter(engine -> !cold.cold(engine))
+                    .ifPresent(engine -> ledger.answered(engine, expected, outcome.getFirstAnswerMs()));
         } else if (silences.confirms(id, boxId)) {
             endpoints.find(id).ifPresent(endpoint -> endpoint.stalled("two boxes could not reach it"));
         } else {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -54,6 +54,10 @@
         this.expectedMs = pool.callMs(spec, tickets.size());
     }
 
+    RelayEndpoint endpoint() {
+        return endpoint;
+    }
+
     String endpointId() {
         return endpoint.id();
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -205,6 +205,7 @@
 
     private void begin(PoolCall call) {
         underWay.add(call);
+        parts.cold().sent(call.endpoint());
         call.begin();
     }
 
@@ -289,9 +290,10 @@
     }
 
     private List<RelayEndpoint> serving() {
-        return parts.endpoints().ofService(service).stream()
+        List<RelayEndpoint> usable = parts.endpoints().ofService(service).stream()
                 .filter(RelayEndpoint::usable)
                 .toList();
+        return parts.cold().open(usable, true);
     }
 
     /** Takes pieces back whose call ended without a result for them, and offers them again if that is allowed. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -9,6 +9,7 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.EndpointChooser;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -34,6 +35,7 @@
  * @param endpoints the endpoints
  * @param pools pools of the stages
  * @param engines chooses among model engines
+ * @param cold bounds what cold endpoints are given
  * @param doubts takes an engine whose answer is overdue, and what to do when it turns out silent
  * @param services chooses among other endpoints
  * @param budgets retry budgets
@@ -54,6 +56,7 @@
         RelayEndpoints endpoints,
         StagePools pools,
         EngineBroker engines,
+        ColdLimits cold,
         BiConsumer<RelayEndpoint, Runnable> doubts,
         EndpointChooser services,
         ServiceBudgets budgets,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -190,9 +190,56 @@
         if (service.readsPrompt()) {
             EngineBroker.Question question = new EngineBroker.Question(
                     service.name(), candidates, service.prompt(), outputPlace(), untilTargetMs());
-            parts.engines().choose(question, chosen -> send(chosen, inputs));
+            parts.engines().choose(question, receiver(inputs));
         } else {
-            send(parts.services().choose(candidates, request), null, inputs);
+            callPlainEndpoint(candidates, inputs);
+        }
+    }
+
+    private EngineBroker.Receiver receiver(List<String> inputs) {
+        return new EngineBroker.Receiver() {
+            @Override
+            public void chosen(EngineTicket ticket) {
+                send(ticket, inputs);
+            }
+
+            @Override
+            public void noneNow(long againMs) {
+                waitForCold(againMs, inputs);
+            }
+        };
+    }
+
+    private void callPlainEndpoint(List<RelayEndpoint> candidates, List<String> inputs) {
+        List<RelayEndpoint> open = parts.cold().open(candidates, false);
+        if (open.isEmpty()) {
+            waitForCold(parts.cold().againMs(candidates, false), inputs);
+            return;
+        }
+        RelayEndpoint chosen = parts.services().choose(open, request);
+        parts.cold().sent(chosen);
+        send(chosen, null, inputs);
+    }
+
+    /** Waits for a cold endpoint while the answer can still be in time; else the caller is told when to come back. */
+    private void waitForCold(long againMs, List<String> inputs) {
+        if (over) {
+            return;
+        }
+        if (againMs < untilTargetMs() - service.answerMs()) {
+            record.attemptEnded("waited", "endpoints are cold for " + againMs + " ms more");
+            parts.loop().schedule(() -> callAgain(inputs), Math.max(1, againMs), TimeUnit.MILLISECONDS);
+        } else {
+            refuse(
+                    mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY,
+                    "endpoints of '" + service.name() + "' are cold and take no more for " + againMs + " ms",
+                    againMs);
+        }
+    }
+
+    private void callAgain(List<String> inputs) {
+        if (!over) {
+            callEndpoint(inputs);
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -114,11 +114,16 @@
                 stagesDueAtMs);
     }
 
+    /** Returns the time that its endpoints usually take until they begin to answer, in ms. */
+    long answerMs() {
+        return readsPrompt() ? parts.engines().firstAnswerMs(name, prompt) : 0;
+    }
+
     /**
      * Returns the time from the end of the stages to the caller's first sight of an answer. With one figure for all, 74 of 552
      * answers were late after stages that ended as late as they might, most by less than their engine took longer.
      */
     private long afterStagesMs() {
-        return TO_CALLER_MS + (readsPrompt() ? parts.engines().firstAnswerMs(name, prompt) : 0);
+        return TO_CALLER_MS + answerMs();
     }
 }
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineBrokerTest.java
@@ -19,6 +19,9 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.peer.EngineLinks;
+import org.wingstall.relay.config.ColdSpec;
+import org.wingstall.relay.endpoint.ColdLimits;
+import org.wingstall.relay.endpoint.FixedColdShares;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
@@ -36,6 +39,8 @@
     private RelayEndpoints endpoints;
     private EngineBroker broker;
     private boolean linked;
+    private Optional<ColdSpec> coldSpec;
+    private final List<Long> notNow = new ArrayList<>();
     private final Map<Long, EngineAsk> asks = new ConcurrentHashMap<>();
     private final List<EngineChoice> choices = new ArrayList<>();
     private final List<EngineOutcome> outcomes = new ArrayList<>();
@@ -53,6 +58,14 @@
         tickets.clear();
         endpoints = new RelayEndpoints(System::nanoTime);
         endpoints.applyList(Stream.of("a", "b").map(EngineBrokerTest::engine).toList());
+        notNow.clear();
+        coldSpec = Optional.empty();
+        ColdLimits cold = new ColdLimits(
+                System::nanoTime,
+                service -> coldSpec,
+                () -> new ColdLimits.Bounds(1, 0),
+                () -> new ColdLimits.Fleet("hub", List.of("hub"), true, true, 1, true),
+                new FixedColdShares());
         broker = new EngineBroker(
                 loop,
                 System::nanoTime,
@@ -60,6 +73,7 @@
                 service -> "hub",
                 endpoints,
                 service -> Optional.empty(),
+                cold,
                 engine -> doubted.add(engine.id()),
                 new RelayMetrics());
     }
@@ -92,13 +106,23 @@
     private void choose() throws Exception {
         loop.submit(() -> broker.choose(
                         new EngineBroker.Question("llm", endpoints.ofService("llm"), PROMPT, EngineInputs.NONE, 1000),
-                        tickets::add))
+                        new EngineBroker.Receiver() {
+                            @Override
+                            public void chosen(EngineTicket ticket) {
+                                tickets.add(ticket);
+                            }
+
+                            @Override
+                            public void noneNow(long againMs) {
+                                notNow.add(againMs);
+                            }
+                        }))
                 .sync();
     }
 
     private void hubChooses(String endpoint) throws Exception {
         long correlation = asks.keySet().iterator().next();
-        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice(endpoint, 80, 0, 100, null)))
+        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice(endpoint, 80, 0, 100, null, 0)))
                 .sync();
     }
 
@@ -176,4 +200,32 @@
         broker.ended("two", new EngineOutcome("a", 80, -1, 0, 100));
         assertFalse(engine.usable());
     }
+
+    /** The entries of new engines are read after the first list, so they have just started. */
+    private void startColdEngines() {
+        coldSpec = Optional.of(new ColdSpec(60_000, 2));
+        endpoints.applyList(Stream.of("c", "d").map(EngineBrokerTest::engine).toList());
+    }
+
+    @Test
+    public void theHubGivesColdEnginesWhatTheyBearAndSaysWhenTheyBearMore() {
+        startColdEngines();
+        EngineAsk ask = new EngineAsk("llm", "menu", PROMPT.digests(), PROMPT.tokens(), "", List.of(), 0, 1000);
+        for (int i = 0; i < 5; i++) {
+            broker.asked("other", i, ask);
+        }
+        assertEquals(choices.stream().filter(choice -> choice.getAgainMs() == 0).count(), 4);
+        assertTrue(
+                choices.get(4).getAgainMs() > 0, "again after " + choices.get(4).getAgainMs());
+    }
+
+    @Test
+    public void aBoxIsToldThatEnginesAreColdAndDoesNotChooseItself() throws Exception {
+        choose();
+        long correlation = asks.keySet().iterator().next();
+        loop.submit(() -> broker.chosen("hub", correlation, new EngineChoice("", 0, 0, 0, null, 400)))
+                .sync();
+        assertEquals(notNow, List.of(400L));
+        assertTrue(tickets.isEmpty());
+    }
 }
