Bind requests to the regions of their route and workspace

Cause: the regions that routes and workspaces may be bound to were not decoded, so nothing kept HOME. Change: Homes of a route and a workspace, both bind where both have them; only endpoints of those regions are candidates, so first sendings, retries, resumed streams and the engines to fetch from stay there; none common is refused for good (403, no-common-region), an evacuated or empty home for now (503). The settings name each failure domain's region; their fast reader takes texts with a default. No body goes to another box: boxes tell each other digests and counts. Pieces of stages are not bound (docs/QUESTIONS.md).

--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -28,6 +28,8 @@
     UNKNOWN_KEY("unknown-key", Answer.Outcome.NOT_RUN, 401),
     /** No workspace has the name. */
     UNKNOWN_WORKSPACE("unknown-workspace", Answer.Outcome.NOT_RUN, 403),
+    /** Route and workspace are bound to regions, and none is common to both. */
+    NO_COMMON_REGION("no-common-region", Answer.Outcome.NOT_RUN, 403),
     /** A pipeline with a stage that is not repeatable needs an idempotency key. */
     MISSING_KEY("missing-key", Answer.Outcome.NOT_RUN, 400),
     /** The deadline is longer than the pipeline's. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -30,6 +30,7 @@
 import org.wingstall.platform.PlatformCallerWire;
 import org.wingstall.platform.PlatformEndpointWire;
 import org.wingstall.relay.config.ClientLimits;
+import org.wingstall.relay.config.Regions;
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
@@ -228,6 +229,7 @@
                 endpoints,
                 pools,
                 engines,
+                Regions.parse(settings.getRegions()),
                 cold,
                 silence::doubt,
                 new LeastLoaded(settings.getFailureDomain(), random),
--- a/relay/src/main/java/org/wingstall/relay/config/Route.java
+++ b/relay/src/main/java/org/wingstall/relay/config/Route.java
@@ -19,6 +19,7 @@
  * @param rank order among routes; 0 goes first
  * @param split services that take the requests, by weight
  * @param stages work that is done before the request itself can run
+ * @param homes regions that its requests are bound to
  * @since 0.2
  */
 public record Route(
@@ -33,7 +34,8 @@
         long targetMs,
         int rank,
         List<ServiceShare> split,
-        List<StageSpec> stages) {
+        List<StageSpec> stages,
+        Homes homes) {
     /** Kinds of request. */
     public enum Kind {
         /** May run more than once. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -8,6 +8,7 @@
 import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
+import org.wingstall.relay.config.Regions;
 import org.wingstall.relay.config.RelayConfig;
 import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.EndpointChooser;
@@ -35,6 +36,7 @@
  * @param endpoints the endpoints
  * @param pools pools of the stages
  * @param engines chooses among model engines
+ * @param regions region of each failure domain
  * @param cold bounds what cold endpoints are given
  * @param doubts takes an engine whose answer is overdue, and what to do when it turns out silent
  * @param services chooses among other endpoints
@@ -56,6 +58,7 @@
         RelayEndpoints endpoints,
         StagePools pools,
         EngineBroker engines,
+        Regions regions,
         ColdLimits cold,
         BiConsumer<RelayEndpoint, Runnable> doubts,
         EndpointChooser services,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -9,6 +9,7 @@
 import org.wingstall.core.answer.RefusedException;
 import org.wingstall.core.quarantine.Hold;
 import org.wingstall.net.http.HttpCall;
+import org.wingstall.relay.config.Homes;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
@@ -51,6 +52,7 @@
     private final CrashGuard crashes;
     private final long arrivedMs;
     private final long dueAtMs;
+    private final Homes homes;
     private final RunService service;
     private final AnswerRelay answer;
     private StageGraph graph;
@@ -78,8 +80,9 @@
         this.whenOver = whenOver;
         this.arrivedMs = parts.clock().nowMs();
         this.dueAtMs = arrivedMs + Math.min(route.timeoutMs(), request.deadlineMs() - ANSWER_LEAD_MS);
-        this.service =
-                new RunService(parts, route.service(parts.random().nextDouble()), route, Prompt.of(request.prompt()));
+        this.homes = route.homes().and(workspace.homes());
+        this.service = new RunService(
+                parts, route.service(parts.random().nextDouble()), route, homes, Prompt.of(request.prompt()));
         this.record = new RunRecord(request, route, workspace.name(), configVersion, arrivedMs);
         this.crashes = new CrashGuard(parts, record);
         this.answer = new AnswerRelay(call, route.repeatable() && route.streamed());
@@ -89,6 +92,13 @@
         call.onDisconnect(this::callerGone);
         parts.budgets().of(service.name()).called();
         timer = parts.loop().schedule(this::timePassed, Math.max(1, dueAtMs - arrivedMs), TimeUnit.MILLISECONDS);
+        if (homes.nowhere()) {
+            refuseUntil(
+                    Reason.NO_COMMON_REGION,
+                    "route '" + route.name() + "' and workspace '" + workspace.name() + "' are bound to other regions",
+                    0);
+            return;
+        }
         if (heldBack()) {
             return;
         }
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wingstall.relay.config.EngineSpec;
+import org.wingstall.relay.config.Homes;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.config.Workspace;
@@ -34,10 +35,12 @@
     private final RelayParts parts;
     private final String name;
     private final Route route;
+    private final Homes homes;
     private final Prompt prompt;
     private final Set<String> tried = new HashSet<>();
 
-    RunService(RelayParts parts, String name, Route route, Prompt prompt) {
+    RunService(RelayParts parts, String name, Route route, Homes homes, Prompt prompt) {
+        this.homes = homes;
         this.parts = parts;
         this.name = name;
         this.route = route;
@@ -79,7 +82,8 @@
         List<RelayEndpoint> usable = new ArrayList<>();
         List<RelayEndpoint> avoided = new ArrayList<>();
         for (RelayEndpoint endpoint : parts.endpoints().ofService(name)) {
-            if (endpoint.state().leaving() || tried.contains(endpoint.id())) {
+            boolean away = !homes.allows(parts.regions().of(endpoint.identity().failureDomain()));
+            if (away || endpoint.state().leaving() || tried.contains(endpoint.id())) {
                 continue;
             }
             (endpoint.usable() ? usable : avoided).add(endpoint);
--- a/schema/src/main/java/org/wingstall/schema/check/FlatDocument.java
+++ b/schema/src/main/java/org/wingstall/schema/check/FlatDocument.java
@@ -90,6 +90,11 @@
         return fits ? found.getValue() : null;
     }
 
+    /** Takes a text; the default when it is left out. */
+    public String text(String key, String pattern, String defaultValue) {
+        return values.containsKey(key) ? text(key, pattern) : defaultValue;
+    }
+
     private static boolean surelyText(ScalarEvent found) {
         String value = found.getValue();
         if (!found.isPlain()) {
--- a/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderGenerator.java
+++ b/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderGenerator.java
@@ -57,11 +57,13 @@
         for (JsonNode name : required) {
             there |= name.asText().equals(key);
         }
-        if (!there || !rule.has("pattern")) {
-            throw new IllegalArgumentException(key + ": a reader takes texts with a pattern that are required");
+        if (!rule.has("pattern") || !there && !rule.has("default")) {
+            throw new IllegalArgumentException(
+                    key + ": a reader takes texts with a pattern that are required or have a default");
         }
         String pattern = rule.get("pattern").asText().replace("\\", "\\\\");
-        return "document.text(\"" + key + "\", \"" + pattern + "\")";
+        String otherwise = there ? "" : ", \"" + rule.get("default").asText() + "\"";
+        return "document.text(\"" + key + "\", \"" + pattern + "\"" + otherwise + ")";
     }
 
     private static String number(String key, JsonNode rule) {
--- a/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderTest.java
+++ b/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderTest.java
@@ -35,6 +35,8 @@
                 "retryBudgetRatio: 0.2\nretryBudgetExtra: 230\nstopGraceSeconds: 8\nprocessors: 1.5\nprocessorShare: 0.36\n"
             },
             {"configWaitMs: 100\nendpointIntervalMs: 60000\nleavingWithinMs: 2500.5\nstopNoticeMs: 0\n"},
+            {"regions: kgn-a=jm-south,kgn-a=jm-south,kgn-b=jm-south\ncoldOverrun: 1.5\ncoldTolerance: 5\n"},
+            {"\n\nregions: \"\"\n"},
             {"# a remark\nprocessors: 2 # cores\n"},
         };
     }
@@ -59,6 +61,9 @@
             {VALID + "configWaitMs: 99.9\n"},
             {VALID + "configWaitMs: many\n"},
             {VALID + "configWaitMs: \"400\"\n"},
+            {VALID + "regions: kgn-a\n"},
+            {VALID + "coldOverrun: 0.5\n"},
+            {VALID + "coldTolerance: -1\n"},
             {VALID + "stopGrace: 8\n"},
             {"- a list\n"},
             {"boxId: [kgn\n"},
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -27,6 +27,9 @@
     /** Requests a second that a cold endpoint of the services {@code warming} and {@code warming-plain} bears. */
     public static final int COLD_PER_SECOND = 8;
 
+    /** Key of a workspace whose requests are bound to the region {@code home}. */
+    public static final String BOUND_KEY = "key-of-bound";
+
     private static final String POOL = "{\"slots\":1,\"queue\":2,\"batch\":8,\"call_ms\":50,\"item_ms\":2,"
             + "\"headroom_mb\":30,\"kv_handle_s\":4,\"link_mbps\":10000}";
 
@@ -47,7 +50,9 @@
             + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}";
 
     private static final String TENANTS =
-            "\"tenants\":[{\"name\":\"canteen\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]";
+            "\"tenants\":[{\"name\":\"canteen\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1},"
+                    + bound("{\"name\":\"bound\",\"api_keys\":[\"" + BOUND_KEY + "\"],\"priority\":1}", "home")
+                    + "]";
 
     private static final long ROUTE_TIMEOUT_MS = 1500;
     private static final int STAGE_MS = 20;
@@ -166,6 +171,7 @@
                 "retryBudgetExtra: 58",
                 "stopGraceSeconds: 8",
                 "stopNoticeMs: 0",
+                "regions: east=home,west=abroad",
                 "");
     }
 
@@ -190,6 +196,8 @@
                 route("staged", "streaming", "engine", 2, 8000, true, STAGES),
                 route("warming", "streaming", "warming", 2, timeoutMs, true, ""),
                 route("warming-plain", "idempotent", "warming-plain", 2, timeoutMs, false, ""),
+                bound(route("homed", "idempotent", "plain", 2, timeoutMs, false, ""), "home"),
+                bound(route("foreign", "idempotent", "plain", 2, timeoutMs, false, ""), "abroad"),
                 route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
                 route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""),
                 route("fragile", "idempotent", "fragile", 2, timeoutMs, false, ""),
@@ -199,6 +207,11 @@
                 .formatted(version, routes, services, CLIENT_LIMITS, TENANTS);
     }
 
+    /** Binds a route or a workspace to a region. */
+    private static String bound(String document, String region) {
+        return document.substring(0, document.length() - 1) + ",\"allowed_regions\":[\"" + region + "\"]}";
+    }
+
     private static String route(
             String name, String type, String service, int attempts, long timeoutMs, boolean resumable, String stages) {
         String text = "{\"name\":\"%1$s\",\"host\":\"%2$s\",\"path_prefix\":\"/%1$s/\",\"route_type\":\"%3$s\","
