Show that every box waits at the store for reports of crashes; the test fails

219 of 1,070 calls of 61 boxes within 23 s before any caller (whole reads of a missing configuration left out) wait for reports that the hubs tell over their links as well.

--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
@@ -0,0 +1,84 @@
+package org.wingstall.relay.control;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.awaitility.Awaitility;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wingstall.relay.wire.CrashReportStore;
+import org.wingstall.schema.peer.CrashReport;
+
+/** Each waiting call to the store has its price, so only boxes that nobody tells of reports wait there. */
+public class CrashReportFollowerTest implements CrashReportStore {
+    private static final String WHOLE = "whole";
+    private static final String WAITS = "waits";
+
+    private final List<String> calls = new CopyOnWriteArrayList<>();
+    private EventLoop loop;
+    private volatile boolean told;
+
+    @BeforeMethod
+    public void create() {
+        calls.clear();
+        loop = new DefaultEventLoop();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        loop.shutdownGracefully();
+    }
+
+    @Override
+    public CompletableFuture<Void> keep(CrashReport report) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> drop(String fingerprint) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<List<CrashReport>> next(boolean whole) {
+        calls.add(whole ? WHOLE : WAITS);
+        return whole ? CompletableFuture.completedFuture(List.of()) : new CompletableFuture<>();
+    }
+
+    private void follow() {
+        new CrashReportFollower(loop, this, report -> {}).start();
+    }
+
+    @Test
+    public void aBoxThatHubsTellReadsOnceAndWaitsForNothing() throws Exception {
+        told = true;
+        follow();
+        Awaitility.await().until(() -> !calls.isEmpty());
+        loop.submit(() -> {}).sync();
+        assertEquals(calls, List.of(WHOLE));
+    }
+
+    /** What was kept meanwhile may have been missed, so it is read whole before the box waits for more. */
+    @Test
+    public void aBoxThatNoHubTellsAnyMoreReadsAgainAndWaits() {
+        told = true;
+        follow();
+        Awaitility.await().until(() -> !calls.isEmpty());
+        told = false;
+        Awaitility.await().until(() -> calls.size() == 3);
+        assertEquals(calls, List.of(WHOLE, WHOLE, WAITS));
+    }
+
+    @Test
+    public void aBoxWithoutHubsWaitsForChangesFromTheStart() {
+        told = false;
+        follow();
+        Awaitility.await().until(() -> calls.size() == 2);
+        assertEquals(calls, List.of(WHOLE, WAITS));
+    }
+}
