Let only boxes that no hub tells wait at the store for reports of crashes

Cause: hubs pass reports on over their links and tell a new box of all, yet each box kept a waiting call for the same table, renewed every 4 or 20 s and with each report. Change: a box that hears hubs reads the reports once, and again as soon as it hears none (looked at each second; the rule leaves 4 s).

--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -116,7 +116,7 @@
                     }
                 });
         this.crashReports = new CrashReportFollower(
-                control, new PlatformCrashReports(store, clock, this::configWaitMs), crashReportRead);
+                control, new PlatformCrashReports(store, clock, this::configWaitMs), crashReportRead, this::told);
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(),
                 settings.getFailureDomain(),
@@ -161,9 +161,13 @@
 
     /** A box that hears hubs learns of a version by their heartbeats, should its own call miss it. */
     private long configWaitMs() {
-        boolean told = !mesh.carries(settings.getBoxId())
+        return told() ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
+    }
+
+    /** Returns whether this box is told by hubs what they know. */
+    private boolean told() {
+        return !mesh.carries(settings.getBoxId())
                 && mesh.peers().serving().stream().anyMatch(mesh::carries);
-        return told ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
     }
 
     private List<OneReaderPerDomain.Peer> heardPeers() {
--- a/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.relay.wire.CrashReportStore;
@@ -21,9 +22,13 @@
     /** Reports that wait to be kept while the store gives no answers; the links carry them meanwhile. */
     private static final int MOST_WAITING = 200;
 
+    /** Pause between looks whether this box is still told of reports, in ms; a quarter of the time after which it must know. */
+    private static final long TOLD_CHECK_MS = 1000;
+
     private final EventLoop loop;
     private final CrashReportStore store;
     private final Consumer<CrashReport> listener;
+    private final BooleanSupplier told;
     private final SourceHealth reading = new SourceHealth("crash-reports");
     private final SourceHealth keeping = new SourceHealth("crash-reports-kept");
     private final Map<String, CrashReport> waiting = new LinkedHashMap<>();
@@ -37,8 +42,11 @@
      * @param loop the control loop
      * @param store where the reports are kept
      * @param listener takes what is read
+     * @param told whether hubs tell this box of all reports over their links
      */
-    public CrashReportFollower(EventLoop loop, CrashReportStore store, Consumer<CrashReport> listener) {
+    public CrashReportFollower(
+            EventLoop loop, CrashReportStore store, Consumer<CrashReport> listener, BooleanSupplier told) {
+        this.told = told;
         this.loop = loop;
         this.store = store;
         this.listener = listener;
@@ -49,8 +57,14 @@
         loop.execute(this::follow);
     }
 
+    /** A call that waits at the store has its price, so a box that learns of reports anyway makes none. */
     private void follow() {
-        store.next(readWhole).whenCompleteAsync(this::read, loop);
+        if (known && told.getAsBoolean()) {
+            readWhole = true;
+            loop.schedule(this::follow, TOLD_CHECK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            store.next(readWhole).whenCompleteAsync(this::read, loop);
+        }
     }
 
     private void read(List<CrashReport> reports, Throwable failure) {
--- a/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
@@ -51,7 +51,7 @@
     }
 
     private void follow() {
-        new CrashReportFollower(loop, this, report -> {}).start();
+        new CrashReportFollower(loop, this, report -> {}, () -> told).start();
     }
 
     @Test
