Bound cold endpoints only where operators say how far one may be overrun

A fleet whose operators name no overrun has no such rule, and a bound there would only keep endpoints that start from work. The limit also looks up its service's rate once for each choice instead of once for each of a hundred engines. ColdLimitsTest, EngineBrokerTest, RelayColdEndpointTest, SettingsReaderTest and GeneratedSourcesTest pass.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/ColdLimits.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/ColdLimits.java
@@ -35,7 +35,7 @@
     /**
      * What an endpoint bears beyond its rate.
      *
-     * @param overrun factor on its rate
+     * @param overrun factor on its rate; 0 when cold endpoints are not bounded
      * @param tolerance requests in a second beyond that
      */
     public record Bounds(double overrun, double tolerance) {}
@@ -82,12 +82,19 @@
      * @return those that are warm, and cold ones within this box's share
      */
     public List<RelayEndpoint> open(List<RelayEndpoint> candidates, boolean forAll) {
-        if (candidates.stream().noneMatch(this::cold)) {
+        Optional<ColdSpec> spec = candidates.isEmpty() ? Optional.empty() : specOf(candidates.get(0));
+        return spec.isPresent() ? open(candidates, spec.get(), forAll) : candidates;
+    }
+
+    private List<RelayEndpoint> open(List<RelayEndpoint> candidates, ColdSpec spec, boolean forAll) {
+        long nowMs = clock.nowMs();
+        List<RelayEndpoint> warm = candidates.stream()
+                .filter(endpoint -> !endpoint.cold(spec, nowMs))
+                .toList();
+        if (warm.size() == candidates.size()) {
             return candidates;
         }
         Fleet now = fleet.get();
-        List<RelayEndpoint> warm =
-                candidates.stream().filter(endpoint -> !cold(endpoint)).toList();
         if (!now.settled() && !warm.isEmpty()) {
             return warm;
         }
@@ -96,6 +103,11 @@
                 .toList();
     }
 
+    /** Returns what cold endpoints of an endpoint's service bear; empty when that is not bounded. */
+    private Optional<ColdSpec> specOf(RelayEndpoint endpoint) {
+        return bounds.get().overrun() > 0 ? specs.apply(endpoint.identity().service()) : Optional.empty();
+    }
+
     /** Returns the time after which one of these endpoints may be sent a request, in ms; 0 for now. */
     public long againMs(List<RelayEndpoint> candidates, boolean forAll) {
         Fleet now = fleet.get();
@@ -115,7 +127,7 @@
     }
 
     private int perSecond(RelayEndpoint endpoint, boolean forAll, Fleet now) {
-        ColdSpec spec = specs.apply(endpoint.identity().service()).orElseThrow();
+        ColdSpec spec = specOf(endpoint).orElseThrow();
         Bounds beyond = bounds.get();
         double bearable = spec.perSecond() * beyond.overrun() + beyond.tolerance();
         Standing standing = forAll && now.choosesForAll() ? Standing.FOR_ALL : Standing.ALONE;
@@ -127,7 +139,7 @@
 
     /** Returns whether an endpoint is cold and bears less than usual for that. */
     public boolean cold(RelayEndpoint endpoint) {
-        return specs.apply(endpoint.identity().service()).map(endpoint::cold).orElse(false);
+        return specOf(endpoint).map(spec -> endpoint.cold(spec, clock.nowMs())).orElse(false);
     }
 
     /** Takes note that an endpoint is sent a request now, by this box or by one that asked it. */
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -88,8 +88,7 @@
     }
 
     /** Returns whether it is cold, by its own word or since it started a short while ago. */
-    public boolean cold(ColdSpec spec) {
-        long nowMs = clock.nowMs();
+    boolean cold(ColdSpec spec, long nowMs) {
         return nowMs < warmth.coldUntilMs() || nowMs - startedAtMs < spec.startMs();
     }
 
--- a/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderTest.java
+++ b/schema/src/test/java/org/wingstall/schema/generate/SettingsReaderTest.java
@@ -62,7 +62,7 @@
             {VALID + "configWaitMs: many\n"},
             {VALID + "configWaitMs: \"400\"\n"},
             {VALID + "regions: kgn-a\n"},
-            {VALID + "coldOverrun: 0.5\n"},
+            {VALID + "coldOverrun: 100.5\n"},
             {VALID + "coldTolerance: -1\n"},
             {VALID + "stopGrace: 8\n"},
             {"- a list\n"},
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -172,6 +172,7 @@
                 "stopGraceSeconds: 8",
                 "stopNoticeMs: 0",
                 "regions: east=home,west=abroad",
+                "coldOverrun: 1",
                 "");
     }
 
