--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -28,6 +28,8 @@
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
     private final CrashLog crashes = new CrashLog();
+    private final Map<String, String> domains = new ConcurrentHashMap<>();
+    private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> leavingSinceMs = new ConcurrentHashMap<>();
     private final Map<Long, Long> versionSinceMs = new ConcurrentHashMap<>();
@@ -71,6 +73,23 @@
         return steadyMs - TimeUnit.NANOSECONDS.toMillis(zeroNs);
     }
 
+    /** Takes note of the failure domain that an endpoint stands in. */
+    void placed(String endpoint, String domain) {
+        domains.put(endpoint, domain);
+    }
+
+    String domainOf(String endpoint) {
+        return domains.get(endpoint);
+    }
+
+    void evacuated(Evacuation evacuation) {
+        evacuations.add(evacuation);
+    }
+
+    Collection<Evacuation> evacuations() {
+        return evacuations;
+    }
+
     void endedByItself(String box) {
         unplannedEnds.add(box);
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -36,6 +36,9 @@
     /** Time beyond a deadline that an endpoint may be given, or a caller be left without answer, in ms. */
     private static final long DEADLINE_SLACK_MS = 500;
 
+    /** Time within which an evacuation is obeyed, in ms; the platform's own figure. */
+    static final long EVACUATION_MS = 5000;
+
     /** Window of the retry budget, in ms; the platform's own figure. */
     private static final long BUDGET_WINDOW_MS = 10_000;
 
@@ -72,6 +75,7 @@
                 new Named("deadline passed on", seen -> deadlinePassedOn(seen, slackMs)),
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
+                new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -214,6 +218,28 @@
         return broken;
     }
 
+    /** Requests that boxes in touch sent into a failure domain that had been evacuated for long enough. */
+    private static List<String> evacuated(Observations seen, long slackMs) {
+        Map<String, CallRecord> calls = seen.callsById();
+        List<String> broken = new ArrayList<>();
+        for (Evacuation evacuation : seen.evacuations()) {
+            long obeyedMs = evacuation.fromMs() + EVACUATION_MS + slackMs;
+            seen.arrivals().stream()
+                    .filter(arrival -> arrival.atMs() > obeyedMs && arrival.atMs() < evacuation.untilMs())
+                    .filter(arrival -> evacuation
+                            .domain()
+                            .equals(seen.domainOf(arrival.what().endpoint())))
+                    .filter(arrival -> calls.containsKey(arrival.what().id()))
+                    .filter(arrival -> {
+                        String box = calls.get(arrival.what().id()).box();
+                        return seen.inTouch(box, arrival.atMs(), arrival.atMs())
+                                && seen.calm(arrival.what().endpoint(), arrival.atMs(), arrival.atMs(), true);
+                    })
+                    .forEach(arrival -> broken.add(evacuation + ": " + arrival));
+        }
+        return broken;
+    }
+
     private static List<String> retryBudget(Observations seen) {
         List<String> broken = new ArrayList<>();
         Map<String, List<SeenArrival>> byService = seen.arrivals().stream()
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -39,7 +39,7 @@
     static final double RETRY_RATIO = 0.05;
 
     private static final String LOOPBACK = "127.0.0.1";
-    private static final List<String> DOMAINS = List.of("east", "west");
+    static final List<String> DOMAINS = List.of("east", "west");
     /** Endpoints that a request can crash. */
     private static final int FRAGILE = 4;
 
@@ -141,6 +141,7 @@
         }
         Endpoint endpoint = new Endpoint(id, service, DOMAINS.get(number % DOMAINS.size()), worker, route);
         endpoints.put(id, endpoint);
+        observations.placed(id, endpoint.domain());
         return endpoint;
     }
 
@@ -168,6 +169,14 @@
         observations.configured(next);
     }
 
+    void evacuate(String domain) {
+        store().put("op", "evacuate/" + domain, "{}");
+    }
+
+    void takeBack(String domain) {
+        store().remove("op", "evacuate/" + domain);
+    }
+
     StoreStandin store() {
         return standin.store();
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -105,6 +105,11 @@
                 return null;
             }));
         }
+        EvacuatingOperator operator = new EvacuatingOperator(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            operator.play(end);
+            return null;
+        }));
         awaitAll(faults);
         end.come();
         threads.shutdown();
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -80,6 +80,12 @@
                     seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
                 }
             }),
+            breach("no work for who is evacuated", seen -> {
+                seen.placed("plain-1", "east");
+                seen.evacuated(new Evacuation("east", -Promises.EVACUATION_MS - 1, Long.MAX_VALUE));
+                seen.called(call(Route.ONCE, 200, "seal-of-plain-1", "answer to a", 0, 5));
+                seen.arrived(run());
+            }),
             breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
         };
     }
