Keep a part of what a cold endpoint bears for a box that begins to choose

Cause: with shares by failure domain alone, a fleet that is cut apart sends 12 by its choosers and 4 by boxes alone, and 4 more when one of the choosers is replaced within the second: 20 where 18.65 are borne. Change: the shares leave one for a handover, 3 instead of 4 a second with three failure domains.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/FixedColdShares.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/FixedColdShares.java
@@ -1,16 +1,20 @@
 package org.wingstall.relay.endpoint;
 
 /**
- * Gives each failure domain an equal part, since in a fleet that is cut apart each part has a box that chooses for it.
+ * Gives each failure domain an equal part, since in a fleet that is cut apart each part has a box that chooses for it, and keeps
+ * one more for a box that begins to choose within the second and knows nothing of what was given out before.
  *
- * <p>{@code new FixedColdShares().perSecond(18.65, ColdShares.Standing.FOR_ALL, view)} is 4 with three failure domains.
+ * <p>{@code new FixedColdShares().perSecond(18.65, ColdShares.Standing.FOR_ALL, view)} is 3 with three failure domains.
  */
 public final class FixedColdShares implements ColdShares {
+    /** Boxes that may begin to choose within a second, of all failure domains together. */
+    private static final int HANDOVERS = 1;
+
     @Override
     public int perSecond(double bearable, Standing standing, FleetView view) {
         return switch (standing) {
             case ALONE -> ColdShares.alone(bearable, view);
-            case FOR_ALL -> (int) Math.max(1, ColdShares.forChoosers(bearable) / Math.max(1, view.failureDomains()));
+            case FOR_ALL -> (int) Math.max(1, ColdShares.forChoosers(bearable) / (view.failureDomains() + HANDOVERS));
         };
     }
 }
--- a/relay/src/test/java/org/wingstall/relay/endpoint/ColdLimitsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/ColdLimitsTest.java
@@ -172,4 +172,18 @@
             limits.sent(endpoint);
         }
     }
+
+    /** In each part of a fleet that is cut apart a box chooses, and one of them is replaced by a box that begins anew. */
+    @Test
+    public void aBoxThatBeginsToChooseWhileTheFleetIsCutApartChangesNothing() {
+        Burst burst = new Burst();
+        List<ColdLimits> parts = new ArrayList<>(fleet(new FixedColdShares(), Layout.CUT_APART_AND_ALONE, true));
+        List<ColdLimits> alone = fleet(new FixedColdShares(), Layout.CUT_APART_AND_ALONE, false);
+        burst.play(parts, alone);
+        parts.set(
+                0,
+                fleet(new FixedColdShares(), Layout.CUT_APART_AND_ALONE, true).get(0));
+        burst.play(parts, alone);
+        assertTrue(burst.most <= BEARABLE, "in a second: " + burst.most);
+    }
 }
