Split heartbeats, the stop, gauges, stages and the search for an endpoint from what grew past its size

Change: Heartbeats, PlannedStop, RelayGauges, RunStages and EndpointSearch, each one job, code as it was; a resumed stream that finds only cold engines for longer than its target leaves is cut off instead of answered anew.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -72,12 +71,6 @@
 
     private static final HttpLimits INSIDE_LIMITS = new HttpLimits(65_536, 64, 2000, 60_000);
 
-    /** Part of the grace that is left unused, for the end of the process itself, in ms. */
-    private static final long MARGIN_MS = 500;
-
-    /** Pause between two looks at what is in flight, in ms. */
-    private static final long CHECK_MS = 20;
-
     /** Boxes that share a retry budget at least, also while fewer are known; the users' smallest fleets have 8 or 9. */
     private static final int LEAST_BOXES = 9;
 
@@ -162,33 +155,11 @@
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
-        this.cold = new ColdLimits(
-                clock,
-                service -> state.config().service(service).flatMap(ServiceSpec::cold),
-                () -> new ColdLimits.Bounds(this.settings.getColdOverrun(), this.settings.getColdTolerance()),
-                new FleetSight(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
-                new FixedColdShares());
+        this.cold = coldLimits();
         EndpointReports reports = new EndpointReports(loop, client, wire);
-        this.pools = new StagePools(
-                new PoolParts(
-                        loop,
-                        clock,
-                        client,
-                        wire,
-                        reports,
-                        endpoints,
-                        cold,
-                        state::config,
-                        budgets,
-                        crashes.quarantine(),
-                        PoolPolicies.STANDARD),
-                random,
-                mesh,
-                gathering);
+        this.pools = stagePools(loop, wire, reports, gathering);
         mesh.pieces().attach(pools);
-        this.silence = new SilenceWatch(
-                loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
-                        .doubtfulDomains());
+        this.silence = silenceWatch(loop, reports);
         silence.start();
         this.engines = new EngineBroker(
                 loop,
@@ -217,6 +188,41 @@
         this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
 
+    private StagePools stagePools(
+            EventLoop loop, EndpointWire wire, EndpointReports reports, PieceGathering gathering) {
+        return new StagePools(
+                new PoolParts(
+                        loop,
+                        clock,
+                        client,
+                        wire,
+                        reports,
+                        endpoints,
+                        cold,
+                        state::config,
+                        budgets,
+                        crashes.quarantine(),
+                        PoolPolicies.STANDARD),
+                random,
+                mesh,
+                gathering);
+    }
+
+    private ColdLimits coldLimits() {
+        return new ColdLimits(
+                clock,
+                service -> state.config().service(service).flatMap(ServiceSpec::cold),
+                () -> new ColdLimits.Bounds(this.settings.getColdOverrun(), this.settings.getColdTolerance()),
+                new FleetSight(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
+                new FixedColdShares());
+    }
+
+    private SilenceWatch silenceWatch(EventLoop loop, EndpointReports reports) {
+        return new SilenceWatch(
+                loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
+                        .doubtfulDomains());
+    }
+
     private RelayParts requestParts(EventLoop loop, EndpointWire wire) {
         return new RelayParts(
                 loop,
@@ -320,7 +326,10 @@
                 INSIDE_LIMITS,
                 new OperatorHandler(metrics::scrape, crashes.quarantine()),
                 rejection -> new byte[0]);
-        showGauges();
+        RelayGauges gauges = new RelayGauges(metrics);
+        gauges.ofKnowledge(state, evacuations, endpoints);
+        gauges.ofWork(handler, pools, callers);
+        gauges.ofFleet(mesh, crashes);
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
                 .with("failureDomain", settings.getFailureDomain())
@@ -350,19 +359,6 @@
         call.respond(ready ? 200 : 503, "text/plain", new byte[0]);
     }
 
-    private void showGauges() {
-        metrics.gauge("wingstall.config.version", () -> state.config().version());
-        metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
-        metrics.gauge(
-                "wingstall.domains.evacuated",
-                () -> evacuations.current().failureDomains().size());
-        metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
-        metrics.gauge("wingstall.stages.waiting", pools::waiting);
-        metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
-        metrics.gauge("wingstall.caller.connections", callers::connections);
-        metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().heldBack());
-    }
-
     /**
      * Takes new settings into force: retry budgets and the grace of a planned stop; addresses and names stay until the next
      * start.
@@ -389,27 +385,8 @@
      * its way into the process while none is counted yet, so the end waits for the last connection.
      */
     public void stop() {
-        long untilMs = clock.nowMs() + stopGraceMs() - MARGIN_MS;
-        LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
         stopping = true;
-        mesh.beatNow();
-        callers.closeAfterAnswers();
-        waitUntil(clock.nowMs() + settings.getStopNoticeMs(), () -> false);
-        callers.close();
-        callers.drain();
-        waitUntil(untilMs, () -> callers.connections() == 0);
-        LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
-        mesh.close();
+        new PlannedStop(clock, mesh, callers, handler).run(settings);
         LogManager.shutdown();
     }
-
-    private long stopGraceMs() {
-        return Math.round(settings.getStopGraceSeconds() * TimeUnit.SECONDS.toMillis(1));
-    }
-
-    private void waitUntil(long untilMs, java.util.function.BooleanSupplier done) {
-        while (clock.nowMs() < untilMs && !done.getAsBoolean()) {
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MS));
-        }
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -0,0 +1,42 @@
+package org.wingstall.gateway.relay;
+
+import org.wingstall.gateway.crash.CrashReports;
+import org.wingstall.net.http.HttpServer;
+import org.wingstall.peer.PeerMesh;
+import org.wingstall.relay.control.EvacuationState;
+import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.pool.StagePools;
+import org.wingstall.relay.run.RelayHandler;
+
+/** Shows what a gateway knows and has under way as gauges; see OPERATIONS.md for their meaning. */
+final class RelayGauges {
+    private final RelayMetrics metrics;
+
+    RelayGauges(RelayMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    /** Shows what it goes by. */
+    void ofKnowledge(RelayState state, EvacuationState evacuations, RelayEndpoints endpoints) {
+        metrics.gauge("wingstall.config.version", () -> state.config().version());
+        metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
+        metrics.gauge(
+                "wingstall.domains.evacuated",
+                () -> evacuations.current().failureDomains().size());
+    }
+
+    /** Shows what is under way. */
+    void ofWork(RelayHandler handler, StagePools pools, HttpServer callers) {
+        metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
+        metrics.gauge("wingstall.stages.waiting", pools::waiting);
+        metrics.gauge("wingstall.caller.connections", callers::connections);
+    }
+
+    /** Shows what it shares with other boxes. */
+    void ofFleet(PeerMesh mesh, CrashReports crashes) {
+        metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
+        metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().heldBack());
+    }
+}
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -19,8 +19,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.Addresses;
-import org.wingstall.core.peer.BeatTurns;
-import org.wingstall.core.peer.HeartbeatPacer;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.Jitter;
 import org.wingstall.core.time.MonotonicClock;
@@ -35,7 +33,6 @@
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
-import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
 
 /**
@@ -55,7 +52,6 @@
     private final PeerHost host;
     private final EventLoop loop;
     private final MonotonicClock clock;
-    private final HeartbeatPacer pacer;
     private final LinkPlan.Box self;
     private final ByteCounter bytes = new ByteCounter();
     private final Directory directory = new Directory();
@@ -68,11 +64,9 @@
     private final RowLinks rows;
     private final DomainTable domains;
     private final PeerTable peers;
+    private final Heartbeats heartbeats;
     private volatile int knownBoxes = 1;
     private Channel listener;
-    private volatile HeartbeatPacer.Plan plan;
-    private final BeatTurns turns = new BeatTurns();
-    private int sinceFull;
 
     /**
      * Creates the mesh.
@@ -87,8 +81,6 @@
         this.host = host;
         this.loop = loop;
         this.clock = clock;
-        this.pacer = new HeartbeatPacer(options.heartbeatMs(), options.budgetBytesPerSecond());
-        this.plan = new HeartbeatPacer.Plan(options.heartbeatMs(), 1);
         this.self = boxOf(options.hello());
         this.replies = new PromptReplies(clock);
         this.pieces = new PieceLinks(links, replies);
@@ -99,6 +91,7 @@
         this.peers =
                 new PeerTable(self, options.silentAfterMs(), this::beatsSeldom, rows::tableUnheard, replies, clock);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
+        this.heartbeats = new Heartbeats(options, host, links, domains, peers);
     }
 
     /**
@@ -209,7 +202,7 @@
 
     /** Returns the time between two tellings of demand, in ms. */
     public long fullHeartbeatMs() {
-        return plan.fullIntervalMs();
+        return heartbeats.fullIntervalMs();
     }
 
     /** Returns bytes sent over all links, without headers of IP and TCP. */
@@ -239,7 +232,7 @@
 
     /** Sends a heartbeat to every peer now, because something changed that can't wait. */
     public void beatNow() {
-        loop.execute(() -> sendHeartbeats(false));
+        loop.execute(() -> heartbeats.send(false));
     }
 
     /** Stops taking links. */
@@ -250,56 +243,18 @@
 
     private void tick() {
         dialer.dialMissing();
-        if (!turns.due(!beatsSeldom(self.boxId()))) {
-            return;
-        }
-        sinceFull++;
-        boolean full = sinceFull >= plan.fullEvery();
-        sendHeartbeats(full);
-        if (full) {
-            sinceFull = 0;
-        }
+        heartbeats.turn(!beatsSeldom(self.boxId()));
     }
 
     private long delayMs() {
-        return Jitter.around(plan.intervalMs(), ThreadLocalRandom.current().nextDouble());
-    }
-
-    /** Sends a heartbeat on every link; what only efficiency needs goes along with full ones. */
-    private void sendHeartbeats(boolean full) {
-        Heartbeat own = host.heartbeat();
-        Heartbeat plain = with(own, null, null);
-        Heartbeat inside = inside(own);
-        Heartbeat across = across(own);
-        plan = pacer.plan(links.size(), frameBytes(plain), Math.max(frameBytes(inside), frameBytes(across)));
-        for (PeerLink link : List.copyOf(links.values())) {
-            Heartbeat whole = isLocal(link) ? inside : across;
-            link.send(Frames.heartbeat(full ? whole : plain));
-        }
+        return Jitter.around(
+                heartbeats.intervalMs(), ThreadLocalRandom.current().nextDouble());
     }
 
     private boolean isLocal(PeerLink link) {
         return link.peer().getFailureDomain().equals(self.failureDomain());
     }
 
-    private static int frameBytes(Heartbeat heartbeat) {
-        return PeerFrameFormat.INSTANCE.write(Frames.heartbeat(heartbeat)).length + FrameCodec.LENGTH_BYTES;
-    }
-
-    private static Heartbeat with(Heartbeat own, List<WorkspaceDemand> demand, List<DomainSummary> summaries) {
-        return new Heartbeat(
-                own.getRevision(),
-                own.isStopping(),
-                own.getLeaving(),
-                demand,
-                summaries,
-                own.isTableUnheard(),
-                own.getListTag(),
-                own.getListVersion(),
-                own.getEvacuatedAsOf(),
-                own.getEvacuated());
-    }
-
     private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
         return new ChannelInitializer<>() {
             @Override
@@ -334,27 +289,10 @@
                 .with("peer", boxId)
                 .with("revision", host.revision())
                 .to(LOG);
-        sendFirstHeartbeat(link);
+        heartbeats.sendFirst(link);
         crashes.linked(link);
     }
 
-    /**
-     * Only the new peer is told at once; the others hear with the next heartbeats. When all were told of each link, boxes that
-     * started together sent each other as many frames as the square of their number, at the busiest moment that they have.
-     */
-    private void sendFirstHeartbeat(PeerLink link) {
-        Heartbeat own = host.heartbeat();
-        link.send(Frames.heartbeat(isLocal(link) ? inside(own) : across(own)));
-    }
-
-    private Heartbeat inside(Heartbeat own) {
-        return with(own, own.getDemand(), domains.direct());
-    }
-
-    private Heartbeat across(Heartbeat own) {
-        return with(own, own.getDemand(), List.of(domains.summarize(own, peers.inDomain(), peers::heard)));
-    }
-
     /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
     private static boolean keeps(PeerLink older, PeerLink newer) {
         if (older.peer().getIncarnation() != newer.peer().getIncarnation()) {
@@ -399,7 +337,7 @@
         domains.heard(heartbeat.getDomains(), !isLocal(link));
         rows.heardRevision(link, heartbeat.getRevision());
         if (host.heard(heartbeat)) {
-            sendHeartbeats(false);
+            heartbeats.send(false);
         }
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -11,16 +11,11 @@
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.relay.config.Homes;
 import org.wingstall.relay.config.Route;
-import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.config.Workspace;
 import org.wingstall.relay.endpoint.RelayEndpoint;
-import org.wingstall.relay.engine.EngineBroker;
-import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
 import org.wingstall.relay.engine.Prompt;
-import org.wingstall.relay.pool.StageGraph;
 import org.wingstall.relay.wire.EndpointCall;
-import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -29,7 +24,7 @@
  * <p>A refusal that says the request has not run is given only before the request itself was handed to an endpoint, or
  * after the endpoint stated that it did not run it.
  */
-final class RelayRun implements StageGraph.StagesListener, EndpointAttempt.Owner {
+final class RelayRun implements RunStages.Owner, EndpointAttempt.Owner {
     /** Time before the caller's deadline at which its answer goes out, so that it still arrives, in ms. */
     private static final long ANSWER_LEAD_MS = 30;
 
@@ -39,9 +34,6 @@
     /** Idle time after which a kept connection is not used for requests that may be repeated, in ms. */
     private static final long REUSE_IDLE_MS = 3000;
 
-    /** Times that the stages of a request are done: again once, when results were lost with their maker. */
-    private static final int MOST_STAGE_RUNS = 2;
-
     private final RelayParts parts;
     private final HttpCall call;
     private final RelayRequest request;
@@ -54,14 +46,14 @@
     private final long dueAtMs;
     private final Homes homes;
     private final RunService service;
+    private final EndpointSearch search;
+    private final RunStages stages;
     private final AnswerRelay answer;
-    private StageGraph graph;
     private EndpointAttempt attempt;
     private EngineTicket engine;
     private ScheduledFuture<?> timer;
     private boolean over;
     private int attempts;
-    private int stagesBegun;
     private int handedOver;
 
     RelayRun(
@@ -85,6 +77,8 @@
                 parts, route.service(parts.random().nextDouble()), route, homes, Prompt.of(request.prompt()));
         this.record = new RunRecord(request, route, workspace.name(), configVersion, arrivedMs);
         this.crashes = new CrashGuard(parts, record);
+        this.search = new EndpointSearch(parts, service, request);
+        this.stages = new RunStages(parts, request, route, dueAtMs, this);
         this.answer = new AnswerRelay(call, route.repeatable() && route.streamed());
     }
 
@@ -105,7 +99,7 @@
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
-            beginStages();
+            stages.begin(service.urgency(workspace, arrivedMs, dueAtMs), service.readerDomain());
         }
     }
 
@@ -113,10 +107,6 @@
         return handedOver > 0;
     }
 
-    private EngineInputs outputPlace() {
-        return graph == null ? EngineInputs.NONE : graph.outputPlace();
-    }
-
     private long untilTargetMs() {
         return Math.max(0, arrivedMs + route.targetMs() - parts.clock().nowMs());
     }
@@ -126,47 +116,25 @@
     }
 
     @Override
-    public void stagesDone() {
+    public void stagesDone(List<String> outputs) {
         if (!over) {
             record.stagesDone(parts.clock().nowMs());
-            callEndpoint(graph.outputs());
+            callEndpoint(outputs);
         }
     }
 
     @Override
-    public void stageFailed(StageSpec stage, PieceResult.Failure failure, long againMs) {
-        if (over) {
-            return;
-        }
-        String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
-        if (failure == PieceResult.Failure.INPUT_GONE && mayBeginStagesAgain(stage.service())) {
-            record.attemptEnded("stages-again", detail);
-            beginStages();
-        } else if (failure == PieceResult.Failure.QUARANTINED) {
-            refuseUntil(Reason.QUARANTINED, detail, againMs);
-        } else if (failure == PieceResult.Failure.NOT_IN_TIME) {
-            refuse(Reason.DEADLINE_UNREACHABLE, detail, againMs);
-        } else {
-            refuse(Reason.STAGE_WITHOUT_RESULT, detail);
-        }
+    public void stagesAgain(String detail) {
+        record.attemptEnded("stages-again", detail);
     }
 
-    /** Results die with their maker, so the stages that led to them are done again, once. */
-    private boolean mayBeginStagesAgain(String stageService) {
-        boolean again = stagesBegun < MOST_STAGE_RUNS
-                && remainingMs() > 0
-                && parts.budgets().of(stageService).tryRetry();
-        if (again) {
-            parts.metrics().retried("inputs-lost");
+    @Override
+    public void stagesFailed(Reason reason, String detail, long againMs) {
+        if (reason == Reason.QUARANTINED) {
+            refuseUntil(reason, detail, againMs);
+        } else {
+            refuse(reason, detail, againMs);
         }
-        return again;
-    }
-
-    private void beginStages() {
-        stagesBegun++;
-        graph = parts.pools()
-                .graph(request, route, service.urgency(workspace, arrivedMs, dueAtMs), service.readerDomain(), this);
-        graph.begin();
     }
 
     /** Ends a request that crashes endpoints, before its stages, before it is sent, and before it is sent again. */
@@ -187,48 +155,32 @@
     }
 
     private void callEndpoint(List<String> inputs) {
-        if (heldBack()) {
-            return;
-        }
-        List<RelayEndpoint> candidates = service.candidates(crashes.shunned());
-        if (candidates.isEmpty()) {
-            refuse(
-                    mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT,
-                    "no endpoint of '" + service.name() + "' is left");
+        if (over || heldBack()) {
             return;
         }
-        if (service.readsPrompt()) {
-            EngineBroker.Question question = new EngineBroker.Question(
-                    service.name(), candidates, service.prompt(), outputPlace(), untilTargetMs());
-            parts.engines().choose(question, receiver(inputs));
-        } else {
-            callPlainEndpoint(candidates, inputs);
-        }
-    }
+        search.begin(crashes.shunned(), stages.outputPlace(), untilTargetMs(), new EndpointSearch.Listener() {
+            @Override
+            public void found(EngineTicket engine) {
+                send(engine, inputs);
+            }
 
-    private EngineBroker.Receiver receiver(List<String> inputs) {
-        return new EngineBroker.Receiver() {
             @Override
-            public void chosen(EngineTicket ticket) {
-                send(ticket, inputs);
+            public void found(RelayEndpoint endpoint) {
+                send(endpoint, null, inputs);
             }
 
             @Override
-            public void noneNow(long againMs) {
+            public void notNow(long againMs) {
                 waitForCold(againMs, inputs);
             }
-        };
-    }
 
-    private void callPlainEndpoint(List<RelayEndpoint> candidates, List<String> inputs) {
-        List<RelayEndpoint> open = parts.cold().open(candidates, false);
-        if (open.isEmpty()) {
-            waitForCold(parts.cold().againMs(candidates, false), inputs);
-            return;
-        }
-        RelayEndpoint chosen = parts.services().choose(open, request);
-        parts.cold().sent(chosen);
-        send(chosen, null, inputs);
+            @Override
+            public void none() {
+                refuse(
+                        mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT,
+                        "no endpoint of '" + service.name() + "' is left");
+            }
+        });
     }
 
     /** Waits for a cold endpoint while the answer can still be in time; else the caller is told when to come back. */
@@ -236,20 +188,14 @@
         if (over) {
             return;
         }
+        String detail = "endpoints of '" + service.name() + "' are cold and take no more for " + againMs + " ms";
         if (againMs < untilTargetMs() - service.answerMs()) {
-            record.attemptEnded("waited", "endpoints are cold for " + againMs + " ms more");
-            parts.loop().schedule(() -> callAgain(inputs), Math.max(1, againMs), TimeUnit.MILLISECONDS);
+            record.attemptEnded("waits", detail);
+            parts.loop().schedule(() -> callEndpoint(inputs), Math.max(1, againMs), TimeUnit.MILLISECONDS);
+        } else if (answer.begun()) {
+            cutOff(Reason.ENDPOINT_LOST, detail);
         } else {
-            refuse(
-                    mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY,
-                    "endpoints of '" + service.name() + "' are cold and take no more for " + againMs + " ms",
-                    againMs);
-        }
-    }
-
-    private void callAgain(List<String> inputs) {
-        if (!over) {
-            callEndpoint(inputs);
+            refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY, detail, againMs);
         }
     }
 
@@ -257,7 +203,7 @@
         // A loss may have become known while the engine was chosen.
         if (!over && !heldBack()) {
             engine = chosen;
-            record.engine(chosen, outputPlace());
+            record.engine(chosen, stages.outputPlace());
             send(chosen.endpoint(), chosen.fetchFrom(), inputs);
             long usualMs = Math.max(
                     chosen.expectation().firstAnswerMs(),
@@ -311,7 +257,7 @@
         if (engine != null) {
             engine.answered();
         }
-        closeStages();
+        stages.close();
     }
 
     @Override
@@ -434,12 +380,6 @@
         }
     }
 
-    private void closeStages() {
-        if (graph != null) {
-            graph.close();
-        }
-    }
-
     private void finish(String outcome, int status, String detail) {
         over = true;
         crashes.over();
@@ -447,10 +387,8 @@
         if (attempt != null) {
             attempt.cancel();
         }
-        if (graph != null) {
-            record.stages(graph.progress());
-        }
-        closeStages();
+        record.stages(stages.progress());
+        stages.close();
         parts.log().ended(record, outcome, status, detail, parts.clock().nowMs());
         whenOver.run();
     }
