Let boxes that hear a reader of the store wait longer for changes, in fleets of any size

Change: a box is told when it isn't the reader of its failure domain and hears one, as for the list. The readers renew their calls every 4 s as before, so a call that fell silent is noticed as soon, and heartbeats tell the others. RelayQuarantineTest, RelayConfigTest, RelayEvacuationTest and RelayStopTest pass.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -23,6 +23,7 @@
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.OneReaderPerDomain;
+import org.wingstall.relay.control.ReadingDuty;
 import org.wingstall.relay.control.RelayConfigFollower;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -37,7 +38,7 @@
  * <p>{@code followers.start(); ... followers.newerConfigHeard(7);}
  */
 final class StoreFollowers {
-    /** Longest wait of a call for the configuration at a box that hears hubs, in ms; the store allows 30 s. */
+    /** Longest wait of a call for the configuration at a box that others tell of new versions, in ms; the store allows 30 s. */
     private static final long CONFIG_WAIT_TOLD_MS = 20_000;
 
     /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
@@ -56,6 +57,7 @@
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
     private final RelayConfigFollower configFollower;
+    private final ReadingDuty duty;
     private final ListFollower listFollower;
     private final BoxFollower boxes;
     private final CrashReportFollower crashReports;
@@ -97,11 +99,12 @@
                 () -> state.config().known() && endpoints.known() ? ANSWER_MS : FIRST_ANSWER_MS);
         this.configFollower = new RelayConfigFollower(
                 control, new PlatformConfigSource(store, this::configWaitMs), state, evacuations);
+        this.duty = new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries);
         this.listFollower = new ListFollower(
                 control,
                 new PlatformEndpointSource(store),
                 endpoints,
-                new OneReaderPerDomain(settings.getBoxId(), this::heardPeers, mesh::carries),
+                duty,
                 clock,
                 endpointIntervalMs(settings),
                 new ListFollower.ChangeListener() {
@@ -159,15 +162,14 @@
         return settings.getLeavingWithinMs() == 0 ? settings.getEndpointIntervalMs() : shortestMs;
     }
 
-    /** A box that hears hubs learns of a version by their heartbeats, should its own call miss it. */
+    /** A box that hears readers learns of a version by their heartbeats, should its own call miss it. */
     private long configWaitMs() {
         return told() ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
     }
 
-    /** Returns whether this box is told by hubs what they know. */
+    /** Returns whether this box is told what the boxes know that read the store for its failure domain and others. */
     private boolean told() {
-        return !mesh.carries(settings.getBoxId())
-                && mesh.peers().serving().stream().anyMatch(mesh::carries);
+        return !duty.mine();
     }
 
     private List<OneReaderPerDomain.Peer> heardPeers() {
