Report a request without identifier as a broken promise of the soak, with its path

Change: such a request breaks the promise of a caller's request, and an arrival names its path; the other checks go on. PromisesTest passes with a breach of it.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -25,6 +25,7 @@
     private final long zeroNs = System.nanoTime();
     private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
+    private final Queue<SeenArrival> strangers = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
     private final CrashLog crashes = new CrashLog();
@@ -45,8 +46,15 @@
         calls.add(call);
     }
 
+    /** Takes note of a request at an endpoint; one without an identifier is no caller's. */
     void arrived(Arrival arrival) {
-        arrivals.add(new SeenArrival(arrival, nowMs()));
+        SeenArrival seen = new SeenArrival(arrival, nowMs());
+        (arrival.id() == null ? strangers : arrivals).add(seen);
+    }
+
+    /** Returns the requests that came to an endpoint without an identifier. */
+    Collection<SeenArrival> strangers() {
+        return strangers;
     }
 
     void disturbed(Disturbance disturbance) {
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -65,6 +65,7 @@
     static List<Promise> all(long slackMs) {
         return List.of(
                 new Named("own whole answer", Promises::ownAnswer),
+                new Named("a caller's request", Promises::callersRequest),
                 new Named("at most one run", Promises::onceOnly),
                 new Named("true refusal", Promises::trueRefusal),
                 new Named("no work for who left", seen -> leaving(seen, slackMs)),
@@ -240,6 +241,10 @@
         return broken;
     }
 
+    private static List<String> callersRequest(Observations seen) {
+        return seen.strangers().stream().map(Objects::toString).toList();
+    }
+
     private static List<String> retryBudget(Observations seen) {
         List<String> broken = new ArrayList<>();
         Map<String, List<SeenArrival>> byService = seen.arrivals().stream()
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -25,7 +25,7 @@
     }
 
     private static Arrival run() {
-        return new Arrival("a", "plain-1", true, DEADLINE_MS);
+        return new Arrival("a", "plain-1", "/x", true, DEADLINE_MS);
     }
 
     @DataProvider
@@ -37,6 +37,7 @@
                 seen.called(call(Route.STREAM, 200, "s", cut, 0, 5));
             }),
             breach("own whole answer", seen -> seen.called(call(Route.ONCE, 200, null, "answer to a", 0, 5))),
+            breach("a caller's request", seen -> seen.arrived(new Arrival(null, "plain-1", "/x", true, DEADLINE_MS))),
             breach("at most one run", seen -> {
                 seen.called(call(Route.ONCE, 502, null, "", 0, 5));
                 seen.arrived(run());
@@ -67,7 +68,7 @@
             }),
             breach("deadline passed on", seen -> {
                 seen.called(call(Route.ONCE, 200, "s", "answer to a", 0, 5));
-                seen.arrived(new Arrival("a", "plain-1", true, 2 * DEADLINE_MS));
+                seen.arrived(new Arrival("a", "plain-1", "/x", true, 2 * DEADLINE_MS));
             }),
             breach(
                     "answer by the deadline",
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -51,7 +51,7 @@
     private volatile Consumer<Arrival> observer = arrival -> {};
 
     /** A request that came to an endpoint, run or turned away. */
-    public record Arrival(String id, String endpoint, boolean ran, long deadlineMs) {}
+    public record Arrival(String id, String endpoint, String target, boolean ran, long deadlineMs) {}
 
     /** How the endpoint answers requests. */
     public enum Behaviour {
@@ -180,8 +180,8 @@
 
     private void arrived(HttpCall call, boolean ran) {
         String deadline = call.header("X-Wingstall-Deadline-Ms");
-        observer.accept(
-                new Arrival(call.header(ID), incarnation, ran, deadline == null ? 0 : Long.parseLong(deadline)));
+        observer.accept(new Arrival(
+                call.header(ID), incarnation, call.target(), ran, deadline == null ? 0 : Long.parseLong(deadline)));
     }
 
     private void run(HttpCall call) {
