--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -75,9 +75,9 @@
     private static final int LEAST_BOXES = 9;
 
     /**
-     * Longest time after the start that callers' connections wait for a first configuration and list, in ms: 23
-     * boxes that started together had both 0.46 s after it in the median, and when they waited for 0.4 s they turned away 71
-     * callers within the second. Callers of requests with little time leave by themselves.
+     * Longest time after the start that callers' connections wait for a first configuration and list, in ms: boxes that start
+     * together have both later than one alone, and would turn callers away until then. Callers of requests with little time
+     * leave by themselves.
      */
     private static final long START_PATIENCE_MS = 800;
 
--- a/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -12,8 +12,8 @@
 final class ReplyCollector implements ResponseListener {
     /**
      * Lateness of its own timer, in ms, from which a loop has stood still rather than waited: the other side had no chance,
-     * and is given its time once more. On 23 boxes that had just started endpoints were taken for silent up to 51 times in a
-     * second, of which 47 answered in the next, and requests had nowhere to go meanwhile.
+     * and is given its time once more. Else boxes that have just started take sound endpoints for silent, and requests have
+     * nowhere to go meanwhile.
      */
     private static final long STOOD_STILL_MS = 30;
 
--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -68,10 +68,7 @@
         retryUnreachable();
     }
 
-    /**
-     * Plans the links anew. With each heartbeat this was most of what an idle box of a large fleet did, since the plan looks
-     * at all boxes and they seldom change.
-     */
+    /** Plans the links anew, which looks at all boxes of the fleet; they seldom change, and looks come with each heartbeat. */
     private void plan() {
         plannedAtChange = directory.changes();
         List<LinkPlan.Box> reachable = directory.reachable();
--- a/relay/src/main/java/org/wingstall/relay/control/FirstAnswer.java
+++ b/relay/src/main/java/org/wingstall/relay/control/FirstAnswer.java
@@ -8,8 +8,7 @@
 
 /**
  * The first read of a box that starts. The load that it answers is the start of all boxes at once: each is slower than the
- * source that it asks, so a call that was given up and made again was made in vain: 16 of 23 boxes gave up their
- * first configuration after 0.7 s and 5 their list, and one of these had them 0.6 and 1.5 s after that.
+ * source that it asks, so a call that is given up and made again is made in vain.
  *
  * <p>The call is left its time; when its answer is late another one goes out beside it, since an answer may also be lost. The
  * first answer counts. Confined to one loop.
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -14,8 +14,7 @@
 public final class PieceGroup {
     /**
      * Time for which a group waits for an endpoint near its inputs or reader, in ms for each megabyte that would go between
-     * failure domains. Each piece reads all its inputs, so a group of ten that reads 360 KB moves 3.6 MB: on a calm minute
-     * 0.9 GB went between domains when every group waited 120 ms, and 0.2 GB with this.
+     * failure domains: each piece reads all its inputs, so a group moves them as often as it has pieces.
      */
     private static final double NEAR_ONLY_MS_PER_MB = 300;
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -323,8 +323,8 @@
     }
 
     /**
-     * Takes pieces back that found no room. They wait for it until their time is over, however often they were offered: 11 of
-     * 21 requests of the first kind were refused after three calls within two seconds of a restart of all boxes.
+     * Takes pieces back that found no room. They wait for it until their time is over, however often they were offered: room
+     * comes with results that lapse, and no call was spent on them.
      */
     void withoutRoom(RelayEndpoint endpoint, List<PieceTicket> tickets) {
         double leastBytes = tickets.stream()
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -24,8 +24,7 @@
 
     /**
      * Targets that a request waits for its stages: beyond, it is refused rather than held until its deadline, and the room
-     * goes to requests that can be in time. Of 453 requests of an overloaded day 85 had no answer until their deadline
-     * without it, 37 failed and 50 were refused with it.
+     * goes to requests that can be in time.
      */
     private static final double STAGES_PATIENCE = 1.5;
 
@@ -130,8 +129,8 @@
     }
 
     /**
-     * Returns the time from the end of the stages to the caller's first sight of an answer. With one figure for all, 74 of 552
-     * answers were late after stages that ended as late as they might, most by less than their engine took longer.
+     * Returns the time from the end of the stages to the caller's first sight of an answer. It differs with the prompt: with
+     * one time for all, stages that end as late as they may leave long prompts late.
      */
     private long afterStagesMs() {
         return TO_CALLER_MS + answerMs();
