--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -37,7 +37,6 @@
                 seen.called(call(Route.STREAM, 200, "s", cut, 0, 5));
             }),
             breach("own whole answer", seen -> seen.called(call(Route.ONCE, 200, null, "answer to a", 0, 5))),
-            breach("a caller's request", seen -> seen.arrived(new Arrival(null, "plain-1", "/x", true, DEADLINE_MS))),
             breach("at most one run", seen -> {
                 seen.called(call(Route.ONCE, 502, null, "", 0, 5));
                 seen.arrived(run());
@@ -81,16 +80,28 @@
                     seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
                 }
             }),
+            breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
+        };
+    }
+
+    @DataProvider
+    Object[][] breachesOfPlacing() {
+        return new Object[][] {
+            breach("a caller's request", seen -> seen.arrived(new Arrival(null, "plain-1", "/x", true, DEADLINE_MS))),
             breach("no work for who is evacuated", seen -> {
                 seen.placed("plain-1", "east");
                 seen.evacuated(new Evacuation("east", -Promises.EVACUATION_MS - 1, Long.MAX_VALUE));
                 seen.called(call(Route.ONCE, 200, "seal-of-plain-1", "answer to a", 0, 5));
                 seen.arrived(run());
             }),
-            breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
         };
     }
 
+    @Test(dataProvider = "breachesOfPlacing")
+    public void aBreachOfPlacingIsFound(String promise, Consumer<Observations> events) {
+        aBreachIsFound(promise, events);
+    }
+
     private static Object[] breach(String promise, Consumer<Observations> events) {
         return new Object[] {promise, events};
     }
