--- a/gateway/src/main/java/org/wingstall/gateway/relay/FleetSight.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/KnownFleet.java
@@ -10,13 +10,13 @@
 import org.wingstall.relay.endpoint.ColdLimits;
 
 /** Says what a box knows of its fleet where requests to cold endpoints are divided. Confined to the mesh's event loop. */
-final class FleetSight implements Supplier<ColdLimits.Fleet> {
+final class KnownFleet implements Supplier<ColdLimits.Fleet> {
     private final String self;
     private final String failureDomain;
     private final PeerMesh mesh;
     private final BooleanSupplier settled;
 
-    FleetSight(String self, String failureDomain, PeerMesh mesh, BooleanSupplier settled) {
+    KnownFleet(String self, String failureDomain, PeerMesh mesh, BooleanSupplier settled) {
         this.self = self;
         this.failureDomain = failureDomain;
         this.mesh = mesh;
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -213,7 +213,7 @@
                 clock,
                 service -> state.config().service(service).flatMap(ServiceSpec::cold),
                 () -> new ColdLimits.Bounds(this.settings.getColdOverrun(), this.settings.getColdTolerance()),
-                new FleetSight(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
+                new KnownFleet(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
                 new FixedColdShares());
     }
 
