--- a/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceGroup.java
@@ -29,6 +29,7 @@
     private final Urgency urgency;
     private final PieceTicket.Placement placement;
     private final boolean apart;
+    private final boolean followsOthers;
 
     /**
      * Creates a group.
@@ -45,6 +46,7 @@
         this.waiting = new ArrayList<>(tickets);
         this.urgency = tickets.get(0).urgency();
         this.placement = tickets.get(0).placement();
+        this.followsOthers = tickets.get(0).piece().key() == null;
     }
 
     Urgency urgency() {
@@ -55,6 +57,11 @@
         return placement;
     }
 
+    /** Returns whether other stages of its request were done for it; their work is lost when it is turned away. */
+    boolean followsOthers() {
+        return followsOthers;
+    }
+
     /** Returns whether it goes in calls of its own. */
     boolean apart() {
         return apart;
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolAdmission.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolAdmission.java
@@ -37,8 +37,11 @@
 
     /**
      * Turns away at once what would be late, while more work arrives than the pool can do: a late answer is worth little to its
-     * caller, who may come back, and the calls that it takes make others late. A pool that keeps up makes late answers, too.
+     * caller, who may come back, and the calls that it takes make others late. A pool that keeps up makes late answers, too, and
+     * what other stages were done for is not given up for being late.
      */
-    PoolAdmission IN_TIME_UNDER_LOAD = new ForecastAdmission((group, outlook) ->
-            outlook.load() > 1 ? group.urgency().targetAtMs() : group.urgency().dueAtMs());
+    PoolAdmission IN_TIME_UNDER_LOAD =
+            new ForecastAdmission((group, outlook) -> outlook.load() > 1 && !group.followsOthers()
+                    ? group.urgency().targetAtMs()
+                    : group.urgency().dueAtMs());
 }
