--- a/soak/src/main/java/org/wingstall/soak/BoxProcess.java
+++ b/soak/src/main/java/org/wingstall/soak/BoxProcess.java
@@ -37,6 +37,8 @@
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
+        // A gateway that outlives a soak that is ended asks whoever has its store's port next.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-" + boxId));
     }
 
     private List<String> command() {
