Log the limits that endpoints state, and log and count questions for their state

Callers saw: nothing. Change: the head of an answer tells its limit, whose changes are logged (endpoint-limit); each question is logged with its purpose (endpoint-asked) and counted (wingstall_endpoint_questions_total). No decision differs. Evidence: PlatformEndpointWireTest (nine texts of a limit), SilenceWatchTest, BorderTest pass.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -156,7 +156,7 @@
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         this.cold = coldLimits();
-        EndpointReports reports = new EndpointReports(loop, client, wire);
+        EndpointReports reports = new EndpointReports(loop, client, wire, metrics);
         this.pools = stagePools(loop, wire, reports, gathering);
         mesh.pieces().attach(pools);
         this.silence = silenceWatch(loop, reports);
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
@@ -12,6 +12,7 @@
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.wire.EndpointReport;
 import org.wingstall.relay.wire.EndpointWire;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -19,7 +20,7 @@
 /**
  * Asks endpoints for their state, one question at a time to each. Confined to the request loop.
  *
- * <p>{@code reports.ask(endpoint, report -> learn(report), () -> silent(endpoint));}
+ * <p>{@code reports.ask(endpoint, Purpose.OVERDUE_ANSWER, report -> learn(report), () -> silent(endpoint));}
  *
  * @since 0.5
  */
@@ -37,6 +38,7 @@
     private final EventLoop loop;
     private final HttpClient client;
     private final EndpointWire wire;
+    private final RelayMetrics metrics;
     private final Map<String, List<Waiting>> asked = new HashMap<>();
 
     /** Who waits for an answer. */
@@ -48,18 +50,26 @@
      * @param loop the request loop
      * @param client HTTP client
      * @param wire how endpoints are spoken to
+     * @param metrics counts questions
      */
-    public EndpointReports(EventLoop loop, HttpClient client, EndpointWire wire) {
+    public EndpointReports(EventLoop loop, HttpClient client, EndpointWire wire, RelayMetrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.client = client;
         this.wire = wire;
     }
 
     @Override
-    public void ask(RelayEndpoint endpoint, Consumer<Optional<EndpointReport>> answered, Runnable silent) {
+    public void ask(
+            RelayEndpoint endpoint, Purpose purpose, Consumer<Optional<EndpointReport>> answered, Runnable silent) {
         List<Waiting> waiting = asked.get(endpoint.key());
         if (waiting == null) {
             asked.put(endpoint.key(), new ArrayList<>(List.of(new Waiting(answered, silent))));
+            metrics.endpointAsked(purpose.code());
+            LogEvent.info("endpoint-asked")
+                    .with("endpoint", endpoint.id())
+                    .with("purpose", purpose.code())
+                    .to(LOG);
             client.call(loop, wire.report(endpoint.identity()), ANSWER_MS)
                     .whenCompleteAsync((reply, failure) -> ended(endpoint, reply, failure), loop);
         } else {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -16,6 +16,7 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.log.LogEvent;
+import org.wingstall.relay.endpoint.StateQuestions.Purpose;
 
 /**
  * Finds out silent endpoints together, and when they answer again. The load that it answers is a failure domain that is cut
@@ -137,7 +138,7 @@
             return;
         }
         doubtedAtMs.put(endpoint.key(), nowMs);
-        reports.ask(endpoint, report -> {}, () -> {
+        reports.ask(endpoint, Purpose.OVERDUE_ANSWER, report -> {}, () -> {
             endpoint.stalled("an answer is overdue and it doesn't tell its state");
             silent.run();
         });
@@ -158,7 +159,7 @@
             cutOff.remove(endpoint.identity().failureDomain());
             return;
         }
-        reports.ask(endpoint, report -> answersAgain(endpoint), () -> {
+        reports.ask(endpoint, Purpose.SILENT_ENDPOINT, report -> answersAgain(endpoint), () -> {
             staysSilent(endpoint);
             follow(endpoint, Math.min(MOST_MS, 2 * delayMs));
         });
@@ -202,6 +203,7 @@
         for (RelayEndpoint other : others) {
             reports.ask(
                     other,
+                    Purpose.SILENT_DOMAIN,
                     report -> {
                         questions.answered++;
                         ended(failureDomain, questions);
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -25,6 +25,7 @@
     private final Map<String, Counter> retries = new ConcurrentHashMap<>();
     private final Map<String, Counter> losses = new ConcurrentHashMap<>();
     private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
+    private final Map<String, Counter> questions = new ConcurrentHashMap<>();
     private final Counter dropped = registry.counter("wingstall.answers.dropped");
     private final Counter linesDropped = registry.counter("wingstall.log.lines.dropped");
     private final Timer complete =
@@ -81,6 +82,13 @@
                 .increment();
     }
 
+    /** Counts a question for an endpoint's state, by its purpose. */
+    public void endpointAsked(String purpose) {
+        questions
+                .computeIfAbsent(purpose, name -> registry.counter("wingstall.endpoint.questions", "purpose", name))
+                .increment();
+    }
+
     /** Counts an answer that was no answer to the request it came for. */
     public void answerDropped() {
         dropped.increment();
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -9,6 +9,7 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.StateQuestions.Purpose;
 import org.wingstall.relay.wire.AnswerHead;
 import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -97,6 +98,7 @@
             parts.reports()
                     .ask(
                             endpoint,
+                            Purpose.OVERDUE_CALL,
                             report -> checkIn(CHECK_AGAIN_MS),
                             () -> endpoint.stalled("a call is overdue and it does not answer"));
         }
@@ -174,6 +176,8 @@
         head.load().ifPresent(endpoint.state()::reported);
         if (head.otherIncarnation()) {
             parts.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
+        } else {
+            endpoint.advertised(head.limit());
         }
         if (reply.status() != OK) {
             pool.again(tickets, head.notRun() ? PieceResult.Failure.NO_ROOM : PieceResult.Failure.ERROR);
--- a/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
@@ -10,6 +10,7 @@
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.StateQuestions;
+import org.wingstall.relay.endpoint.StateQuestions.Purpose;
 import org.wingstall.relay.wire.EndpointReport;
 
 /**
@@ -44,6 +45,7 @@
         // An endpoint that does not answer here is found out by its calls.
         reports.ask(
                 endpoint,
+                Purpose.FREE_ROOM,
                 report -> report.map(EndpointReport::mostFreeBytes)
                         .filter(OptionalDouble::isPresent)
                         .ifPresent(free -> found(endpoint, spec, free.getAsDouble(), first)),
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -115,6 +115,9 @@
         head = parts.wire().answerHead(status, headers);
         headMs = parts.clock().nowMs();
         head.load().ifPresent(endpoint.state()::reported);
+        if (!head.otherIncarnation()) {
+            endpoint.advertised(head.limit());
+        }
         if (head.notRun()) {
             return;
         }
--- a/relay/src/main/java/org/wingstall/relay/wire/AnswerHead.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/AnswerHead.java
@@ -15,6 +15,7 @@
  * @param otherIncarnation whether another endpoint stands at the address now
  * @param streamed whether the body is a series of events
  * @param load requests running and waiting there, when it says so
+ * @param limit requests that it takes from all boxes, when it says so
  * @param toCaller headers that go on to the caller
  * @since 0.2
  */
@@ -26,6 +27,7 @@
         boolean otherIncarnation,
         boolean streamed,
         OptionalInt load,
+        AdvertisedLimit limit,
         HttpHeaders toCaller) {
     /** Returns whether the endpoint ran the request with success. */
     public boolean success() {
--- a/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
@@ -38,7 +38,7 @@
         endpoints.applyList(Stream.of("east-1", "east-2", "east-3", "west-1", "west-2", "east-plain")
                 .map(SilenceWatchTest::entry)
                 .toList());
-        StateQuestions questions = (endpoint, answered, silent) -> {
+        StateQuestions questions = (endpoint, purpose, answered, silent) -> {
             asked.add(endpoint.id());
             if (silentIds.contains(endpoint.id())) {
                 loop.execute(silent);
