Reproduce that an endpoint which states a limit gets more requests; the tests fail

Callers saw: nothing; an endpoint that asked for relief got none. Cause: not changed here. Three gateways and two endpoints of each kind of service, one of which states a limit in its answers. Of stages, calls for pieces, the giving up of results and questions for state count as well. The stand-in counts every request that reaches an endpoint but those meant for another incarnation.

--- /dev/null
+++ b/standin/src/main/java/org/wingstall/standin/fleet/LimitLog.java
@@ -0,0 +1,138 @@
+package org.wingstall.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/**
+ * The requests that endpoints with a limit got from all boxes, and whether they were more than allowed. Safe for use on any
+ * thread.
+ *
+ * <p>{@code log.stated("engine-1", 1); log.arrived("engine-1", id); log.excesses(arrival -> true)}
+ *
+ * @since 0.9
+ */
+public final class LimitLog {
+    /** Length of the spans in which requests count, in ms. */
+    private static final long WINDOW_MS = 4000;
+
+    /** Time after an endpoint first stated a limit from which it has to be kept, in ms. */
+    private static final long CONTACT_MS = 3000;
+
+    /** Time that news of another rate may take, in ms. */
+    private static final long NEWS_MS = 500;
+
+    private static final double OVERRUN = 1.5;
+    private static final double TOLERANCE = 5;
+    private static final double NO_LIMIT = Double.POSITIVE_INFINITY;
+
+    private final Map<String, Endpoint> endpoints = new ConcurrentHashMap<>();
+
+    private static final class Endpoint {
+        private final ConcurrentSkipListMap<Long, Double> rates = new ConcurrentSkipListMap<>(Map.of(0L, NO_LIMIT));
+        private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+    }
+
+    /**
+     * A request that came to an endpoint.
+     *
+     * @param what its identifier, or its path when it has none
+     * @param atMs when it came, in ms of the process's steady clock
+     */
+    public record Arrival(String what, long atMs) {}
+
+    /**
+     * More requests than allowed.
+     *
+     * @param endpoint the endpoint
+     * @param atMs end of the span, in ms of the process's steady clock
+     * @param got requests in the span
+     * @param allowed requests that were allowed
+     */
+    public record Excess(String endpoint, long atMs, List<Arrival> got, double allowed) {}
+
+    private static long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private Endpoint of(String endpoint) {
+        return endpoints.computeIfAbsent(endpoint, name -> new Endpoint());
+    }
+
+    /** Records that the endpoint's answers state a rate from now on. */
+    public void stated(String endpoint, double requestsPerSecond) {
+        of(endpoint).rates.put(nowMs(), requestsPerSecond);
+    }
+
+    /** Records that the endpoint's answers state no limit any more. */
+    public void cleared(String endpoint) {
+        of(endpoint).rates.put(nowMs(), NO_LIMIT);
+    }
+
+    /** Records a request of whatever kind. */
+    public void arrived(String endpoint, String what) {
+        of(endpoint).arrivals.add(new Arrival(what, nowMs()));
+    }
+
+    /** Returns the requests that an endpoint got from some time on. */
+    public List<Arrival> arrivals(String endpoint, long fromMs) {
+        return of(endpoint).arrivals.stream()
+                .filter(arrival -> arrival.atMs() >= fromMs)
+                .toList();
+    }
+
+    /**
+     * Returns the spans in which an endpoint got too many requests.
+     *
+     * @param counts which requests count
+     */
+    public List<Excess> excesses(Predicate<Arrival> counts) {
+        List<Excess> excesses = new ArrayList<>();
+        endpoints.forEach((name, endpoint) -> {
+            List<Arrival> counted = endpoint.arrivals.stream().filter(counts).toList();
+            counted.forEach(last -> {
+                long fromMs = last.atMs() - WINDOW_MS;
+                double allowed = OVERRUN * WINDOW_MS / 1000 * highestRate(endpoint, last.atMs()) + TOLERANCE;
+                List<Arrival> got = counted.stream()
+                        .filter(arrival -> arrival.atMs() > fromMs && arrival.atMs() <= last.atMs())
+                        .toList();
+                if (got.size() > allowed) {
+                    excesses.add(new Excess(name, last.atMs(), got, allowed));
+                }
+            });
+        });
+        return excesses;
+    }
+
+    /** Returns the highest rate that counts for the span that ends at a time; infinite when nothing is bounded yet. */
+    private static double highestRate(Endpoint endpoint, long untilMs) {
+        TreeMap<Long, Double> rates = new TreeMap<>(endpoint.rates.headMap(untilMs, true));
+        if (untilMs - statedSinceMs(rates) < CONTACT_MS) {
+            return NO_LIMIT;
+        }
+        long fromMs = Math.max(statedSinceMs(rates), untilMs - WINDOW_MS - NEWS_MS);
+        double highest = rates.floorEntry(fromMs).getValue();
+        for (double rate : rates.tailMap(fromMs, true).values()) {
+            highest = Math.max(highest, rate);
+        }
+        return highest;
+    }
+
+    /** Returns since when the endpoint has stated some limit without a break. */
+    private static long statedSinceMs(TreeMap<Long, Double> rates) {
+        long sinceMs = Long.MAX_VALUE;
+        for (Map.Entry<Long, Double> change : rates.descendingMap().entrySet()) {
+            if (change.getValue() == NO_LIMIT) {
+                return sinceMs;
+            }
+            sinceMs = change.getKey();
+        }
+        return sinceMs;
+    }
+}
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -34,6 +34,8 @@
     private static final int FULL = 503;
     private static final String ID = "X-Wingstall-Attempt-Id";
 
+    private static final String LIMIT = "Server-Limit";
+
     /** Results that a request of the staged route reads, as callers of the tests ask for. */
     private static final int STAGED_INPUTS = 3;
 
@@ -49,6 +51,8 @@
     private final AtomicInteger cancelled = new AtomicInteger();
     private volatile Behaviour behaviour = Behaviour.ANSWERS;
     private volatile Consumer<Arrival> observer = arrival -> {};
+    private volatile LimitLog limitLog = new LimitLog();
+    private volatile String limit;
 
     /** A request that came to an endpoint, run or turned away. */
     public record Arrival(String id, String endpoint, String target, boolean ran, long deadlineMs) {}
@@ -101,6 +105,24 @@
         observer = next;
     }
 
+    /** Sets where the requests that it gets are recorded. */
+    public WorkerStandin recordIn(LimitLog log) {
+        limitLog = log;
+        return this;
+    }
+
+    /** States from now on how many requests a second it takes, in whatever words. */
+    public void limit(String text, double requestsPerSecond) {
+        limit = text;
+        limitLog.stated(incarnation, requestsPerSecond);
+    }
+
+    /** States a limit no longer. */
+    public void clearLimit() {
+        limit = null;
+        limitLog.cleared(incarnation);
+    }
+
     /** Finds the inputs of so many calls for pieces gone. */
     public void loseInputs(int calls) {
         inputsToLose.set(calls);
@@ -150,6 +172,7 @@
             respond(call, OTHER_INCARNATION, headers(call).set("X-Wingstall-Instance-Id", incarnation), "");
             return;
         }
+        limitLog.arrived(incarnation, requestId(call) == null ? call.path() : requestId(call));
         if (behaviour == Behaviour.DARK) {
             arrived(call, false);
             call.onDisconnect(cancelled::incrementAndGet);
@@ -168,9 +191,12 @@
         return call.header(ID);
     }
 
-    private static HttpHeaders headers(HttpCall call) {
+    private HttpHeaders headers(HttpCall call) {
         String id = call.header(ID);
         HttpHeaders headers = new DefaultHttpHeaders();
+        if (limit != null) {
+            headers.set(LIMIT, limit);
+        }
         return id == null ? headers : headers.set(ID, id);
     }
 
@@ -284,7 +310,9 @@
                 made.addObject().put("kv_handle", handleOf(items.get(i)));
             }
         }
-        call.eventLoop().schedule(() -> call.respondJson(OK, document), callMs, TimeUnit.MILLISECONDS);
+        HttpHeaders answerHeaders = headers(call).set("content-type", "application/json");
+        call.eventLoop()
+                .schedule(() -> respond(call, OK, answerHeaders, document.toString()), callMs, TimeUnit.MILLISECONDS);
     }
 
     private void free(HttpCall call) {
