--- a/core/src/main/java/org/wingstall/core/peer/Rendezvous.java
+++ b/core/src/main/java/org/wingstall/core/peer/Rendezvous.java
@@ -31,6 +31,24 @@
                 .toList();
     }
 
+    /**
+     * Returns the place of a box in the order for a purpose; 0 for the first choice.
+     *
+     * @param purpose what boxes are chosen for
+     * @param boxes boxes to choose from
+     * @param box the box
+     */
+    public static int rank(String purpose, Collection<String> boxes, String box) {
+        long own = score(purpose, box);
+        int before = 0;
+        for (String other : boxes) {
+            long score = score(purpose, other);
+            boolean ahead = score > own || score == own && other.compareTo(box) < 0;
+            before += ahead ? 1 : 0;
+        }
+        return before;
+    }
+
     private static long score(String purpose, String box) {
         return Hashing.komihash5_0()
                 .hashStream()
--- a/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -9,8 +9,8 @@
 import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.peer.CrashHost;
-import org.wingstall.peer.CrashLinks;
+import org.wingstall.peer.NewsHost;
+import org.wingstall.peer.NewsLinks;
 import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.CrashReport;
 
@@ -21,7 +21,7 @@
  *
  * @since 0.7
  */
-public final class CrashReports implements Quarantine.Listener, CrashHost {
+public final class CrashReports implements Quarantine.Listener, NewsHost<CrashNews> {
     private static final Logger LOG = LogManager.getLogger(CrashReports.class);
 
     /** Lines a second about requests that are suspected only: a lost engine may leave as many as it ran at once. */
@@ -30,14 +30,18 @@
     /** Losses from which a line is never left out. */
     private static final int ALWAYS_FROM = 2;
 
-    private final CrashLinks links;
+    private final NewsLinks<CrashNews> links;
     private final EventLoop loop;
     private final Consumer<CrashReport> keeper;
     private final TokenBucket lines;
     private final Quarantine quarantine;
 
     private CrashReports(
-            String boxId, CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+            String boxId,
+            NewsLinks<CrashNews> links,
+            EventLoop loop,
+            MonotonicClock clock,
+            Consumer<CrashReport> keeper) {
         this.links = links;
         this.loop = loop;
         this.keeper = keeper;
@@ -55,7 +59,11 @@
      * @param keeper keeps reports where they outlive the boxes
      */
     public static CrashReports over(
-            String boxId, CrashLinks links, EventLoop loop, MonotonicClock clock, Consumer<CrashReport> keeper) {
+            String boxId,
+            NewsLinks<CrashNews> links,
+            EventLoop loop,
+            MonotonicClock clock,
+            Consumer<CrashReport> keeper) {
         CrashReports reports = new CrashReports(boxId, links, loop, clock, keeper);
         links.attach(reports);
         return reports;
--- a/gateway/src/main/java/org/wingstall/gateway/relay/OperatorHandler.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/OperatorHandler.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.limit.StatedLimits;
 import org.wingstall.core.quarantine.Fingerprint;
 import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.net.http.HttpCall;
@@ -11,7 +12,7 @@
 import org.wingstall.net.log.LogEvent;
 
 /**
- * Answers operators: metrics, the requests that may crash endpoints, and letting one through again.
+ * Answers operators: metrics, the limits that endpoints state, the requests that may crash endpoints, and letting one through again.
  *
  * <p>{@code curl box:7740/quarantine; curl -X POST 'box:7740/quarantine/lift?fingerprint=6a0f...'}
  */
@@ -25,8 +26,10 @@
 
     private final Supplier<String> metrics;
     private final Quarantine quarantine;
+    private final StatedLimits limits;
 
-    OperatorHandler(Supplier<String> metrics, Quarantine quarantine) {
+    OperatorHandler(Supplier<String> metrics, Quarantine quarantine, StatedLimits limits) {
+        this.limits = limits;
         this.metrics = metrics;
         this.quarantine = quarantine;
     }
@@ -34,6 +37,7 @@
     @Override
     public void handle(HttpCall call) {
         switch (call.path()) {
+            case "/limits" -> call.respondJson(OK, limits.all());
             case "/quarantine" -> call.respondJson(OK, quarantine.reports());
             case "/quarantine/lift" -> lift(call);
             default ->
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -35,9 +35,7 @@
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeers;
 import org.wingstall.relay.control.RelayState;
-import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.EndpointReports;
-import org.wingstall.relay.endpoint.FixedColdShares;
 import org.wingstall.relay.endpoint.LeastLoaded;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SilenceWatch;
@@ -117,7 +115,7 @@
     private final ServiceBudgets budgets;
     private final PeerMesh mesh;
     private final StagePools pools;
-    private final ColdLimits cold;
+    private final RequestLimits limits;
     private final SilenceWatch silence;
     private final CrashReports crashes;
     private final EngineBroker engines;
@@ -155,8 +153,9 @@
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         PieceGathering gathering = new RendezvousGathering(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
-        this.cold = coldLimits();
-        EndpointReports reports = new EndpointReports(loop, client, wire, metrics);
+        this.limits = new RequestLimits(
+                () -> this.settings, loop, clock, state, mesh, gathering, () -> store().boxesSettled(), metrics);
+        EndpointReports reports = new EndpointReports(loop, client, wire, metrics, limits.answers()::limited);
         this.pools = stagePools(loop, wire, reports, gathering);
         mesh.pieces().attach(pools);
         this.silence = silenceWatch(loop, reports);
@@ -168,8 +167,9 @@
                 gathering,
                 endpoints,
                 service -> state.config().service(service).flatMap(ServiceSpec::engine),
-                cold,
+                limits.sends(),
                 engine -> silence.doubt(engine, () -> {}),
+                limits.answers()::limited,
                 metrics);
         mesh.attach(engines);
         this.handler = new RelayHandler(requestParts(loop, wire), this::known);
@@ -198,7 +198,8 @@
                         wire,
                         reports,
                         endpoints,
-                        cold,
+                        limits.sends(),
+                        limits.answers(),
                         state::config,
                         budgets,
                         crashes.quarantine(),
@@ -208,15 +209,6 @@
                 gathering);
     }
 
-    private ColdLimits coldLimits() {
-        return new ColdLimits(
-                clock,
-                service -> state.config().service(service).flatMap(ServiceSpec::cold),
-                () -> new ColdLimits.Bounds(this.settings.getColdOverrun(), this.settings.getColdTolerance()),
-                new KnownFleet(settings.getBoxId(), settings.getFailureDomain(), mesh, () -> store().boxesSettled()),
-                new FixedColdShares());
-    }
-
     private SilenceWatch silenceWatch(EventLoop loop, EndpointReports reports) {
         return new SilenceWatch(
                 loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
@@ -236,7 +228,8 @@
                 pools,
                 engines,
                 Regions.parse(settings.getRegions()),
-                cold,
+                limits.sends(),
+                limits.answers(),
                 silence::doubt,
                 new LeastLoaded(settings.getFailureDomain(), random),
                 budgets,
@@ -282,6 +275,7 @@
     }
 
     private void endpointsChanged() {
+        limits.endpointsChanged(endpoints);
         pools.offerAll();
         engines.endpointsChanged();
     }
@@ -324,12 +318,12 @@
                 requests,
                 Addresses.parse(settings.getOperatorAddress()),
                 INSIDE_LIMITS,
-                new OperatorHandler(metrics::scrape, crashes.quarantine()),
+                new OperatorHandler(metrics::scrape, crashes.quarantine(), limits.stated()),
                 rejection -> new byte[0]);
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
         gauges.ofWork(handler, pools, callers);
-        gauges.ofFleet(mesh, crashes);
+        gauges.ofFleet(mesh, crashes, limits.stated());
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
                 .with("failureDomain", settings.getFailureDomain())
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -1,5 +1,6 @@
 package org.wingstall.gateway.relay;
 
+import org.wingstall.core.limit.StatedLimits;
 import org.wingstall.gateway.crash.CrashReports;
 import org.wingstall.net.http.HttpServer;
 import org.wingstall.peer.PeerMesh;
@@ -35,7 +36,8 @@
     }
 
     /** Shows what it shares with other boxes. */
-    void ofFleet(PeerMesh mesh, CrashReports crashes) {
+    void ofFleet(PeerMesh mesh, CrashReports crashes, StatedLimits limits) {
+        metrics.gauge("wingstall.endpoints.limited", () -> limits.all().size());
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
         metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().heldBack());
     }
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -10,6 +10,7 @@
 import org.wingstall.schema.peer.EngineOutcome;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
 import org.wingstall.schema.peer.StageFreed;
@@ -45,6 +46,7 @@
         private EngineOutcome engineOutcome;
         private boolean stageTaken;
         private CrashNews crashNews;
+        private LimitNews limitNews;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -68,7 +70,8 @@
                     engineChoice,
                     engineOutcome,
                     stageTaken,
-                    crashNews);
+                    crashNews,
+                    limitNews);
         }
     }
 
@@ -163,6 +166,12 @@
         return parts.frame();
     }
 
+    static PeerFrame limitNews(LimitNews news) {
+        Parts parts = new Parts(0);
+        parts.limitNews = news;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- /dev/null
+++ b/peer/src/main/java/org/wingstall/peer/NewsLinks.java
@@ -0,0 +1,62 @@
+package org.wingstall.peer;
+
+import java.util.Map;
+import java.util.function.Function;
+import org.wingstall.schema.peer.PeerFrame;
+
+/**
+ * What gateways say to each other about one subject, passed on from link to link. Confined to the mesh's event loop.
+ *
+ * <p>{@code mesh.crashes().tell(news, "kgn-a-1");}
+ *
+ * @param <N> what is told
+ * @since 0.9
+ */
+public final class NewsLinks<N> {
+    private final Map<String, PeerLink> links;
+    private final Function<N, PeerFrame> encoder;
+    private final Function<PeerFrame, N> decoder;
+    private NewsHost<N> host;
+
+    NewsLinks(Map<String, PeerLink> links, Function<N, PeerFrame> encoder, Function<PeerFrame, N> decoder) {
+        this.links = links;
+        this.encoder = encoder;
+        this.decoder = decoder;
+    }
+
+    /** Attaches the host; before the mesh starts. */
+    public void attach(NewsHost<N> newsHost) {
+        host = newsHost;
+    }
+
+    /**
+     * Tells every linked peer.
+     *
+     * @param news what is told
+     * @param exceptBox peer that it was heard from; null for none
+     */
+    public void tell(N news, String exceptBox) {
+        PeerFrame frame = encoder.apply(news);
+        links.forEach((boxId, link) -> {
+            if (!boxId.equals(exceptBox) && link.active()) {
+                link.send(frame);
+            }
+        });
+    }
+
+    /** A new link may end a cut, or lead to a box that has just started. */
+    void linked(PeerLink link) {
+        if (host != null) {
+            host.known().forEach(news -> link.send(encoder.apply(news)));
+        }
+    }
+
+    /** Passes a frame about the subject to the host; returns whether it was one. */
+    boolean frame(String boxId, PeerFrame frame) {
+        N news = decoder.apply(frame);
+        if (news != null && host != null) {
+            host.heard(boxId, news);
+        }
+        return news != null;
+    }
+}
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -28,9 +28,11 @@
 import org.wingstall.net.frame.FrameCodec;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.format.PeerFrameFormat;
+import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
 import org.wingstall.schema.peer.Hello;
+import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
 import org.wingstall.schema.platform.Member;
@@ -59,7 +61,8 @@
     private final PromptReplies replies;
     private final PieceLinks pieces;
     private final MeshEngineLinks engines;
-    private final CrashLinks crashes;
+    private final NewsLinks<CrashNews> crashes;
+    private final NewsLinks<LimitNews> limits;
     private final Dialer dialer;
     private final RowLinks rows;
     private final DomainTable domains;
@@ -85,7 +88,8 @@
         this.replies = new PromptReplies(clock);
         this.pieces = new PieceLinks(links, replies);
         this.engines = new MeshEngineLinks(links, replies);
-        this.crashes = new CrashLinks(links);
+        this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews);
+        this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews);
         this.rows = new RowLinks(loop, links);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
         this.peers =
@@ -125,10 +129,15 @@
     }
 
     /** Returns what gateways say to each other about requests that crash endpoints. */
-    public CrashLinks crashes() {
+    public NewsLinks<CrashNews> crashes() {
         return crashes;
     }
 
+    /** Returns what gateways say to each other about the requests that endpoints take. */
+    public NewsLinks<LimitNews> limits() {
+        return limits;
+    }
+
     /** Attaches what is done with what peers say about engines; before the mesh starts. */
     public void attach(EngineHost host) {
         engines.attach(host);
@@ -291,6 +300,7 @@
                 .to(LOG);
         heartbeats.sendFirst(link);
         crashes.linked(link);
+        limits.linked(link);
     }
 
     /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
@@ -327,7 +337,8 @@
             host.membersChanged(frame.getMemberNews());
         } else if (!rows.frame(link, frame)
                 && !engines.frame(link.peer().getBoxId(), frame)
-                && !crashes.frame(link.peer().getBoxId(), frame)) {
+                && !crashes.frame(link.peer().getBoxId(), frame)
+                && !limits.frame(link.peer().getBoxId(), frame)) {
             pieces.frame(link.peer().getBoxId(), frame);
         }
     }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.net.http.HttpClient;
@@ -39,6 +40,7 @@
     private final HttpClient client;
     private final EndpointWire wire;
     private final RelayMetrics metrics;
+    private final Predicate<RelayEndpoint> spared;
     private final Map<String, List<Waiting>> asked = new HashMap<>();
 
     /** Who waits for an answer. */
@@ -51,8 +53,15 @@
      * @param client HTTP client
      * @param wire how endpoints are spoken to
      * @param metrics counts questions
+     * @param spared whether an endpoint is not asked
      */
-    public EndpointReports(EventLoop loop, HttpClient client, EndpointWire wire, RelayMetrics metrics) {
+    public EndpointReports(
+            EventLoop loop,
+            HttpClient client,
+            EndpointWire wire,
+            RelayMetrics metrics,
+            Predicate<RelayEndpoint> spared) {
+        this.spared = spared;
         this.metrics = metrics;
         this.loop = loop;
         this.client = client;
@@ -60,8 +69,11 @@
     }
 
     @Override
-    public void ask(
+    public boolean ask(
             RelayEndpoint endpoint, Purpose purpose, Consumer<Optional<EndpointReport>> answered, Runnable silent) {
+        if (spared.test(endpoint)) {
+            return false;
+        }
         List<Waiting> waiting = asked.get(endpoint.key());
         if (waiting == null) {
             asked.put(endpoint.key(), new ArrayList<>(List.of(new Waiting(answered, silent))));
@@ -75,6 +87,7 @@
         } else {
             waiting.add(new Waiting(answered, silent));
         }
+        return true;
     }
 
     private void ended(RelayEndpoint endpoint, HttpReply reply, Throwable failure) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RecentSends.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RecentSends.java
@@ -2,31 +2,43 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
-/** When requests were sent to one endpoint within the last second. Confined to the request loop. */
+/** When requests were sent to one endpoint lately. Confined to the request loop. */
 final class RecentSends {
-    /** Length of the window in which a cold endpoint's requests count, in ms. */
-    static final long WINDOW_MS = 1000;
+    /** Longest window in which sends are counted, in ms. */
+    static final long LONGEST_MS = 4000;
+
+    /** Sends that are remembered at most; more than any bound lets through. */
+    private static final int MOST_REMEMBERED = 4096;
 
     private final Deque<Long> sentAtMs = new ArrayDeque<>();
 
     void sent(long nowMs) {
         sentAtMs.addLast(nowMs);
-    }
-
-    /** Returns the time until one more may be sent, in ms; 0 for now. */
-    long waitMs(int perWindow, long nowMs) {
-        while (!sentAtMs.isEmpty() && nowMs - sentAtMs.peekFirst() > WINDOW_MS) {
+        while (nowMs - sentAtMs.peekFirst() > LONGEST_MS || sentAtMs.size() > MOST_REMEMBERED) {
             sentAtMs.removeFirst();
         }
-        if (perWindow < 1) {
-            return WINDOW_MS;
-        }
-        int tooMany = sentAtMs.size() - perWindow;
-        return tooMany < 0 ? 0 : WINDOW_MS + 1 - (nowMs - nth(tooMany));
     }
 
-    private long nth(int place) {
-        return sentAtMs.stream().skip(place).findFirst().orElseThrow();
+    /** Returns whether the last send is so long ago that none counts any more. */
+    boolean over(long nowMs) {
+        return sentAtMs.isEmpty() || nowMs - sentAtMs.peekLast() > LONGEST_MS;
+    }
+
+    /** Returns the time until one more may be sent when so many may be in any window, in ms; 0 for now. */
+    long waitMs(int perWindow, long windowMs, long nowMs) {
+        if (perWindow < 1) {
+            return windowMs;
+        }
+        if (sentAtMs.size() < perWindow) {
+            return 0;
+        }
+        Iterator<Long> newestFirst = sentAtMs.descendingIterator();
+        long lastThatCountsMs = newestFirst.next();
+        for (int place = 1; place < perWindow; place++) {
+            lastThatCountsMs = newestFirst.next();
+        }
+        return Math.max(0, lastThatCountsMs + windowMs + 1 - nowMs);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -1,6 +1,5 @@
 package org.wingstall.relay.endpoint;
 
-import java.util.Locale;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -10,7 +9,6 @@
 import org.wingstall.net.http.TransportException;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.ColdSpec;
-import org.wingstall.relay.wire.AdvertisedLimit;
 
 /**
  * An endpoint: what the list says it can do, and what this box has seen of it. Safe for use on any thread.
@@ -28,7 +26,6 @@
     private final Consumer<RelayEndpoint> onSilence;
     private final Backoff backoff = new Backoff();
     private volatile long startedAtMs;
-    private volatile AdvertisedLimit advertised = AdvertisedLimit.NONE;
     private volatile Warmth warmth = new Warmth(0, Long.MIN_VALUE);
 
     /** What the endpoint last said of how long it stays cold, and until when that is. */
@@ -95,19 +92,6 @@
         }
     }
 
-    /** Logs a change of the limit that its answers state. */
-    public void advertised(AdvertisedLimit limit) {
-        if (!limit.equals(advertised)) {
-            advertised = limit;
-            LogEvent.info("endpoint-limit")
-                    .with("endpoint", id())
-                    .with("service", identity().service())
-                    .with("kind", limit.kind().name().toLowerCase(Locale.ROOT))
-                    .with("requestsPerSecond", limit.requestsPerSecond())
-                    .to(LOG);
-        }
-    }
-
     /** Returns whether it is cold, by its own word or since it started a short while ago. */
     boolean cold(ColdSpec spec, long nowMs) {
         return nowMs < warmth.coldUntilMs() || nowMs - startedAtMs < spec.startMs();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -43,7 +43,7 @@
     private volatile Map<String, RelayEndpoint> byId = Map.of();
     private volatile Map<String, List<RelayEndpoint>> byService = Map.of();
     private volatile Set<String> evacuated = Set.of();
-    private volatile Map<InetSocketAddress, String> domainsByAddress = Map.of();
+    private volatile Map<InetSocketAddress, RelayEndpoint> byAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
     private volatile Consumer<RelayEndpoint> silenceListener = endpoint -> {};
     private final Set<String> lapsedIds = new HashSet<>();
@@ -108,7 +108,12 @@
 
     /** Returns the failure domain of the endpoint at an address; empty when none is known there. */
     public String domainAt(InetSocketAddress address) {
-        return domainsByAddress.getOrDefault(address, "");
+        return at(address).map(endpoint -> endpoint.identity().failureDomain()).orElse("");
+    }
+
+    /** Returns the endpoint at an address. */
+    public Optional<RelayEndpoint> at(InetSocketAddress address) {
+        return Optional.ofNullable(byAddress.get(address));
     }
 
     /** Returns an endpoint by its identifier. */
@@ -256,11 +261,9 @@
                     .add(endpoint);
         }
         services.replaceAll((service, list) -> List.copyOf(list));
-        Map<InetSocketAddress, String> domains = new HashMap<>();
-        next.values()
-                .forEach(endpoint -> domains.put(
-                        endpoint.identity().address(), endpoint.identity().failureDomain()));
-        domainsByAddress = Map.copyOf(domains);
+        Map<InetSocketAddress, RelayEndpoint> addresses = new HashMap<>();
+        next.values().forEach(endpoint -> addresses.put(endpoint.identity().address(), endpoint));
+        byAddress = Map.copyOf(addresses);
         byId = Map.copyOf(next);
         byService = Map.copyOf(services);
     }
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
@@ -0,0 +1,195 @@
+package org.wingstall.relay.endpoint;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.wingstall.core.limit.StatedLimits;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.PeriodicTask;
+import org.wingstall.relay.config.ColdSpec;
+import org.wingstall.relay.log.RelayMetrics;
+
+/**
+ * Keeps what this box sends, or has others send, to endpoints within its share of what they bear: those that are cold, and
+ * those that state a limit. Where both hold the stricter one does. Confined to the request loop.
+ *
+ * <p>{@code List<RelayEndpoint> open = limits.open(candidates, Chooser.FOR_ALL); ... limits.sent(chosen);}
+ *
+ * @since 0.8
+ */
+public final class SendLimits {
+    /** Endpoints whose sends are remembered until those that got none lately are dropped. */
+    private static final int MOST_REMEMBERED = 1000;
+
+    private static final RecentSends NO_SENDS = new RecentSends();
+
+    private final MonotonicClock clock;
+    private final List<SendBound> bounds;
+    private final Fleet.View fleet;
+    private final Coordination coordination;
+    private final RelayMetrics metrics;
+    private final Map<String, RecentSends> sends = new HashMap<>();
+
+    /** For whom an endpoint is chosen. */
+    public enum Chooser {
+        /** One box chooses for all that hear it, and this is it. */
+        FOR_ALL,
+        /** This box chooses for itself, because the box that chooses for all did not answer. */
+        ALONE,
+        /** Every box chooses for itself. */
+        EACH_BOX
+    }
+
+    /**
+     * What a cold endpoint bears beyond its rate.
+     *
+     * @param factor factor on its rate; 0 when cold endpoints are not bounded
+     * @param tolerance requests in a second beyond that
+     */
+    public record ColdOverrun(double factor, double tolerance) {}
+
+    /** Builds limits; {@code SendLimits.builder(clock, fleet).stated(limits).build(metrics)}. */
+    public static final class Builder {
+        private final MonotonicClock clock;
+        private final Fleet.View fleet;
+        private final Coordination coordination;
+        private final List<SendBound> bounds = new ArrayList<>();
+
+        private Builder(MonotonicClock clock, Fleet.View fleet, Coordination coordination) {
+            this.clock = clock;
+            this.fleet = fleet;
+            this.coordination = coordination;
+        }
+
+        /**
+         * Bounds cold endpoints.
+         *
+         * @param specs what cold endpoints of a service bear, where that is less than usual
+         * @param overrun what they bear beyond it
+         * @param shares divides it among boxes
+         * @return this
+         */
+        public Builder cold(
+                Function<String, Optional<ColdSpec>> specs, Supplier<ColdOverrun> overrun, ColdShares shares) {
+            bounds.add(new ColdBound(clock, specs, overrun, fleet, shares));
+            return this;
+        }
+
+        /**
+         * Bounds endpoints that state a limit.
+         *
+         * @param limits what they state
+         * @return this
+         */
+        public Builder stated(StatedLimits limits) {
+            bounds.add(new StatedBound(clock, limits, fleet, coordination));
+            return this;
+        }
+
+        /** Builds the limits. */
+        public SendLimits build(RelayMetrics metrics) {
+            return new SendLimits(this, metrics);
+        }
+    }
+
+    private SendLimits(Builder builder, RelayMetrics metrics) {
+        this.clock = builder.clock;
+        this.bounds = List.copyOf(builder.bounds);
+        this.fleet = builder.fleet;
+        this.coordination = builder.coordination;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Begins to build limits.
+     *
+     * @param clock monotonic clock
+     * @param fleet the fleet as this box knows it
+     */
+    public static Builder builder(MonotonicClock clock, Fleet.View fleet) {
+        return builder(clock, fleet, new Coordination(clock, fleet, StatedBound.WINDOW_MS));
+    }
+
+    static Builder builder(MonotonicClock clock, Fleet.View fleet, Coordination coordination) {
+        return new Builder(clock, fleet, coordination);
+    }
+
+    /** Begins to follow for which part of the fleet this box chooses. */
+    public void start(EventLoop loop) {
+        PeriodicTask.start(loop, "coordination", () -> Coordination.SAMPLE_MS, coordination::sample);
+    }
+
+    /**
+     * Returns the endpoints that may be sent a request now. A box that does not know the others yet leaves bounded endpoints
+     * alone as long as there are others.
+     *
+     * @param candidates endpoints of one service
+     * @param chooser for whom one of them is chosen
+     * @return those that are not bounded, and bounded ones within this box's share
+     */
+    public List<RelayEndpoint> open(List<RelayEndpoint> candidates, Chooser chooser) {
+        if (candidates.isEmpty() || idle(candidates.get(0).identity().service())) {
+            return candidates;
+        }
+        List<RelayEndpoint> unbounded =
+                candidates.stream().filter(endpoint -> !bounded(endpoint)).toList();
+        if (unbounded.size() == candidates.size()) {
+            return candidates;
+        }
+        if (!fleet.settled() && !unbounded.isEmpty()) {
+            return unbounded;
+        }
+        return candidates.stream().filter(endpoint -> isOpen(endpoint, chooser)).toList();
+    }
+
+    private boolean isOpen(RelayEndpoint endpoint, Chooser chooser) {
+        Optional<SendBound> closed = bounds.stream()
+                .filter(bound -> waitMs(bound, endpoint, chooser) > 0)
+                .findFirst();
+        closed.ifPresent(bound -> metrics.heldBack(bound.cause()));
+        return closed.isEmpty();
+    }
+
+    private boolean idle(String service) {
+        return bounds.stream().allMatch(bound -> bound.idle(service));
+    }
+
+    /** Returns the time after which one of these endpoints may be sent a request, in ms; 0 for now. */
+    public long againMs(List<RelayEndpoint> candidates, Chooser chooser) {
+        return candidates.stream()
+                .mapToLong(endpoint -> waitMs(endpoint, chooser))
+                .min()
+                .orElse(0);
+    }
+
+    private long waitMs(RelayEndpoint endpoint, Chooser chooser) {
+        return bounds.stream()
+                .mapToLong(bound -> waitMs(bound, endpoint, chooser))
+                .max()
+                .orElse(0);
+    }
+
+    private long waitMs(SendBound bound, RelayEndpoint endpoint, Chooser chooser) {
+        RecentSends recent = sends.getOrDefault(endpoint.key(), NO_SENDS);
+        return bound.binds(endpoint) ? bound.waitMs(endpoint, chooser, recent) : 0;
+    }
+
+    /** Returns whether an endpoint bears less than usual now. */
+    public boolean bounded(RelayEndpoint endpoint) {
+        return bounds.stream().anyMatch(bound -> bound.binds(endpoint));
+    }
+
+    /** Records that an endpoint is sent a request now, by this box or by one that asked it. */
+    public void sent(RelayEndpoint endpoint) {
+        long nowMs = clock.nowMs();
+        sends.computeIfAbsent(endpoint.key(), key -> new RecentSends()).sent(nowMs);
+        if (sends.size() > MOST_REMEMBERED) {
+            sends.values().removeIf(recent -> recent.over(nowMs));
+        }
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -159,10 +159,13 @@
             cutOff.remove(endpoint.identity().failureDomain());
             return;
         }
-        reports.ask(endpoint, Purpose.SILENT_ENDPOINT, report -> answersAgain(endpoint), () -> {
+        boolean asked = reports.ask(endpoint, Purpose.SILENT_ENDPOINT, report -> answersAgain(endpoint), () -> {
             staysSilent(endpoint);
             follow(endpoint, Math.min(MOST_MS, 2 * delayMs));
         });
+        if (!asked) {
+            followed.remove(endpoint.key());
+        }
     }
 
     private void staysSilent(RelayEndpoint endpoint) {
@@ -201,7 +204,7 @@
         DomainQuestions questions = new DomainQuestions();
         questions.open = others.size();
         for (RelayEndpoint other : others) {
-            reports.ask(
+            boolean asked = reports.ask(
                     other,
                     Purpose.SILENT_DOMAIN,
                     report -> {
@@ -213,6 +216,9 @@
                         questions.silent++;
                         ended(failureDomain, questions);
                     });
+            if (!asked) {
+                ended(failureDomain, questions);
+            }
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/StateQuestions.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/StateQuestions.java
@@ -40,6 +40,7 @@
      * @param purpose why it is asked
      * @param answered takes its report; empty when its answer was none, which is a sign of life still
      * @param silent told when no answer came
+     * @return whether it is asked; one that states a limit is not, since questions count as requests
      */
-    void ask(RelayEndpoint endpoint, Purpose purpose, Consumer<Optional<EndpointReport>> answered, Runnable silent);
+    boolean ask(RelayEndpoint endpoint, Purpose purpose, Consumer<Optional<EndpointReport>> answered, Runnable silent);
 }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -11,15 +11,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.EngineHost;
 import org.wingstall.peer.EngineLinks;
 import org.wingstall.relay.config.EngineSpec;
-import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.endpoint.SendLimits;
+import org.wingstall.relay.endpoint.SendLimits.Chooser;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.pool.PieceGathering;
 import org.wingstall.schema.peer.EngineAsk;
@@ -48,7 +50,7 @@
     private final Function<String, Optional<EngineSpec>> specs;
     private final RelayMetrics metrics;
     private final EngineLedger ledger;
-    private final ColdLimits cold;
+    private final SendLimits limits;
     private final SilenceReports silences;
     private final Map<String, FirstAnswerTimes> firstAnswers = new HashMap<>();
     private final Map<Long, Pending> pending = new HashMap<>();
@@ -74,7 +76,7 @@
         /** An engine was chosen. */
         void chosen(EngineTicket ticket);
 
-        /** All engines that could take the prompt are cold and have got what they bear; one may take it after so many ms. */
+        /** All engines that could take the prompt bear less than usual and have got that; one may take it after so many ms. */
         void noneNow(long againMs);
     }
 
@@ -87,8 +89,9 @@
      * @param choosers says which box chooses for a service
      * @param endpoints endpoints of all services
      * @param specs what the engines of a service can do, where the configuration says so
-     * @param cold bounds what cold engines are given
+     * @param limits bounds what engines are given that bear less than usual
      * @param doubted takes an engine that another box could not reach, to ask it
+     * @param limited whether an engine states a limit, so that others don't fetch from it
      * @param metrics counts choices
      */
     public EngineBroker(
@@ -98,8 +101,9 @@
             PieceGathering choosers,
             RelayEndpoints endpoints,
             Function<String, Optional<EngineSpec>> specs,
-            ColdLimits cold,
+            SendLimits limits,
             Consumer<RelayEndpoint> doubted,
+            Predicate<RelayEndpoint> limited,
             RelayMetrics metrics) {
         this.loop = loop;
         this.clock = clock;
@@ -107,10 +111,10 @@
         this.choosers = choosers;
         this.endpoints = endpoints;
         this.specs = specs;
-        this.cold = cold;
+        this.limits = limits;
         this.doubted = doubted;
         this.metrics = metrics;
-        this.ledger = new EngineLedger(clock);
+        this.ledger = new EngineLedger(clock, limited);
         this.silences = new SilenceReports(clock);
     }
 
@@ -123,9 +127,9 @@
     public void choose(Question question, Receiver receiver) {
         String chooser = choosers.gathererOf(question.service());
         if (chooser == null) {
-            chooseHere("this-box", question, receiver, true);
+            chooseHere("this-box", question, receiver, Chooser.FOR_ALL);
         } else if (!ask(chooser, question, receiver)) {
-            chooseHere("this-box", question, receiver, false);
+            chooseHere("this-box", question, receiver, Chooser.ALONE);
         }
     }
 
@@ -138,9 +142,9 @@
         return firstAnswers.computeIfAbsent(service, name -> new FirstAnswerTimes());
     }
 
-    /** A cold engine is slow for a reason that passes, so nothing is learned from it. */
+    /** An engine that is cold or in need is slow for a reason that passes, so nothing is learned from it. */
     private void learn(EngineTicket ticket, long firstAnswerMs) {
-        if (firstAnswerMs >= 0 && !cold.cold(ticket.endpoint())) {
+        if (firstAnswerMs >= 0 && !limits.bounded(ticket.endpoint())) {
             firstAnswersOf(ticket.endpoint().identity().service()).observed(ticket.ownTokens(), firstAnswerMs);
         }
     }
@@ -155,11 +159,11 @@
                 .orElse("");
     }
 
-    private void chooseHere(String why, Question question, Receiver receiver, boolean forAll) {
-        List<RelayEndpoint> open = cold.open(question.candidates(), forAll);
+    private void chooseHere(String why, Question question, Receiver receiver, Chooser chooser) {
+        List<RelayEndpoint> open = limits.open(question.candidates(), chooser);
         if (open.isEmpty()) {
-            metrics.engineChosen("none-but-cold");
-            receiver.noneNow(cold.againMs(question.candidates(), forAll));
+            metrics.engineChosen("none-open");
+            receiver.noneNow(limits.againMs(question.candidates(), chooser));
             return;
         }
         metrics.engineChosen(why);
@@ -171,7 +175,7 @@
 
     private EngineLedger.Choice give(EngineLedger.Wanted wanted) {
         EngineLedger.Choice choice = ledger.choose(wanted);
-        cold.sent(choice.endpoint());
+        limits.sent(choice.endpoint());
         return choice;
     }
 
@@ -207,7 +211,7 @@
     private void late(long correlation) {
         Pending waiting = pending.remove(correlation);
         if (waiting != null) {
-            chooseHere("late", waiting.question(), waiting.receiver(), false);
+            chooseHere("late", waiting.question(), waiting.receiver(), Chooser.ALONE);
         }
     }
 
@@ -217,9 +221,9 @@
                 .filter(RelayEndpoint::usable)
                 .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
                 .toList();
-        List<RelayEndpoint> open = cold.open(candidates, true);
+        List<RelayEndpoint> open = limits.open(candidates, Chooser.FOR_ALL);
         if (open.isEmpty()) {
-            long againMs = candidates.isEmpty() ? 0 : Math.max(1, cold.againMs(candidates, true));
+            long againMs = candidates.isEmpty() ? 0 : Math.max(1, limits.againMs(candidates, Chooser.FOR_ALL));
             links.tellChoice(boxId, correlation, new EngineChoice("", 0, 0, 0, null, againMs));
             return;
         }
@@ -253,7 +257,7 @@
         pending.remove(correlation);
         waiting.timeout().cancel(false);
         if (choice.getAgainMs() > 0) {
-            metrics.engineChosen("none-but-cold");
+            metrics.engineChosen("none-open");
             waiting.receiver().noneNow(choice.getAgainMs());
             return;
         }
@@ -261,7 +265,7 @@
                 .filter(candidate -> candidate.id().equals(choice.getEndpoint()))
                 .findFirst();
         if (endpoint.isEmpty()) {
-            chooseHere("chooser-without", waiting.question(), waiting.receiver(), false);
+            chooseHere("chooser-without", waiting.question(), waiting.receiver(), Chooser.ALONE);
             return;
         }
         metrics.engineChosen("chooser");
@@ -288,7 +292,7 @@
 
     private void endedHere(EngineTicket ticket, long firstAnswerMs) {
         learn(ticket, firstAnswerMs);
-        if (firstAnswerMs >= 0 && !cold.cold(ticket.endpoint())) {
+        if (firstAnswerMs >= 0 && !limits.bounded(ticket.endpoint())) {
             ledger.answered(ticket.endpoint(), ticket.expectation(), firstAnswerMs);
         }
     }
@@ -302,7 +306,7 @@
                     new EngineExpectation(outcome.getExpectedMs(), outcome.getWaitMs(), outcome.getReadTokens());
             endpoints
                     .find(id)
-                    .filter(engine -> !cold.cold(engine))
+                    .filter(engine -> !limits.bounded(engine))
                     .ifPresent(engine -> ledger.answered(engine, expected, outcome.getFirstAnswerMs()));
         } else if (silences.confirms(id, boxId)) {
             endpoints.find(id).ifPresent(endpoint -> endpoint.stalled("two boxes could not reach it"));
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.wingstall.core.peer.Rendezvous;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.relay.config.EngineSpec;
@@ -57,6 +58,7 @@
     private static final double FAR_FETCH = 2;
 
     private final MonotonicClock clock;
+    private final Predicate<RelayEndpoint> spared;
     private final Map<String, EngineLoad> loads = new HashMap<>();
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
 
@@ -97,7 +99,14 @@
     /** The engine that keeps most of a prompt, and how many parts of it. */
     private record Keeper(RelayEndpoint endpoint, int parts) {}
 
-    EngineLedger(MonotonicClock clock) {
+    /**
+     * Creates a ledger.
+     *
+     * @param clock monotonic clock
+     * @param spared whether an engine bears less than usual, so that others don't fetch from it
+     */
+    EngineLedger(MonotonicClock clock, Predicate<RelayEndpoint> spared) {
+        this.spared = spared;
         this.clock = clock;
     }
 
@@ -134,7 +143,7 @@
         Keeper most = new Keeper(null, 0);
         for (RelayEndpoint candidate : wanted.candidates()) {
             int parts = loadOf(candidate, wanted.spec()).memory().read(wanted.prompt(), nowMs);
-            if (parts > most.parts()) {
+            if (parts > most.parts() && !spared.test(candidate)) {
                 most = new Keeper(candidate, parts);
             }
         }
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -26,6 +26,7 @@
     private final Map<String, Counter> losses = new ConcurrentHashMap<>();
     private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
     private final Map<String, Counter> questions = new ConcurrentHashMap<>();
+    private final Map<String, Counter> heldBack = new ConcurrentHashMap<>();
     private final Counter dropped = registry.counter("wingstall.answers.dropped");
     private final Counter linesDropped = registry.counter("wingstall.log.lines.dropped");
     private final Timer complete =
@@ -89,6 +90,12 @@
                 .increment();
     }
 
+    /** Counts an endpoint that was left out of a choice because it had its share, by the cause of the bound. */
+    public void heldBack(String cause) {
+        heldBack.computeIfAbsent(cause, name -> registry.counter("wingstall.endpoint.held.back", "cause", name))
+                .increment();
+    }
+
     /** Counts an answer that was no answer to the request it came for. */
     public void answerDropped() {
         dropped.increment();
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -95,12 +95,15 @@
 
     private void check() {
         if (!over) {
-            parts.reports()
+            boolean asked = parts.reports()
                     .ask(
                             endpoint,
                             Purpose.OVERDUE_CALL,
                             report -> checkIn(CHECK_AGAIN_MS),
                             () -> endpoint.stalled("a call is overdue and it does not answer"));
+            if (!asked) {
+                checkIn(CHECK_AGAIN_MS);
+            }
         }
     }
 
@@ -174,10 +177,9 @@
         pool.took(spec, tickets.size(), parts.clock().nowMs() - beganMs);
         AnswerHead head = parts.wire().answerHead(reply.status(), reply.headers());
         head.load().ifPresent(endpoint.state()::reported);
+        parts.answers().seen(endpoint, head, beganMs);
         if (head.otherIncarnation()) {
             parts.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
-        } else {
-            endpoint.advertised(head.limit());
         }
         if (reply.status() != OK) {
             pool.again(tickets, head.notRun() ? PieceResult.Failure.NO_ROOM : PieceResult.Failure.ERROR);
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolMoment.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolMoment.java
@@ -22,9 +22,9 @@
  */
 record PoolMoment(PoolSpec spec, List<RelayEndpoint> serving, RoomLedger ledger, long nowMs) {
 
-    /** Returns the endpoints with the slots and room that are left after the calls planned so far. */
-    List<CallPlanner.Maker> makers(RandomGenerator random) {
-        return serving.stream().map(endpoint -> maker(endpoint, random)).toList();
+    /** Returns endpoints with the slots and room that are left after the calls planned so far. */
+    List<CallPlanner.Maker> makers(List<RelayEndpoint> open, RandomGenerator random) {
+        return open.stream().map(endpoint -> maker(endpoint, random)).toList();
     }
 
     private CallPlanner.Maker maker(RelayEndpoint endpoint, RandomGenerator random) {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
@@ -6,8 +6,9 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
-import org.wingstall.relay.endpoint.ColdLimits;
+import org.wingstall.relay.endpoint.LimitReader;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.endpoint.StateQuestions;
 import org.wingstall.relay.run.ServiceBudgets;
 import org.wingstall.relay.wire.EndpointWire;
@@ -15,7 +16,7 @@
 /**
  * What the pools of all services share.
  *
- * <p>{@code new StagePools(new PoolParts(loop, clock, client, wire, reports, endpoints, cold, config, budgets,
+ * <p>{@code new StagePools(new PoolParts(loop, clock, client, wire, reports, endpoints, limits, config, budgets,
  * quarantine, PoolPolicies.STANDARD))}
  *
  * @param loop the request loop
@@ -24,7 +25,8 @@
  * @param wire how endpoints are spoken to
  * @param reports asks endpoints for their state
  * @param endpoints the endpoints
- * @param cold bounds what cold endpoints are given
+ * @param limits bounds what endpoints are given that bear less than usual
+ * @param answers reads the limits that answers state
  * @param config the configuration in force
  * @param budgets retry budgets of the services
  * @param quarantine holds back pieces that crash endpoints
@@ -38,7 +40,8 @@
         EndpointWire wire,
         StateQuestions reports,
         RelayEndpoints endpoints,
-        ColdLimits cold,
+        SendLimits limits,
+        LimitReader answers,
         Supplier<RelayConfig> config,
         ServiceBudgets budgets,
         Quarantine quarantine,
--- a/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.Addresses;
@@ -34,12 +35,30 @@
     private final EndpointWire wire;
     private final PieceLinks links;
     private final RoomLedger ledger;
+    private final Predicate<InetSocketAddress> spared;
     private final Map<Holder, List<String>> gathered = new HashMap<>();
 
     /** Where results lie, and the box to tell; null for this one. */
     private record Holder(InetSocketAddress maker, String gatherer) {}
 
-    ResultFreer(EventLoop loop, HttpClient client, EndpointWire wire, PieceLinks links, RoomLedger ledger) {
+    /**
+     * Creates a freer.
+     *
+     * @param loop the request loop
+     * @param client HTTP client
+     * @param wire how endpoints are spoken to
+     * @param links links to the boxes that gather pieces
+     * @param ledger room for results
+     * @param spared whether a maker is not called, since it states a limit
+     */
+    ResultFreer(
+            EventLoop loop,
+            HttpClient client,
+            EndpointWire wire,
+            PieceLinks links,
+            RoomLedger ledger,
+            Predicate<InetSocketAddress> spared) {
+        this.spared = spared;
         this.loop = loop;
         this.client = client;
         this.wire = wire;
@@ -81,6 +100,10 @@
     }
 
     private void freeAtMaker(InetSocketAddress maker, List<String> handles) {
+        if (spared.test(maker)) {
+            // The results lapse by themselves, and the room stays counted until then.
+            return;
+        }
         client.call(loop, wire.free(maker, handles), TIMEOUT_MS)
                 .whenCompleteAsync(
                         (reply, failure) -> {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -16,6 +16,7 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.wire.PieceResult;
 
 /**
@@ -193,7 +194,12 @@
     private Optional<CallPlanner.PlannedCall> plan(List<PieceGroup> inOrder, PoolMoment now) {
         return inOrder.isEmpty()
                 ? Optional.empty()
-                : parts.policies().planner().next(inOrder, now.makers(random), now.spec(), now.nowMs());
+                : parts.policies().planner().next(inOrder, now.makers(stillOpen(now), random), now.spec(), now.nowMs());
+    }
+
+    /** A call that was planned a moment ago may have used up what its endpoint takes. */
+    private List<RelayEndpoint> stillOpen(PoolMoment now) {
+        return parts.limits().open(now.serving(), SendLimits.Chooser.FOR_ALL);
     }
 
     private void send(CallPlanner.PlannedCall planned, PoolMoment now) {
@@ -205,7 +211,7 @@
 
     private void begin(PoolCall call) {
         underWay.add(call);
-        parts.cold().sent(call.endpoint());
+        parts.limits().sent(call.endpoint());
         call.begin();
     }
 
@@ -293,7 +299,7 @@
         List<RelayEndpoint> usable = parts.endpoints().ofService(service).stream()
                 .filter(RelayEndpoint::usable)
                 .toList();
-        return parts.cold().open(usable, true);
+        return parts.limits().open(usable, SendLimits.Chooser.FOR_ALL);
     }
 
     /** Takes pieces back whose call ended without a result for them, and offers them again if that is allowed. */
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.pool;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,11 +57,15 @@
         this.gathering = gathering;
         this.ledger = new RoomLedger(parts.clock());
         this.room = new RoomReports(parts.loop(), parts.reports(), ledger);
-        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire(), mesh.pieces(), ledger);
+        this.freer = new ResultFreer(parts.loop(), parts.client(), parts.wire(), mesh.pieces(), ledger, this::spared);
         this.asked = new AskedPieces(mesh.pieces(), parts.clock(), this::submit);
         this.gathered = new GatheredPieces(mesh.pieces(), parts.clock(), this);
     }
 
+    private boolean spared(InetSocketAddress maker) {
+        return parts.endpoints().at(maker).map(parts.answers()::limited).orElse(false);
+    }
+
     /** Begins to watch the boxes that gather for this one. */
     public void start() {
         PeriodicTask.start(parts.loop(), "silent-gatherers", () -> SILENCE_CHECK_MS, this::leaveSilent);
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -115,9 +115,7 @@
         head = parts.wire().answerHead(status, headers);
         headMs = parts.clock().nowMs();
         head.load().ifPresent(endpoint.state()::reported);
-        if (!head.otherIncarnation()) {
-            endpoint.advertised(head.limit());
-        }
+        parts.answers().seen(endpoint, head, beganMs);
         if (head.notRun()) {
             return;
         }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.SendLimits.Chooser;
 import org.wingstall.relay.engine.EngineBroker;
 import org.wingstall.relay.engine.EngineInputs;
 import org.wingstall.relay.engine.EngineTicket;
@@ -27,7 +28,7 @@
         /** Another endpoint was chosen. */
         void found(RelayEndpoint endpoint);
 
-        /** All endpoints that may be asked are cold and have got what they bear; one may be asked after so many ms. */
+        /** All endpoints that may be asked bear less than usual and have got that; one may be asked after so many ms. */
         void notNow(long againMs);
 
         /** No endpoint may be asked. */
@@ -76,13 +77,15 @@
     }
 
     private void choosePlain(List<RelayEndpoint> candidates, Listener listener) {
-        List<RelayEndpoint> open = parts.cold().open(candidates, false);
+        // Most requests to engines have a prompt, and one box chooses for those.
+        Chooser chooser = service.hasEngines() ? Chooser.ALONE : Chooser.EACH_BOX;
+        List<RelayEndpoint> open = parts.limits().open(candidates, chooser);
         if (open.isEmpty()) {
-            listener.notNow(parts.cold().againMs(candidates, false));
+            listener.notNow(parts.limits().againMs(candidates, chooser));
             return;
         }
         RelayEndpoint chosen = parts.services().choose(open, request);
-        parts.cold().sent(chosen);
+        parts.limits().sent(chosen);
         listener.found(chosen);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -10,10 +10,11 @@
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.Regions;
 import org.wingstall.relay.config.RelayConfig;
-import org.wingstall.relay.endpoint.ColdLimits;
 import org.wingstall.relay.endpoint.EndpointChooser;
+import org.wingstall.relay.endpoint.LimitReader;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.engine.EngineBroker;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
@@ -37,7 +38,8 @@
  * @param pools pools of the stages
  * @param engines chooses among model engines
  * @param regions region of each failure domain
- * @param cold bounds what cold endpoints are given
+ * @param limits bounds what endpoints are given that bear less than usual
+ * @param answers reads the limits that answers state
  * @param doubts takes an engine whose answer is overdue, and what to do when it turns out silent
  * @param services chooses among other endpoints
  * @param budgets retry budgets
@@ -59,7 +61,8 @@
         StagePools pools,
         EngineBroker engines,
         Regions regions,
-        ColdLimits cold,
+        SendLimits limits,
+        LimitReader answers,
         BiConsumer<RelayEndpoint, Runnable> doubts,
         EndpointChooser services,
         ServiceBudgets budgets,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -171,7 +171,7 @@
 
             @Override
             public void notNow(long againMs) {
-                waitForCold(againMs, inputs);
+                waitForShare(againMs, inputs);
             }
 
             @Override
@@ -181,12 +181,13 @@
         });
     }
 
-    /** Waits for a cold endpoint while the answer can still be in time; else the caller is told when to come back. */
-    private void waitForCold(long againMs, List<String> inputs) {
+    /** Waits until an endpoint may take more while the answer can still be in time; else tells the caller when to come back. */
+    private void waitForShare(long againMs, List<String> inputs) {
         if (over) {
             return;
         }
-        String detail = "endpoints of '" + service.name() + "' are cold and take no more for " + againMs + " ms";
+        String detail = "endpoints of '" + service.name() + "' are cold or state a limit, and take no more for "
+                + againMs + " ms";
         if (againMs < untilTargetMs() - service.answerMs()) {
             record.attemptEnded("waits", detail);
             parts.loop().schedule(() -> callEndpoint(inputs), Math.max(1, againMs), TimeUnit.MILLISECONDS);
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -98,7 +98,12 @@
 
     /** Returns whether its endpoints are engines that read the request's prompt. */
     boolean readsPrompt() {
-        return engine().isPresent() && !prompt.tokens().isEmpty();
+        return hasEngines() && !prompt.tokens().isEmpty();
+    }
+
+    /** Returns whether its endpoints are engines. */
+    boolean hasEngines() {
+        return engine().isPresent();
     }
 
     private Optional<EngineSpec> engine() {
--- a/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
@@ -45,6 +45,7 @@
             } else {
                 loop.execute(() -> answered.accept(Optional.empty()));
             }
+            return true;
         };
         watch = new SilenceWatch(
                 loop,
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/StatedBoundTest.java
@@ -0,0 +1,230 @@
+package org.wingstall.relay.endpoint;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.core.limit.StatedLimits;
+import org.wingstall.relay.endpoint.SendLimits.Chooser;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.schema.peer.LimitNews;
+import org.wingstall.schema.platform.Member;
+
+/**
+ * An endpoint is in need under a burst: every box has more requests for it at any moment than it takes. What all boxes send
+ * together stays within what the endpoint's rate allows, whoever hears whom, and is not much less than its rate.
+ */
+public class StatedBoundTest {
+    private static final long STEP_MS = 50;
+    private static final long PLAYED_MS = 9000;
+    private static final int DOMAINS = 3;
+    private static final double OVERRUN = 1.5;
+    private static final double TOLERANCE = 5;
+
+    private long nowMs;
+    private RelayEndpoint endpoint;
+
+    @BeforeMethod
+    public void startEndpoint() {
+        nowMs = 100_000;
+        RelayEndpoints endpoints = new RelayEndpoints(this::nowNs);
+        endpoints.applyList(List.of(
+                new Member("e1", Member.Kind.ENDPOINT, "d0", "127.0.0.1:9", "llm", "v1", Member.State.LIVE, 1, 64, 0)));
+        endpoint = endpoints.ofService("llm").get(0);
+    }
+
+    private long nowNs() {
+        return TimeUnit.MILLISECONDS.toNanos(nowMs);
+    }
+
+    /** Which box chooses for which others. */
+    private enum Layout {
+        /** One box chooses for all. */
+        WHOLE,
+        /** Each failure domain is cut off from the others and has a box that chooses for it. */
+        CUT_APART,
+        /** One box hears nobody, and one of the others chooses for the rest. */
+        ONE_ALONE,
+        /** No box hears any other, and each chooses for itself only. */
+        ALL_ALONE,
+        /** One box chooses, and none of the others gets its word in time. */
+        SLOW_COORDINATOR,
+        /** Each box chooses for itself, as for endpoints that are no engines. */
+        EACH_BOX
+    }
+
+    /** A box, and the requests that it wants to send at every moment. */
+    private final class Box implements Fleet.View {
+        private final int number;
+        private final List<String> fleet;
+        private final SendLimits limits;
+        private final Coordination coordination;
+        private Layout layout = Layout.WHOLE;
+
+        Box(int number, List<String> fleet, double requestsPerSecond) {
+            this.number = number;
+            this.fleet = fleet;
+            StatedLimits stated = new StatedLimits(fleet.get(number), StatedBoundTest.this::nowNs, new Silent());
+            stated.stated(endpoint.key(), requestsPerSecond);
+            this.coordination = new Coordination(StatedBoundTest.this::nowNs, this, StatedBound.WINDOW_MS);
+            this.limits = SendLimits.builder(StatedBoundTest.this::nowNs, this, coordination)
+                    .stated(stated)
+                    .build(new RelayMetrics());
+        }
+
+        private int first() {
+            return switch (layout) {
+                case WHOLE, SLOW_COORDINATOR, EACH_BOX -> 0;
+                case CUT_APART -> number % DOMAINS;
+                case ONE_ALONE -> number == 0 ? 0 : 1;
+                case ALL_ALONE -> number;
+            };
+        }
+
+        private List<String> heard() {
+            return IntStream.range(0, fleet.size())
+                    .filter(this::hears)
+                    .mapToObj(fleet::get)
+                    .toList();
+        }
+
+        private boolean hears(int other) {
+            return switch (layout) {
+                case WHOLE, SLOW_COORDINATOR, EACH_BOX -> true;
+                case CUT_APART -> other % DOMAINS == number % DOMAINS;
+                case ONE_ALONE -> (other == 0) == (number == 0);
+                case ALL_ALONE -> other == number;
+            };
+        }
+
+        @Override
+        public Fleet now() {
+            return new Fleet(fleet.get(number), fleet, heard(), true, DOMAINS);
+        }
+
+        @Override
+        public boolean settled() {
+            return true;
+        }
+
+        @Override
+        public boolean coordinates(String service) {
+            return first() == number;
+        }
+
+        /** Returns for whom this box chooses now; null when another box chooses for it. */
+        private Chooser chooser() {
+            if (layout == Layout.EACH_BOX) {
+                return Chooser.EACH_BOX;
+            }
+            if (coordinates("llm")) {
+                return Chooser.FOR_ALL;
+            }
+            return layout == Layout.SLOW_COORDINATOR ? Chooser.ALONE : null;
+        }
+    }
+
+    private static final class Silent implements StatedLimits.Listener {
+        @Override
+        public void tell(LimitNews news, String exceptBox) {}
+
+        @Override
+        public void changed(StatedLimits.Limit limit) {}
+    }
+
+    /** Sends as much as is let through at each step, and counts the most within any window. */
+    private final class Burst {
+        private final List<Box> boxes = new ArrayList<>();
+        private final Deque<Long> sentAtMs = new ArrayDeque<>();
+        private int most;
+        private int sent;
+
+        Burst(int size, double requestsPerSecond) {
+            List<String> names =
+                    IntStream.range(0, size).mapToObj(box -> "box-" + box).toList();
+            for (int box = 0; box < size; box++) {
+                boxes.add(new Box(box, names, requestsPerSecond));
+            }
+        }
+
+        void play(Layout layout, long forMs) {
+            boxes.forEach(box -> box.layout = layout);
+            long untilMs = nowMs + forMs;
+            for (; nowMs < untilMs; nowMs += STEP_MS) {
+                if (nowMs % Coordination.SAMPLE_MS == 0) {
+                    boxes.forEach(box -> box.coordination.sample());
+                }
+                boxes.stream().filter(box -> box.chooser() != null).forEach(this::sendAll);
+            }
+        }
+
+        private void sendAll(Box box) {
+            while (!box.limits.open(List.of(endpoint), box.chooser()).isEmpty()) {
+                box.limits.sent(endpoint);
+                sent++;
+                sentAtMs.addLast(nowMs);
+                while (nowMs - sentAtMs.peekFirst() >= StatedBound.WINDOW_MS) {
+                    sentAtMs.removeFirst();
+                }
+                most = Math.max(most, sentAtMs.size());
+            }
+        }
+    }
+
+    private static double allowed(double requestsPerSecond) {
+        return OVERRUN * requestsPerSecond * StatedBound.WINDOW_MS / 1000 + TOLERANCE;
+    }
+
+    @DataProvider
+    Object[][] fleets() {
+        List<Object[]> cases = new ArrayList<>();
+        for (int boxes : new int[] {3, 9, 89}) {
+            for (double rate : boxes > 9 ? new double[] {0, 1, 10} : new double[] {0, 0.3, 1, 2.5, 10, 200}) {
+                for (Layout layout : Layout.values()) {
+                    cases.add(new Object[] {boxes, rate, layout});
+                }
+            }
+        }
+        return cases.toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "fleets")
+    public void allBoxesTogetherSendNoMoreThanTheRateAllows(int boxes, double rate, Layout layout) {
+        Burst burst = new Burst(boxes, rate);
+        burst.play(layout, PLAYED_MS);
+        assertTrue(burst.most <= allowed(rate), burst.most + " of " + allowed(rate));
+        assertTrue(burst.sent > 0, "nothing is sent");
+    }
+
+    /** A cut comes under the burst and heals, and the box that chose stops. */
+    @Test(dataProvider = "fleets")
+    public void aFleetThatChangesUnderTheBurstKeepsToTheRate(int boxes, double rate, Layout layout) {
+        Burst burst = new Burst(boxes, rate);
+        Layout usual = layout == Layout.EACH_BOX ? layout : Layout.WHOLE;
+        burst.play(usual, PLAYED_MS);
+        burst.play(layout, PLAYED_MS);
+        burst.play(usual, PLAYED_MS);
+        assertTrue(burst.most <= allowed(rate), burst.most + " of " + allowed(rate));
+    }
+
+    /** While one box chooses for all, or each box for itself, the endpoint gets what it takes. */
+    @Test(dataProvider = "fleets")
+    public void aWholeFleetUsesTheRate(int boxes, double rate, Layout layout) {
+        if (layout != Layout.WHOLE && layout != Layout.EACH_BOX) {
+            return;
+        }
+        Burst burst = new Burst(boxes, rate);
+        burst.play(layout, PLAYED_MS);
+        int before = burst.sent;
+        burst.play(layout, PLAYED_MS);
+        double wanted = 0.8 * Math.floor(rate * StatedBound.WINDOW_MS / 1000) * PLAYED_MS / StatedBound.WINDOW_MS;
+        assertTrue(burst.sent - before >= wanted, (burst.sent - before) + " of " + wanted);
+    }
+}
--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
+import org.wingstall.standin.fleet.LimitLog;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
 /**
@@ -29,6 +30,7 @@
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
     private final CrashLog crashes = new CrashLog();
+    private final LimitLog limits = new LimitLog();
     private final Map<String, String> domains = new ConcurrentHashMap<>();
     private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
@@ -76,6 +78,11 @@
         return crashes;
     }
 
+    /** Returns the requests of endpoints, and the limits that they stated. */
+    LimitLog limits() {
+        return limits;
+    }
+
     /** Returns a time of the process's steady clock in ms of the soak's clock. */
     long soakMs(long steadyMs) {
         return steadyMs - TimeUnit.NANOSECONDS.toMillis(zeroNs);
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -77,6 +77,7 @@
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
+                new Named("no more than an endpoint takes", Promises::limited),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -241,6 +242,21 @@
         return broken;
     }
 
+    /** Requests of boxes at fault don't count; those that are no caller's do, since nobody knows their box. */
+    private static List<String> limited(Observations seen) {
+        Map<String, CallRecord> calls = seen.callsById();
+        return seen
+                .limits()
+                .excesses(arrival -> {
+                    CallRecord call = calls.get(arrival.what());
+                    long atMs = seen.soakMs(arrival.atMs());
+                    return call == null || seen.calm(call.box(), call.sentMs(), atMs, true);
+                })
+                .stream()
+                .map(Objects::toString)
+                .toList();
+    }
+
     private static List<String> callersRequest(Observations seen) {
         return seen.strangers().stream().map(Objects::toString).toList();
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -129,7 +129,7 @@
     private Endpoint create(String service, int events, Route reused) throws BindException {
         int number = endpoints.size() + 1;
         String id = service + "-" + number;
-        WorkerStandin worker = new WorkerStandin(id, events, CALL_MS);
+        WorkerStandin worker = new WorkerStandin(id, events, CALL_MS).recordIn(observations.limits());
         worker.observe(observations::arrived);
         InetSocketAddress target = Addresses.parse(standin.start(worker));
         Route route = reused;
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -80,6 +80,12 @@
                     seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
                 }
             }),
+            breach("no more than an endpoint takes", seen -> {
+                seen.limits().stated("plain-1", 0.3, 0);
+                for (int i = 0; i < 7; i++) {
+                    seen.limits().arrived("plain-1", "a" + i, 3000);
+                }
+            }),
             breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
         };
     }
