Reject pieces at once that no endpoint of their stage may be sent in time, and use the field's terms

Callers saw: with every endpoint of a stage at its limit, pieces waited until their time was over before the request was refused. Cause: without an open endpoint a pool only offered again every 15 ms. Change: groups whose time ends before any endpoint may take one more call are rejected with the time after which one may. Questions for free room leave no line, as each box asks every endpoint of a stage when it begins; they are counted. Renamed: 'Takes note of' to 'Records', saysCold to updateColdUntil, mayHaveStarted to assumeRestarted, staysSilent to recordUnreachable, answersAgain to markReachable, lives of endpoints to incarnations. No decision differs by that.

--- a/it/src/test/java/org/wingstall/it/relay/RelayRequestLimitTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRequestLimitTest.java
@@ -160,8 +160,13 @@
         return new Object[][] {{"resumable", "engine"}, {"repeatable", "plain"}};
     }
 
+    @DataProvider
+    Object[][] routesWithStages() {
+        return new Object[][] {{"resumable", "engine"}, {"repeatable", "plain"}, {"staged", "first"}};
+    }
+
     /** With no other endpoint left callers are refused at once and told when to come back, and some are served. */
-    @Test(dataProvider = "routes")
+    @Test(dataProvider = "routesWithStages")
     public void aServiceWhoseOnlyEndpointStatesALimitRefusesWhatIsBeyondIt(String route, String service)
             throws Exception {
         addLimited(service, "1", PER_SECOND);
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -117,7 +117,7 @@
     }
 
     /**
-     * Takes note of the list that a peer has read lately. For use on any thread.
+     * Records the list that a peer has read lately. For use on any thread.
      *
      * @param tag short tag of its list; 0 when the peer has not read it lately
      * @param version the version at which the peer saw that list first
--- a/relay/src/main/java/org/wingstall/relay/control/SourceHealth.java
+++ b/relay/src/main/java/org/wingstall/relay/control/SourceHealth.java
@@ -38,7 +38,7 @@
         return FIRST_REPEAT_MS << doublings;
     }
 
-    /** Takes note of the end of a read; the failure is null for one that was answered. */
+    /** Records the end of a read; the failure is null for one that was answered. */
     void ended(Throwable failure) {
         boolean before = answers;
         answers = failure == null;
--- a/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
@@ -35,19 +35,19 @@
         }
     }
 
-    /** Takes note of a failure; returns whether it keeps the endpoint away from now on. */
+    /** Records a failure; returns whether it keeps the endpoint away from now on. */
     boolean failed(long nowMs) {
         State before = state.getAndUpdate(now -> now.failed(now.failures() + 1, nowMs));
         return before.failures() + 1 == FAILURES;
     }
 
-    /** Takes note of a call without any answer, which counts as several failures; returns the same. */
+    /** Records a call without any answer, which counts as several failures; returns the same. */
     boolean stalled(long nowMs) {
         State before = state.getAndUpdate(now -> now.failed(Math.max(FAILURES, now.failures() + 1), nowMs));
         return before.failures() < FAILURES;
     }
 
-    /** Takes note of an answer. */
+    /** Records an answer. */
     void answered() {
         if (state.get() != State.CLEAR) {
             state.set(State.CLEAR);
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
@@ -78,10 +78,10 @@
         if (waiting == null) {
             asked.put(endpoint.key(), new ArrayList<>(List.of(new Waiting(answered, silent))));
             metrics.endpointAsked(purpose.code());
-            LogEvent.info("endpoint-asked")
-                    .with("endpoint", endpoint.id())
-                    .with("purpose", purpose.code())
-                    .to(LOG);
+            // Each box asks all endpoints of a stage for their room when it begins; the counter tells those.
+            LogEvent line =
+                    purpose == Purpose.FREE_ROOM ? LogEvent.debug("endpoint-asked") : LogEvent.info("endpoint-asked");
+            line.with("endpoint", endpoint.id()).with("purpose", purpose.code()).to(LOG);
             client.call(loop, wire.report(endpoint.identity()), ANSWER_MS)
                     .whenCompleteAsync((reply, failure) -> ended(endpoint, reply, failure), loop);
         } else {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -65,7 +65,7 @@
         return state.identity().memberId();
     }
 
-    /** Returns the name of this life of the endpoint: what is counted under it ends when the endpoint starts again. */
+    /** Returns the name of this incarnation of the endpoint: what is counted under it ends when the endpoint starts again. */
     public String key() {
         return id() + "@" + identity().incarnation();
     }
@@ -75,13 +75,13 @@
         return !state.leaving() && backoff.open(clock.nowMs());
     }
 
-    /** Takes note that it may have started anew out of sight, so that it counts as if it had just started. */
-    void mayHaveStarted() {
+    /** Records that it may have started anew out of sight, so that it counts as if it had just started. */
+    void assumeRestarted() {
         startedAtMs = clock.nowMs();
     }
 
-    /** Takes note of the time for which its entry says that it stays cold; an entry that is read again says nothing new. */
-    void saysCold(long coldMs) {
+    /** Records the time for which its entry says that it stays cold; an entry that is read again says nothing new. */
+    void updateColdUntil(long coldMs) {
         if (coldMs != warmth.saidMs()) {
             warmth = new Warmth(coldMs, clock.nowMs() + coldMs);
             LogEvent.info("endpoint-cold")
@@ -92,24 +92,24 @@
         }
     }
 
-    /** Returns whether it is cold, by its own word or since it started a short while ago. */
+    /** Returns whether it is cold, as reported by the endpoint or since it started a short while ago. */
     boolean cold(ColdSpec spec, long nowMs) {
         return nowMs < warmth.coldUntilMs() || nowMs - startedAtMs < spec.startMs();
     }
 
-    /** Takes note of a call that was answered. */
+    /** Records a call that was answered. */
     public void answered(double runMs) {
         backoff.answered();
         state.completed(runMs);
     }
 
-    /** Takes note of a call that failed there; a few in a row keep new work away. */
+    /** Records a call that failed there; a few in a row keep new work away. */
     public void failed(String why) {
         noteAvoided(backoff.failed(clock.nowMs()), why);
     }
 
     /**
-     * Takes note of a call that got no whole answer. One without a connection or in time counts like one without any
+     * Records a call that got no whole answer. One without a connection or in time counts like one without any
      * answer: the endpoint has ended or is cut off, and each further call would wait as long.
      */
     public void broken(TransportException failure) {
@@ -122,19 +122,19 @@
         }
     }
 
-    /** Takes note of a call that was not answered at all: new work stays away at once, since each call costs its time. */
+    /** Records a call that was not answered at all: new work stays away at once, since each call costs its time. */
     public void stalled(String why) {
         noteAvoided(backoff.stalled(clock.nowMs()), why);
         onSilence.accept(this);
     }
 
-    /** Takes note that it is silent still. */
-    void staysSilent() {
+    /** Records that it is silent still. */
+    void recordUnreachable() {
         backoff.stalled(clock.nowMs());
     }
 
-    /** Takes note of a sign of life other than an answer to a call; new work may go there again. */
-    void answersAgain() {
+    /** Records a sign of life other than an answer to a call; new work may go there again. */
+    void markReachable() {
         backoff.answered();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -50,7 +50,7 @@
     private boolean away;
     private long backAtMs = Long.MIN_VALUE / 2;
 
-    /** One life of an endpoint: it may start again under the identifier that it had, and knows nothing of before. */
+    /** One incarnation of an endpoint: it may start again under the identifier that it had, and knows nothing of before. */
     private record Incarnation(String id, long number) {
         static Incarnation of(RelayEndpoint endpoint) {
             return new Incarnation(endpoint.id(), endpoint.identity().incarnation());
@@ -91,7 +91,7 @@
         byId.values().stream()
                 .filter(endpoint -> evacuated.contains(endpoint.identity().failureDomain()))
                 .filter(endpoint -> !failureDomains.contains(endpoint.identity().failureDomain()))
-                .forEach(RelayEndpoint::mayHaveStarted);
+                .forEach(RelayEndpoint::assumeRestarted);
         evacuated = Set.copyOf(failureDomains);
         publish(byId);
     }
@@ -126,7 +126,7 @@
         return byId.values();
     }
 
-    /** Takes note that the list could not be read. */
+    /** Records that the list could not be read. */
     public synchronized void unread() {
         away = true;
     }
@@ -186,7 +186,7 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Takes note that the list is as a box has just read it. */
+    /** Records that the list is as a box has just read it. */
     public void confirmed() {
         if (known()) {
             readAtMs = clock.nowMs();
@@ -216,7 +216,7 @@
         }
     }
 
-    /** An entry that an earlier life of an endpoint wrote late says nothing of the one that runs now. */
+    /** An entry that an earlier incarnation of an endpoint wrote late says nothing of the one that runs now. */
     private RelayEndpoint endpointOf(Member member) {
         RelayEndpoint before = byId.get(member.getMemberId());
         EndpointIdentity identity = EndpointIdentity.of(member);
@@ -228,7 +228,7 @@
         boolean same = before != null && before.identity().equals(identity);
         EndpointState state = same ? before.state() : new EndpointState(identity, clock);
         RelayEndpoint endpoint = same ? before : newEndpoint(state, member);
-        endpoint.saysCold(member.getColdMs());
+        endpoint.updateColdUntil(member.getColdMs());
         if (member.getState() == Member.State.LEAVING) {
             markLeaving(endpoint, "list");
         }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -159,8 +159,8 @@
             cutOff.remove(endpoint.identity().failureDomain());
             return;
         }
-        boolean asked = reports.ask(endpoint, Purpose.SILENT_ENDPOINT, report -> answersAgain(endpoint), () -> {
-            staysSilent(endpoint);
+        boolean asked = reports.ask(endpoint, Purpose.SILENT_ENDPOINT, report -> markReachable(endpoint), () -> {
+            recordUnreachable(endpoint);
             follow(endpoint, Math.min(MOST_MS, 2 * delayMs));
         });
         if (!asked) {
@@ -168,11 +168,11 @@
         }
     }
 
-    private void staysSilent(RelayEndpoint endpoint) {
-        endpoint.staysSilent();
+    private void recordUnreachable(RelayEndpoint endpoint) {
+        endpoint.recordUnreachable();
         String domain = endpoint.identity().failureDomain();
         if (cutOff.contains(domain)) {
-            notAsked(domain).forEach(RelayEndpoint::staysSilent);
+            notAsked(domain).forEach(RelayEndpoint::recordUnreachable);
         }
     }
 
@@ -181,12 +181,12 @@
                 .filter(endpoint -> endpoint.identity().failureDomain().equals(failureDomain) && !asks(endpoint));
     }
 
-    private void answersAgain(RelayEndpoint endpoint) {
+    private void markReachable(RelayEndpoint endpoint) {
         followed.remove(endpoint.key());
-        endpoint.answersAgain();
+        endpoint.markReachable();
         String domain = endpoint.identity().failureDomain();
         if (cutOff.remove(domain)) {
-            notAsked(domain).forEach(RelayEndpoint::answersAgain);
+            notAsked(domain).forEach(RelayEndpoint::markReachable);
         }
         LogEvent.info("endpoint-answers-again").with("endpoint", endpoint.id()).to(LOG);
     }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
@@ -110,7 +110,7 @@
         this.clock = clock;
     }
 
-    /** Chooses an engine and takes note of what it is given. */
+    /** Chooses an engine and records what it is given. */
     Choice choose(Wanted wanted) {
         long nowMs = clock.nowMs();
         Keeper keeper = keeperOf(wanted, nowMs);
@@ -199,7 +199,7 @@
         return Rendezvous.top(prompt.shared(), ids, 1).get(0);
     }
 
-    /** Takes note of the time that the first answer of an engine took. */
+    /** Records the time that the first answer of an engine took. */
     void answered(RelayEndpoint engine, EngineExpectation expected, long tookMs) {
         EngineLoad load = loads.get(engine.id());
         if (load != null && load.incarnation() == engine.identity().incarnation()) {
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
@@ -34,7 +34,7 @@
         return memory;
     }
 
-    /** Returns the life of the engine that this is about. */
+    /** Returns the incarnation of the engine that this is about. */
     long incarnation() {
         return incarnation;
     }
@@ -64,7 +64,7 @@
         return Math.max(1, slowness);
     }
 
-    /** Takes note of a prompt that it is given now, and of the tokens that it has to read. */
+    /** Records a prompt that it is given now, and of the tokens that it has to read. */
     void given(Prompt prompt, int readTokens, long nowMs) {
         readUntilMs = Math.max(nowMs, readUntilMs) + readMs(readTokens);
         memory.remember(prompt, (long) readUntilMs);
@@ -72,7 +72,7 @@
         runningAsOfMs = nowMs;
     }
 
-    /** Takes note of the time that a first answer took. */
+    /** Records the time that a first answer took. */
     void answered(EngineExpectation expected, long tookMs) {
         double ratio = Math.min(MOST_SLOWNESS, tookMs / (double) Math.max(1, expected.firstAnswerMs()));
         slowness += NEW_WEIGHT * (ratio - slowness);
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineMemory.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineMemory.java
@@ -48,7 +48,7 @@
         return leading;
     }
 
-    /** Takes note that the engine is given a prompt and has read it at a time. */
+    /** Records that the engine is given a prompt and has read it at a time. */
     void remember(Prompt prompt, long readAtMs) {
         List<Long> digests = prompt.digests();
         for (int i = 0; i < digests.size(); i++) {
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSpeed.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSpeed.java
@@ -24,7 +24,7 @@
     private final LinearTrend firstAnswer =
             new LinearTrend(ASSUMED_FIRST_STEPS_MS, 1 / ASSUMED_TOKENS_PER_MS, USUAL_TOKENS);
 
-    /** Takes note of a first answer, without the time that the prompt waited for others. */
+    /** Records a first answer, without the time that the prompt waited for others. */
     void answered(int readTokens, long tookMs) {
         firstAnswer.observed(readTokens, tookMs);
     }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineTicket.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineTicket.java
@@ -67,12 +67,12 @@
         return ended;
     }
 
-    /** Takes note of the first sign of an answer. */
+    /** Records the first sign of an answer. */
     public void answered() {
         end(clock.nowMs() - sinceMs);
     }
 
-    /** Takes note that the engine could not be reached. */
+    /** Records that the engine could not be reached. */
     public void unreachable() {
         end(-1);
     }
--- a/relay/src/main/java/org/wingstall/relay/engine/FirstAnswerTimes.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/FirstAnswerTimes.java
@@ -25,7 +25,7 @@
     private final LinearTrend trend = new LinearTrend(ASSUMED_BASE_MS, ASSUMED_MS_PER_TOKEN, USUAL_TOKENS);
     private double deviationMs;
 
-    /** Takes note of the time that a first answer took. */
+    /** Records the time that a first answer took. */
     void observed(int ownTokens, long tookMs) {
         double expectedMs = trend.at(ownTokens);
         double offMs = Math.min(MOST_DEVIATION * expectedMs, Math.abs(tookMs - expectedMs));
--- a/relay/src/main/java/org/wingstall/relay/engine/SilenceReports.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/SilenceReports.java
@@ -21,14 +21,14 @@
         this.clock = clock;
     }
 
-    /** Takes note of a report; returns whether another box said the same lately. */
+    /** Records a report; returns whether another box said the same lately. */
     boolean confirms(String endpointId, String boxId) {
         long nowMs = clock.nowMs();
         Report before = last.put(endpointId, new Report(boxId, nowMs));
         return before != null && !before.boxId().equals(boxId) && nowMs - before.atMs() <= TOGETHER_MS;
     }
 
-    /** Takes note that an engine answered. */
+    /** Records that an engine answered. */
     void answered(String endpointId) {
         last.remove(endpointId);
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/CallPatience.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallPatience.java
@@ -23,14 +23,14 @@
 
     private int lostInARow;
 
-    /** Takes note of a call that was answered; one that took long says that the service is slow still. */
+    /** Records a call that was answered; one that took long says that the service is slow still. */
     void answered(PoolSpec spec, int pieces, long tookMs) {
         if (tookMs <= usualMs(spec, pieces)) {
             lostInARow = 0;
         }
     }
 
-    /** Takes note of a call that was lost. */
+    /** Records a call that was lost. */
     void lost() {
         lostInARow++;
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/CallTimes.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallTimes.java
@@ -8,7 +8,7 @@
     private PoolSpec configured;
     private LinearTrend trend;
 
-    /** Takes note of the time that a call took. */
+    /** Records the time that a call took. */
     void took(PoolSpec spec, int pieces, long tookMs) {
         trend(spec).observed(pieces, tookMs);
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceCrashes.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceCrashes.java
@@ -36,7 +36,7 @@
                 .anyMatch(ticket -> quarantine.suspects(() -> ticket.piece().fingerprint(service)));
     }
 
-    /** Takes note that a call ended without an answer. */
+    /** Records that a call ended without an answer. */
     void lost(List<PieceTicket> tickets, RelayEndpoint endpoint, Throwable failure) {
         boolean ended = failure instanceof TransportException broken
                 && broken.kind() == TransportException.Kind.RESET
@@ -51,7 +51,7 @@
         }
     }
 
-    /** Takes note that a piece was made. */
+    /** Records that a piece was made. */
     void made(PieceTicket ticket, RelayEndpoint endpoint, long sentAtMs) {
         if (ticket.piece().identifiable()) {
             quarantine.answered(() -> ticket.piece().fingerprint(service), endpoint.key(), sentAtMs, true);
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolLoad.java
@@ -16,7 +16,7 @@
         this.asOfMs = clock.nowMs();
     }
 
-    /** Takes note of work that came, in ms of one slot. */
+    /** Records work that came, in ms of one slot. */
     void arrived(double workMs) {
         fade();
         workMsPerMs += workMs / TIME_CONSTANT_MS;
--- a/relay/src/main/java/org/wingstall/relay/pool/RoomLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RoomLedger.java
@@ -45,13 +45,13 @@
         return marked ? Math.min(freeBytes, mark.bytes() - 1) : freeBytes;
     }
 
-    /** Takes note that an endpoint had no room for a result, whatever this box has counted; smaller ones may still fit. */
+    /** Records that an endpoint had no room for a result, whatever this box has counted; smaller ones may still fit. */
     void noRoom(String endpointId, double bytes) {
         full.put(endpointId, new Full(bytes, clock.nowMs() + FULL_MS));
     }
 
     /**
-     * Takes note of the room that an endpoint says is free, before this box sent it anything: what is missing was not counted,
+     * Records the room that an endpoint says is free, before this box sent it anything: what is missing was not counted,
      * and lapses within a result's life.
      *
      * @return bytes of results that were not counted
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Takes note of the room that an endpoint says is free later on. Such reports lag, so results that this box has just given
+     * Records the room that an endpoint says is free later on. Such reports lag, so results that this box has just given
      * up may stand in them still: they only ever lessen what counts as uncounted.
      *
      * @return bytes of results that were not counted
--- a/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RoomReports.java
@@ -14,7 +14,7 @@
 import org.wingstall.relay.wire.EndpointReport;
 
 /**
- * Learns of results that this box did not count, such as those of its former life or of the box that gathered before: asks
+ * Learns of results that this box did not count, such as those that it had asked for before a restart, or of the box that gathered before: asks
  * endpoints for their free room, and again while such results stand. Confined to the request loop.
  */
 final class RoomReports {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -122,7 +122,7 @@
         return patience;
     }
 
-    /** Takes note of the time that a call took. */
+    /** Records the time that a call took. */
     void took(PoolSpec spec, int pieces, long tookMs) {
         patience.answered(spec, pieces, tookMs);
         times.took(spec, pieces, tookMs);
@@ -215,7 +215,7 @@
         call.begin();
     }
 
-    /** Takes note that a call is over. */
+    /** Records that a call is over. */
     void ended(PoolCall call) {
         underWay.remove(call);
         offer();
@@ -277,12 +277,24 @@
         boolean mayComeBack = parts.endpoints().ofService(service).stream()
                 .anyMatch(endpoint -> !endpoint.state().leaving());
         if (mayComeBack) {
+            rejectBeyondShare();
             offerSoon();
         } else {
             failAll(PieceResult.Failure.NO_ENDPOINT);
         }
     }
 
+    /** Rejects groups whose time ends before any endpoint may be sent one more call. */
+    private void rejectBeyondShare() {
+        long againMs = parts.limits().againMs(usable(), SendLimits.Chooser.FOR_ALL);
+        long againAtMs = parts.clock().nowMs() + againMs;
+        List<PieceGroup> hopeless = waiting.stream()
+                .filter(group -> againMs > 0 && group.urgency().dueAtMs() <= againAtMs)
+                .toList();
+        waiting.removeAll(hopeless);
+        hopeless.forEach(group -> fail(group, MadePiece.failed(PieceResult.Failure.NOT_IN_TIME, againMs)));
+    }
+
     private void failAll(PieceResult.Failure failure) {
         List<PieceGroup> all = List.copyOf(waiting);
         waiting.clear();
@@ -296,10 +308,13 @@
     }
 
     private List<RelayEndpoint> serving() {
-        List<RelayEndpoint> usable = parts.endpoints().ofService(service).stream()
+        return parts.limits().open(usable(), SendLimits.Chooser.FOR_ALL);
+    }
+
+    private List<RelayEndpoint> usable() {
+        return parts.endpoints().ofService(service).stream()
                 .filter(RelayEndpoint::usable)
                 .toList();
-        return parts.limits().open(usable, SendLimits.Chooser.FOR_ALL);
     }
 
     /** Takes pieces back whose call ended without a result for them, and offers them again if that is allowed. */
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -102,7 +102,7 @@
         }
     }
 
-    /** Takes note that some tickets were withdrawn. */
+    /** Records that some tickets were withdrawn. */
     void withdrawn() {
         asked.tellWithdrawn();
     }
--- a/relay/src/main/java/org/wingstall/relay/run/RunService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunService.java
@@ -54,7 +54,7 @@
         return prompt;
     }
 
-    /** Takes note that an endpoint is asked now. */
+    /** Records that an endpoint is asked now. */
     void asked(RelayEndpoint endpoint) {
         tried.add(endpoint.id());
     }
