--- a/core/src/main/java/org/wingstall/core/estimate/LinearTrend.java
+++ b/core/src/main/java/org/wingstall/core/estimate/LinearTrend.java
@@ -36,7 +36,7 @@
         add(usualSize, base + slope * usualSize, ASSUMED_WEIGHT);
     }
 
-    /** Takes note of a value that was seen at a size. */
+    /** Records a value that was seen at a size. */
     public void observed(double size, double value) {
         double most = MOST_RATIO * Math.max(1, at(size));
         weight *= KEPT;
--- a/core/src/main/java/org/wingstall/core/lease/LeaseCandidate.java
+++ b/core/src/main/java/org/wingstall/core/lease/LeaseCandidate.java
@@ -71,7 +71,7 @@
     }
 
     /**
-     * Takes note of a write that definitely took effect.
+     * Records a write that definitely took effect.
      *
      * @param write the write
      * @param sentAtMs when it was sent, in ms of the monotonic clock
@@ -80,7 +80,7 @@
         held = new Held(write.row().getToken(), sentAtMs + durationMs);
     }
 
-    /** Takes note that the lease is lost or must not be used. */
+    /** Records that the lease is lost or must not be used. */
     public void drop() {
         held = Held.NOT;
     }
--- a/core/src/main/java/org/wingstall/core/limit/ArrivalRate.java
+++ b/core/src/main/java/org/wingstall/core/limit/ArrivalRate.java
@@ -26,7 +26,7 @@
         this.updatedAtMs = clock.nowMs();
     }
 
-    /** Takes note of an arrival. */
+    /** Records an arrival. */
     public synchronized void arrived() {
         decay();
         perSecond += 1000 / TIME_CONSTANT_MS;
--- a/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
+++ b/core/src/main/java/org/wingstall/core/limit/WorkspaceLimiter.java
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Takes note of the fleet as heartbeats tell it.
+     * Records the fleet as heartbeats tell it.
      *
      * @param knownBoxes entry boxes in the fleet, this one included
      * @param heardBoxes entry boxes heard lately, this one included
--- a/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
+++ b/core/src/main/java/org/wingstall/core/member/EndpointRegistry.java
@@ -73,7 +73,7 @@
     }
 
     /**
-     * Takes note that an endpoint is leaving.
+     * Records that an endpoint is leaving.
      *
      * @param memberId the endpoint
      * @param incarnation its incarnation
--- a/core/src/main/java/org/wingstall/core/peer/BeatTurns.java
+++ b/core/src/main/java/org/wingstall/core/peer/BeatTurns.java
@@ -15,7 +15,7 @@
     private int sinceLast;
 
     /**
-     * Takes note of a turn.
+     * Records a turn.
      *
      * @param worksForOthers whether others have work done by this box
      * @return whether heartbeats are sent at this turn
--- a/core/src/main/java/org/wingstall/core/quarantine/GuardedRequest.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/GuardedRequest.java
@@ -38,22 +38,22 @@
         return quarantine.shunned(request);
     }
 
-    /** Takes note that it is sent to an incarnation. */
+    /** Records that it is sent to an incarnation. */
     public void sent(String endpoint) {
         trial = quarantine.sent(request, endpoint);
     }
 
-    /** Takes note that the connection to an incarnation ended while it may have run the request. */
+    /** Records that the connection to an incarnation ended while it may have run the request. */
     public void lost(String endpoint) {
         quarantine.lost(request.get(), endpoint);
     }
 
-    /** Takes note of a whole answer to what was sent at a time, in ms of the monotonic clock. */
+    /** Records a whole answer to what was sent at a time, in ms of the monotonic clock. */
     public void answered(String endpoint, long sentAtMs, boolean success) {
         quarantine.answered(request, endpoint, sentAtMs, success);
     }
 
-    /** Takes note that its last sending has ended, in whatever way. */
+    /** Records that its last sending has ended, in whatever way. */
     public void over() {
         trial.ifPresent(id -> quarantine.over(request.get(), id));
         trial = Optional.empty();
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -77,7 +77,7 @@
         /** Keeps a report where it outlives all boxes and reaches those without a link. */
         void keep(CrashReport report);
 
-        /** Takes note that a request is suspected, held back or cleared. */
+        /** Records that a request is suspected, held back or cleared. */
         void changed(CrashReport report, int standing);
     }
 
@@ -151,7 +151,7 @@
     }
 
     /**
-     * Takes note that a request is sent to an endpoint.
+     * Records that a request is sent to an endpoint.
      *
      * @return the trial that it is on there, which whoever sent it ends by {@link #over}; empty for one that is not suspected
      */
@@ -170,7 +170,7 @@
         return Optional.of(id);
     }
 
-    /** Takes note that a trial of this box has ended, in whatever way. */
+    /** Records that a trial of this box has ended, in whatever way. */
     public synchronized void over(Fingerprint request, String trialId) {
         CrashTrial over = new CrashTrial(request.hex(), trialId, null);
         if (trialChanged(over)) {
@@ -178,12 +178,12 @@
         }
     }
 
-    /** Takes note that the connection to an endpoint ended while it may have run a request. */
+    /** Records that the connection to an endpoint ended while it may have run a request. */
     public void lost(Fingerprint request, String endpoint) {
         lost(List.of(request), endpoint);
     }
 
-    /** Takes note that the connection to an endpoint ended while it may have run some requests. */
+    /** Records that the connection to an endpoint ended while it may have run some requests. */
     public synchronized void lost(List<Fingerprint> requests, String endpoint) {
         endedAtMs.put(endpoint, clock.nowMs());
         List<CrashReport> reports = requests.stream()
@@ -202,7 +202,7 @@
     }
 
     /**
-     * Takes note of a whole answer: the endpoint was there after the request was sent. A success clears the request as well;
+     * Records a whole answer: the endpoint was there after the request was sent. A success clears the request as well;
      * a failure may come without a run.
      *
      * @param request the request
--- a/core/src/main/java/org/wingstall/core/queue/WaitEstimate.java
+++ b/core/src/main/java/org/wingstall/core/queue/WaitEstimate.java
@@ -11,13 +11,13 @@
  * @since 0.1
  */
 public interface WaitEstimate {
-    /** Takes note of a new waiter. */
+    /** Records a new waiter. */
     void waiting(int precedence);
 
-    /** Takes note that a waiter gave up. */
+    /** Records that a waiter gave up. */
     void gaveUp(int precedence);
 
-    /** Takes note that a waiter was served. */
+    /** Records that a waiter was served. */
     void granted(int precedence);
 
     /**
--- a/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/wingstall/core/retry/RetryBudget.java
@@ -39,7 +39,7 @@
         this.balance = new AtomicLong(Math.round(saved * RETRY_COST));
     }
 
-    /** Takes note of a first call. */
+    /** Records a first call. */
     public void called() {
         balance.accumulateAndGet(gainPerCall, (now, gain) -> Math.min(now + gain, mostBalance));
     }
--- a/core/src/main/java/org/wingstall/core/route/EndpointState.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointState.java
@@ -81,7 +81,7 @@
     }
 
     /**
-     * Takes note of a call that was answered.
+     * Records a call that was answered.
      *
      * @param runMs time from call to answer, in ms
      */
@@ -95,7 +95,7 @@
     }
 
     /**
-     * Takes note of a call that failed at the endpoint or was not answered in time.
+     * Records a call that failed at the endpoint or was not answered in time.
      *
      * @param ejectAfterFailures failures in a row after which the endpoint gets no work
      * @return whether this failure ejected the endpoint
@@ -108,7 +108,7 @@
         return eject;
     }
 
-    /** Takes note of a token, to whichever call; {@link #completed} does so for an answer. */
+    /** Records a token, to whichever call; {@link #completed} does so for an answer. */
     public void signOfLife() {
         lastSignMs.set(clock.nowMs());
     }
@@ -118,14 +118,14 @@
         return clock.nowMs() - lastSignMs.get();
     }
 
-    /** Takes note of a probe that ran; the endpoint gets work again. */
+    /** Records a probe that ran; the endpoint gets work again. */
     public void probeSucceeded() {
         failuresInRow.set(0);
         ejected = false;
     }
 
     /**
-     * Takes note of what the endpoint said of its load.
+     * Records what the endpoint said of its load.
      *
      * @param reportedInFlight calls there from all gateways
      */
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -144,14 +144,14 @@
         return news;
     }
 
-    /** Takes note of an endpoint whose own answer says that it is leaving, and tells peers at once. */
+    /** Records an endpoint whose own answer says that it is leaving, and tells peers at once. */
     public void endpointSaysLeaving(EndpointState endpoint) {
         if (learnLeaving(endpoint.identity().memberId(), endpoint.identity().incarnation(), "endpoint")) {
             mesh.beatNow();
         }
     }
 
-    /** Takes note of endpoints that the list newly says are leaving; a peer may not be able to read the list. */
+    /** Records endpoints that the list newly says are leaving; a peer may not be able to read the list. */
     public void listSaysLeaving(List<EndpointState> endpoints) {
         for (EndpointState endpoint : endpoints) {
             tellLeaving(endpoint.identity().memberId(), endpoint.identity().incarnation(), "list");
--- a/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
+++ b/gateway/src/main/java/org/wingstall/gateway/engine/LeaseKeeper.java
@@ -44,7 +44,7 @@
         return candidate.leftMs();
     }
 
-    /** Takes note that an engine has seen a higher token. */
+    /** Records that an engine has seen a higher token. */
     void superseded() {
         candidate.drop();
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -151,7 +151,7 @@
         return listFollower;
     }
 
-    /** Takes note of a version of the configuration that a peer has. */
+    /** Records a version of the configuration that a peer has. */
     void newerConfigHeard(long version) {
         configFollower.newerHeard(version);
     }
--- a/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -50,7 +50,7 @@
     /** Told of endpoints that say they are leaving. */
     @FunctionalInterface
     public interface LeavingListener {
-        /** Takes note of an endpoint. */
+        /** Records an endpoint. */
         void leaving(EndpointState endpoint);
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -58,7 +58,7 @@
         return changes;
     }
 
-    /** Takes note of the box that answered at an address, which may not be the address that the box gives itself. */
+    /** Records the box that answered at an address, which may not be the address that the box gives itself. */
     void answered(InetSocketAddress address, String boxId) {
         boxesBehind.put(address, boxId);
     }
--- a/peer/src/main/java/org/wingstall/peer/PeerHost.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerHost.java
@@ -18,7 +18,7 @@
     Heartbeat heartbeat();
 
     /**
-     * Takes note of a peer's heartbeat.
+     * Records a peer's heartbeat.
      *
      * @param heartbeat the heartbeat
      * @return whether it told of a leaving endpoint that was not known to be leaving
--- a/peer/src/main/java/org/wingstall/peer/PromptReplies.java
+++ b/peer/src/main/java/org/wingstall/peer/PromptReplies.java
@@ -31,19 +31,19 @@
         this.clock = clock;
     }
 
-    /** Takes note that a peer was asked something that it replies to at once. */
+    /** Records that a peer was asked something that it replies to at once. */
     void expect(String boxId) {
         if (confirming.contains(boxId)) {
             owedSinceMs.putIfAbsent(boxId, clock.nowMs());
         }
     }
 
-    /** Takes note of a confirmation. */
+    /** Records a confirmation. */
     void confirmed(String boxId) {
         confirming.add(boxId);
     }
 
-    /** Takes note of any frame of a peer. */
+    /** Records any frame of a peer. */
     void heard(String boxId) {
         owedSinceMs.remove(boxId);
     }
--- a/soak/src/main/java/org/wingstall/soak/CallRecord.java
+++ b/soak/src/main/java/org/wingstall/soak/CallRecord.java
@@ -38,7 +38,8 @@
         REPEATABLE("repeatable", true),
         RESUMABLE("resumable", true),
         STAGED("staged", true),
-        VERSIONED("versioned", true);
+        VERSIONED("versioned", true),
+        WARMING("warming-plain", true);
 
         private final String path;
         private final boolean repeatable;
--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -31,6 +31,7 @@
     private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
     private final CrashLog crashes = new CrashLog();
     private final LimitLog limits = new LimitLog();
+    private final LimitLog cold = new LimitLog(ColdReturns.RULE);
     private final Map<String, String> domains = new ConcurrentHashMap<>();
     private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
@@ -48,7 +49,7 @@
         calls.add(call);
     }
 
-    /** Takes note of a request at an endpoint; one without an identifier is no caller's. */
+    /** Records a request at an endpoint; one without an identifier is no caller's. */
     void arrived(Arrival arrival) {
         SeenArrival seen = new SeenArrival(arrival, nowMs());
         (arrival.id() == null ? strangers : arrivals).add(seen);
@@ -63,7 +64,7 @@
         disturbances.add(disturbance);
     }
 
-    /** Takes note of a repeat of the request that crashes endpoints. */
+    /** Records a repeat of the request that crashes endpoints. */
     void repeated(String id, String box) {
         repeatsByBox.put(id, box);
     }
@@ -83,12 +84,17 @@
         return limits;
     }
 
+    /** Returns the requests of endpoints that come back cold. */
+    LimitLog cold() {
+        return cold;
+    }
+
     /** Returns a time of the process's steady clock in ms of the soak's clock. */
     long soakMs(long steadyMs) {
         return steadyMs - TimeUnit.NANOSECONDS.toMillis(zeroNs);
     }
 
-    /** Takes note of the failure domain that an endpoint stands in. */
+    /** Records the failure domain that an endpoint stands in. */
     void placed(String endpoint, String domain) {
         domains.put(endpoint, domain);
     }
@@ -109,12 +115,12 @@
         unplannedEnds.add(box);
     }
 
-    /** Takes note that the store has taken in that an endpoint leaves. */
+    /** Records that the store has taken in that an endpoint leaves. */
     void leaving(String endpoint) {
         leavingSinceMs.put(endpoint, nowMs());
     }
 
-    /** Takes note that the store has taken in a version of the configuration. */
+    /** Records that the store has taken in a version of the configuration. */
     void configured(long version) {
         versionSinceMs.put(version, nowMs());
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -78,6 +78,7 @@
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
                 new Named("no more than an endpoint takes", Promises::limited),
+                new Named("no more than a cold endpoint bears", Promises::cold),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -257,6 +258,13 @@
                 .toList();
     }
 
+    /** Requests of all boxes count, whether at fault or not. */
+    private static List<String> cold(Observations seen) {
+        return seen.cold().excesses(arrival -> true).stream()
+                .map(Objects::toString)
+                .toList();
+    }
+
     private static List<String> callersRequest(Observations seen) {
         return seen.strangers().stream().map(Objects::toString).toList();
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -74,6 +74,7 @@
         for (int i = 0; i < 3; i++) {
             add("engine", EVENTS);
             add("plain", 0);
+            add(ColdReturns.SERVICE, 0);
         }
         for (int i = 0; i < 2; i++) {
             add("first", 0);
@@ -125,6 +126,14 @@
         return endpoint;
     }
 
+    /** Starts and lists a further endpoint that has just started and is cold for that. */
+    Endpoint addCold(String service) throws BindException {
+        Endpoint endpoint = create(service, 0, null);
+        endpoint.worker().recordIn(observations.cold());
+        list(endpoint, "ready");
+        return endpoint;
+    }
+
     /** Starts an endpoint; at the address of another one, if there is one that has ended. */
     private Endpoint create(String service, int events, Route reused) throws BindException {
         int number = endpoints.size() + 1;
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -110,6 +110,11 @@
             operator.play(end);
             return null;
         }));
+        ColdReturns coldReturns = new ColdReturns(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            coldReturns.play(end);
+            return null;
+        }));
         EndpointInNeed inNeed = new EndpointInNeed(options.seed(), fleet);
         faults.add(threads.submit(() -> {
             inNeed.play(end);
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -80,12 +80,6 @@
                     seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
                 }
             }),
-            breach("no more than an endpoint takes", seen -> {
-                seen.limits().stated("plain-1", 0.3, 0);
-                for (int i = 0; i < 7; i++) {
-                    seen.limits().arrived("plain-1", "a" + i, 3000);
-                }
-            }),
             breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
         };
     }
@@ -93,6 +87,17 @@
     @DataProvider
     Object[][] breachesOfPlacing() {
         return new Object[][] {
+            breach("no more than an endpoint takes", seen -> {
+                seen.limits().stated("plain-1", 0.3, 0);
+                for (int i = 0; i < 7; i++) {
+                    seen.limits().arrived("plain-1", "a" + i, 3000);
+                }
+            }),
+            breach("no more than a cold endpoint bears", seen -> {
+                seen.cold().stated("warming-plain-1", 1, 0);
+                seen.cold().arrived("warming-plain-1", "a", 10);
+                seen.cold().arrived("warming-plain-1", "b", 900);
+            }),
             breach("a caller's request", seen -> seen.arrived(new Arrival(null, "plain-1", "/x", true, DEADLINE_MS))),
             breach("no work for who is evacuated", seen -> {
                 seen.placed("plain-1", "east");
--- a/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
@@ -65,7 +65,7 @@
     public static final class CrashLog {
         private final List<CrashingRun> runs = new CopyOnWriteArrayList<>();
 
-        /** Takes note of a run. */
+        /** Records a run. */
         public void add(CrashingRun run) {
             runs.add(run);
         }
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -27,6 +27,9 @@
     /** Requests a second that a cold endpoint of the services {@code warming} and {@code warming-plain} bears. */
     public static final int COLD_PER_SECOND = 8;
 
+    /** Time for which an endpoint of these services is cold after its start, in ms. */
+    public static final long COLD_START_MS = 3000;
+
     /** Key of a workspace whose requests are bound to the region {@code home}. */
     public static final String BOUND_KEY = "key-of-bound";
 
--- a/standin/src/main/java/org/wingstall/standin/fleet/LimitLog.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/LimitLog.java
@@ -19,19 +19,13 @@
  * @since 0.9
  */
 public final class LimitLog {
-    /** Length of the spans in which requests count, in ms. */
-    private static final long WINDOW_MS = 4000;
+    /** Endpoints that state a limit in their answers. */
+    public static final Rule STATED = new Rule(4000, 1.5, 5, 3000, 500);
 
-    /** Time after an endpoint first stated a limit from which it has to be kept, in ms. */
-    private static final long CONTACT_MS = 3000;
-
-    /** Time that news of another rate may take, in ms. */
-    private static final long NEWS_MS = 500;
-
-    private static final double OVERRUN = 1.5;
-    private static final double TOLERANCE = 5;
+    private static final double MS_PER_SECOND = 1000;
     private static final double NO_LIMIT = Double.POSITIVE_INFINITY;
 
+    private final Rule rule;
     private final Map<String, Endpoint> endpoints = new ConcurrentHashMap<>();
 
     private static final class Endpoint {
@@ -40,6 +34,21 @@
         private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     }
 
+    /**
+     * How many requests are too many.
+     *
+     * @param windowMs length of the spans in which requests count, in ms
+     * @param overrun factor on what the rate allows
+     * @param tolerance requests in a span beyond that
+     * @param contactMs time after an endpoint first stated a limit from which it has to be kept, in ms
+     * @param newsMs time that news of another rate may take, in ms
+     */
+    public record Rule(long windowMs, double overrun, double tolerance, long contactMs, long newsMs) {
+        double allowed(double requestsPerSecond) {
+            return overrun * requestsPerSecond * windowMs / MS_PER_SECOND + tolerance;
+        }
+    }
+
     /**
      * A request that came to an endpoint.
      *
@@ -58,6 +67,16 @@
      */
     public record Excess(String endpoint, long atMs, List<Arrival> got, double allowed) {}
 
+    /** Creates an empty log whose endpoints state their limits in answers. */
+    public LimitLog() {
+        this(STATED);
+    }
+
+    /** Creates an empty log. */
+    public LimitLog(Rule rule) {
+        this.rule = rule;
+    }
+
     private static long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -108,8 +127,8 @@
         endpoints.forEach((name, endpoint) -> {
             List<Arrival> counted = endpoint.arrivals.stream().filter(counts).toList();
             counted.forEach(last -> {
-                long fromMs = last.atMs() - WINDOW_MS;
-                double allowed = OVERRUN * WINDOW_MS / 1000 * highestRate(endpoint, last.atMs()) + TOLERANCE;
+                long fromMs = last.atMs() - rule.windowMs();
+                double allowed = rule.allowed(highestRate(endpoint, last.atMs()));
                 List<Arrival> got = counted.stream()
                         .filter(arrival -> arrival.atMs() > fromMs && arrival.atMs() <= last.atMs())
                         .toList();
@@ -122,12 +141,12 @@
     }
 
     /** Returns the highest rate that counts for the span that ends at a time; infinite when nothing is bounded yet. */
-    private static double highestRate(Endpoint endpoint, long untilMs) {
+    private double highestRate(Endpoint endpoint, long untilMs) {
         TreeMap<Long, Double> rates = new TreeMap<>(endpoint.rates.headMap(untilMs, true));
-        if (untilMs - statedSinceMs(rates) < CONTACT_MS) {
+        if (untilMs - statedSinceMs(rates) < rule.contactMs()) {
             return NO_LIMIT;
         }
-        long fromMs = Math.max(statedSinceMs(rates), untilMs - WINDOW_MS - NEWS_MS);
+        long fromMs = Math.max(statedSinceMs(rates), untilMs - rule.windowMs() - rule.newsMs());
         double highest = rates.floorEntry(fromMs).getValue();
         for (double rate : rates.tailMap(fromMs, true).values()) {
             highest = Math.max(highest, rate);
