--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -312,7 +312,7 @@
         }
         HttpHeaders answerHeaders = headers(call).set("content-type", "application/json");
         call.eventLoop()
-                .schedule(() -> respond(call, OK, answerHeaders, document.toString()), callMs, TimeUnit.MILLISECONDS);
+                .schedule(() -> call.respond(OK, answerHeaders, Json.write(document)), callMs, TimeUnit.MILLISECONDS);
     }
 
     private void free(HttpCall call) {
