Let the tests of what boxes tell each other share their links

Cause: StatedLimitsTest repeated the delivery of messages from GossipTest. Change: GossipNetwork holds it for both; the same seeds, orders and bounds.

--- a/core/src/test/java/org/wingstall/core/limit/StatedLimitsTest.java
+++ b/core/src/test/java/org/wingstall/core/limit/StatedLimitsTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.core.peer.GossipNetwork;
 import org.wingstall.schema.peer.LimitNews;
 
 /** What boxes know of the requests that an endpoint takes. */
@@ -21,28 +22,22 @@
     private static final String ENGINE = "e1@1";
 
     private final List<Box> boxes = new ArrayList<>();
-    private final List<Message> underWay = new ArrayList<>();
+    private GossipNetwork<LimitNews> network;
     private long nowMs;
 
-    /** A message on one link; links keep their order. */
-    private record Message(int from, int to, LimitNews news) {}
-
     private final class Box implements StatedLimits.Listener {
         private final int number;
         private final StatedLimits limits;
 
         Box(int number) {
             this.number = number;
-            this.limits = new StatedLimits("box-" + number, () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
+            this.limits =
+                    new StatedLimits(GossipNetwork.nameOf(number), () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
         }
 
         @Override
         public void tell(LimitNews news, String exceptBox) {
-            for (int to = 0; to < BOXES; to++) {
-                if (to != number && !("box-" + to).equals(exceptBox)) {
-                    underWay.add(new Message(number, to, news));
-                }
-            }
+            network.tell(number, news, exceptBox);
         }
 
         @Override
@@ -57,32 +52,14 @@
     public void create() {
         nowMs = 100_000;
         boxes.clear();
-        underWay.clear();
+        network = new GossipNetwork<>(BOXES, MOST_MESSAGES, (box, fromBox, news) -> boxes.get(box)
+                .limits
+                .heard(fromBox, news));
         for (int i = 0; i < BOXES; i++) {
             boxes.add(new Box(i));
         }
     }
 
-    /** Delivers messages of random links, each link's in order; returns how many. */
-    private int deliver(Random random, int most) {
-        int delivered = 0;
-        while (delivered < most && !underWay.isEmpty()) {
-            Message any = underWay.get(random.nextInt(underWay.size()));
-            Message first = underWay.stream()
-                    .filter(message -> message.from() == any.from() && message.to() == any.to())
-                    .findFirst()
-                    .orElseThrow();
-            underWay.remove(first);
-            boxes.get(first.to()).limits.heard("box-" + first.from(), first.news());
-            delivered++;
-        }
-        return delivered;
-    }
-
-    private void deliverAll(Random random) {
-        assertTrue(deliver(random, MOST_MESSAGES) < MOST_MESSAGES, underWay.size() + " messages still under way");
-    }
-
     @DataProvider
     Object[][] seeds() {
         Object[][] seeds = new Object[30][];
@@ -104,9 +81,9 @@
                 limits.stated(ENGINE, random.nextInt(5) / 2.0);
             }
             nowMs += random.nextInt(700);
-            deliver(random, random.nextInt(8));
+            network.deliver(random, random.nextInt(8));
         }
-        deliverAll(random);
+        network.deliverAll(random);
         nowMs += 10_000;
         List<OptionalDouble> rates = boxes.stream().map(Box::rate).distinct().toList();
         assertEquals(rates.size(), 1, "rates " + rates);
@@ -163,7 +140,7 @@
     @Test
     public void aLimitThatNobodyStatesAnyMoreEnds() {
         boxes.get(0).limits.stated(ENGINE, 1);
-        deliverAll(new Random(1));
+        network.deliverAll(new Random(1));
         nowMs += 29_000;
         assertTrue(boxes.stream().allMatch(box -> box.limits.limited(ENGINE)));
         nowMs += 10_000;
@@ -176,7 +153,7 @@
         Random random = new Random(1);
         for (int i = 0; i < 60; i++) {
             boxes.get(0).limits.stated(ENGINE, 1);
-            deliverAll(random);
+            network.deliverAll(random);
             nowMs += 1000;
             assertTrue(boxes.stream().allMatch(box -> box.limits.limited(ENGINE)), "after " + i + " s");
         }
--- a/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
@@ -1,7 +1,6 @@
 package org.wingstall.core.quarantine;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.core.peer.GossipNetwork;
 import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.CrashReport;
 
@@ -26,28 +26,22 @@
     private static final int MOST_MESSAGES = 20_000;
 
     private final List<Box> boxes = new ArrayList<>();
-    private final List<Message> underWay = new ArrayList<>();
+    private GossipNetwork<CrashNews> network;
     private long nowMs = 1000;
 
-    /** A message on one link; links keep their order. */
-    private record Message(int from, int to, CrashNews news) {}
-
     private final class Box implements Quarantine.Listener {
         private final int number;
         private final Quarantine quarantine;
 
         Box(int number) {
             this.number = number;
-            this.quarantine = new Quarantine("box-" + number, () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
+            this.quarantine =
+                    new Quarantine(GossipNetwork.nameOf(number), () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
         }
 
         @Override
         public void tell(CrashNews news, String exceptBox) {
-            for (int to = 0; to < BOXES; to++) {
-                if (to != number && !("box-" + to).equals(exceptBox)) {
-                    underWay.add(new Message(number, to, news));
-                }
-            }
+            network.tell(number, news, exceptBox);
         }
 
         @Override
@@ -69,44 +63,26 @@
     @Test(dataProvider = "seeds")
     public void newsComesToRestInWhateverOrderItArrives(int seed) {
         boxes.clear();
-        underWay.clear();
+        network = new GossipNetwork<>(BOXES, MOST_MESSAGES, (box, fromBox, news) -> boxes.get(box)
+                .quarantine
+                .heard(fromBox, news));
         Random random = new Random(seed);
         for (int i = 0; i < BOXES; i++) {
             boxes.add(new Box(i));
         }
         boxes.get(0).quarantine.lost(SUSPECT, "e1");
         boxes.get(1).quarantine.lost(SUSPECT, "e2");
-        deliverAll(random);
+        network.deliverAll(random);
         for (int i = 0; i < 6; i++) {
             Quarantine sender = boxes.get(random.nextInt(BOXES)).quarantine;
             Optional<String> trial = sender.sent(() -> SUSPECT, "e" + (3 + i));
-            deliver(random, random.nextInt(8));
+            network.deliver(random, random.nextInt(8));
             trial.ifPresent(id -> sender.over(SUSPECT, id));
-            deliver(random, random.nextInt(8));
+            network.deliver(random, random.nextInt(8));
         }
-        deliverAll(random);
+        network.deliverAll(random);
         for (Box box : boxes) {
             assertEquals(box.quarantine.shunned(() -> Fingerprint.of("", "", "other", new byte[0])), Set.of());
         }
     }
-
-    private void deliverAll(Random random) {
-        assertTrue(deliver(random, MOST_MESSAGES) < MOST_MESSAGES, underWay.size() + " messages still under way");
-    }
-
-    /** Delivers messages of random links, each link's in order; returns how many. */
-    private int deliver(Random random, int most) {
-        int delivered = 0;
-        while (delivered < most && !underWay.isEmpty()) {
-            Message any = underWay.get(random.nextInt(underWay.size()));
-            Message first = underWay.stream()
-                    .filter(message -> message.from() == any.from() && message.to() == any.to())
-                    .findFirst()
-                    .orElseThrow();
-            underWay.remove(first);
-            boxes.get(first.to()).quarantine.heard("box-" + first.from(), first.news());
-            delivered++;
-        }
-        return delivered;
-    }
 }
