--- a/relay/src/main/java/org/wingstall/relay/config/ColdSpec.java
+++ b/relay/src/main/java/org/wingstall/relay/config/ColdSpec.java
@@ -1,7 +1,7 @@
 package org.wingstall.relay.config;
 
 /**
- * What an endpoint of a service bears while it is cold.
+ * Capacity of an endpoint of a service while it is cold.
  *
  * <p>{@code new ColdSpec(3000, 9.1)}
  *
--- a/relay/src/main/java/org/wingstall/relay/config/ServiceSpec.java
+++ b/relay/src/main/java/org/wingstall/relay/config/ServiceSpec.java
@@ -12,7 +12,7 @@
  * @param slots requests that one endpoint runs at once; 0 when only the endpoints say
  * @param pool what its endpoints can do, when it does the work of stages
  * @param engine what its endpoints can do, when they are model engines
- * @param cold what its endpoints bear while they are cold, when that is less than usual
+ * @param cold capacity of its endpoints while they are cold, when that is less than usual
  * @since 0.2
  */
 public record ServiceSpec(
--- a/relay/src/main/java/org/wingstall/relay/endpoint/ColdShares.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/ColdShares.java
@@ -1,7 +1,7 @@
 package org.wingstall.relay.endpoint;
 
 /**
- * Divides what a cold endpoint bears among the boxes that may send to it, so that all together keep to it without a word
+ * Divides the capacity of a cold endpoint among the boxes that may send to it, so that all together keep to it without a word
  * between them.
  *
  * <p>{@code int requests = shares.perSecond(18.65, ColdShares.Standing.FOR_ALL, view);}
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendBound.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendBound.java
@@ -1,7 +1,7 @@
 package org.wingstall.relay.endpoint;
 
 /**
- * Bounds the requests that this box sends, or has others send, to endpoints that bear less than usual. Confined to the request
+ * Bounds the requests that this box sends, or has others send, to endpoints with reduced capacity. Confined to the request
  * loop.
  *
  * <p>{@code if (bound.binds(endpoint) && bound.waitMs(endpoint, chooser, recent) > 0) { chooseAnother(); }}
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
@@ -15,8 +15,8 @@
 import org.wingstall.relay.log.RelayMetrics;
 
 /**
- * Keeps what this box sends, or has others send, to endpoints within its share of what they bear: those that are cold, and
- * those that state a limit. Where both hold the stricter one does. Confined to the request loop.
+ * Keeps what this box sends, or has others send, to endpoints within its share of their capacity, where that is reduced: those that
+ * are cold, and those that state a limit. Where both hold the stricter one does. Confined to the request loop.
  *
  * <p>{@code List<RelayEndpoint> open = limits.open(candidates, Chooser.FOR_ALL); ... limits.sent(chosen);}
  *
@@ -46,7 +46,7 @@
     }
 
     /**
-     * What a cold endpoint bears beyond its rate.
+     * Burst that a cold endpoint takes beyond its rate.
      *
      * @param factor factor on its rate; 0 when cold endpoints are not bounded
      * @param tolerance requests in a second beyond that
@@ -69,8 +69,8 @@
         /**
          * Bounds cold endpoints.
          *
-         * @param specs what cold endpoints of a service bear, where that is less than usual
-         * @param overrun what they bear beyond it
+         * @param specs capacity of cold endpoints of a service, where that is reduced
+         * @param overrun burst that they take beyond it
          * @param shares divides it among boxes
          * @return this
          */
@@ -179,7 +179,7 @@
         return bound.binds(endpoint) ? bound.waitMs(endpoint, chooser, recent) : 0;
     }
 
-    /** Returns whether an endpoint bears less than usual now. */
+    /** Returns whether an endpoint has reduced capacity now. */
     public boolean bounded(RelayEndpoint endpoint) {
         return bounds.stream().anyMatch(bound -> bound.binds(endpoint));
     }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineBroker.java
@@ -76,7 +76,7 @@
         /** An engine was chosen. */
         void chosen(EngineTicket ticket);
 
-        /** All engines that could take the prompt bear less than usual and have got that; one may take it after so many ms. */
+        /** All engines that could take the prompt have reduced capacity, which is used up; one may take it after so many ms. */
         void noneNow(long againMs);
     }
 
@@ -89,7 +89,7 @@
      * @param choosers says which box chooses for a service
      * @param endpoints endpoints of all services
      * @param specs what the engines of a service can do, where the configuration says so
-     * @param limits bounds what engines are given that bear less than usual
+     * @param limits bounds requests to engines with reduced capacity
      * @param doubted takes an engine that another box could not reach, to ask it
      * @param limited whether an engine states a limit, so that others don't fetch from it
      * @param metrics counts choices
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLedger.java
@@ -103,7 +103,7 @@
      * Creates a ledger.
      *
      * @param clock monotonic clock
-     * @param spared whether an engine bears less than usual, so that others don't fetch from it
+     * @param spared whether an engine states a limit, so that others don't fetch from it
      */
     EngineLedger(MonotonicClock clock, Predicate<RelayEndpoint> spared) {
         this.spared = spared;
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolParts.java
@@ -25,7 +25,7 @@
  * @param wire how endpoints are spoken to
  * @param reports asks endpoints for their state
  * @param endpoints the endpoints
- * @param limits bounds what endpoints are given that bear less than usual
+ * @param limits bounds requests to endpoints with reduced capacity
  * @param answers reads the limits that answers state
  * @param config the configuration in force
  * @param budgets retry budgets of the services
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
@@ -28,7 +28,7 @@
         /** Another endpoint was chosen. */
         void found(RelayEndpoint endpoint);
 
-        /** All endpoints that may be asked bear less than usual and have got that; one may be asked after so many ms. */
+        /** All endpoints that may be asked have reduced capacity, which is used up; one may be asked after so many ms. */
         void notNow(long againMs);
 
         /** No endpoint may be asked. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayParts.java
@@ -38,7 +38,7 @@
  * @param pools pools of the stages
  * @param engines chooses among model engines
  * @param regions region of each failure domain
- * @param limits bounds what endpoints are given that bear less than usual
+ * @param limits bounds requests to endpoints with reduced capacity
  * @param answers reads the limits that answers state
  * @param doubts takes an engine whose answer is overdue, and what to do when it turns out silent
  * @param services chooses among other endpoints
