End all threads and connections of a gateway whose program goes on

Callers of a real box saw nothing: there the process ends right after its planned stop.

Cause: RelayGateway.stop() drains callers and closes links, but the followers of the store, the dialer and the timers go on until the process ends. The tests run boxes in their own process, so each box of each earlier test went on to read its store's address. Once the system gives that port to a stand-in of an endpoint, the reads count there as requests.

RelayGateway is AutoCloseable now: close() ends its event loops, and with them every connection and timer. RelayBox calls it after the planned stop, which two tests that look at a stopped box still use alone. The check of the limit is as it was.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -57,11 +57,11 @@
 /**
  * One gateway on the users' platform: puts its parts together, starts and stops them.
  *
- * <p>{@code RelayGateway gateway = RelayGateway.listening(settings); gateway.start(); ... gateway.stop();}
+ * <p>{@code RelayGateway gateway = RelayGateway.listening(settings); gateway.start(); ... gateway.stop(); gateway.close();}
  *
  * @since 0.2
  */
-public final class RelayGateway {
+public final class RelayGateway implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(RelayGateway.class);
 
     /** Connections of callers at once; leaves descriptors for endpoints out of the platform's 4,100. */
@@ -100,6 +100,9 @@
     /** Hubs of a failure domain in larger fleets: one may be lost, and another takes over its work. */
     private static final int HUBS_PER_DOMAIN = 2;
 
+    /** Longest wait for threads to end, in ms. */
+    private static final long CLOSE_MS = 2000;
+
     private static final int HUNDREDTHS = 100;
 
     private final MonotonicClock clock = System::nanoTime;
@@ -383,4 +386,15 @@
         new PlannedStop(clock, mesh, callers, handler).run(settings);
         LogManager.shutdown();
     }
+
+    /**
+     * Ends all threads and connections at once, as the end of the process does. A program that goes on after {@link #stop}
+     * has to call it.
+     */
+    @Override
+    public void close() {
+        List.of(control.parent(), requests)
+                .forEach(group -> group.shutdownGracefully(0, CLOSE_MS, TimeUnit.MILLISECONDS)
+                        .awaitUninterruptibly(CLOSE_MS));
+    }
 }
--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -32,6 +32,7 @@
 
     private final RelaySettings settings;
     private final RelayGateway gateway;
+    private boolean closed;
 
     /** A whole answer; one that was broken off is an exception. */
     record Reply(int status, java.net.http.HttpHeaders headers, String body) {
@@ -160,8 +161,18 @@
         }
     }
 
+    /** Stops as planned; the process's other addresses answer on. */
+    void stop() {
+        gateway.stop();
+    }
+
+    /** Stops as planned and ends as a process does. */
     @Override
     public void close() {
-        gateway.stop();
+        if (!closed) {
+            closed = true;
+            gateway.stop();
+            gateway.close();
+        }
     }
 }
--- a/it/src/test/java/org/wingstall/it/relay/RelayStopTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStopTest.java
@@ -11,6 +11,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.wingstall.it.harness.Pauses;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
 
@@ -18,6 +19,9 @@
 public class RelayStopTest {
     private static final int OPEN_CONNECTIONS = 200;
 
+    /** Time in which a box that runs asks the store several times, in ms. */
+    private static final long QUIET_MS = 3000;
+
     private FleetStandin fleet;
     private RelayBox box;
 
@@ -31,6 +35,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void stop() {
+        box.close();
         fleet.close();
     }
 
@@ -38,7 +43,7 @@
     public void aStreamInFlightEndsWhole() {
         var stream = box.postAsync("stream", "in-flight");
         Awaitility.await().until(() -> box.metrics().contains("wingstall_requests_in_flight 1.0"));
-        box.close();
+        box.stop();
         assertEquals(stream.join().body().split("\n\n").length, 60);
         assertEquals(box.readiness(), 503);
     }
@@ -53,10 +58,19 @@
         }
         Awaitility.await()
                 .until(() -> box.metrics().contains("wingstall_caller_connections " + OPEN_CONNECTIONS + ".0"));
-        box.close();
+        box.stop();
         assertTrue(box.metrics().contains("wingstall_caller_connections 0.0"));
         for (Socket socket : open) {
             socket.close();
         }
     }
+
+    /** Boxes of earlier tests went on reading at an address that another server had by then. */
+    @Test
+    public void aBoxThatIsGoneAsksTheStoreNoLonger() {
+        box.close();
+        int calls = fleet.store().calls();
+        Pauses.ofMs(QUIET_MS);
+        assertEquals(fleet.store().calls(), calls);
+    }
 }
