Let an endpoint turn cold while it serves in every soak seed

The soak played endpoints that are cold after their start, not one that says later, by its entry, that it is cold again; nothing but RelayColdEndpointTest, on three boxes without faults, would have found boxes that overrun it. No caller saw a fault.

Each seed now has one endpoint that is there from the start turn cold for 8 s. From 3 s on, the time in which boxes in touch hear of it, no second may have more requests of such boxes than its rate. PromisesTest has the breach as an event list.

Ruled out as a bound: none at all from the entry on, as for starts; boxes can't know before they have read the list.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -32,6 +32,7 @@
     private final CrashLog crashes = new CrashLog();
     private final LimitLog limits = new LimitLog();
     private final LimitLog cold = new LimitLog(ColdReturns.RULE);
+    private final LimitLog coldAgain = new LimitLog(ColdAgain.RULE);
     private final Map<String, String> domains = new ConcurrentHashMap<>();
     private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
@@ -89,6 +90,11 @@
         return cold;
     }
 
+    /** Returns the requests of endpoints that turn cold while they serve. */
+    LimitLog coldAgain() {
+        return coldAgain;
+    }
+
     /** Returns a time of the process's steady clock in ms of the soak's clock. */
     long soakMs(long steadyMs) {
         return steadyMs - TimeUnit.NANOSECONDS.toMillis(zeroNs);
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -14,6 +14,7 @@
 import org.wingstall.soak.Observations.SeenArrival;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.LimitLog;
 import org.wingstall.standin.fleet.WorkerStandin;
 
 /**
@@ -77,8 +78,9 @@
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
-                new Named("no more than an endpoint takes", Promises::limited),
+                new Named("no more than an endpoint takes", seen -> beyond(seen, seen.limits())),
                 new Named("no more than a cold endpoint bears", Promises::cold),
+                new Named("no more than one that turned cold bears", seen -> beyond(seen, seen.coldAgain())),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -244,10 +246,9 @@
     }
 
     /** Requests of boxes at fault don't count; those that are no caller's do, since nobody knows their box. */
-    private static List<String> limited(Observations seen) {
+    private static List<String> beyond(Observations seen, LimitLog log) {
         Map<String, CallRecord> calls = seen.callsById();
-        return seen
-                .limits()
+        return log
                 .excesses(arrival -> {
                     CallRecord call = calls.get(arrival.what());
                     long atMs = seen.soakMs(arrival.atMs());
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -166,6 +166,11 @@
         }
     }
 
+    /** Lets an endpoint that serves say that it is cold for so many ms. */
+    void turnCold(Endpoint endpoint, long coldMs) {
+        standin.list(endpoint.service(), endpoint.domain(), endpoint.id(), endpoint.address(), "ready", coldMs);
+    }
+
     void unlist(Endpoint endpoint) {
         standin.store().remove("servers", endpoint.id());
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -115,6 +115,11 @@
             coldReturns.play(end);
             return null;
         }));
+        ColdAgain coldAgain = new ColdAgain(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            coldAgain.play(end);
+            return null;
+        }));
         EndpointInNeed inNeed = new EndpointInNeed(options.seed(), fleet);
         faults.add(threads.submit(() -> {
             inNeed.play(end);
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -98,6 +98,11 @@
                 seen.cold().arrived("warming-plain-1", "a", 10);
                 seen.cold().arrived("warming-plain-1", "b", 900);
             }),
+            breach("no more than one that turned cold bears", seen -> {
+                seen.coldAgain().stated("warming-plain-1", 1, 0);
+                seen.coldAgain().arrived("warming-plain-1", "a", 3010);
+                seen.coldAgain().arrived("warming-plain-1", "b", 3900);
+            }),
             breach("a caller's request", seen -> seen.arrived(new Arrival(null, "plain-1", "/x", true, DEADLINE_MS))),
             breach("no work for who is evacuated", seen -> {
                 seen.placed("plain-1", "east");
