--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -12,7 +12,6 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.core.member.Addresses;
-import org.wingstall.core.peer.HubLinks;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.crash.CrashReports;
 import org.wingstall.net.BindException;
@@ -25,7 +24,6 @@
 import org.wingstall.net.http.Rejection;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.PeerMesh;
-import org.wingstall.peer.PeerOptions;
 import org.wingstall.platform.PlatformCallerWire;
 import org.wingstall.platform.PlatformEndpointWire;
 import org.wingstall.relay.config.ClientLimits;
@@ -51,7 +49,6 @@
 import org.wingstall.relay.run.RelayParts;
 import org.wingstall.relay.run.ServiceBudgets;
 import org.wingstall.relay.wire.EndpointWire;
-import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
@@ -82,29 +79,9 @@
     /** Pause between looks whether both are there, in ms; a tenth of the time that they usually take. */
     private static final long KNOWN_CHECK_MS = 5;
 
-    /** Pause between heartbeats, in ms: a silent gatherer of pieces is left within a few of them. */
-    private static final long HEARTBEAT_MS = 400;
-
-    /** Silence after which a box gathers no pieces, in ms; three heartbeats and some. */
-    private static final long SILENT_AFTER_MS = 1300;
-
-    /**
-     * Bytes a second for heartbeats, both ways; enough for a hub of 370 boxes at the pause above, so that hubs are never
-     * silent for longer than peers wait. A box that is no hub uses a few thousand.
-     */
-    private static final int HEARTBEAT_BYTES_PER_SECOND = 300_000;
-
-    /** Fleets of up to this many boxes keep links between all of them. */
-    private static final int WHOLE_MESH_BOXES = 24;
-
-    /** Hubs of a failure domain in larger fleets: one may be lost, and another takes over its work. */
-    private static final int HUBS_PER_DOMAIN = 2;
-
     /** Longest wait for threads to end, in ms. */
     private static final long CLOSE_MS = 2000;
 
-    private static final int HUNDREDTHS = 100;
-
     private final MonotonicClock clock = System::nanoTime;
     private final RandomGenerator random = new SplittableRandom();
     private volatile RelaySettings settings;
@@ -148,7 +125,7 @@
         EndpointWire wire = new PlatformEndpointWire();
         this.budgets = new ServiceBudgets(budgetPart(settings, LEAST_BOXES));
         this.mesh = new PeerMesh(
-                peerOptions(),
+                PeerSettings.of(settings),
                 new RelayPeers(state, evacuations, () -> stopping, this::newerConfigHeard, this::listFollower),
                 loop,
                 clock);
@@ -250,28 +227,6 @@
                 .orElse(false);
     }
 
-    private PeerOptions peerOptions() {
-        Hello hello = new Hello(
-                settings.getBoxId(),
-                settings.getFailureDomain(),
-                settings.getPeerAddress(),
-                System.currentTimeMillis(),
-                capacity(settings));
-        return new PeerOptions(
-                hello,
-                Addresses.parse(settings.getPeerAddress()),
-                List.of(),
-                HEARTBEAT_MS,
-                SILENT_AFTER_MS,
-                HEARTBEAT_BYTES_PER_SECOND,
-                new HubLinks(WHOLE_MESH_BOXES, HUBS_PER_DOMAIN));
-    }
-
-    /** Returns the processor time of a box, in hundredths of a processor. */
-    static int capacity(RelaySettings settings) {
-        return (int) Math.round(HUNDREDTHS * settings.getProcessors() * settings.getProcessorShare());
-    }
-
     private void evacuate(Set<String> failureDomains) {
         endpoints.evacuate(failureDomains);
         requests.next().execute(this::endpointsChanged);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -123,7 +123,7 @@
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(),
                 settings.getFailureDomain(),
-                RelayGateway.capacity(settings),
+                PeerSettings.capacity(settings),
                 settings.getPeerAddress());
         this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
     }
