Don't count requests from before an endpoint stated its limit

Boxes and callers did nothing wrong.

Cause: the check holds from 3 s after the limit was first stated, over spans of 4 s, and counted every request of the span. So those of the second before the limit was stated counted, when nobody could know of it.

Allowed: the users' rule counts the requests of machines that had passed on an answer with the limit half a second before or earlier, and none of those had. Requests since the limit was stated count as they did, which is stricter than the rule. The new case of PromisesTest failed before (8 counted) and still finds six requests since. Ruled out: the box that may send one request in a window had sent no other.

--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.Test;
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
+import org.wingstall.standin.fleet.LimitLog;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
@@ -147,4 +148,20 @@
     public void aSeedAlwaysGivesTheSamePlan() {
         assertEquals(FaultPlan.of(7, 12_000), FaultPlan.of(7, 12_000));
     }
+
+    /** Requests from before an endpoint stated a limit counted against it. */
+    @Test
+    public void requestsBeforeALimitWasStatedDoNotCount() {
+        LimitLog log = new LimitLog();
+        for (int i = 0; i < 7; i++) {
+            log.arrived("plain-1", "before-" + i, 900);
+        }
+        log.stated("plain-1", 0, 1000);
+        log.arrived("plain-1", "since", 4100);
+        assertEquals(log.excesses(arrival -> true), List.of());
+        for (int i = 0; i < 5; i++) {
+            log.arrived("plain-1", "since-" + i, 4200);
+        }
+        assertEquals(log.excesses(arrival -> true).size(), 5);
+    }
 }
--- a/standin/src/main/java/org/wingstall/standin/fleet/LimitLog.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/LimitLog.java
@@ -118,7 +118,7 @@
     }
 
     /**
-     * Returns the spans in which an endpoint got too many requests.
+     * Returns the spans in which an endpoint got too many requests. Those that came before it stated a limit don't count.
      *
      * @param counts which requests count
      */
@@ -127,7 +127,7 @@
         endpoints.forEach((name, endpoint) -> {
             List<Arrival> counted = endpoint.arrivals.stream().filter(counts).toList();
             counted.forEach(last -> {
-                long fromMs = last.atMs() - rule.windowMs();
+                long fromMs = Math.max(last.atMs() - rule.windowMs(), statedSinceMs(endpoint, last.atMs()) - 1);
                 double allowed = rule.allowed(highestRate(endpoint, last.atMs()));
                 List<Arrival> got = counted.stream()
                         .filter(arrival -> arrival.atMs() > fromMs && arrival.atMs() <= last.atMs())
@@ -154,6 +154,10 @@
         return highest;
     }
 
+    private static long statedSinceMs(Endpoint endpoint, long untilMs) {
+        return statedSinceMs(new TreeMap<>(endpoint.rates.headMap(untilMs, true)));
+    }
+
     /** Returns since when the endpoint has stated some limit without a break. */
     private static long statedSinceMs(TreeMap<Long, Double> rates) {
         long sinceMs = Long.MAX_VALUE;
