Log and count what endpoints state about leaving and about retry-after

The boxes' lines could not tell whether a box had been told that an endpoint leaves or takes no requests for a time, nor by which answer. The adapter now translates Server-Leaving and, of a 503, Retry-After; each statement is counted by kind (wingstall.endpoint.statements) and logged with the kind of call that carried it. Nothing is decided by them yet.

Answers to state queries are read as well; a query is no work, so it does not show that a limit has ended.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -135,7 +135,7 @@
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         this.limits = new RequestLimits(
                 () -> this.settings, loop, clock, state, mesh, gathering, () -> store().boxesSettled(), metrics);
-        EndpointReports reports = new EndpointReports(loop, client, wire, metrics, limits.answers()::limited);
+        EndpointReports reports = new EndpointReports(loop, client, wire, metrics, limits.answers());
         this.pools = stagePools(loop, wire, reports, gathering);
         mesh.pieces().attach(pools);
         this.silence = silenceWatch(loop, reports);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RequestLimits.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RequestLimits.java
@@ -11,11 +11,11 @@
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.control.RelayState;
-import org.wingstall.relay.endpoint.AdvertisedLimitReader;
 import org.wingstall.relay.endpoint.EqualColdStartShares;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SendLimits;
+import org.wingstall.relay.endpoint.StatementReader;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.pool.CoordinatorSelector;
 import org.wingstall.schema.settings.RelaySettings;
@@ -23,7 +23,7 @@
 /** What a gateway knows of the requests that endpoints take, and what keeps it to that. Confined to the request loop. */
 final class RequestLimits {
     private final AdvertisedLimits stated;
-    private final AdvertisedLimitReader answers;
+    private final StatementReader answers;
     private final SendLimits sends;
 
     /**
@@ -49,7 +49,7 @@
             RelayMetrics metrics) {
         RelaySettings atStart = settings.get();
         this.stated = LimitExchange.over(atStart.getBoxId(), mesh.limits(), clock);
-        this.answers = new AdvertisedLimitReader(stated);
+        this.answers = new StatementReader(stated, metrics);
         KnownFleet fleet = new KnownFleet(
                 atStart.getBoxId(),
                 atStart.getFailureDomain(),
@@ -74,7 +74,7 @@
         return stated;
     }
 
-    AdvertisedLimitReader answers() {
+    StatementReader answers() {
         return answers;
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReports.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.net.http.HttpClient;
@@ -40,7 +39,7 @@
     private final HttpClient client;
     private final EndpointProtocol wire;
     private final RelayMetrics metrics;
-    private final Predicate<RelayEndpoint> rateLimited;
+    private final StatementReader statementReader;
     private final Map<String, List<Callbacks>> pending = new HashMap<>();
 
     /** Callbacks of one caller that waits for the response. */
@@ -53,15 +52,15 @@
      * @param client HTTP client
      * @param wire protocol of the endpoints
      * @param metrics counts the queries
-     * @param rateLimited whether an endpoint advertises a limit, so that it is not queried
+     * @param statementReader applies what endpoints state, and knows which of them must not be queried
      */
     public EndpointReports(
             EventLoop loop,
             HttpClient client,
             EndpointProtocol wire,
             RelayMetrics metrics,
-            Predicate<RelayEndpoint> rateLimited) {
-        this.rateLimited = rateLimited;
+            StatementReader statementReader) {
+        this.statementReader = statementReader;
         this.metrics = metrics;
         this.loop = loop;
         this.client = client;
@@ -71,7 +70,7 @@
     @Override
     public boolean query(
             RelayEndpoint endpoint, Purpose purpose, Consumer<Optional<EndpointReport>> onReport, Runnable onNoAnswer) {
-        if (rateLimited.test(endpoint)) {
+        if (statementReader.limited(endpoint)) {
             return false;
         }
         List<Callbacks> waiting = pending.get(endpoint.key());
@@ -94,6 +93,8 @@
     private void complete(RelayEndpoint endpoint, HttpReply reply, Throwable failure) {
         List<Callbacks> waiting = pending.remove(endpoint.key());
         if (failure == null) {
+            statementReader.read(
+                    endpoint, wire.responseHead(reply.status(), reply.headers()), StatementReader.Carrier.STATE_QUERY);
             Optional<EndpointReport> report = parseReport(endpoint, reply);
             waiting.forEach(callbacks -> callbacks.onReport().accept(report));
         } else {
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -27,6 +27,7 @@
     private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
     private final Map<String, Counter> stateQueries = new ConcurrentHashMap<>();
     private final Map<String, Counter> limitedEndpoints = new ConcurrentHashMap<>();
+    private final Map<String, Counter> statements = new ConcurrentHashMap<>();
     private final Counter droppedResponses = registry.counter("wingstall.answers.dropped");
     private final Counter droppedLogLines = registry.counter("wingstall.log.lines.dropped");
     private final Timer successTime =
@@ -99,6 +100,13 @@
                 .increment();
     }
 
+    /** Counts a response in which an endpoint stated that it leaves or is to be spared, by what it stated. */
+    public void recordStatement(String kind) {
+        statements
+                .computeIfAbsent(kind, name -> registry.counter("wingstall.endpoint.statements", "kind", name))
+                .increment();
+    }
+
     /** Counts a response that was dropped because it is unsigned or belongs to another request. */
     public void recordDroppedResponse() {
         droppedResponses.increment();
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -10,6 +10,7 @@
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.StateQueries.Purpose;
+import org.wingstall.relay.endpoint.StatementReader.Carrier;
 import org.wingstall.relay.wire.PieceResult;
 import org.wingstall.relay.wire.ResponseHead;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -178,8 +179,7 @@
     private void answered(HttpReply reply) {
         pool.recordCallTime(spec, tasks.size(), context.clock().nowMs() - startedMs);
         ResponseHead head = context.endpointProtocol().responseHead(reply.status(), reply.headers());
-        head.load().ifPresent(endpoint.state()::recordReportedLoad);
-        context.limitReader().readLimit(endpoint, head, startedMs);
+        context.statementReader().read(endpoint, head, startedMs, Carrier.PIECES);
         if (head.otherIncarnation()) {
             context.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
         }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolContext.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolContext.java
@@ -6,10 +6,10 @@
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.RelayConfig;
-import org.wingstall.relay.endpoint.AdvertisedLimitReader;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.endpoint.StateQueries;
+import org.wingstall.relay.endpoint.StatementReader;
 import org.wingstall.relay.run.ServiceRetryBudgets;
 import org.wingstall.relay.wire.EndpointProtocol;
 
@@ -26,7 +26,7 @@
  * @param stateQueries queries endpoints for their state
  * @param endpoints the endpoints
  * @param limits limits requests to endpoints with reduced capacity
- * @param limitReader reads the limits that responses advertise
+ * @param statementReader applies what endpoints state in their responses
  * @param config the configuration in force
  * @param budgets retry budgets of the services
  * @param quarantine refuses pieces that crash endpoints
@@ -41,7 +41,7 @@
         StateQueries stateQueries,
         RelayEndpoints endpoints,
         SendLimits limits,
-        AdvertisedLimitReader limitReader,
+        StatementReader statementReader,
         Supplier<RelayConfig> config,
         ServiceRetryBudgets budgets,
         Quarantine quarantine,
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -74,7 +74,7 @@
     private boolean rateLimited(InetSocketAddress endpointAddress) {
         return context.endpoints()
                 .findByAddress(endpointAddress)
-                .map(context.limitReader()::limited)
+                .map(context.statementReader()::limited)
                 .orElse(false);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -8,6 +8,7 @@
 import org.wingstall.net.http.ResponseListener;
 import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.StatementReader.Carrier;
 import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.RelayRequest;
@@ -115,8 +116,7 @@
     public void head(int status, HttpHeaders headers) {
         head = context.endpointProtocol().responseHead(status, headers);
         headAtMs = context.clock().nowMs();
-        head.load().ifPresent(endpoint.state()::recordReportedLoad);
-        context.limitReader().readLimit(endpoint, head, startedAtMs);
+        context.statementReader().read(endpoint, head, startedAtMs, Carrier.REQUEST);
         if (head.notExecuted()) {
             return;
         }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
@@ -10,11 +10,11 @@
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.relay.config.Regions;
 import org.wingstall.relay.config.RelayConfig;
-import org.wingstall.relay.endpoint.AdvertisedLimitReader;
 import org.wingstall.relay.endpoint.EndpointChooser;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SendLimits;
+import org.wingstall.relay.endpoint.StatementReader;
 import org.wingstall.relay.engine.EngineSelector;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
@@ -39,7 +39,7 @@
  * @param engineSelector selects model engines
  * @param regions region of each failure domain
  * @param sendLimits limits requests to endpoints with reduced capacity
- * @param limitReader reads the limits that responses advertise
+ * @param statementReader applies what endpoints state in their responses
  * @param engineStateQuery queries the state of an engine, and runs the action if it is unresponsive
  * @param endpointChooser selects endpoints that are not engines
  * @param retryBudgets retry budgets of the services
@@ -62,7 +62,7 @@
         EngineSelector engineSelector,
         Regions regions,
         SendLimits sendLimits,
-        AdvertisedLimitReader limitReader,
+        StatementReader statementReader,
         BiConsumer<RelayEndpoint, Runnable> engineStateQuery,
         EndpointChooser endpointChooser,
         ServiceRetryBudgets retryBudgets,
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/wire/EndpointStatement.java
@@ -0,0 +1,17 @@
+package org.wingstall.relay.wire;
+
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+/**
+ * The state that an endpoint reports of itself in the headers of a response, whatever the response is for.
+ *
+ * <p>{@code if (head.statement().leaving()) { endpoints.markLeaving(endpoint, "answer"); }}
+ *
+ * @param load requests running and waiting at the endpoint, when it reports them
+ * @param limit rate limit for all boxes together, when it advertises one
+ * @param leaving whether it is about to end and takes no new requests
+ * @param retryAfterMs time for which a rejecting endpoint takes no requests from this box, when it names one
+ * @since 0.10
+ */
+public record EndpointStatement(OptionalInt load, AdvertisedLimit limit, boolean leaving, OptionalLong retryAfterMs) {}
--- a/relay/src/main/java/org/wingstall/relay/wire/ResponseHead.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/ResponseHead.java
@@ -1,7 +1,6 @@
 package org.wingstall.relay.wire;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.OptionalInt;
 
 /**
  * The decoded status and headers of an endpoint's response.
@@ -14,8 +13,7 @@
  * @param notExecuted whether the endpoint states that it has not run the request and never will
  * @param otherIncarnation whether another endpoint process is at the address now
  * @param streamed whether the body is an event stream
- * @param load requests running and waiting at the endpoint, when it reports them
- * @param limit rate limit for all boxes together, when it advertises one
+ * @param statement state that the endpoint reports of itself
  * @param callerHeaders headers that are forwarded to the caller
  * @since 0.2
  */
@@ -26,8 +24,7 @@
         boolean notExecuted,
         boolean otherIncarnation,
         boolean streamed,
-        OptionalInt load,
-        AdvertisedLimit limit,
+        EndpointStatement statement,
         HttpHeaders callerHeaders) {
     /** Returns whether the endpoint ran the request successfully. */
     public boolean success() {
