--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -35,6 +35,8 @@
     private static final String ID = "X-Wingstall-Attempt-Id";
 
     private static final String LIMIT = "Server-Limit";
+    private static final String LEAVING = "Server-Leaving";
+    private static final String RETRY_AFTER = "Retry-After";
 
     /** Results that a request of the staged route reads, as callers of the tests ask for. */
     private static final int STAGED_INPUTS = 3;
@@ -52,7 +54,10 @@
     private volatile Behaviour behaviour = Behaviour.ANSWERS;
     private volatile Consumer<Arrival> observer = arrival -> {};
     private volatile LimitLog limitLog = new LimitLog();
+    private volatile StatementLog statements = new StatementLog();
     private volatile String limit;
+    private volatile boolean leaving;
+    private volatile String retryAfter;
 
     /** A request that came to an endpoint, run or turned away. */
     public record Arrival(String id, String endpoint, String target, boolean ran, long deadlineMs) {}
@@ -111,6 +116,29 @@
         return this;
     }
 
+    /** Sets where it is recorded what the endpoint states, and which requests it gets since. */
+    public WorkerStandin recordIn(StatementLog log) {
+        statements = log;
+        return this;
+    }
+
+    /** States in all answers from now on that it leaves. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Turns requests away from now on and names a time, in whatever words, for which it wants none. */
+    public void shed(String text) {
+        retryAfter = text;
+        behaviour = Behaviour.FULL;
+    }
+
+    /** Takes requests again. */
+    public void takeRequests() {
+        retryAfter = null;
+        behaviour = Behaviour.ANSWERS;
+    }
+
     /** States from now on how many requests a second it takes, in whatever words. */
     public void limit(String text, double requestsPerSecond) {
         limit = text;
@@ -173,6 +201,7 @@
             return;
         }
         limitLog.arrived(incarnation, requestId(call) == null ? call.path() : requestId(call));
+        statements.arrived(incarnation, call);
         if (behaviour == Behaviour.DARK) {
             arrived(call, false);
             call.onDisconnect(cancelled::incrementAndGet);
@@ -181,7 +210,7 @@
         switch (call.path()) {
             case "/v1/stage-run" -> runPieces(call);
             case "/v1/stage-free" -> free(call);
-            case "/v1/report" -> respond(call, OK, new DefaultHttpHeaders(), "{}");
+            case "/v1/report" -> respond(call, OK, headers(call), "{}");
             default -> run(call);
         }
     }
@@ -197,6 +226,10 @@
         if (limit != null) {
             headers.set(LIMIT, limit);
         }
+        if (leaving) {
+            headers.set(LEAVING, "1");
+            statements.toldLeaving(incarnation, call);
+        }
         return id == null ? headers : headers.set(ID, id);
     }
 
@@ -213,7 +246,7 @@
     private void run(HttpCall call) {
         arrived(call, behaviour != Behaviour.FULL);
         if (behaviour == Behaviour.FULL) {
-            respond(call, FULL, headers(call).set("X-Wingstall-Not-Executed", "1"), "");
+            turnAway(call);
             return;
         }
         checkInputs(call);
@@ -233,6 +266,15 @@
         }
     }
 
+    private void turnAway(HttpCall call) {
+        HttpHeaders headers = headers(call).set("X-Wingstall-Not-Executed", "1");
+        if (retryAfter != null) {
+            headers.set(RETRY_AFTER, retryAfter);
+            statements.toldRetryAfter(incarnation, call, retryAfter);
+        }
+        respond(call, FULL, headers, "");
+    }
+
     private void answer(HttpCall call, HttpHeaders signed) {
         boolean cut = behaviour == Behaviour.CUTS_ANSWER;
         if (events > 0) {
@@ -296,6 +338,10 @@
     }
 
     private void runPieces(HttpCall call) {
+        if (behaviour == Behaviour.FULL) {
+            turnAway(call);
+            return;
+        }
         JsonNode items = items(call, "items");
         int pieces = items.size();
         items.forEach(this::checkInputs);
@@ -317,7 +363,7 @@
 
     private void free(HttpCall call) {
         items(call, "kv_handles").forEach(handle -> freed.add(handle.asText()));
-        respond(call, OK, new DefaultHttpHeaders(), "");
+        respond(call, OK, headers(call), "");
     }
 
     private static JsonNode items(HttpCall call, String field) {
