Keep requests from an endpoint for the time that its rejection names

What callers saw: 43 of the 242 requests that ended between 6 and 16 s of the incident were refused after attempts at engines that had asked for rest; those engines got three requests of one box within 3 s of rest, where two are allowed.

Cause: Retry-After of a 503 was read nowhere. A rejection is answered in 1 ms and leaves no load behind, so the next request of the box, and the box that chooses engines, preferred the same endpoint again. Ruled out: store and list (each list was less than 300 ms old), retries beyond the budget (all were first and second attempts).

Each box keeps to what it was told (SendRestrictions, by incarnation; of two orders the later end; ten minutes at most): whole requests, retries, streams, calls for pieces, and the engine that another box chooses, since the asking box names the engines to leave out. State queries, fetches and results given up are not sent to it either. A request waits for the end when its target allows that, and is refused at once with the earliest end otherwise. The box that chooses engines for others leaves out one that asked it for a pause as long as there are others: it is overloaded, though the word binds one box only.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -85,13 +85,31 @@
     }
 
     /**
-     * Returns whether the endpoint may get new work: it is not leaving and is not in backoff after consecutive
-     * failures.
+     * Returns whether the endpoint may get new work from this box: it accepts requests and is not in backoff after
+     * consecutive failures.
      */
     public boolean usable() {
+        return usableByOthers() && closedForMs() == 0;
+    }
+
+    /** Returns whether other boxes may send it new work, as far as this box knows. */
+    public boolean usableByOthers() {
         return !state.leaving() && backoff.allowsRequests(clock.nowMs());
     }
 
+    /**
+     * Returns the time until the endpoint takes requests from this box again, in ms; 0 unless it has rejected one and
+     * named a time.
+     */
+    public long closedForMs() {
+        return restrictions.closedForMs(clock.nowMs());
+    }
+
+    /** Records that it rejected a request of this box and takes no more for a time. */
+    void closeFor(long durationMs) {
+        restrictions.closeFor(durationMs, clock.nowMs());
+    }
+
     /** Records that it may have restarted unobserved, so that it is treated as if it had just started. */
     void assumeRestarted() {
         startedAtMs = clock.nowMs();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
@@ -52,9 +52,12 @@
         this.metrics = metrics;
     }
 
-    /** Returns whether an endpoint advertises a limit, so that only callers' requests may be sent to it. */
+    /**
+     * Returns whether an endpoint advertises a limit or takes no requests from this box at present, so that nothing
+     * but callers' requests may be sent to it.
+     */
     public boolean limited(RelayEndpoint endpoint) {
-        return limits.isLimited(endpoint.key());
+        return limits.isLimited(endpoint.key()) || endpoint.closedForMs() > 0;
     }
 
     /**
@@ -105,6 +108,7 @@
 
     private void recordRetryAfter(RelayEndpoint endpoint, long durationMs, Carrier carrier) {
         metrics.recordStatement("retry-after");
+        endpoint.closeFor(durationMs);
         LogEvent.info("endpoint-retry-after")
                 .with("endpoint", endpoint.id())
                 .with("service", endpoint.identity().service())
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
@@ -231,10 +231,7 @@
 
     @Override
     public void asked(String boxId, long correlation, EngineAsk ask) {
-        List<RelayEndpoint> candidates = endpoints.ofService(ask.getService()).stream()
-                .filter(RelayEndpoint::usable)
-                .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
-                .toList();
+        List<RelayEndpoint> candidates = candidatesFor(ask);
         List<RelayEndpoint> available = limits.withinLimits(candidates, SelectionMode.COORDINATOR);
         if (available.isEmpty()) {
             long againMs =
@@ -251,6 +248,20 @@
                         available, prompt, inputs, ask.getTargetMs(), specs.apply(ask.getService())))));
     }
 
+    /**
+     * Returns the engines that the asking box may use. An engine that asked only this box for a pause is overloaded, so
+     * it is left out as long as there are others.
+     */
+    private List<RelayEndpoint> candidatesFor(EngineAsk ask) {
+        List<RelayEndpoint> all = endpoints.ofService(ask.getService()).stream()
+                .filter(RelayEndpoint::usableByOthers)
+                .filter(endpoint -> !ask.getExcluded().contains(endpoint.id()))
+                .toList();
+        List<RelayEndpoint> open =
+                all.stream().filter(endpoint -> endpoint.closedForMs() == 0).toList();
+        return open.isEmpty() ? all : open;
+    }
+
     private static EngineChoice encode(EngineLoadBalancer.Choice choice) {
         EngineEstimate estimate = choice.estimate();
         String fetchFrom = choice.fetchFrom() == null ? null : Addresses.format(choice.fetchFrom());
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -16,7 +16,6 @@
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
-import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.wire.PieceResult;
 
 /**
@@ -40,6 +39,7 @@
 
     private final String service;
     private final PoolContext context;
+    private final PoolEndpoints endpoints;
     private final ResultCapacityTracker capacity;
     private final RoomReports roomReports;
     private final ResultFreer freer;
@@ -68,6 +68,7 @@
         this.freer = freer;
         this.service = service;
         this.context = context;
+        this.endpoints = new PoolEndpoints(service, context);
         this.capacity = capacity;
         this.roomReports = roomReports;
         this.random = random;
@@ -108,7 +109,7 @@
         lastSubmittedAtMs = nowMs;
         load.recordArrival(callTimes.slotTimeMs(spec, pieces));
         if (others) {
-            roomReports.queryInitial(serving(), spec);
+            roomReports.queryInitial(endpoints.serving(), spec);
         }
     }
 
@@ -139,8 +140,7 @@
 
     /** Returns the time after which a call counts as lost, in ms. */
     long timeoutMs(PoolSpec spec, int pieces) {
-        return timeouts.timeoutMs(
-                spec, pieces, context.endpoints().ofService(service).size());
+        return timeouts.timeoutMs(spec, pieces, endpoints.all().size());
     }
 
     /** Returns the number of queued pieces. */
@@ -165,7 +165,7 @@
 
     /** Returns the current state of the pool; empty when no endpoint can be called. */
     private Optional<PoolSnapshot> snapshot() {
-        List<RelayEndpoint> serving = serving();
+        List<RelayEndpoint> serving = endpoints.serving();
         return serving.isEmpty()
                 ? Optional.empty()
                 : spec().map(spec -> new PoolSnapshot(
@@ -213,7 +213,7 @@
      * Checks the rate limits again, since an earlier call of the same dispatch may have used up an endpoint's limit.
      */
     private List<RelayEndpoint> openEndpoints(PoolSnapshot snapshot) {
-        return context.limits().withinLimits(snapshot.serving(), SendLimits.SelectionMode.COORDINATOR);
+        return endpoints.withinLimits(snapshot.serving());
     }
 
     private void send(CallPlanner.PlannedCall planned, PoolSnapshot snapshot) {
@@ -293,9 +293,7 @@
      * Keeps pieces queued while an endpoint may become usable again; fails them when all endpoints are gone or leaving.
      */
     private void scheduleDispatchOrFail() {
-        boolean mayComeBack = context.endpoints().ofService(service).stream()
-                .anyMatch(endpoint -> !endpoint.state().leaving());
-        if (mayComeBack) {
+        if (endpoints.mayComeBack()) {
             rejectBeyondRateShare();
             scheduleDispatch();
         } else {
@@ -303,9 +301,9 @@
         }
     }
 
-    /** Rejects groups whose deadline is before the rate limit of any endpoint allows another call. */
+    /** Rejects groups whose deadline is before any endpoint takes another call. */
     private void rejectBeyondRateShare() {
-        long retryAfterMs = context.limits().retryAfterMs(usable(), SendLimits.SelectionMode.COORDINATOR);
+        long retryAfterMs = endpoints.nextCallInMs();
         long againAtMs = context.clock().nowMs() + retryAfterMs;
         List<PieceGroup> unservable = waiting.stream()
                 .filter(group -> retryAfterMs > 0 && group.urgency().deadlineAtMs() <= againAtMs)
@@ -324,16 +322,6 @@
         group.take(Integer.MAX_VALUE).stream().filter(task -> !task.withdrawn()).forEach(task -> task.complete(failed));
     }
 
-    private List<RelayEndpoint> serving() {
-        return context.limits().withinLimits(usable(), SendLimits.SelectionMode.COORDINATOR);
-    }
-
-    private List<RelayEndpoint> usable() {
-        return context.endpoints().ofService(service).stream()
-                .filter(RelayEndpoint::usable)
-                .toList();
-    }
-
     /** Retries pieces whose call ended without a result, within the maximum number of calls and the retry budget. */
     void retry(List<PieceTask> tasks, PieceResult.Failure failure) {
         List<PieceTask> back = new ArrayList<>();
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointSearch.java
@@ -28,7 +28,7 @@
         /** An endpoint that is not an engine was selected. */
         void found(RelayEndpoint endpoint);
 
-        /** All candidates have reduced capacity, which is used up; one has capacity again after the given time. */
+        /** No candidate takes a request now, because its capacity is used up; one does after the given time. */
         void atCapacity(long retryAfterMs);
 
         /** There is no candidate. */
@@ -52,7 +52,7 @@
     void start(Set<String> endpointsToAvoid, InputLocation inputs, long untilTargetMs, Listener listener) {
         List<RelayEndpoint> candidates = service.candidates(endpointsToAvoid);
         if (candidates.isEmpty()) {
-            listener.noEndpoint();
+            startLater(listener);
         } else if (service.enginesPrefillPrompt()) {
             EngineSelector.SelectionRequest question = new EngineSelector.SelectionRequest(
                     service.name(), candidates, service.prompt(), inputs, untilTargetMs);
@@ -62,6 +62,15 @@
         }
     }
 
+    private void startLater(Listener listener) {
+        long openInMs = service.untriedOpenInMs();
+        if (openInMs > 0) {
+            listener.atCapacity(openInMs);
+        } else {
+            listener.noEndpoint();
+        }
+    }
+
     private static EngineSelector.SelectionListener receiver(Listener listener) {
         return new EngineSelector.SelectionListener() {
             @Override
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -190,8 +190,8 @@
         if (finished) {
             return;
         }
-        String detail = "endpoints of '" + service.name() + "' are cold or state a limit, and take no more for "
-                + retryAfterMs + " ms";
+        String detail = "endpoints of '" + service.name()
+                + "' are cold, state a limit or asked for a pause, and take no more for " + retryAfterMs + " ms";
         if (retryAfterMs < untilTargetMs() - service.expectedResponseMs()) {
             record.attemptEnded("waits", detail);
             context.loop().schedule(() -> callEndpoint(inputs), Math.max(1, retryAfterMs), TimeUnit.MILLISECONDS);
@@ -292,7 +292,7 @@
         } else if (response.started()) {
             abortResponse(Reason.ENDPOINT_LOST, detail);
         } else {
-            refuse(Reason.ENDPOINTS_BUSY, detail);
+            refuse(Reason.ENDPOINTS_BUSY, detail, service.openInMs());
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.config.RegionRestriction;
 import org.wingstall.relay.config.Route;
@@ -81,9 +82,10 @@
         List<RelayEndpoint> usable = new ArrayList<>();
         List<RelayEndpoint> avoided = new ArrayList<>();
         for (RelayEndpoint endpoint : context.endpoints().ofService(name)) {
-            boolean away =
-                    !regions.allows(context.regions().of(endpoint.identity().failureDomain()));
-            if (away || endpoint.state().leaving() || tried.contains(endpoint.id())) {
+            if (!inRegion(endpoint)
+                    || endpoint.state().leaving()
+                    || tried.contains(endpoint.id())
+                    || endpoint.closedForMs() > 0) {
                 continue;
             }
             (endpoint.usable() ? usable : avoided).add(endpoint);
@@ -91,6 +93,31 @@
         return usable.isEmpty() ? avoided : usable;
     }
 
+    private boolean inRegion(RelayEndpoint endpoint) {
+        return regions.allows(context.regions().of(endpoint.identity().failureDomain()));
+    }
+
+    /**
+     * Returns the time until an endpoint that was not tried yet takes requests again, in ms; 0 if none will.
+     */
+    long untriedOpenInMs() {
+        return openInMs(endpoint -> !tried.contains(endpoint.id()));
+    }
+
+    /** Returns the time until an endpoint takes requests again, in ms; 0 if one takes them now, or none will. */
+    long openInMs() {
+        return openInMs(endpoint -> true);
+    }
+
+    private long openInMs(Predicate<RelayEndpoint> considered) {
+        return context.endpoints().ofService(name).stream()
+                .filter(considered)
+                .filter(endpoint -> inRegion(endpoint) && !endpoint.state().leaving())
+                .mapToLong(RelayEndpoint::closedForMs)
+                .min()
+                .orElse(0);
+    }
+
     /** Returns the detail text for a request without candidates, for the caller and the log. */
     String noEndpointDetail() {
         Set<String> evacuated = context.endpoints().evacuated();
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -143,6 +143,33 @@
         assertEquals(usable(), List.of("a", "b"));
     }
 
+    @DataProvider
+    Object[][] pauses() {
+        return new Object[][] {
+            {new long[] {1}, 1},
+            {new long[] {3000}, 3000},
+            {new long[] {3000, 500}, 3000},
+            {new long[] {500, 3000}, 3000},
+            {new long[] {Long.MAX_VALUE}, 600_000},
+        };
+    }
+
+    /** An endpoint that asked for a pause got requests before its end. */
+    @Test(dataProvider = "pauses")
+    public void anEndpointThatAskedForPausesIsNotUsedBeforeTheLatestEnd(long[] pausesMs, long endsAtMs) {
+        list("a", "b");
+        RelayEndpoint paused = endpoints.find("b").orElseThrow();
+        for (long pauseMs : pausesMs) {
+            paused.closeFor(pauseMs);
+        }
+        nowMs = endsAtMs - 1;
+        list("a");
+        list("a", "b");
+        assertEquals(usable(), List.of("a"));
+        nowMs = endsAtMs;
+        assertEquals(usable(), List.of("a", "b"));
+    }
+
     @Test
     public void consecutiveFailuresKeepWorkAwayForAWhileAndAResponseResetsThem() {
         list("a");
