--- a/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
@@ -50,7 +50,7 @@
 
     /** Calls for pieces name no request of theirs; one box sends them all. */
     private static String boxOf(HttpCall call) {
-        String id = call.header("X-Wingstall-Attempt-Id");
+        String id = WorkerStandin.requestId(call);
         return id == null ? "pieces" : id.substring(0, id.indexOf(BOX_END));
     }
 
--- a/soak/src/main/java/org/wingstall/soak/Caller.java
+++ b/soak/src/main/java/org/wingstall/soak/Caller.java
@@ -69,6 +69,7 @@
     /** Sends a request and notes what came back; returns whether it was a whole answer. */
     boolean call(SoakFleet.Box box, Route route, String id) throws InterruptedException {
         int life = box.process().life();
+        observations.sending(id, box.id(), life);
         long sentMs = observations.nowMs();
         int status = 0;
         String answerId = null;
--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -10,6 +10,8 @@
 import java.util.stream.Collectors;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.LimitLog;
+import org.wingstall.standin.fleet.StatementLog;
+import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
 /**
@@ -23,6 +25,11 @@
     /** Time without disturbance after which a box has to keep bounds in time, in ms; the platform's own figure. */
     private static final long CONTACT_MS = 3000;
 
+    /** Sender of what is no caller's request. */
+    private static final String NO_SENDER = "";
+
+    private static final String LIFE = "#";
+
     private final long zeroNs = System.nanoTime();
     private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
@@ -33,6 +40,9 @@
     private final LimitLog limits = new LimitLog();
     private final LimitLog cold = new LimitLog(ColdReturns.RULE);
     private final LimitLog coldAgain = new LimitLog(ColdAgain.RULE);
+    private final Map<String, String> senders = new ConcurrentHashMap<>();
+    private final StatementLog statements =
+            new StatementLog(call -> senders.getOrDefault(String.valueOf(WorkerStandin.requestId(call)), NO_SENDER));
     private final Map<String, String> domains = new ConcurrentHashMap<>();
     private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
@@ -46,6 +56,22 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zeroNs);
     }
 
+    /** Records the box, and how often it had been started, that a request is about to be sent to. */
+    void sending(String id, String box, int life) {
+        senders.put(id, box + LIFE + life);
+    }
+
+    /** Returns the box of a sender; empty when that is not known. */
+    static String boxOf(String sender) {
+        int end = sender.indexOf(LIFE);
+        return end < 0 ? "" : sender.substring(0, end);
+    }
+
+    /** Returns what endpoints stated in their answers, by the box that they answered. */
+    StatementLog statements() {
+        return statements;
+    }
+
     void called(CallRecord call) {
         calls.add(call);
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -9,12 +9,14 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.soak.Observations.SeenArrival;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.LimitLog;
+import org.wingstall.standin.fleet.StatementLog.Pair;
 import org.wingstall.standin.fleet.WorkerStandin;
 
 /**
@@ -79,6 +81,8 @@
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
                 new Named("no more than an endpoint takes", seen -> beyond(seen, seen.limits())),
+                new Named("no work for who stated that it leaves", Promises::statedLeaving),
+                new Named("a pause that an endpoint asked for", Promises::pauses),
                 new Named("no more than a cold endpoint bears", Promises::cold),
                 new Named("no more than one that turned cold bears", seen -> beyond(seen, seen.coldAgain())),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
@@ -104,6 +108,42 @@
         return later.size() > LATER_SENDINGS ? later : List.of();
     }
 
+    /** A box that was paused since then is excused; one that was started again is another sender. */
+    private static List<String> statedLeaving(Observations seen) {
+        return seen
+                .statements()
+                .sentAfterLeaving(
+                        arrival -> isCalm(seen, arrival.between(), 0, seen.soakMs(arrival.atMs()), Promises::isPause))
+                .stream()
+                .map(Object::toString)
+                .toList();
+    }
+
+    /** A box or endpoint that any fault touched meanwhile is excused. */
+    private static List<String> pauses(Observations seen) {
+        return seen
+                .statements()
+                .brokenRests(rest -> isCalm(
+                        seen, rest.between(), seen.soakMs(rest.fromMs()), seen.soakMs(rest.untilMs()), fault -> true))
+                .stream()
+                .map(Object::toString)
+                .toList();
+    }
+
+    private static boolean isPause(Disturbance disturbance) {
+        return disturbance.kind().equals(FaultPlan.Kind.BOX_PAUSE.name());
+    }
+
+    private static boolean isCalm(
+            Observations seen, Pair between, long fromMs, long untilMs, Predicate<Disturbance> counted) {
+        String box = Observations.boxOf(between.sender());
+        return !box.isEmpty()
+                && seen.disturbances().stream()
+                        .filter(counted)
+                        .noneMatch(fault -> fault.touches(box, fromMs, untilMs)
+                                || fault.touches(between.endpoint(), fromMs, untilMs));
+    }
+
     private static List<String> ownAnswer(Observations seen) {
         return seen.calls().stream()
                 .filter(CallRecord::success)
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -125,6 +125,11 @@
             inNeed.play(end);
             return null;
         }));
+        StatingEndpoint stating = new StatingEndpoint(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            stating.play(end);
+            return null;
+        }));
         awaitAll(faults);
         end.come();
         threads.shutdown();
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -9,6 +9,7 @@
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.LimitLog;
+import org.wingstall.standin.fleet.StatementLog;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
 
@@ -16,6 +17,8 @@
 public class PromisesTest {
     private static final long DEADLINE_MS = Caller.DEADLINE_MS;
 
+    private static final StatementLog.Pair BETWEEN = new StatementLog.Pair("plain-1", "box-1#1");
+
     private static CallRecord call(Route route, int status, String seal, String body, long sentMs, long endedMs) {
         return new CallRecord("a", route, "box-1", 1, sentMs, endedMs, status, "a", seal, body);
     }
@@ -29,6 +32,18 @@
         return new Arrival("a", "plain-1", "/x", true, DEADLINE_MS);
     }
 
+    private static void sendAfterLeaving(Observations seen) {
+        seen.statements().toldLeaving(BETWEEN, 1000);
+        seen.statements().arrived(new StatementLog.Arrival(BETWEEN, "a", 3001));
+    }
+
+    private static void sendWithinPause(Observations seen) {
+        seen.statements().toldRest(new StatementLog.Rest(BETWEEN, 1500, 4000));
+        for (long atMs = 2000; atMs < 2003; atMs++) {
+            seen.statements().arrived(new StatementLog.Arrival(BETWEEN, "a", atMs));
+        }
+    }
+
     @DataProvider
     Object[][] breaches() {
         return new Object[][] {
@@ -47,6 +62,8 @@
                 seen.called(call(Route.ONCE, 503, null, "", 0, 5));
                 seen.arrived(run());
             }),
+            breach("no work for who stated that it leaves", PromisesTest::sendAfterLeaving),
+            breach("a pause that an endpoint asked for", PromisesTest::sendWithinPause),
             breach("configuration in force", seen -> {
                 seen.configured(1);
                 seen.configured(2);
--- a/standin/src/main/java/org/wingstall/standin/fleet/StatementLog.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StatementLog.java
@@ -68,11 +68,26 @@
 
     void arrived(String endpoint, HttpCall call) {
         String id = WorkerStandin.requestId(call);
-        arrivals.add(new Arrival(pair(endpoint, call), id == null ? call.path() : id, nowMs()));
+        arrived(new Arrival(pair(endpoint, call), id == null ? call.path() : id, nowMs()));
+    }
+
+    /** Records a request. */
+    public void arrived(Arrival arrival) {
+        arrivals.add(arrival);
     }
 
     void toldLeaving(String endpoint, HttpCall call) {
-        leavingSinceMs.putIfAbsent(pair(endpoint, call), nowMs());
+        toldLeaving(pair(endpoint, call), nowMs());
+    }
+
+    /** Records that an endpoint told a sender at some time, in ms of the process's steady clock, that it leaves. */
+    public void toldLeaving(Pair between, long atMs) {
+        leavingSinceMs.putIfAbsent(between, atMs);
+    }
+
+    /** Records a time for which an endpoint wants nothing from a sender. */
+    public void toldRest(Rest rest) {
+        rests.add(rest);
     }
 
     /** A text that is no number of seconds asks for nothing. */
@@ -80,7 +95,7 @@
         try {
             long nowMs = nowMs();
             long untilMs = nowMs + Math.round(Double.parseDouble(seconds) * MS_PER_SECOND);
-            rests.add(new Rest(pair(endpoint, call), nowMs + REST_FROM_MS, untilMs));
+            toldRest(new Rest(pair(endpoint, call), nowMs + REST_FROM_MS, untilMs));
         } catch (NumberFormatException e) {
             // Recorded as no rest.
         }
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -216,7 +216,7 @@
     }
 
     /** Returns the identifier of the request that a call carries; null without one. */
-    static String requestId(HttpCall call) {
+    public static String requestId(HttpCall call) {
         return call.header(ID);
     }
 
