--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -288,6 +288,7 @@
                 rejection -> new byte[0]);
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
+        gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
         gauges.ofFleet(mesh, crashes, limits.stated());
         LogEvent.info("started")
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -28,6 +28,11 @@
                 () -> evacuations.current().failureDomains().size());
     }
 
+    /** Shows what it knows of the platform's store. */
+    void ofStore(StoreFollowers store) {
+        metrics.gauge("wingstall.store.era", store::storeEra);
+    }
+
     /** Shows what is under way. */
     void ofWork(RelayHandler handler, StagePools pools, HttpServer callers) {
         metrics.gauge("wingstall.requests.in.flight", handler::inFlight);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -54,6 +54,7 @@
     private static final long FIRST_ANSWER_MS = 2500;
 
     private final RelaySettings settings;
+    private final StoreClient store;
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
     private final RelayConfigFollower configFollower;
@@ -92,7 +93,7 @@
         this.settings = settings;
         this.mesh = mesh;
         this.boxesKnown = boxesKnown;
-        StoreClient store = new StoreClient(
+        this.store = new StoreClient(
                 client,
                 control,
                 Addresses.parse(settings.getStoreAddress()),
@@ -136,6 +137,11 @@
         crashReports.start();
     }
 
+    /** Returns how often the store was restored from a copy, as it tells. */
+    long storeEra() {
+        return store.era();
+    }
+
     /** Returns whether this box has had time to learn of all others. */
     boolean boxesSettled() {
         return boxes.initialReadsDone();
