Reproduce requests to an endpoint that left after the store was restored

RelayStoreRestoreTest plays a store that is away for a second and comes back from a copy, with versions given out again.

--- a/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
@@ -70,8 +70,25 @@
         return other;
     }
 
+    RelayBox box() {
+        return boxes.get(0);
+    }
+
+    /** Starts a further endpoint of the service in another failure domain, and waits until it gets requests. */
+    void addElsewhere(String failureDomain, String name) throws Exception {
+        fleet.add(service, failureDomain, name, worker(service, name));
+        Awaitility.await().until(() -> {
+            send("repeatable").join();
+            return !log.arrivals(name, 0).isEmpty();
+        });
+    }
+
     void listTested() {
-        fleet.list(service, "east", "tested", address, "ready");
+        listTested("ready");
+    }
+
+    void listTested(String state) {
+        fleet.list(service, "east", "tested", address, state);
     }
 
     void unlistTested() {
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -40,8 +40,11 @@
     private final AtomicLong aheadMs = new AtomicLong();
     private final AtomicInteger calls = new AtomicInteger();
     private volatile Mode mode = Mode.SERVING;
+    private final AtomicInteger historyGone = new AtomicInteger();
     private long version;
     private long historyAfter;
+    private long era = 1;
+    private Copy copy = new Copy(Map.of(), 0);
 
     /** How the store answers. */
     public enum Mode {
@@ -62,6 +65,9 @@
 
     private record Change(String table, String key, String value, long version) {}
 
+    /** The rows of all tables at a version. */
+    private record Copy(Map<String, TreeMap<String, Change>> tables, long version) {}
+
     private record Waiter(HttpCall call, String table, long after) {}
 
     /** Sets how the store answers from now on. */
@@ -69,6 +75,32 @@
         mode = next;
     }
 
+    /** Copies the rows, for {@link #restore}. */
+    public synchronized void copy() {
+        Map<String, TreeMap<String, Change>> rows = new TreeMap<>();
+        tables.forEach((name, table) -> rows.put(name, new TreeMap<>(table)));
+        copy = new Copy(rows, version);
+    }
+
+    /** Goes back to the last copy: later writes are gone, and their versions are given out again. */
+    public synchronized void restore() {
+        tables.clear();
+        copy.tables().forEach((name, table) -> tables.put(name, new TreeMap<>(table)));
+        version = copy.version();
+        era++;
+        endHistory();
+    }
+
+    /** Returns how many calls were told that the history that they ask for is gone. */
+    public int historyGone() {
+        return historyGone.get();
+    }
+
+    /** Returns whether a row is there. */
+    public synchronized boolean has(String table, String key) {
+        return tables.getOrDefault(table, new TreeMap<>()).containsKey(key);
+    }
+
     /** Returns the calls that came. */
     public int calls() {
         return calls.get();
@@ -86,12 +118,16 @@
 
     /** Drops the history of changes, and answers those that wait for some. */
     public synchronized void forgetHistory() {
+        version++;
+        endHistory();
+    }
+
+    private void endHistory() {
         history.clear();
-        historyAfter = ++version;
+        historyAfter = version;
         List<Waiter> asleep = List.copyOf(waiters);
         waiters.clear();
-        asleep.forEach(waiter ->
-                waiter.call().eventLoop().execute(() -> waiter.call().respond(GONE, "text/plain", new byte[0])));
+        asleep.forEach(waiter -> waiter.call().eventLoop().execute(() -> respondGone(waiter.call())));
     }
 
     private void change(Change change) {
@@ -113,7 +149,7 @@
     public void handle(HttpCall call) {
         calls.incrementAndGet();
         switch (mode) {
-            case BUSY -> call.respond(BUSY_STATUS, "text/plain", new byte[0]);
+            case BUSY -> respond(call, BUSY_STATUS, new byte[0]);
             case SILENT -> {
                 // No answer is the fault.
             }
@@ -124,13 +160,22 @@
 
     private void serve(HttpCall call) {
         switch (call.path()) {
-            case "/v1/rows-get" -> call.respondJson(OK, rows(call));
+            case "/v1/rows-get" -> respond(call, OK, Json.write(rows(call)));
             case "/v1/rows-feed" -> feed(call);
             case "/v1/rows-tx" -> write(call);
-            default -> call.respond(NOT_FOUND, "text/plain", new byte[0]);
+            default -> respond(call, NOT_FOUND, new byte[0]);
         }
     }
 
+    private void respondGone(HttpCall call) {
+        historyGone.incrementAndGet();
+        respond(call, GONE, new byte[0]);
+    }
+
+    private synchronized void respond(HttpCall call, int status, byte[] body) {
+        call.respond(status, HttpCall.JSON, body, Map.of("Store-Era", Long.toString(era)));
+    }
+
     /** Shows no rows of a table from now on. */
     public void hide(String table) {
         hidden.add(table);
@@ -172,8 +217,8 @@
         String table = call.query("table", "");
         long after = Long.parseLong(call.query("after_revision", "0"));
         Waiter waiter = new Waiter(call, table, after);
-        if (after < historyAfter) {
-            call.respond(GONE, "text/plain", new byte[0]);
+        if (after < historyAfter || after > version) {
+            respondGone(call);
         } else if (!changesAfter(waiter).isEmpty()) {
             answerChanges(waiter);
         } else {
@@ -191,7 +236,7 @@
 
     private synchronized void answerChanges(Waiter waiter) {
         waiters.remove(waiter);
-        waiter.call().respondJson(OK, document(changesAfter(waiter), false));
+        respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false)));
     }
 
     private void write(HttpCall call) {
@@ -204,9 +249,9 @@
                         row.path("private_key").asText(),
                         new String(value, StandardCharsets.UTF_8));
             }
-            call.respondJson(OK, document(List.of(), false));
+            respond(call, OK, Json.write(document(List.of(), false)));
         } catch (InvalidDocumentException e) {
-            call.respond(BAD_REQUEST, "text/plain", e.getMessage().getBytes(StandardCharsets.UTF_8));
+            respond(call, BAD_REQUEST, e.getMessage().getBytes(StandardCharsets.UTF_8));
         }
     }
 }
