Order versions of the store by its era first

What callers saw: two requests reached an endpoint 2.06 and 2.30 s after the store had acknowledged that it leaves, where 2 s are allowed; one of them ran into its deadline there.

Cause: versions of the store were compared as numbers that only rise. A store that was restored from a copy gives out numbers again, so each box dropped its lists for three seconds (endpoint-list-older, 38 times). The outage ended for a box with the first list that it believed, so the grace of 2.3 s for entries that lapsed meanwhile covered one that had just gone. Ruled out: that the change was told late (one of the two boxes reads the list itself), that the returned store was slow (each read of the list was answered).

A box of an earlier build tells no era; what it tells counts for the era that the hearer knows.

A failed try, taken back: an evacuation that the copy lacks held until a later version was told; where nobody writes that never came.

--- a/core/src/main/java/org/wingstall/core/member/MemberListDiff.java
+++ b/core/src/main/java/org/wingstall/core/member/MemberListDiff.java
@@ -12,7 +12,7 @@
  * Computes and applies differences between membership lists, so that one box of a failure domain can read the list and
  * send the changes to the others.
  *
- * <p>{@code MemberNews news = MemberListDiff.between(before, after, 0); ... MemberListDiff.apply(current, news);}
+ * <p>{@code MemberNews news = MemberListDiff.between(before, after, StoreVersion.NONE); ... MemberListDiff.apply(current, news);}
  *
  * @since 0.1
  */
@@ -24,10 +24,10 @@
      *
      * @param before the older list
      * @param after the newer list
-     * @param version version of the store at which the newer list was read; 0 if the platform supplies the tags
+     * @param version version of the store at which the newer list was read; none if the platform supplies the tags
      * @return members that were added, changed or removed
      */
-    public static MemberNews between(MemberSnapshot before, MemberSnapshot after, long version) {
+    public static MemberNews between(MemberSnapshot before, MemberSnapshot after, StoreVersion version) {
         Map<String, Member> removed = byId(before);
         List<Member> changed = new ArrayList<>();
         for (Member member : after.members()) {
@@ -36,7 +36,8 @@
                 changed.add(member);
             }
         }
-        return new MemberNews(before.tag(), after.tag(), changed, List.copyOf(removed.keySet()), version);
+        return new MemberNews(
+                before.tag(), after.tag(), changed, List.copyOf(removed.keySet()), version.number(), version.era());
     }
 
     /**
--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -113,7 +113,9 @@
                 members.tagReadLately(),
                 0,
                 0,
-                null);
+                null,
+                0,
+                0);
     }
 
     private void updateLimits() {
--- a/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/MemberFollower.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.MemberListDiff;
 import org.wingstall.core.member.MemberSnapshot;
+import org.wingstall.core.member.StoreVersion;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.Metrics;
 import org.wingstall.gateway.Metrics.ListSource;
@@ -131,7 +132,7 @@
         }
         take(read, ListSource.PLATFORM);
         if (before.shortTag() != 0) {
-            readers.tell(MemberListDiff.between(before, read, 0));
+            readers.tell(MemberListDiff.between(before, read, StoreVersion.NONE));
         }
     }
 
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -89,7 +89,7 @@
     private final EventLoopGroup requests;
     private final HttpClient client = new HttpClient();
     private final RelayState state = new RelayState();
-    private final EvacuationState evacuations = new EvacuationState(this::evacuate);
+    private final EvacuationState evacuations = new EvacuationState(clock, this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
     private final RelayMetrics metrics = new RelayMetrics();
     private final ServiceRetryBudgets budgets;
@@ -172,6 +172,7 @@
                 mesh,
                 () -> loop.execute(this::endpointsChanged),
                 crashes.quarantine()::mergeStored,
+                crashes.quarantine()::reports,
                 boxes -> budgets.update(budgetPart(this.settings, boxes)));
         this.callers = new HttpServer(listener, this::limits, handler, this::rejected);
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
+import java.util.function.Supplier;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
@@ -76,6 +77,7 @@
      * @param mesh links to the other boxes
      * @param endpointsChanged told when the list differs
      * @param crashReportRead takes reports of requests that crash endpoints
+     * @param crashReportsNow returns the reports that this box knows
      * @param boxesKnown told how many boxes there are
      */
     StoreFollowers(
@@ -89,6 +91,7 @@
             PeerMesh mesh,
             Runnable endpointsChanged,
             Consumer<CrashReport> crashReportRead,
+            Supplier<List<CrashReport>> crashReportsNow,
             IntConsumer boxesKnown) {
         this.settings = settings;
         this.mesh = mesh;
@@ -127,6 +130,13 @@
                 PeerSettings.capacity(settings),
                 settings.getPeerAddress());
         this.boxes = new BoxFollower(control, new PlatformBoxDirectory(store), self, this::boxesRead);
+        store.onRestored(() -> writeAgain(crashReportsNow.get()));
+    }
+
+    /** Writes again what this box had written to a store that was restored from a copy. */
+    private void writeAgain(List<CrashReport> reports) {
+        boxes.announceAgain();
+        crashReports.saveAgain(reports);
     }
 
     /** Begins to follow. */
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -168,8 +168,8 @@
             for (int i = 0; i < size[1]; i++) {
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
-            byte[] frame = MessagePack.write(
-                    Frames.heartbeat(new Heartbeat(123_456, false, List.of(), demand, domains, false, 0, 0, 0, null)));
+            byte[] frame = MessagePack.write(Frames.heartbeat(
+                    new Heartbeat(123_456, false, List.of(), demand, domains, false, 0, 0, 0, null, 0, 0)));
             byte[] bytes = frame;
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
--- a/peer/src/main/java/org/wingstall/peer/Heartbeats.java
+++ b/peer/src/main/java/org/wingstall/peer/Heartbeats.java
@@ -91,7 +91,9 @@
                 own.getListTag(),
                 own.getListVersion(),
                 own.getEvacuatedAsOf(),
-                own.getEvacuated());
+                own.getEvacuated(),
+                own.getListEra(),
+                own.getEvacuatedEra());
     }
 
     /**
--- a/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/BoxFollower.java
@@ -65,6 +65,14 @@
         return successfulReads >= INITIAL_READS;
     }
 
+    /** Registers this box again, since a store that was restored may lack it. For use on any thread. */
+    public void announceAgain() {
+        loop.execute(() -> {
+            announced = false;
+            directory.announce(self).whenCompleteAsync((done, failure) -> announced = failure == null, loop);
+        });
+    }
+
     private void poll() {
         CompletableFuture<Void> done = announced ? CompletableFuture.completedFuture(null) : directory.announce(self);
         done.thenCompose(written -> {
--- a/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -35,6 +37,7 @@
     private final SourceHealth readHealth = new SourceHealth("crash-reports");
     private final SourceHealth writeHealth = new SourceHealth("crash-reports-kept");
     private final Map<String, CrashReport> pending = new LinkedHashMap<>();
+    private final Set<String> saved = new LinkedHashSet<>();
     private boolean fullReadDue = true;
     private boolean initialReadDone;
     private boolean writeInProgress;
@@ -101,6 +104,25 @@
         });
     }
 
+    /**
+     * Saves again what this box has saved, since a store that was restored may lack it. For use on any thread.
+     *
+     * @param current the reports as they are now
+     */
+    public void saveAgain(List<CrashReport> current) {
+        loop.execute(() -> current.stream()
+                .filter(report -> saved.contains(report.getFingerprint()))
+                .forEach(this::save));
+    }
+
+    private void recordSaved(String fingerprint) {
+        saved.remove(fingerprint);
+        saved.add(fingerprint);
+        if (saved.size() > MAX_PENDING) {
+            saved.remove(saved.iterator().next());
+        }
+    }
+
     private void writeNext() {
         if (writeInProgress || pending.isEmpty()) {
             return;
@@ -114,6 +136,7 @@
         writeHealth.recordResult(failure);
         if (failure == null) {
             pending.remove(report.getFingerprint(), report);
+            recordSaved(report.getFingerprint());
         }
         long delayMs = failure == null ? 0 : writeHealth.retryDelayMs(true);
         loop.schedule(
--- a/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
+++ b/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.Evacuations;
 
@@ -21,15 +22,24 @@
 public final class EvacuationState {
     private static final Logger LOG = LogManager.getLogger(EvacuationState.class);
 
+    /** Time after a restore of the store within which operators write again what the copy lacks, in ms. */
+    private static final long RESTORED_GRACE_MS = 5000;
+
     private final AtomicReference<Evacuations> current = new AtomicReference<>(Evacuations.UNKNOWN);
+    private final MonotonicClock clock;
     private final Consumer<Set<String>> listener;
+    private Evacuations latest = Evacuations.UNKNOWN;
+    private Set<String> beforeRestore = Set.of();
+    private long restoredAtMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates a state without evacuations.
      *
+     * @param clock monotonic clock
      * @param listener receives the evacuated failure domains when they change
      */
-    public EvacuationState(Consumer<Set<String>> listener) {
+    public EvacuationState(MonotonicClock clock, Consumer<Set<String>> listener) {
+        this.clock = clock;
         this.listener = listener;
     }
 
@@ -39,25 +49,32 @@
     }
 
     /**
-     * Puts evacuations in force if they are of a later store version.
+     * Puts evacuations in force if they are of a later store version. Those that a restored store lacks hold on for a
+     * while, since operators write them again.
      *
      * @param offered the evacuations
      * @param from where they came from, for the log
      */
     public synchronized void updateIfNewer(Evacuations offered, String from) {
         Evacuations before = current.get();
-        if (offered.asOfVersion() <= before.asOfVersion()) {
-            return;
+        if (offered.asOfVersion().isAfter(latest.asOfVersion())) {
+            if (offered.asOfVersion().isRestoredSince(latest.asOfVersion())) {
+                beforeRestore = before.failureDomains();
+                restoredAtMs = clock.nowMs();
+            }
+            latest = offered;
         }
-        current.set(offered);
-        if (!offered.failureDomains().equals(before.failureDomains())) {
+        // An offer that is not later ends the grace as well: a store that nobody writes to tells no later version.
+        Evacuations next = clock.nowMs() - restoredAtMs < RESTORED_GRACE_MS ? latest.with(beforeRestore) : latest;
+        current.set(next);
+        if (!next.failureDomains().equals(before.failureDomains())) {
             LogEvent.info("evacuations-changed")
-                    .with("evacuated", new TreeSet<>(offered.failureDomains()))
+                    .with("evacuated", new TreeSet<>(next.failureDomains()))
                     .with("before", new TreeSet<>(before.failureDomains()))
-                    .with("version", offered.asOfVersion())
+                    .with("version", next.asOfVersion())
                     .with("from", from)
                     .to(LOG);
-            listener.accept(offered.failureDomains());
+            listener.accept(next.failureDomains());
         }
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.member.MemberListDiff;
 import org.wingstall.core.member.MemberSnapshot;
+import org.wingstall.core.member.StoreVersion;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -37,6 +38,9 @@
     /** Time after an outage in which every box reads, in ms; expired entries have about 2 s to be registered again. */
     private static final long RECOVERY_MS = 4000;
 
+    /** The same after the store was restored, in ms; longer than entries of endpoints that are gone stay listed. */
+    private static final long RESTORED_RECOVERY_MS = 6000;
+
     private final EventLoop loop;
     private final EndpointSource source;
     private final RelayEndpoints endpoints;
@@ -47,8 +51,8 @@
     private final SourceHealth health = new SourceHealth("endpoints");
     private boolean readInProgress;
     private long recoveredAtMs = Long.MIN_VALUE;
-    private long asOfVersion;
-    private volatile VersionedList current = new VersionedList(MemberSnapshot.NONE, 0);
+    private StoreVersion asOfVersion = StoreVersion.NONE;
+    private volatile VersionedList current = new VersionedList(MemberSnapshot.NONE, StoreVersion.NONE);
     private volatile long readAtMs = Long.MIN_VALUE / 2;
 
     /**
@@ -57,7 +61,7 @@
      * @param list the list
      * @param version version of the source at which this box first saw the list
      */
-    private record VersionedList(MemberSnapshot list, long version) {}
+    private record VersionedList(MemberSnapshot list, StoreVersion version) {}
 
     /** Receives changes of the list. */
     public interface ChangeListener {
@@ -113,7 +117,7 @@
     }
 
     /** Returns the version of the source at which this box first saw its list; on any thread. */
-    public long listVersion() {
+    public StoreVersion listVersion() {
         return current.version();
     }
 
@@ -123,7 +127,7 @@
      * @param tag short tag of its list; 0 when the peer has not read it recently
      * @param version the version at which the peer first saw that list
      */
-    public void onPeerList(int tag, long version) {
+    public void onPeerList(int tag, StoreVersion version) {
         if (tag == 0) {
             return;
         }
@@ -135,8 +139,8 @@
     }
 
     /** A source that does not answer is retried by the poll only, not at every heartbeat. */
-    private void readIfNewer(long version) {
-        if (version > asOfVersion && health.available()) {
+    private void readIfNewer(StoreVersion version) {
+        if (version.orEraOf(asOfVersion).isAfter(asOfVersion) && health.available()) {
             startReadIfIdle();
         }
     }
@@ -149,19 +153,22 @@
     }
 
     private void applyPeerChange(MemberNews news) {
-        boolean stale = news.getVersion() <= asOfVersion
+        StoreVersion version = new StoreVersion(news.getEra(), news.getVersion()).orEraOf(asOfVersion);
+        boolean stale = !version.isAfter(asOfVersion)
                 || news.getTag().equals(current.list().tag());
         if (stale || recovering()) {
             return;
         }
-        Optional<MemberSnapshot> after = MemberListDiff.apply(current.list(), news);
+        // What a restored store lacks is known only to a box that reads all of it.
+        Optional<MemberSnapshot> after =
+                version.isRestoredSince(asOfVersion) ? Optional.empty() : MemberListDiff.apply(current.list(), news);
         if (after.isEmpty()) {
             startReadIfIdle();
             return;
         }
         endpoints.applyList(after.get().members());
-        current = new VersionedList(after.get(), news.getVersion());
-        asOfVersion = news.getVersion();
+        current = new VersionedList(after.get(), version);
+        asOfVersion = version;
         LogEvent.info("endpoint-list-told")
                 .with("version", news.getVersion())
                 .with("changed", news.getChanged().size())
@@ -214,13 +221,17 @@
             recoveredAtMs = clock.nowMs() + RECOVERY_MS;
         }
         readAtMs = clock.nowMs();
-        if (listing.version() < asOfVersion) {
+        if (asOfVersion.isAfter(listing.version())) {
             LogEvent.warn("endpoint-list-older")
                     .with("read", listing.version())
                     .with("known", asOfVersion)
                     .to(LOG);
             return;
         }
+        if (listing.version().isRestoredSince(asOfVersion)) {
+            endpoints.markListRestored();
+            recoveredAtMs = clock.nowMs() + RESTORED_RECOVERY_MS;
+        }
         MemberSnapshot before = current.list();
         MemberSnapshot after = MemberSnapshot.withContentTag(listing.members());
         boolean endpointsDiffer = endpoints.applyList(after.members());
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import org.wingstall.core.member.StoreVersion;
 import org.wingstall.peer.PeerHost;
 import org.wingstall.relay.config.Evacuations;
 import org.wingstall.schema.peer.Heartbeat;
@@ -65,9 +66,11 @@
                 List.of(),
                 follower.sourceUnavailable(),
                 follower.freshTag(),
-                follower.listVersion(),
-                evacuated.asOfVersion(),
-                domains.isEmpty() ? null : List.copyOf(domains));
+                follower.listVersion().number(),
+                evacuated.asOfVersion().number(),
+                domains.isEmpty() ? null : List.copyOf(domains),
+                follower.listVersion().era(),
+                evacuated.asOfVersion().era());
     }
 
     @Override
@@ -76,8 +79,13 @@
             newerVersionListener.accept(heartbeat.getRevision());
         }
         List<String> evacuated = heartbeat.getEvacuated() == null ? List.of() : heartbeat.getEvacuated();
-        evacuations.updateIfNewer(new Evacuations(heartbeat.getEvacuatedAsOf(), Set.copyOf(evacuated)), "peer");
-        listFollower.get().onPeerList(heartbeat.getListTag(), heartbeat.getListVersion());
+        StoreVersion asOf = new StoreVersion(heartbeat.getEvacuatedEra(), heartbeat.getEvacuatedAsOf());
+        StoreVersion known = evacuations.current().asOfVersion();
+        evacuations.updateIfNewer(new Evacuations(asOf.orEraOf(known), Set.copyOf(evacuated)), "peer");
+        listFollower
+                .get()
+                .onPeerList(
+                        heartbeat.getListTag(), new StoreVersion(heartbeat.getListEra(), heartbeat.getListVersion()));
         return false;
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -42,6 +42,12 @@
     /** Number of incarnations, listed or not, whose restrictions are kept; a fleet has some hundred endpoints. */
     private static final int MAX_RESTRICTIONS = 4096;
 
+    /**
+     * Time after a restore within which the entry of an endpoint that is gone disappears again, in ms: three of its
+     * heartbeats and a read.
+     */
+    private static final long RESTORED_ENTRY_GRACE_MS = 5000;
+
     private static final long LONG_AGO_MS = Long.MIN_VALUE / 2;
 
     private final MonotonicClock clock;
@@ -60,6 +66,7 @@
     private final Set<String> expiredIds = new HashSet<>();
     private boolean unavailable;
     private long availableSinceMs = Long.MIN_VALUE / 2;
+    private long restoredAtMs = Long.MIN_VALUE / 2;
 
     /**
      * One incarnation of an endpoint, which may restart under the same identifier without any state of its previous
@@ -142,6 +149,15 @@
         return byId.values();
     }
 
+    /**
+     * Records that the next list is from a store that was restored from a copy: it may lack entries that are written
+     * again, and have entries of endpoints that are gone.
+     */
+    public synchronized void markListRestored() {
+        unavailable = true;
+        restoredAtMs = clock.nowMs();
+    }
+
     /** Records that the list could not be read. */
     public synchronized void markListUnavailable() {
         unavailable = true;
@@ -164,7 +180,9 @@
         boolean first = !listLoaded();
         Map<String, RelayEndpoint> next = new HashMap<>();
         for (Member member : members) {
-            next.put(member.getMemberId(), endpointOf(member));
+            if (!isRestoredAfterEnd(member, nowMs)) {
+                next.put(member.getMemberId(), endpointOf(member));
+            }
         }
         keepExpired(next, recovered, nowMs);
         byId.values().stream()
@@ -194,6 +212,12 @@
         expiredIds.forEach(id -> next.put(id, byId.get(id)));
     }
 
+    /** Returns whether an entry may be in the list only because the store was restored to a time before its end. */
+    private boolean isRestoredAfterEnd(Member member, long nowMs) {
+        SendRestrictions known = restrictions.get(EndpointIdentity.of(member));
+        return known != null && known.gone() && nowMs - restoredAtMs < RESTORED_ENTRY_GRACE_MS;
+    }
+
     private void notifySilence(RelayEndpoint endpoint) {
         silenceListener.accept(endpoint);
     }
@@ -217,6 +241,7 @@
      */
     private void retire(RelayEndpoint endpoint, Map<String, RelayEndpoint> next) {
         endpoint.state().markLeaving();
+        endpoint.restrictions().markGone();
         LogEvent.info(next.containsKey(endpoint.id()) ? "endpoint-replaced" : "endpoint-gone")
                 .with("endpoint", endpoint.id())
                 .with("service", endpoint.identity().service())
@@ -268,6 +293,7 @@
         long startedAtMs = listLoaded() ? clock.nowMs() : LONG_AGO_MS;
         EndpointState state = new EndpointState(identity, clock);
         SendRestrictions known = restrictions.computeIfAbsent(identity, incarnation -> new SendRestrictions());
+        known.markListed();
         if (known.leaving()) {
             state.markLeaving();
         }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendRestrictions.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendRestrictions.java
@@ -12,6 +12,7 @@
 
     private final AtomicLong closedUntilMs = new AtomicLong(Long.MIN_VALUE);
     private volatile boolean leaving;
+    private volatile boolean gone;
 
     /** Records that the endpoint is leaving, which is permanent for this incarnation. */
     void markLeaving() {
@@ -22,6 +23,20 @@
         return leaving;
     }
 
+    /** Records that the endpoint is listed. */
+    void markListed() {
+        gone = false;
+    }
+
+    /** Records that the endpoint has disappeared from the list. */
+    void markGone() {
+        gone = true;
+    }
+
+    boolean gone() {
+        return gone;
+    }
+
     /** Records that the endpoint takes no requests from this box for a time; of several times the latest end counts. */
     void closeFor(long durationMs, long nowMs) {
         long untilMs = nowMs + Math.min(MAX_RETRY_AFTER_MS, durationMs);
--- a/relay/src/main/java/org/wingstall/relay/wire/EndpointSource.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/EndpointSource.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.wingstall.core.member.StoreVersion;
 import org.wingstall.schema.platform.Member;
 
 /**
@@ -18,7 +19,7 @@
      * @param members the endpoints
      * @param version version of the source at the time of the read; rises with every change in the source
      */
-    record Listing(List<Member> members, long version) {}
+    record Listing(List<Member> members, StoreVersion version) {}
 
     /** Reads the complete list; fails with a {@link SourceException}. */
     CompletableFuture<Listing> read();
--- a/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
@@ -20,12 +20,31 @@
     private static final String WAITS = "waits";
 
     private final List<String> calls = new CopyOnWriteArrayList<>();
+    private final List<String> saves = new CopyOnWriteArrayList<>();
     private EventLoop loop;
     private volatile boolean told;
 
+    private static CrashReport report(String fingerprint) {
+        return new CrashReport(fingerprint, List.of("e1@0"), List.of(), 0);
+    }
+
+    /** A store that was restored from a copy lacked the reports that this box had saved since. */
+    @Test
+    public void reportsThatThisBoxSavedAreSavedAgainAfterARestore() throws Exception {
+        CrashReportFollower follower = new CrashReportFollower(loop, this, read -> {}, () -> told);
+        follower.save(report("own"));
+        Awaitility.await().until(() -> saves.equals(List.of("own")));
+        loop.submit(() -> {}).sync();
+        follower.saveAgain(List.of(report("own"), report("of-another-box")));
+        Awaitility.await().until(() -> saves.size() == 2);
+        loop.submit(() -> {}).sync();
+        assertEquals(saves, List.of("own", "own"));
+    }
+
     @BeforeMethod
     public void create() {
         calls.clear();
+        saves.clear();
         loop = new DefaultEventLoop();
     }
 
@@ -36,6 +55,7 @@
 
     @Override
     public CompletableFuture<Void> save(CrashReport report) {
+        saves.add(report.getFingerprint());
         return CompletableFuture.completedFuture(null);
     }
 
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -170,6 +170,33 @@
         assertEquals(usable(), List.of("a", "b"));
     }
 
+    /** A store that is restored from a copy lists endpoints as ready that had gone. */
+    @Test
+    public void anEndpointThatWasGoneBeforeARestoreStaysOutUntilItsEntryWouldHaveLapsed() {
+        nowMs = OUTAGE_MS;
+        list("a", "b");
+        list("a");
+        endpoints.markListRestored();
+        list("a", "b");
+        assertEquals(usable(), List.of("a"));
+        nowMs += 5000;
+        list("a", "b");
+        assertEquals(usable(), List.of("a", "b"));
+    }
+
+    /** Entries that the copy lacks are written again. */
+    @Test
+    public void anEndpointThatARestoredListLacksIsUsedOnForAWhile() {
+        nowMs = OUTAGE_MS;
+        list("a", "b");
+        endpoints.markListRestored();
+        list("a");
+        assertEquals(usable(), List.of("a", "b"));
+        nowMs += 2400;
+        list("a");
+        assertEquals(usable(), List.of("a"));
+    }
+
     @Test
     public void consecutiveFailuresKeepWorkAwayForAWhileAndAResponseResetsThem() {
         list("a");
