Restore the store from a copy in each seed of the soak

The store of each seed is away for 0.8 s and comes back from a copy up to 4 s old; operators and endpoints write again what was lost, boxes their own rows.

--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -130,6 +130,11 @@
             stating.play(end);
             return null;
         }));
+        RestoredStore restored = new RestoredStore(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            restored.play(end);
+            return null;
+        }));
         awaitAll(faults);
         end.come();
         threads.shutdown();
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -45,6 +45,8 @@
     private long historyAfter;
     private long era = 1;
     private Copy copy = new Copy(Map.of(), 0);
+    private List<Change> sinceCopy = new ArrayList<>();
+    private List<Change> lost = List.of();
 
     /** How the store answers. */
     public enum Mode {
@@ -80,6 +82,7 @@
         Map<String, TreeMap<String, Change>> rows = new TreeMap<>();
         tables.forEach((name, table) -> rows.put(name, new TreeMap<>(table)));
         copy = new Copy(rows, version);
+        sinceCopy = new ArrayList<>();
     }
 
     /** Goes back to the last copy: later writes are gone, and their versions are given out again. */
@@ -88,9 +91,25 @@
         copy.tables().forEach((name, table) -> tables.put(name, new TreeMap<>(table)));
         version = copy.version();
         era++;
+        lost = sinceCopy;
+        sinceCopy = new ArrayList<>();
         endHistory();
     }
 
+    /** Writes again what operators and endpoints had written, and have not changed since; writes of boxes stay lost. */
+    public synchronized void repeatLostWrites() {
+        List<Change> since = List.copyOf(sinceCopy);
+        for (Change change : lost) {
+            boolean changedSince = since.stream()
+                    .anyMatch(later ->
+                            later.table().equals(change.table()) && later.key().equals(change.key()));
+            if (!changedSince) {
+                writeOfPlatform(change.table(), change.key(), change.value());
+            }
+        }
+        lost = List.of();
+    }
+
     /** Returns how many calls were told that the history that they ask for is gone. */
     public int historyGone() {
         return historyGone.get();
@@ -106,14 +125,20 @@
         return calls.get();
     }
 
-    /** Writes a row. */
+    /** Writes a row, as operators and endpoints do. */
     public synchronized void put(String table, String key, String value) {
-        change(new Change(table, key, value, ++version));
+        writeOfPlatform(table, key, value);
     }
 
-    /** Removes a row. */
+    /** Removes a row, as operators and endpoints do. */
     public synchronized void remove(String table, String key) {
-        change(new Change(table, key, null, ++version));
+        writeOfPlatform(table, key, null);
+    }
+
+    private void writeOfPlatform(String table, String key, String value) {
+        Change change = new Change(table, key, value, ++version);
+        sinceCopy.add(change);
+        change(change);
     }
 
     /** Drops the history of changes, and answers those that wait for some. */
@@ -239,12 +264,16 @@
         respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false)));
     }
 
+    private synchronized void writeOfBox(String table, String key, String value) {
+        change(new Change(table, key, value, ++version));
+    }
+
     private void write(HttpCall call) {
         try {
             JsonNode body = Json.readTree(call.body());
             for (JsonNode row : body.path("writes")) {
                 byte[] value = Base64.getDecoder().decode(row.path("value").asText());
-                put(
+                writeOfBox(
                         row.path("table").asText(),
                         row.path("private_key").asText(),
                         new String(value, StandardCharsets.UTF_8));
