Keep an endpoint cold for a box whose store was restored from before it turned cold

The boxes' lines show it: endpoint-cold for 8000 ms, store-restored, endpoint-cold for 0 ms 0.1 s later, and for 8000 ms again after 1.0 s.

For the time in which entries are written again a list makes no endpoint warm; its cold time ends by itself. Lines name the numbers of versions as before, and the era beside them.

--- a/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
+++ b/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
@@ -71,7 +71,8 @@
             LogEvent.info("evacuations-changed")
                     .with("evacuated", new TreeSet<>(next.failureDomains()))
                     .with("before", new TreeSet<>(before.failureDomains()))
-                    .with("version", next.asOfVersion())
+                    .with("version", next.asOfVersion().number())
+                    .with("era", next.asOfVersion().era())
                     .with("from", from)
                     .to(LOG);
             listener.accept(next.failureDomains());
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -223,8 +223,10 @@
         readAtMs = clock.nowMs();
         if (asOfVersion.isAfter(listing.version())) {
             LogEvent.warn("endpoint-list-older")
-                    .with("read", listing.version())
-                    .with("known", asOfVersion)
+                    .with("read", listing.version().number())
+                    .with("known", asOfVersion.number())
+                    .with("readEra", listing.version().era())
+                    .with("knownEra", asOfVersion.era())
                     .to(LOG);
             return;
         }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -215,7 +215,12 @@
     /** Returns whether an entry may be in the list only because the store was restored to a time before its end. */
     private boolean isRestoredAfterEnd(Member member, long nowMs) {
         SendRestrictions known = restrictions.get(EndpointIdentity.of(member));
-        return known != null && known.gone() && nowMs - restoredAtMs < RESTORED_ENTRY_GRACE_MS;
+        return known != null && known.gone() && mayBeRestored(nowMs);
+    }
+
+    /** Returns whether entries may be older than what this box knows, because the store was restored from a copy. */
+    private boolean mayBeRestored(long nowMs) {
+        return nowMs - restoredAtMs < RESTORED_ENTRY_GRACE_MS;
     }
 
     private void notifySilence(RelayEndpoint endpoint) {
@@ -272,7 +277,9 @@
         }
         boolean same = before != null && before.identity().equals(identity);
         RelayEndpoint endpoint = same ? before : newEndpoint(identity, member);
-        endpoint.updateColdUntil(member.getColdMs());
+        if (member.getColdMs() > 0 || !mayBeRestored(clock.nowMs())) {
+            endpoint.updateColdUntil(member.getColdMs());
+        }
         if (member.getState() == Member.State.LEAVING) {
             markLeaving(endpoint, "list");
         }
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.net.http.TransportException;
+import org.wingstall.relay.config.ColdStartSpec;
 import org.wingstall.schema.platform.Member;
 
 /** Tests which endpoints get work, depending on the list, on their own reports and on the results of calls. */
@@ -184,6 +185,26 @@
         assertEquals(usable(), List.of("a", "b"));
     }
 
+    /** The entry in the copy does not say yet that the endpoint has turned cold. */
+    @Test
+    public void anEndpointThatTurnedColdStaysColdThroughARestore() {
+        ColdStartSpec spec = new ColdStartSpec(0, 8);
+        nowMs = OUTAGE_MS;
+        list("a");
+        endpoints.applyList(List.of(cold("a", 8000)));
+        endpoints.markListRestored();
+        list("a");
+        assertTrue(endpoints.find("a").orElseThrow().isCold(spec, nowMs));
+        nowMs += 5000;
+        list("a");
+        assertFalse(endpoints.find("a").orElseThrow().isCold(spec, nowMs));
+    }
+
+    private static Member cold(String id, long coldMs) {
+        Member.State live = Member.State.LIVE;
+        return new Member(id, Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", live, 1, 4, coldMs);
+    }
+
     /** Entries that the copy lacks are written again. */
     @Test
     public void anEndpointThatARestoredListLacksIsUsedOnForAWhile() {
