--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryAfterTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryAfterTest.java
@@ -22,16 +22,7 @@
 
     @DataProvider
     Object[][] routes() {
-        return new Object[][] {
-            {"resumable", "engine", 1},
-            {"stream", "engine", 1},
-            {"resumable", "engine", 3},
-            {"repeatable", "plain", 1},
-            {"once", "plain", 3},
-            {"staged", "engine", 1},
-            {"staged", "first", 1},
-            {"staged", "second", 1},
-        };
+        return RelayStatementFleet.routes();
     }
 
     private static void assertRestsKept(RelayStatementFleet fleet) {
--- a/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStatementFleet.java
@@ -54,6 +54,20 @@
         return id == null ? "pieces" : id.substring(0, id.indexOf(BOX_END));
     }
 
+    /** Returns routes, the service whose endpoint is under test, and the number of boxes. */
+    static Object[][] routes() {
+        return new Object[][] {
+            {"resumable", "engine", 1},
+            {"stream", "engine", 1},
+            {"resumable", "engine", 3},
+            {"repeatable", "plain", 1},
+            {"once", "plain", 3},
+            {"staged", "engine", 1},
+            {"staged", "first", 1},
+            {"staged", "second", 1},
+        };
+    }
+
     StatementLog log() {
         return log;
     }
