Let the server of ReplyCollectorTest wait longer than a loaded client takes

Cause: the server answers 408 to a request that it has not read within its limit, 1,000 ms, and the first client of a process can take longer from its connection to its first bytes. Shown by running the test with a limit of 5 and of 30 ms: the same case fails with the same message, the two others pass. Ruled out: the idle limit (400 ms passed), the collector (it got a whole answer). The server waits for 60 s now; what the test asks of the collector is unchanged.

--- a/net/src/test/java/org/wingstall/net/http/ReplyCollectorTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ReplyCollectorTest.java
@@ -19,7 +19,11 @@
 /** A box that stood still does not take that for the silence of others. */
 public class ReplyCollectorTest {
     private static final long TIMEOUT_MS = 250;
-    private static final HttpLimits LIMITS = new HttpLimits(1024, 10, 1000, 1000);
+
+    /** Longer than any test takes, since the server itself answers a request that it has not read within its limit. */
+    private static final int SERVER_TIMEOUT_MS = 60_000;
+
+    private static final HttpLimits LIMITS = new HttpLimits(1024, 10, SERVER_TIMEOUT_MS, SERVER_TIMEOUT_MS);
 
     private EventLoopGroup servers;
     private EventLoopGroup callers;
