Tell peers the evacuations that the store tells, not those held after a restore

After a restore each box holds the evacuations that the copy lacks for 5 s, and told them to peers as of the store's version; a peer took them for the store's word and kept them for good where nobody wrote later. The class is news that older news can undo: what is told is what was read now (EvacuationState.asRead).

--- a/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
+++ b/relay/src/main/java/org/wingstall/relay/control/EvacuationState.java
@@ -28,7 +28,7 @@
     private final AtomicReference<Evacuations> current = new AtomicReference<>(Evacuations.UNKNOWN);
     private final MonotonicClock clock;
     private final Consumer<Set<String>> listener;
-    private Evacuations latest = Evacuations.UNKNOWN;
+    private volatile Evacuations latest = Evacuations.UNKNOWN;
     private Set<String> beforeRestore = Set.of();
     private long restoredAtMs = Long.MIN_VALUE / 2;
 
@@ -48,6 +48,14 @@
         return current.get();
     }
 
+    /**
+     * Returns the evacuations as read from the store, for peers: those that only this box still holds after a restore are
+     * no word of the store.
+     */
+    Evacuations asRead() {
+        return latest;
+    }
+
     /**
      * Puts evacuations in force if they are of a later store version. Those that a restored store lacks hold on for a
      * while, since operators write them again.
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
@@ -56,7 +56,7 @@
     @Override
     public Heartbeat heartbeat() {
         ListFollower follower = listFollower.get();
-        Evacuations evacuated = evacuations.current();
+        Evacuations evacuated = evacuations.asRead();
         Set<String> domains = evacuated.failureDomains();
         return new Heartbeat(
                 revision(),
@@ -80,7 +80,7 @@
         }
         List<String> evacuated = heartbeat.getEvacuated() == null ? List.of() : heartbeat.getEvacuated();
         StoreVersion asOf = new StoreVersion(heartbeat.getEvacuatedEra(), heartbeat.getEvacuatedAsOf());
-        StoreVersion known = evacuations.current().asOfVersion();
+        StoreVersion known = evacuations.asRead().asOfVersion();
         evacuations.updateIfNewer(new Evacuations(asOf.orEraOf(known), Set.copyOf(evacuated)), "peer");
         listFollower
                 .get()
--- a/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
@@ -84,4 +84,14 @@
         reader.peers.heard(behind.peers.heartbeat());
         assertEquals(reader.evacuated(), Set.of("east"));
     }
+
+    /** A box told others what it held after a restore as if the store said so, and they kept it for good. */
+    @Test
+    public void anEvacuationHeldAfterARestoreIsNotTold() {
+        reader.evacuations.updateIfNewer(new Evacuations(new StoreVersion(1, 7), Set.of("east")), "store");
+        reader.evacuations.updateIfNewer(new Evacuations(new StoreVersion(2, 3), Set.of()), "store");
+        assertEquals(reader.evacuated(), Set.of("east"));
+        behind.peers.heard(reader.peers.heartbeat());
+        assertEquals(behind.evacuated(), Set.of());
+    }
 }
