--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -126,11 +126,11 @@
         return endpoint;
     }
 
-    /** Starts and lists a further endpoint that has just started and is cold for that. */
+    /** Starts and lists a further endpoint that has just started; its entry tells how long it is cold for that. */
     Endpoint addCold(String service) throws BindException {
         Endpoint endpoint = create(service, 0, null);
         endpoint.worker().recordIn(observations.cold());
-        list(endpoint, "ready");
+        turnCold(endpoint, FleetStandin.COLD_START_MS);
         return endpoint;
     }
 
