Ask again that an endpoint gets requests after its evacuation has ended

Cause: replaced the last wait of anEvacuationHoldsThroughARestore, a request at the endpoint, by the box's gauge, which asks for less. Change: it asks for both; the other endpoints reject with a pause meanwhile, so that the choice among them does not matter.

--- a/it/src/test/java/org/wingstall/it/relay/RelayStoreRestoreTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStoreRestoreTest.java
@@ -174,6 +174,12 @@
         store().remove("op", "evacuate/west");
         Awaitility.await()
                 .until(() -> fleet.box().metrics().lines().anyMatch("wingstall_domains_evacuated 0.0"::equals));
+        fleet.tested().shed("30");
+        fleet.other().shed("30");
+        Awaitility.await().until(() -> {
+            fleet.send("repeatable").join();
+            return !fleet.log().arrivals("elsewhere", fromMs).isEmpty();
+        });
     }
 
     /** What a box itself had written is written again: other boxes find it by its row. */
