Count a process that has released its memory as ended in the test harness

Seen: CrashingInputTest failed 6 of 6 times on an idle machine with "expected [3] but found [0]": no endpoint counted as ended, though all three had reset their connections 40 to 80 ms before.

Cause: Process.isAlive() turns false when the kernel has torn the process down whole. Connections are closed before that. A trial printed both: at 70 ms, when the request had its answer, the command lines of three endpoints were empty (their memory was released), and isAlive() turned false at 232 ms.

Ruled out: endpoints that did not end (their command lines are empty, and nothing listens at their ports); a slow reaper thread of the JDK (a process with one thread and one socket is seen as ended 0.1 ms after its reset).

Change: alive() also asks whether the memory was released, which comes before the first reset; restart() waits for the whole exit, since ports are released late as well. The test and its check are unchanged.

--- a/it/src/test/java/org/wingstall/it/harness/TestProcess.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestProcess.java
@@ -41,6 +41,9 @@
     }
 
     public void restart() {
+        if (process != null) {
+            awaitExit(10);
+        }
         stopping = false;
         try {
             process = new ProcessBuilder(command)
@@ -104,8 +107,18 @@
         }
     }
 
+    /** Returns whether the process runs; one that has released its memory has ended, though its exit may take longer. */
     public boolean alive() {
-        return process.isAlive();
+        return process.isAlive() && !hasReleasedMemory();
+    }
+
+    /** The kernel releases a process's memory before its connections, and leaves its command line empty from then on. */
+    private boolean hasReleasedMemory() {
+        try {
+            return Files.readAllBytes(Path.of("/proc", Long.toString(process.pid()), "cmdline")).length == 0;
+        } catch (IOException e) {
+            return !process.isAlive();
+        }
     }
 
     private void signal(String signal) {
