Don't suspect a request that was sent to an endpoint already known as lost

What callers saw: a harmless request failed with 502 `retries-exhausted`, "3 endpoints ended while they ran this request", within 13 to 68 ms, and was refused as `quarantined` from then on, for ten minutes and at every box. It had been sent to endpoints that another request had ended before.

Cause: Quarantine counted a loss for each request whose connection to an incarnation ended, whenever the request was sent. Each endpoint has a proxy in front, which accepts the request and resets the connection, so the call counts as sent.

Ruled out: load (idle machine); endpoints that ended under the harmless request (their processes were gone 60 ms before); requests with one fingerprint (they differ); a report of another box with a wrong age (the box had seen the losses).

Change: the quarantine remembers which incarnations were lost and have not answered since, by what it sees and by what other boxes report (LostEndpoints). A request that was sent after the first such loss is no suspect. What was sent before counts as it did, also when its connection ends later, so a request that ends its endpoints is counted beside any number of innocents. Any response, complete or not, to a request sent after the loss shows that the endpoint did not end: heads and rejections count for that now, not only whole responses. The time of a reported loss is the arrival less the age it tells, which is late but never early, so clocks of boxes don't matter. After 120 s, as long as a suspicion lasts, a loss explains no others.

Elsewhere: whole requests and streams (RunQuarantine), groups of pieces (PieceQuarantine: one group, many innocent pieces) and stages of the trial interface all pass the time of sending now. Trials move to a class of their own.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
@@ -24,7 +24,7 @@
      * crashes endpoints is repeated within seconds; a later loss of a harmless request is unrelated and must not be
      * added.
      */
-    private static final long SUSPICION_MS = 120_000;
+    static final long SUSPICION_MS = 120_000;
 
     private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
 
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -1,10 +1,7 @@
 package org.wingstall.core.quarantine;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -18,14 +15,14 @@
  * Refuses requests that crash the endpoints that run them, on whichever boxes they arrive. Thread-safe.
  *
  * <p>When the connection to an endpoint ends, every request that ran there becomes a suspect, and boxes merge the
- * losses that they observed. A complete successful response on any box clears a request. A later complete response from
+ * losses that they observed. A request that was sent to an endpoint which was already lost does not. A complete successful response on any box clears a request. A later complete response from
  * the endpoint shows that only a connection broke and withdraws that loss. After two losses a request is sent only as a
  * trial: one box sends it at a time, to an endpoint that runs no other trial and that new requests avoid, so that a
  * third loss can be attributed to it. After three losses the request is refused, for a time that doubles with each
  * further loss; then it is sent as a trial again.
  *
  * <p>{@code quarantine.refusal(run::fingerprint).ifPresent(this::refuse);
- * quarantine.endpointLost(fingerprint, "i-7f3a@0");}
+ * quarantine.endpointLost(List.of(fingerprint), "i-7f3a@0", sentAtMs);}
  *
  * @since 0.7
  */
@@ -45,15 +42,6 @@
     /** Maximum number of doublings of the quarantine time, one for each further loss: up to about ten hours. */
     private static final int MAX_DOUBLINGS = 6;
 
-    /**
-     * Time after which a trial is taken as ended although no end was received, in ms; crashes occur within a second
-     * after a run starts.
-     */
-    private static final long TRIAL_TIMEOUT_MS = 5000;
-
-    /** Time for which the end of a trial is remembered, in ms: far longer than a message takes to reach all boxes. */
-    private static final long ENDED_TRIAL_RETENTION_MS = 60_000;
-
     /** Retry hint while the same request is on trial elsewhere, in ms. */
     private static final long TRIAL_RETRY_AFTER_MS = 1000;
 
@@ -67,9 +55,8 @@
     private final MonotonicClock clock;
     private final Listener listener;
     private final CrashRecordStore crashRecords = new CrashRecordStore();
-    private final Map<Fingerprint, Trial> trials = new HashMap<>();
-    private final Map<String, Long> trialEndedAtMs = new HashMap<>();
-    private final Map<String, Long> endpointLostAtMs = new HashMap<>();
+    private final TrialTable trials = new TrialTable();
+    private final LostEndpoints lostEndpoints = new LostEndpoints(CrashRecordStore.SUSPICION_MS, INITIAL_QUARANTINE_MS);
 
     private long startedTrials;
     private long lastExpiryMs = Long.MIN_VALUE / 2;
@@ -87,10 +74,10 @@
 
         /** Called when a request becomes suspected, quarantined or cleared. */
         void changed(CrashReport report, int activeLosses);
-    }
 
-    /** A suspected request that a box has sent to an endpoint. */
-    private record Trial(String id, String endpoint, long untilMs) {}
+        /** Called when requests were lost at an endpoint that had been lost before they were sent there. */
+        void lostAfterEnd(String endpoint, int requests);
+    }
 
     /**
      * Creates an empty quarantine.
@@ -121,12 +108,9 @@
             String detail = record.activeLossCount() + " endpoints ended while they ran this request";
             return Optional.of(new QuarantineRefusal(Reason.QUARANTINED, detail, remainingMs));
         }
-        if (needsTrial(record) && trials.containsKey(request)) {
-            if (trials.get(request).untilMs() > nowMs) {
-                String detail = "endpoints ended while they ran this request, and one tries it now";
-                return Optional.of(new QuarantineRefusal(Reason.SUSPECT_ON_TRIAL, detail, TRIAL_RETRY_AFTER_MS));
-            }
-            trials.remove(request);
+        if (needsTrial(record) && trials.remainingMs(request, nowMs).isPresent()) {
+            String detail = "endpoints ended while they ran this request, and one tries it now";
+            return Optional.of(new QuarantineRefusal(Reason.SUSPECT_ON_TRIAL, detail, TRIAL_RETRY_AFTER_MS));
         }
         return Optional.empty();
     }
@@ -153,14 +137,7 @@
     }
 
     private synchronized Set<String> endpointsToAvoid(Fingerprint request) {
-        long nowMs = clock.nowMs();
-        Set<String> avoided = new HashSet<>();
-        trials.forEach((other, trial) -> {
-            if (!other.equals(request) && trial.untilMs() > nowMs) {
-                avoided.add(trial.endpoint());
-            }
-        });
-        return avoided;
+        return trials.endpointsOfOthers(request, clock.nowMs());
     }
 
     /**
@@ -179,7 +156,7 @@
             return Optional.empty();
         }
         String id = boxId + "/" + Long.toHexString(clock.nanoTime()) + "/" + startedTrials++;
-        trials.put(request, new Trial(id, endpoint, nowMs + TRIAL_TIMEOUT_MS));
+        trials.start(request, id, endpoint, nowMs);
         listener.broadcast(trialMessage(new CrashTrial(request.hex(), id, endpoint)), null);
         return Optional.of(id);
     }
@@ -187,19 +164,25 @@
     /** Ends a trial that this box started, whatever its result. */
     public synchronized void endTrial(Fingerprint request, String trialId) {
         CrashTrial ended = new CrashTrial(request.hex(), trialId, null);
-        if (applyTrial(ended)) {
+        if (trials.apply(ended, clock.nowMs())) {
             listener.broadcast(trialMessage(ended), null);
         }
     }
 
-    /** Records that the connection to an endpoint ended while the endpoint may have been running a request. */
-    public void endpointLost(Fingerprint request, String endpoint) {
-        endpointLost(List.of(request), endpoint);
-    }
-
-    /** Records that the connection to an endpoint ended while the endpoint may have been running several requests. */
-    public synchronized void endpointLost(List<Fingerprint> requests, String endpoint) {
-        endpointLostAtMs.put(endpoint, clock.nowMs());
+    /**
+     * Records that the connection to an endpoint ended while the endpoint may have been running requests. They become
+     * suspects unless the endpoint was known as lost, here or by a report, when they were sent, and has not answered
+     * since: then it had ended before.
+     *
+     * @param requests the requests
+     * @param endpoint the endpoint
+     * @param sentAtMs when they were sent there, in ms of the monotonic clock
+     */
+    public synchronized void endpointLost(List<Fingerprint> requests, String endpoint, long sentAtMs) {
+        if (!lostEndpoints.recordLoss(endpoint, sentAtMs, clock.nowMs())) {
+            listener.lostAfterEnd(endpoint, requests.size());
+            return;
+        }
         List<CrashReport> reports = requests.stream()
                 .map(request -> new CrashReport(request.hex(), List.of(endpoint), List.of(), 0))
                 .toList();
@@ -235,18 +218,39 @@
         if (success) {
             clearingReport(request).ifPresent(cleared::add);
         }
-        Long lostAtMs = endpointLostAtMs.get(endpoint);
-        if (lostAtMs != null && sentAtMs > lostAtMs) {
-            endpointLostAtMs.remove(endpoint);
-            for (Fingerprint other : crashRecords.requestsLostWith(endpoint)) {
-                cleared.add(new CrashReport(other.hex(), List.of(), List.of(endpoint), 0));
-            }
-        }
+        cleared.addAll(refutedLosses(endpoint, sentAtMs));
         if (!cleared.isEmpty()) {
             mergeReports(cleared, null, true);
         }
     }
 
+    /**
+     * Records a response of any kind, complete or not, to a request that was sent to an endpoint at {@code sentAtMs}:
+     * it proves that the endpoint was alive after that.
+     */
+    public void endpointAnswered(String endpoint, long sentAtMs) {
+        if (!idle) {
+            withdrawRefutedLosses(endpoint, sentAtMs);
+        }
+    }
+
+    private synchronized void withdrawRefutedLosses(String endpoint, long sentAtMs) {
+        List<CrashReport> refuted = refutedLosses(endpoint, sentAtMs);
+        if (!refuted.isEmpty()) {
+            mergeReports(refuted, null, true);
+        }
+    }
+
+    /** Returns reports that withdraw the losses of an endpoint if a response shows that it did not end with them. */
+    private List<CrashReport> refutedLosses(String endpoint, long sentAtMs) {
+        if (!lostEndpoints.recordAnswer(endpoint, sentAtMs)) {
+            return List.of();
+        }
+        return crashRecords.requestsLostWith(endpoint).stream()
+                .map(request -> new CrashReport(request.hex(), List.of(), List.of(endpoint), 0))
+                .toList();
+    }
+
     /** Returns a report that withdraws all losses of a request, if any of them is still active. */
     private Optional<CrashReport> clearingReport(Fingerprint request) {
         CrashRecord record = crashRecords.find(request, clock.nowMs());
@@ -267,38 +271,32 @@
 
     /** Applies a message from another box and forwards what is new to the other boxes. */
     public synchronized void receive(String boxId, CrashNews news) {
+        recordReportedLosses(news.getReports());
         mergeReports(news.getReports(), boxId, false);
         List<CrashTrial> newTrials = new ArrayList<>();
         for (CrashTrial trial : news.getTrials()) {
-            if (applyTrial(trial)) {
+            if (trials.apply(trial, clock.nowMs())) {
                 newTrials.add(trial);
             }
         }
+        idle = crashRecords.isEmpty() && trials.isEmpty();
         if (!newTrials.isEmpty()) {
             listener.broadcast(new CrashNews(List.of(), newTrials), boxId);
         }
     }
 
-    /**
-     * Applies the start or end of a trial and returns whether it was new. Each trial starts once and ends once, in
-     * whatever order the messages arrive, so that boxes stop forwarding them.
-     */
-    private boolean applyTrial(CrashTrial received) {
-        Fingerprint request = new Fingerprint(received.getFingerprint());
-        Trial known = trials.get(request);
-        boolean sameTrial = known != null && known.id().equals(received.getTrialId());
-        if (received.getEndpoint() == null) {
-            if (sameTrial) {
-                trials.remove(request);
-            }
-            return trialEndedAtMs.put(received.getTrialId(), clock.nowMs()) == null;
-        }
-        if (sameTrial || trialEndedAtMs.containsKey(received.getTrialId())) {
-            return false;
+    /** A report tells the age of its last loss only, so earlier ones may be recorded too late but never too early. */
+    private void recordReportedLosses(List<CrashReport> reports) {
+        long nowMs = clock.nowMs();
+        for (CrashReport report : reports) {
+            Set<String> known = crashRecords
+                    .find(new Fingerprint(report.getFingerprint()), nowMs)
+                    .losses();
+            report.getLosses().stream()
+                    .filter(endpoint -> !known.contains(endpoint))
+                    .filter(endpoint -> !report.getWithdrawn().contains(endpoint))
+                    .forEach(endpoint -> lostEndpoints.recordReportedLoss(endpoint, nowMs - report.getAgeMs(), nowMs));
         }
-        trials.put(request, new Trial(received.getTrialId(), received.getEndpoint(), clock.nowMs() + TRIAL_TIMEOUT_MS));
-        idle = false;
-        return true;
     }
 
     /** Merges a report read from the store; if it lacks losses that are known here, writes the merged report back. */
@@ -340,15 +338,14 @@
     private void removeExpiredPeriodically(long nowMs) {
         if (nowMs - lastExpiryMs >= EXPIRY_INTERVAL_MS) {
             lastExpiryMs = nowMs;
-            endpointLostAtMs.values().removeIf(atMs -> nowMs - atMs >= INITIAL_QUARANTINE_MS);
-            trialEndedAtMs.values().removeIf(atMs -> nowMs - atMs >= ENDED_TRIAL_RETENTION_MS);
+            lostEndpoints.removeExpired(nowMs);
             removeExpired(nowMs);
         }
     }
 
     private void removeExpired(long nowMs) {
         crashRecords.removeExpired(nowMs);
-        trials.values().removeIf(trial -> trial.untilMs() <= nowMs);
+        trials.removeExpired(nowMs);
         idle = crashRecords.isEmpty() && trials.isEmpty();
     }
 
--- a/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
@@ -1,5 +1,6 @@
 package org.wingstall.core.quarantine;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -8,7 +9,7 @@
  * Provides the quarantine's checks for one request and records what happens to each attempt at it. Confined to the
  * request's event loop.
  *
- * <p>{@code guard.refusal().ifPresent(this::refuse); guard.sent("i-7f3a@0"); guard.endpointLost("i-7f3a@0");}
+ * <p>{@code guard.refusal().ifPresent(this::refuse); guard.sent("i-7f3a@0"); guard.endpointLost("i-7f3a@0", sentAtMs);}
  *
  * @since 0.7
  */
@@ -45,9 +46,17 @@
         trial = quarantine.sent(request, endpoint);
     }
 
-    /** Records that the connection to an endpoint incarnation ended while it may have been running the request. */
-    public void endpointLost(String endpoint) {
-        quarantine.endpointLost(request.get(), endpoint);
+    /**
+     * Records that the connection to an endpoint incarnation ended while it may have been running the request as sent at
+     * {@code sentAtMs}, in ms of the monotonic clock.
+     */
+    public void endpointLost(String endpoint, long sentAtMs) {
+        quarantine.endpointLost(List.of(request.get()), endpoint, sentAtMs);
+    }
+
+    /** Records a response of any kind to the request as sent at {@code sentAtMs}, in ms of the monotonic clock. */
+    public void endpointAnswered(String endpoint, long sentAtMs) {
+        quarantine.endpointAnswered(endpoint, sentAtMs);
     }
 
     /** Records a complete response to the request as sent at {@code sentAtMs}, in ms of the monotonic clock. */
--- a/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
@@ -50,6 +50,9 @@
 
         @Override
         public void changed(CrashReport report, int activeLosses) {}
+
+        @Override
+        public void lostAfterEnd(String endpoint, int requests) {}
     }
 
     @DataProvider
@@ -71,8 +74,8 @@
         for (int i = 0; i < BOXES; i++) {
             boxes.add(new Box(i));
         }
-        boxes.get(0).quarantine.endpointLost(SUSPECT, "e1");
-        boxes.get(1).quarantine.endpointLost(SUSPECT, "e2");
+        boxes.get(0).quarantine.endpointLost(List.of(SUSPECT), "e1", nowMs);
+        boxes.get(1).quarantine.endpointLost(List.of(SUSPECT), "e2", nowMs);
         network.deliverAll(random);
         for (int i = 0; i < 6; i++) {
             Quarantine sender = boxes.get(random.nextInt(BOXES)).quarantine;
--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -28,69 +27,7 @@
     private static final Fingerprint POPULAR = request("popular");
     private static final long TEN_MINUTES_MS = 600_000;
 
-    private long nowMs;
-    private FleetOfTwo fleet;
-
-    /** Two boxes with a link that can be disconnected. */
-    private final class FleetOfTwo {
-        private final Box first = new Box("first");
-        private final Box second = new Box("second");
-        private boolean disconnected;
-
-        private Box other(Box box) {
-            return box == first ? second : first;
-        }
-    }
-
-    private final class Box implements Quarantine.Listener {
-        private final String name;
-        private final List<CrashReport> persisted = new ArrayList<>();
-        private final List<CrashNews> broadcasts = new ArrayList<>();
-        private final Quarantine quarantine;
-
-        Box(String name) {
-            this.name = name;
-            this.quarantine = new Quarantine(name, () -> TimeUnit.MILLISECONDS.toNanos(nowMs), this);
-        }
-
-        @Override
-        public void broadcast(CrashNews news, String exceptBox) {
-            broadcasts.add(news);
-            Box other = fleet.other(this);
-            if (!fleet.disconnected && !other.name.equals(exceptBox)) {
-                other.quarantine.receive(name, news);
-            }
-        }
-
-        @Override
-        public void persist(CrashReport report) {
-            persisted.add(report);
-        }
-
-        @Override
-        public void changed(CrashReport report, int activeLosses) {}
-
-        void lost(Fingerprint request, String... endpoints) {
-            for (String endpoint : endpoints) {
-                quarantine.endpointLost(request, endpoint);
-            }
-        }
-
-        void succeeded(Fingerprint request, String endpoint) {
-            quarantine.answered(() -> request, endpoint, nowMs, true);
-        }
-
-        Reason reason(Fingerprint request) {
-            return quarantine
-                    .refusal(() -> request)
-                    .map(QuarantineRefusal::reason)
-                    .orElse(null);
-        }
-
-        Optional<String> sent(Fingerprint request, String endpoint) {
-            return quarantine.sent(() -> request, endpoint);
-        }
-    }
+    private TwoBoxFleet fleet;
 
     private static Fingerprint request(String path) {
         return Fingerprint.of("canteen", "POST", "/" + path, new byte[0]);
@@ -98,8 +35,7 @@
 
     @BeforeMethod
     public void begin() {
-        nowMs = 1000;
-        fleet = new FleetOfTwo();
+        fleet = new TwoBoxFleet();
     }
 
     @DataProvider
@@ -139,7 +75,7 @@
     @Test
     public void failureDoesNotClearARequest() {
         fleet.first.lost(CULPRIT, "e1", "e2", "e3");
-        fleet.second.quarantine.answered(() -> CULPRIT, "e4", nowMs, false);
+        fleet.second.quarantine.answered(() -> CULPRIT, "e4", fleet.nowMs, false);
         assertEquals(fleet.second.reason(CULPRIT), Reason.QUARANTINED);
     }
 
@@ -147,8 +83,8 @@
     @Test
     public void laterResponseFromAnEndpointWithdrawsItsLoss() {
         fleet.first.lost(POPULAR, "e1", "e2", "e3");
-        nowMs++;
-        fleet.first.quarantine.answered(() -> request("other"), "e1", nowMs, false);
+        fleet.nowMs++;
+        fleet.first.quarantine.answered(() -> request("other"), "e1", fleet.nowMs, false);
         assertEquals(fleet.first.reason(POPULAR), null);
         assertEquals(fleet.second.reason(POPULAR), null);
     }
@@ -156,7 +92,7 @@
     @Test
     public void responseToARequestSentBeforeTheLossWithdrawsNothing() {
         fleet.first.lost(CULPRIT, "e1", "e2", "e3");
-        fleet.first.quarantine.answered(() -> request("other"), "e1", nowMs - 500, true);
+        fleet.first.quarantine.answered(() -> request("other"), "e1", fleet.nowMs - 500, true);
         assertEquals(fleet.first.reason(CULPRIT), Reason.QUARANTINED);
     }
 
@@ -175,7 +111,7 @@
     public void trialWithoutAnEndTimesOut() {
         fleet.first.lost(CULPRIT, "e1", "e2");
         fleet.first.sent(CULPRIT, "e3");
-        nowMs += 5000;
+        fleet.nowMs += 5000;
         assertEquals(fleet.second.reason(CULPRIT), null);
     }
 
@@ -217,11 +153,11 @@
         for (int i = 0; i < losses; i++) {
             fleet.first.lost(CULPRIT, "e" + i);
         }
-        nowMs += quarantineMs - 1;
+        fleet.nowMs += quarantineMs - 1;
         Optional<QuarantineRefusal> hold = fleet.second.quarantine.refusal(() -> CULPRIT);
         assertEquals(hold.orElseThrow().reason(), Reason.QUARANTINED);
         assertEquals(hold.orElseThrow().retryAfterMs(), 1);
-        nowMs++;
+        fleet.nowMs++;
         assertEquals(fleet.second.reason(CULPRIT), null);
         assertTrue(fleet.second.sent(CULPRIT, "e-trial").isPresent());
         assertEquals(fleet.first.reason(CULPRIT), Reason.SUSPECT_ON_TRIAL);
@@ -236,7 +172,7 @@
         for (int i = 0; i < 40; i++) {
             fleet.first.lost(CULPRIT, "e" + i);
         }
-        nowMs += 86_400_000 - 1;
+        fleet.nowMs += 86_400_000 - 1;
         assertEquals(fleet.first.reason(CULPRIT), Reason.QUARANTINED);
     }
 
@@ -244,16 +180,16 @@
     @Test
     public void withdrawnLossDoesNotExtendAQuarantine() {
         fleet.first.lost(CULPRIT, "e1", "e2", "e3", "e4");
-        nowMs += 60_000;
-        fleet.first.quarantine.answered(() -> request("other"), "e4", nowMs, true);
-        nowMs += TEN_MINUTES_MS - 60_000;
+        fleet.nowMs += 60_000;
+        fleet.first.quarantine.answered(() -> request("other"), "e4", fleet.nowMs, true);
+        fleet.nowMs += TEN_MINUTES_MS - 60_000;
         assertEquals(fleet.first.reason(CULPRIT), null);
     }
 
     @Test
     public void lossesFarApartInTimeAreNotAdded() {
         fleet.first.lost(POPULAR, "e1", "e2");
-        nowMs += 120_000;
+        fleet.nowMs += 120_000;
         fleet.first.lost(POPULAR, "e3");
         assertEquals(fleet.first.reason(POPULAR), null);
     }
@@ -327,7 +263,7 @@
     public void evictionKeepsQuarantinedRequests() {
         fleet.first.lost(CULPRIT, "e1", "e2", "e3");
         for (int i = 0; i < 10_000; i++) {
-            nowMs++;
+            fleet.nowMs++;
             fleet.first.lost(request("other-" + i), "f" + i);
         }
         assertTrue(fleet.first.quarantine.reports().size() <= 2000);
--- a/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -35,6 +36,7 @@
     private final Consumer<CrashReport> keeper;
     private final TokenBucket lines;
     private final Quarantine quarantine;
+    private final AtomicLong lossesAfterEnd = new AtomicLong();
 
     private CrashReports(
             String boxId,
@@ -101,6 +103,22 @@
         }
     }
 
+    @Override
+    public void lostAfterEnd(String endpoint, int requests) {
+        lossesAfterEnd.addAndGet(requests);
+        if (lines.tryTake(LINES_PER_SECOND)) {
+            LogEvent.info("loss-after-end")
+                    .with("endpoint", endpoint)
+                    .with("requests", requests)
+                    .to(LOG);
+        }
+    }
+
+    /** Returns the number of requests lost at endpoints that had been lost before they were sent there. */
+    public long lossesAfterEnd() {
+        return lossesAfterEnd.get();
+    }
+
     @Override
     public void heard(String boxId, CrashNews news) {
         quarantine.receive(boxId, news);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -45,5 +45,6 @@
         metrics.gauge("wingstall.endpoints.limited", () -> limits.activeLimits().size());
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
         metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().quarantinedCount());
+        metrics.gauge("wingstall.losses.after.end", crashes::lossesAfterEnd);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
@@ -52,6 +52,9 @@
         /** A token came; indexes may repeat or leave gaps. Returns whether the stream may go on. */
         boolean token(StageAttempt attempt, int index, String text);
 
+        /** A head of a response came, whatever its status: the endpoint was alive after the call was sent. */
+        void endpointAnswered(StageAttempt attempt);
+
         /** The stage's output is whole. */
         void answered(StageAttempt attempt, JsonNode output);
 
@@ -101,6 +104,11 @@
         return progressed;
     }
 
+    /** Returns when the call began, in ms of the monotonic clock. */
+    long beganMs() {
+        return beganMs;
+    }
+
     long ranMs() {
         return parts.clock().nowMs() - beganMs;
     }
@@ -134,6 +142,7 @@
     public void head(int code, HttpHeaders headers) {
         status = code;
         refusedUnrun = headers.contains(NOT_RUN_HEADER);
+        owner.endpointAnswered(this);
     }
 
     @Override
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
@@ -29,8 +29,12 @@
         input.sent(keyOf(endpoint));
     }
 
-    void lost(EndpointState endpoint) {
-        input.endpointLost(keyOf(endpoint));
+    void lost(EndpointState endpoint, long sentAtMs) {
+        input.endpointLost(keyOf(endpoint), sentAtMs);
+    }
+
+    void endpointAnswered(EndpointState endpoint, long sentAtMs) {
+        input.endpointAnswered(keyOf(endpoint), sentAtMs);
     }
 
     void answered(EndpointState endpoint, long sentAtMs) {
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -271,14 +271,19 @@
         keepOnly(from);
         settle(from, false);
         from.endpoint().recordSuccess(ranMs);
-        crashes.answered(from.endpoint(), parts.clock().nowMs() - ranMs);
+        crashes.answered(from.endpoint(), from.beganMs());
         parts.times().whole(context.pipeline(), stage).record(ranMs);
         listener.output(output);
     }
 
+    @Override
+    public void endpointAnswered(StageAttempt from) {
+        crashes.endpointAnswered(from.endpoint(), from.beganMs());
+    }
+
     @Override
     public void connectionEnded(StageAttempt from) {
-        crashes.lost(from.endpoint());
+        crashes.lost(from.endpoint(), from.beganMs());
     }
 
     @Override
--- /dev/null
+++ b/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
@@ -0,0 +1,61 @@
+package org.wingstall.it;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import org.wingstall.it.harness.Calls;
+import org.wingstall.it.harness.Rows;
+import org.wingstall.it.harness.TestFleet;
+
+/** Harmless requests that are sent to endpoints which an earlier request has ended were refused as quarantined. */
+public class EndedEndpointsTest {
+    private static final String CRASHING = "ends what runs it";
+    private static final List<String> DOMAINS = List.of("d1", "d2", "d3", "d4", "d5");
+    private static final int REPEATS = 6;
+    private static final int HARMLESS = 40;
+
+    private TestFleet fleet;
+
+    @BeforeClass
+    public void startFleet() {
+        fleet = new TestFleet("ended-endpoints");
+        DOMAINS.forEach(domain -> fleet.endpoints("pool", "far", domain, 1, "--run-ms", "4", "--slots", "32"));
+        fleet.endpoints("engine", "briza", "d1", 1, "--run-ms", "3", "--slots", "32", "--slow-down", "0.01")
+                .gateway("box-a", "d1")
+                .gateway("box-b", "d2")
+                .begin(Rows.ROWS);
+        fleet.endpoints("far").forEach(far -> fleet.endpointFaults(far, "{\"endsOn\": \"" + CRASHING + "\"}"));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopFleet() {
+        fleet.close();
+    }
+
+    /** Each endpoint has a proxy in front, which accepts a request for an ended endpoint and resets the connection. */
+    @Test
+    public void harmlessRequestsAreServedRightAfterEndpointsHaveEnded() {
+        for (int i = 0; i < REPEATS; i++) {
+            Calls crashing = new Calls();
+            crashing.send(fleet.boxes().get(i % 2), "plan", CRASHING, null, false);
+            crashing.await();
+        }
+        for (String repeat : List.of("first time", "again")) {
+            List<Calls.Call> done = sendHarmless();
+            String message = repeat + ": " + Calls.withoutAnswer(done);
+            assertEquals(Calls.outcomes(done), Map.of("complete", HARMLESS), message);
+        }
+    }
+
+    private List<Calls.Call> sendHarmless() {
+        Calls calls = new Calls();
+        for (int i = 0; i < HARMLESS; i++) {
+            calls.send(fleet.boxes().get(i % 2), "plan", "harmless " + i, null, false);
+        }
+        return calls.await();
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceQuarantine.java
@@ -41,7 +41,7 @@
     }
 
     /** Reports a lost call to the quarantine if the endpoint reset the connection after the request was written. */
-    void callLost(List<PieceTask> tasks, RelayEndpoint endpoint, Throwable failure) {
+    void callLost(List<PieceTask> tasks, RelayEndpoint endpoint, long sentAtMs, Throwable failure) {
         boolean ended = failure instanceof TransportException broken
                 && broken.kind() == TransportException.Kind.RESET
                 && broken.requestWritten();
@@ -51,10 +51,16 @@
                             .filter(task -> task.piece().identifiable())
                             .map(task -> task.piece().fingerprint(service))
                             .toList(),
-                    endpoint.key());
+                    endpoint.key(),
+                    sentAtMs);
         }
     }
 
+    /** Reports a response of any kind to a call that was sent at {@code sentAtMs}, in ms of the monotonic clock. */
+    void endpointAnswered(RelayEndpoint endpoint, long sentAtMs) {
+        quarantine.endpointAnswered(endpoint.key(), sentAtMs);
+    }
+
     /** Reports a successful piece to the quarantine. */
     void pieceSucceeded(PieceTask task, RelayEndpoint endpoint, long sentAtMs) {
         if (task.piece().identifiable()) {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -133,7 +133,7 @@
         }
         end();
         if (failure != null) {
-            pool.quarantine().callLost(tasks, endpoint, failure);
+            pool.quarantine().callLost(tasks, endpoint, startedMs, failure);
             unanswered(failure.getMessage());
         } else {
             answered(reply);
@@ -182,6 +182,8 @@
         context.statementReader().read(endpoint, head, startedMs, Carrier.PIECES);
         if (head.otherIncarnation()) {
             context.endpoints().markLeaving(endpoint, "another endpoint stands at its address");
+        } else {
+            pool.quarantine().endpointAnswered(endpoint, startedMs);
         }
         if (reply.status() != OK) {
             pool.retry(tasks, head.notExecuted() ? PieceResult.Failure.NO_ROOM : PieceResult.Failure.ERROR);
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -117,6 +117,9 @@
         head = context.endpointProtocol().responseHead(status, headers);
         headAtMs = context.clock().nowMs();
         context.statementReader().read(endpoint, head, startedAtMs, Carrier.REQUEST);
+        if (!head.otherIncarnation()) {
+            quarantine.endpointAnswered(endpoint, startedAtMs);
+        }
         if (head.notExecuted()) {
             return;
         }
@@ -219,7 +222,7 @@
         }
         endpoint.recordTransportFailure(failure);
         if (failure.requestWritten()) {
-            quarantine.endpointLost(loss(failure));
+            quarantine.endpointLost(loss(failure), startedAtMs);
             owner.lost(this, failure.getMessage());
         } else {
             owner.notSent(this, failure.getMessage());
--- a/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
@@ -34,13 +34,17 @@
     }
 
     /** An endpoint that ends closes its connections; an unresponsive one may be cut off, which is no evidence of a crash. */
-    void endpointLost(EndpointLoss loss) {
+    void endpointLost(EndpointLoss loss, long sentAtMs) {
         log.logEndpointLoss(record, loss);
         if (loss.failure().kind() == TransportException.Kind.RESET) {
-            request.endpointLost(loss.endpoint().key());
+            request.endpointLost(loss.endpoint().key(), sentAtMs);
         }
     }
 
+    void endpointAnswered(RelayEndpoint endpoint, long sentAtMs) {
+        request.endpointAnswered(endpoint.key(), sentAtMs);
+    }
+
     void answered(RelayEndpoint endpoint, long sentAtMs, boolean success) {
         request.answered(endpoint.key(), sentAtMs, success);
     }
