--- a/core/src/main/java/org/wingstall/core/quarantine/LostEndpoints.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/LostEndpoints.java
@@ -44,16 +44,23 @@
         return sentAtMs <= known.firstAtMs();
     }
 
-    /** Records a loss that another box observed at {@code lostAtMs}. */
-    void recordReportedLoss(String endpoint, long lostAtMs, long nowMs) {
-        if (nowMs - lostAtMs < explainsMs) {
-            losses.merge(
-                    endpoint,
-                    new Loss(lostAtMs, lostAtMs),
-                    (known, reported) -> new Loss(
-                            Math.min(known.firstAtMs(), reported.firstAtMs()),
-                            Math.max(known.lastAtMs(), reported.lastAtMs())));
+    /**
+     * Records a loss that another box observed at {@code lostAtMs}.
+     *
+     * @return whether the endpoint was not known as lost before
+     */
+    boolean recordReportedLoss(String endpoint, long lostAtMs, long nowMs) {
+        if (nowMs - lostAtMs >= explainsMs) {
+            return false;
         }
+        boolean known = losses.containsKey(endpoint);
+        losses.merge(
+                endpoint,
+                new Loss(lostAtMs, lostAtMs),
+                (before, reported) -> new Loss(
+                        Math.min(before.firstAtMs(), reported.firstAtMs()),
+                        Math.max(before.lastAtMs(), reported.lastAtMs())));
+        return !known;
     }
 
     /**
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -75,6 +75,9 @@
         /** Called when a request becomes suspected, quarantined or cleared. */
         void changed(CrashReport report, int activeLosses);
 
+        /** Called when another box reports that it lost an endpoint, which may have ended. */
+        void lossReported(String endpoint);
+
         /** Called when requests were lost at an endpoint that had been lost before they were sent there. */
         void lostAfterEnd(String endpoint, int requests);
     }
@@ -295,7 +298,8 @@
             report.getLosses().stream()
                     .filter(endpoint -> !known.contains(endpoint))
                     .filter(endpoint -> !report.getWithdrawn().contains(endpoint))
-                    .forEach(endpoint -> lostEndpoints.recordReportedLoss(endpoint, nowMs - report.getAgeMs(), nowMs));
+                    .filter(endpoint -> lostEndpoints.recordReportedLoss(endpoint, nowMs - report.getAgeMs(), nowMs))
+                    .forEach(listener::lossReported);
         }
     }
 
--- a/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
@@ -24,6 +24,11 @@
         String service,
         String boxClass,
         InetSocketAddress address) {
+    /** Returns the key of this incarnation; a restarted endpoint gets another one. */
+    public String key() {
+        return memberId + "@" + incarnation;
+    }
+
     /** Returns the identity of a member of the membership list. */
     public static EndpointIdentity of(Member member) {
         return new EndpointIdentity(
--- a/core/src/main/java/org/wingstall/core/route/EndpointState.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointState.java
@@ -1,6 +1,7 @@
 package org.wingstall.core.route;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.wingstall.core.time.MonotonicClock;
@@ -27,6 +28,7 @@
     private final PrefixTracker prefixes = new PrefixTracker(MAX_PREFIX_BLOCKS);
     private volatile double meanRunMs;
     private volatile Report report = new Report(0, 0, Long.MIN_VALUE / 2);
+    private final AtomicBoolean inDoubt = new AtomicBoolean();
     private volatile boolean ejected;
     private volatile boolean leaving;
 
@@ -91,6 +93,7 @@
         consecutiveFailures.set(0);
         lastCompletionMs.set(clock.nowMs());
         ejected = false;
+        inDoubt.set(false);
         double previousMs = meanRunMs;
         meanRunMs = previousMs == 0 ? runMs : previousMs + RUN_TIME_SMOOTHING_FACTOR * (runMs - previousMs);
     }
@@ -119,10 +122,43 @@
         return clock.nowMs() - lastActivityMs.get();
     }
 
-    /** Records a successful probe; the endpoint is no longer ejected. */
+    /**
+     * Records that a connection to the endpoint ended under a call, here or at another gateway, so that the endpoint may
+     * have ended. It is in doubt until it completes a call or responds to a probe.
+     *
+     * @return whether it was not in doubt before
+     */
+    public boolean recordConnectionLost() {
+        return inDoubt.compareAndSet(false, true);
+    }
+
+    /**
+     * Records a successful probe, which ends an ejection. The consecutive failures of an endpoint that was not ejected
+     * still count.
+     */
     public void recordProbeSuccess() {
-        consecutiveFailures.set(0);
-        ejected = false;
+        inDoubt.set(false);
+        if (ejected) {
+            consecutiveFailures.set(0);
+            ejected = false;
+        }
+    }
+
+    /** Records a response to a probe that was no success; the endpoint has not ended, but stays ejected if it was. */
+    public void recordProbeRejected() {
+        inDoubt.set(false);
+    }
+
+    /** Records a probe without a response; an endpoint in doubt is ejected. */
+    public void recordProbeFailure() {
+        if (inDoubt.compareAndSet(true, false)) {
+            ejected = true;
+        }
+    }
+
+    /** Returns whether the endpoint may have ended, so that it gets work only if no other endpoint can take it. */
+    public boolean inDoubt() {
+        return inDoubt.get();
     }
 
     /**
--- a/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
@@ -51,6 +51,9 @@
         @Override
         public void changed(CrashReport report, int activeLosses) {}
 
+        @Override
+        public void lossReported(String endpoint) {}
+
         @Override
         public void lostAfterEnd(String endpoint, int requests) {}
     }
--- a/core/src/test/java/org/wingstall/core/quarantine/TwoBoxFleet.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/TwoBoxFleet.java
@@ -48,6 +48,9 @@
         @Override
         public void changed(CrashReport report, int activeLosses) {}
 
+        @Override
+        public void lossReported(String endpoint) {}
+
         @Override
         public void lostAfterEnd(String endpoint, int requests) {
             lossesAfterEnd += requests;
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -150,8 +150,8 @@
                 this::endpointsChanged);
         this.claims = createClaims(platformSettings);
         host.attach(mesh, members, claims);
-        this.prober =
-                new Prober(registry, config, client, control, settings.getPolicy(), idPrefix(), this::endpointsChanged);
+        this.prober = createProber();
+        crashes.setLossListener(prober::lossReported);
         this.orders = createOrders();
         RunParts parts = runParts();
         this.callerApi = new CallerApi(parts, config, limiter, state, idPrefix());
@@ -171,6 +171,19 @@
                 platformSettings.getCallTimeoutMs());
     }
 
+    private Prober createProber() {
+        return new Prober(
+                registry,
+                config,
+                client,
+                control,
+                settings.getPolicy(),
+                clock,
+                crashes.quarantine(),
+                idPrefix(),
+                this::endpointsChanged);
+    }
+
     private EngineOrderGiver createOrders() {
         return new EngineOrderGiver(new EngineOrderGiver.Parts(
                 idPrefix(),
@@ -203,7 +216,8 @@
                 retryAfter,
                 metrics,
                 new RecentRequests(),
-                host::endpointSaysLeaving);
+                host::endpointSaysLeaving,
+                prober);
     }
 
     private PeerOptions peerOptions() {
--- a/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
@@ -9,9 +9,13 @@
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.config.ConfigStore;
 import org.wingstall.core.member.EndpointRegistry;
+import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.route.EndpointState;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.gateway.run.RunParts;
 import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.http.OutgoingRequest;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.schema.check.Json;
@@ -21,7 +25,8 @@
 import org.wingstall.schema.table.StageRow;
 
 /**
- * Lets ejected endpoints run one small call each, and gives them work again when they answer it.
+ * Lets ejected endpoints run one small call each, and gives them work again when they answer it. An endpoint whose
+ * connection ended under a call is probed at once, since one broken connection does not show that it has ended.
  *
  * <p>A health page is asked only where a call may not be repeated: an endpoint can answer its page and run nothing (Ramjet
  * on DeepSeek-V4.1-Flash, "A replica that answered health checks but no requests").
@@ -30,7 +35,7 @@
  *
  * @since 0.1
  */
-public final class Prober {
+public final class Prober implements RunParts.EndpointChecks {
     private static final Logger LOG = LogManager.getLogger(Prober.class);
     private static final JsonNode PROBE_INPUT = Json.MAPPER.createObjectNode().put("text", "probe");
 
@@ -39,7 +44,9 @@
     private final HttpClient client;
     private final EventLoop loop;
     private final Policy policy;
-    private final Runnable recovered;
+    private final MonotonicClock clock;
+    private final Quarantine quarantine;
+    private final Runnable changed;
     private final String idPrefix;
     private final AtomicLong lastProbe = new AtomicLong();
 
@@ -51,8 +58,10 @@
      * @param client HTTP client
      * @param loop the control loop
      * @param policy settings of the policy
+     * @param clock monotonic clock
+     * @param quarantine receives the endpoints that respond
      * @param idPrefix first part of the probes' request identifiers
-     * @param recovered told when an endpoint gets work again
+     * @param changed called after each probe
      */
     public Prober(
             EndpointRegistry registry,
@@ -60,15 +69,19 @@
             HttpClient client,
             EventLoop loop,
             Policy policy,
+            MonotonicClock clock,
+            Quarantine quarantine,
             String idPrefix,
-            Runnable recovered) {
+            Runnable changed) {
         this.registry = registry;
         this.config = config;
         this.client = client;
         this.loop = loop;
         this.policy = policy;
+        this.clock = clock;
+        this.quarantine = quarantine;
         this.idPrefix = idPrefix;
-        this.recovered = recovered;
+        this.changed = changed;
     }
 
     /** Begins to probe. */
@@ -79,12 +92,32 @@
     private void probeEjected() {
         Map<String, StageRow> stages = stagesByService();
         for (EndpointState endpoint : registry.all()) {
-            if (endpoint.ejected() && !endpoint.leaving()) {
+            if ((endpoint.ejected() || endpoint.inDoubt()) && !endpoint.leaving()) {
                 probe(endpoint, stages.get(endpoint.identity().service()));
             }
         }
     }
 
+    @Override
+    public void connectionLost(EndpointState endpoint) {
+        if (endpoint.recordConnectionLost()) {
+            loop.execute(() ->
+                    probe(endpoint, stagesByService().get(endpoint.identity().service())));
+        }
+    }
+
+    /**
+     * Records that another gateway has lost an endpoint. It is probed with the next round rather than at once, since all
+     * gateways get the report at the same time.
+     *
+     * @param endpointKey the incarnation, as the quarantine names it
+     */
+    public void lossReported(String endpointKey) {
+        registry.all().stream()
+                .filter(endpoint -> endpoint.identity().key().equals(endpointKey))
+                .forEach(EndpointState::recordConnectionLost);
+    }
+
     private Map<String, StageRow> stagesByService() {
         Map<String, StageRow> stages = new HashMap<>();
         for (PipelineRow pipeline : config.current().pipelines().values()) {
@@ -103,15 +136,29 @@
         OutgoingRequest request = runs
                 ? OutgoingRequest.post(endpoint.address(), "/v1/stage", Json.write(probeCall(stage)))
                 : OutgoingRequest.get(endpoint.address(), "/healthz");
-        client.call(loop, request.fresh(), policy.getProbeTimeoutMs()).thenAccept(reply -> {
+        long sentAtMs = clock.nowMs();
+        client.call(loop, request.fresh(), policy.getProbeTimeoutMs())
+                .whenComplete((reply, failure) -> record(endpoint, sentAtMs, reply));
+    }
+
+    private void record(EndpointState endpoint, long sentAtMs, HttpReply reply) {
+        boolean ejectedBefore = endpoint.ejected();
+        if (reply == null) {
+            endpoint.recordProbeFailure();
+        } else {
+            quarantine.endpointAnswered(endpoint.identity().key(), sentAtMs);
             if (reply.ok()) {
                 endpoint.recordProbeSuccess();
-                LogEvent.info("endpoint-recovered")
-                        .with("endpoint", endpoint.identity().memberId())
-                        .to(LOG);
-                recovered.run();
+            } else {
+                endpoint.recordProbeRejected();
             }
-        });
+        }
+        if (endpoint.ejected() != ejectedBefore) {
+            LogEvent.info(ejectedBefore ? "endpoint-recovered" : "endpoint-ended")
+                    .with("endpoint", endpoint.identity().memberId())
+                    .to(LOG);
+        }
+        changed.run();
     }
 
     private StageCall probeCall(StageRow stage) {
--- a/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -36,6 +36,7 @@
     private final Consumer<CrashReport> keeper;
     private final TokenBucket lines;
     private final Quarantine quarantine;
+    private volatile Consumer<String> lossListener = endpoint -> {};
     private final AtomicLong lossesAfterEnd = new AtomicLong();
 
     private CrashReports(
@@ -71,6 +72,11 @@
         return reports;
     }
 
+    /** Sets the listener that receives the key of each endpoint that another box has lost. */
+    public void setLossListener(Consumer<String> listener) {
+        lossListener = listener;
+    }
+
     /** Returns the quarantine. */
     public Quarantine quarantine() {
         return quarantine;
@@ -103,6 +109,11 @@
         }
     }
 
+    @Override
+    public void lossReported(String endpoint) {
+        lossListener.accept(endpoint);
+    }
+
     @Override
     public void lostAfterEnd(String endpoint, int requests) {
         lossesAfterEnd.addAndGet(requests);
--- a/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -29,6 +29,7 @@
  * @param metrics counters
  * @param recent requests that ended lately
  * @param leaving told of an endpoint that says it is leaving
+ * @param checks checks endpoints that may have ended
  * @since 0.1
  */
 public record RunParts(
@@ -46,11 +47,18 @@
         RetryAfter retryAfter,
         Metrics metrics,
         RecentRequests recent,
-        LeavingListener leaving) {
+        LeavingListener leaving,
+        EndpointChecks checks) {
     /** Told of endpoints that say they are leaving. */
     @FunctionalInterface
     public interface LeavingListener {
         /** Records an endpoint. */
         void leaving(EndpointState endpoint);
     }
+
+    /** Checks whether endpoints are alive. */
+    public interface EndpointChecks {
+        /** Records that a connection to an endpoint ended under a call, and checks the endpoint. */
+        void connectionLost(EndpointState endpoint);
+    }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/ServiceGate.java
@@ -140,15 +140,10 @@
     }
 
     private boolean anyFreeSlot() {
-        boolean anyServing = false;
-        for (Candidate candidate : candidates.get()) {
-            boolean serving = candidate.endpoint().serving();
-            anyServing |= serving;
-            if (serving && hasRoom(candidate)) {
-                return true;
-            }
-        }
-        return !anyServing;
+        List<Candidate> serving = withoutDoubtful(candidates.get().stream()
+                .filter(candidate -> candidate.endpoint().serving())
+                .toList());
+        return serving.isEmpty() || serving.stream().anyMatch(this::hasRoom);
     }
 
     /** Returns whether the waiter need not wait any longer. */
@@ -173,7 +168,15 @@
                 usable.add(candidate);
             }
         }
-        return usable;
+        return withoutDoubtful(usable);
+    }
+
+    /** Leaves out endpoints that may have ended, unless there are no others. */
+    private static List<Candidate> withoutDoubtful(List<Candidate> serving) {
+        List<Candidate> alive = serving.stream()
+                .filter(candidate -> !candidate.endpoint().inDoubt())
+                .toList();
+        return alive.isEmpty() ? serving : alive;
     }
 
     private EndpointState acquire(List<Candidate> possible, StageWaiter waiter) {
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
@@ -26,26 +26,22 @@
     }
 
     void sent(EndpointState endpoint) {
-        input.sent(keyOf(endpoint));
+        input.sent(endpoint.identity().key());
     }
 
     void lost(EndpointState endpoint, long sentAtMs) {
-        input.endpointLost(keyOf(endpoint), sentAtMs);
+        input.endpointLost(endpoint.identity().key(), sentAtMs);
     }
 
     void endpointAnswered(EndpointState endpoint, long sentAtMs) {
-        input.endpointAnswered(keyOf(endpoint), sentAtMs);
+        input.endpointAnswered(endpoint.identity().key(), sentAtMs);
     }
 
     void answered(EndpointState endpoint, long sentAtMs) {
-        input.answered(keyOf(endpoint), sentAtMs, true);
+        input.answered(endpoint.identity().key(), sentAtMs, true);
     }
 
     void over() {
         input.endTrial();
     }
-
-    private static String keyOf(EndpointState endpoint) {
-        return endpoint.identity().memberId() + "@" + endpoint.identity().incarnation();
-    }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -284,6 +284,7 @@
     @Override
     public void connectionEnded(StageAttempt from) {
         crashes.lost(from.endpoint(), from.beganMs());
+        parts.checks().connectionLost(from.endpoint());
     }
 
     @Override
--- a/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
+++ b/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
@@ -4,8 +4,8 @@
 
 import java.util.List;
 import java.util.Map;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wingstall.it.harness.Calls;
 import org.wingstall.it.harness.Rows;
@@ -20,7 +20,7 @@
 
     private TestFleet fleet;
 
-    @BeforeClass
+    @BeforeMethod
     public void startFleet() {
         fleet = new TestFleet("ended-endpoints");
         DOMAINS.forEach(domain -> fleet.endpoints("pool", "far", domain, 1, "--run-ms", "4", "--slots", "32"));
@@ -31,7 +31,7 @@
         fleet.endpoints("far").forEach(far -> fleet.endpointFaults(far, "{\"endsOn\": \"" + CRASHING + "\"}"));
     }
 
-    @AfterClass(alwaysRun = true)
+    @AfterMethod(alwaysRun = true)
     public void stopFleet() {
         fleet.close();
     }
@@ -39,11 +39,7 @@
     /** Each endpoint has a proxy in front, which accepts a request for an ended endpoint and resets the connection. */
     @Test
     public void harmlessRequestsAreServedRightAfterEndpointsHaveEnded() {
-        for (int i = 0; i < REPEATS; i++) {
-            Calls crashing = new Calls();
-            crashing.send(fleet.boxes().get(i % 2), "plan", CRASHING, null, false);
-            crashing.await();
-        }
+        endThreeEndpoints();
         for (String repeat : List.of("first time", "again")) {
             List<Calls.Call> done = sendHarmless();
             String message = repeat + ": " + Calls.withoutAnswer(done);
@@ -51,6 +47,26 @@
         }
     }
 
+    /** An ended endpoint was chosen until three calls in a row had failed there, and each cost a request an attempt. */
+    @Test
+    public void endedEndpointsCostHarmlessRequestsNoAttempt() {
+        endThreeEndpoints();
+        List<String> retried = sendHarmless().stream()
+                .map(call -> call.answer().path("stages").path(0))
+                .filter(stage -> stage.path("attempts").asInt() != 1)
+                .map(Object::toString)
+                .toList();
+        assertEquals(retried, List.of());
+    }
+
+    private void endThreeEndpoints() {
+        for (int i = 0; i < REPEATS; i++) {
+            Calls crashing = new Calls();
+            crashing.send(fleet.boxes().get(i % 2), "plan", CRASHING, null, false);
+            crashing.await();
+        }
+    }
+
     private List<Calls.Call> sendHarmless() {
         Calls calls = new Calls();
         for (int i = 0; i < HARMLESS; i++) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -81,7 +81,7 @@
 
     /** Returns the key of this incarnation of the endpoint; a restarted endpoint gets another one. */
     public String key() {
-        return id() + "@" + identity().incarnation();
+        return identity().key();
     }
 
     /**
