Check an endpoint whose connection ended before it gets further requests

A connection that ended under a request counted as one of three failures, so an ended endpoint took two more requests at each box. An endpoint whose port refuses connections was avoided at once already.

Change: a connection that ended under a written request keeps new work away for 400 ms, the first time of the backoff, as long as other endpoints are usable. Engines and endpoints of stages are asked for their state at once (at most once in 400 ms, one query for all lost connections) and get work again with their report, or are treated as silent; their failures still count. Plain services have nothing to ask. A loss that another box reports for the first time counts for 400 ms too, and as no failure: one broken connection elsewhere is no end.

Unit tests of relay pass, with three new ones for the backoff and two for the queries.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -131,6 +131,7 @@
                 clock);
         this.crashes =
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
+        crashes.setLossListener(endpoints::recordReportedLoss);
         CoordinatorSelector gathering = new RendezvousCoordinatorSelector(
                 settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
         this.limits = new RequestLimits(
--- a/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
@@ -4,7 +4,7 @@
 
 /**
  * Keeps new work away from an endpoint after several consecutive failures, for a time that doubles with each further
- * failure.
+ * failure, and for the first of these times after a connection that ended under a request.
  *
  * <p>After that time the endpoint gets work again: one response resets the backoff, one more failure extends it.
  *
@@ -35,6 +35,10 @@
                     Math.min(count - FAILURE_THRESHOLD, Integer.numberOfTrailingZeros((int) (MAX_MS / INITIAL_MS)));
             return new State(count, nowMs + (INITIAL_MS << doublings));
         }
+
+        State atLeastUntil(long atMs) {
+            return new State(failures, Math.max(untilMs, atMs));
+        }
     }
 
     /** Records a failure; returns whether the backoff begins with it. */
@@ -53,6 +57,26 @@
         return before.failures() < FAILURE_THRESHOLD;
     }
 
+    /**
+     * Records that a connection ended under a request, so that the endpoint may have ended. It counts as one failure;
+     * returns whether the backoff begins with it.
+     */
+    boolean recordConnectionLost(long nowMs) {
+        State before = state.getAndUpdate(
+                now -> now.withFailures(now.failures() + 1, nowMs).atLeastUntil(nowMs + INITIAL_MS));
+        return before.untilMs() <= nowMs;
+    }
+
+    /** Records that another box lost a connection to the endpoint, which counts as no failure. */
+    void recordReportedLoss(long nowMs) {
+        state.updateAndGet(now -> now.atLeastUntil(nowMs + INITIAL_MS));
+    }
+
+    /** Records that the endpoint has not ended, since it responded to something other than a request. */
+    void recordAlive() {
+        state.updateAndGet(now -> now.failures() < FAILURE_THRESHOLD ? new State(now.failures(), Long.MIN_VALUE) : now);
+    }
+
     /** Records a response, which ends the backoff. */
     void reset() {
         if (state.get() != State.CLEAR) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -1,6 +1,5 @@
 package org.wingstall.relay.endpoint;
 
-import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.route.EndpointIdentity;
@@ -25,11 +24,20 @@
     private final SendRestrictions restrictions;
     private final int slots;
     private final MonotonicClock clock;
-    private final Consumer<RelayEndpoint> silenceListener;
+    private final Listener listener;
     private final Backoff backoff = new Backoff();
     private volatile long startedAtMs;
     private volatile ColdReport coldReport = new ColdReport(0, Long.MIN_VALUE);
 
+    /** Receives what this box observes of endpoints, on the thread that observes it. */
+    interface Listener {
+        /** An endpoint gave no response. */
+        default void unresponsive(RelayEndpoint endpoint) {}
+
+        /** The connection to an endpoint ended under a request. */
+        default void connectionLost(RelayEndpoint endpoint) {}
+    }
+
     /** How long the endpoint last reported to stay cold, and the time at which that ends. */
     private record ColdReport(long reportedMs, long coldUntilMs) {}
 
@@ -45,10 +53,10 @@
             SendRestrictions restrictions,
             int slots,
             MonotonicClock clock,
-            Consumer<RelayEndpoint> silenceListener,
+            Listener listener,
             long startedAtMs) {
         this.startedAtMs = startedAtMs;
-        this.silenceListener = silenceListener;
+        this.listener = listener;
         this.state = state;
         this.restrictions = restrictions;
         this.slots = slots;
@@ -147,25 +155,43 @@
 
     /**
      * Records a call without a complete response. A failed connection and a timeout count like no response at all: the
-     * endpoint has ended or is unreachable, and each further call would wait as long.
+     * endpoint has ended or is unreachable, and each further call would wait as long. After a connection that ended under
+     * a request, the endpoint may have ended.
      */
     public void recordTransportFailure(TransportException failure) {
         boolean noAnswer =
                 failure.kind() == TransportException.Kind.CONNECT || failure.kind() == TransportException.Kind.TIMEOUT;
         if (noAnswer) {
             recordNoAnswer(failure.getMessage());
+        } else if (failure.kind() == TransportException.Kind.RESET && failure.requestWritten()) {
+            recordConnectionLost(failure.getMessage());
         } else {
             recordFailure(failure.getMessage());
         }
     }
 
+    private void recordConnectionLost(String why) {
+        logAvoided(backoff.recordConnectionLost(clock.nowMs()), why);
+        listener.connectionLost(this);
+    }
+
+    /** Records that another box lost a connection to the endpoint, which may have ended. */
+    void recordReportedLoss() {
+        backoff.recordReportedLoss(clock.nowMs());
+    }
+
+    /** Records that the endpoint has not ended; its failures still count. */
+    void recordAlive() {
+        backoff.recordAlive();
+    }
+
     /**
      * Records a call without any response. New work is kept away at once, since each further call would wait for its
      * timeout.
      */
     public void recordNoAnswer(String why) {
         logAvoided(backoff.recordNoAnswer(clock.nowMs()), why);
-        silenceListener.accept(this);
+        listener.unresponsive(this);
     }
 
     /** Records that the endpoint is still unresponsive. */
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -62,7 +61,18 @@
     private volatile Set<String> evacuated = Set.of();
     private volatile Map<InetSocketAddress, RelayEndpoint> byAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
-    private volatile Consumer<RelayEndpoint> silenceListener = endpoint -> {};
+    private volatile RelayEndpoint.Listener listener = new RelayEndpoint.Listener() {};
+    private final RelayEndpoint.Listener forwarder = new RelayEndpoint.Listener() {
+        @Override
+        public void unresponsive(RelayEndpoint endpoint) {
+            listener.unresponsive(endpoint);
+        }
+
+        @Override
+        public void connectionLost(RelayEndpoint endpoint) {
+            listener.connectionLost(endpoint);
+        }
+    };
     private final Set<String> expiredIds = new HashSet<>();
     private boolean unavailable;
     private long availableSinceMs = Long.MIN_VALUE / 2;
@@ -87,9 +97,9 @@
         this.clock = clock;
     }
 
-    /** Sets the listener that is called, on the thread that records it, for each endpoint that gave no response. */
-    public void setSilenceListener(Consumer<RelayEndpoint> listener) {
-        silenceListener = listener;
+    /** Sets the listener of all endpoints, those that are listed already among them. */
+    void setListener(RelayEndpoint.Listener next) {
+        listener = next;
     }
 
     /** Returns whether a list has been read. */
@@ -223,8 +233,15 @@
         return nowMs - restoredAtMs < RESTORED_ENTRY_GRACE_MS;
     }
 
-    private void notifySilence(RelayEndpoint endpoint) {
-        silenceListener.accept(endpoint);
+    /**
+     * Records that another box lost an endpoint, which may have ended.
+     *
+     * @param key the incarnation, see {@link RelayEndpoint#key}
+     */
+    public void recordReportedLoss(String key) {
+        byId.values().stream()
+                .filter(endpoint -> endpoint.key().equals(key))
+                .forEach(RelayEndpoint::recordReportedLoss);
     }
 
     private Set<Incarnation> serving() {
@@ -304,7 +321,7 @@
         if (known.leaving()) {
             state.markLeaving();
         }
-        return new RelayEndpoint(state, known, member.getSlots(), clock, this::notifySilence, startedAtMs);
+        return new RelayEndpoint(state, known, member.getSlots(), clock, forwarder, startedAtMs);
     }
 
     private void publish(Map<String, RelayEndpoint> next) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -118,7 +118,17 @@
 
     /** Starts to listen for unresponsive endpoints and to check for silent failure domains. */
     public void start() {
-        endpoints.setSilenceListener(this::onSilent);
+        endpoints.setListener(new RelayEndpoint.Listener() {
+            @Override
+            public void unresponsive(RelayEndpoint endpoint) {
+                onSilent(endpoint);
+            }
+
+            @Override
+            public void connectionLost(RelayEndpoint endpoint) {
+                onConnectionLost(endpoint);
+            }
+        });
         PeriodicTask.start(loop, "silent-domains", () -> DOMAIN_CHECK_MS, this::checkDomains);
     }
 
@@ -151,16 +161,30 @@
      * @param onNoAnswer called when it doesn't respond
      */
     public void checkSuspect(RelayEndpoint endpoint, Runnable onNoAnswer) {
+        if (endpoint.usable() && beginSuspectCheck(endpoint)) {
+            queries.query(endpoint, Purpose.OVERDUE_ANSWER, report -> {}, () -> {
+                endpoint.recordNoAnswer("a response is overdue and it doesn't respond to a state query");
+                onNoAnswer.run();
+            });
+        }
+    }
+
+    /** Queries an endpoint whose connection ended under a request, so that it gets work again at once if it is alive. */
+    private void onConnectionLost(RelayEndpoint endpoint) {
+        if (beginSuspectCheck(endpoint)) {
+            queries.query(
+                    endpoint,
+                    Purpose.LOST_CONNECTION,
+                    report -> endpoint.recordAlive(),
+                    () -> endpoint.recordNoAnswer("a connection ended and it doesn't respond to a state query"));
+        }
+    }
+
+    /** Returns whether a suspect endpoint is to be queried now; one that was queried a moment ago is not. */
+    private boolean beginSuspectCheck(RelayEndpoint endpoint) {
         long nowMs = clock.nowMs();
         suspectCheckedAtMs.values().removeIf(atMs -> nowMs - atMs >= SUSPECT_INTERVAL_MS);
-        if (suspectCheckedAtMs.containsKey(endpoint.key()) || !endpoint.usable() || !canQuery(endpoint)) {
-            return;
-        }
-        suspectCheckedAtMs.put(endpoint.key(), nowMs);
-        queries.query(endpoint, Purpose.OVERDUE_ANSWER, report -> {}, () -> {
-            endpoint.recordNoAnswer("a response is overdue and it doesn't respond to a state query");
-            onNoAnswer.run();
-        });
+        return canQuery(endpoint) && suspectCheckedAtMs.putIfAbsent(endpoint.key(), nowMs) == null;
     }
 
     private boolean canQuery(RelayEndpoint endpoint) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/StateQueries.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/StateQueries.java
@@ -20,6 +20,8 @@
         OVERDUE_ANSWER,
         /** Its response to a call for pieces is overdue. */
         OVERDUE_CALL,
+        /** Its connection ended under a request. */
+        LOST_CONNECTION,
         /** Another endpoint of its failure domain is unresponsive, or all boxes there are. */
         SILENT_DOMAIN,
         /** It was unresponsive and may respond again. */
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RelayEndpointsTest.java
@@ -277,6 +277,44 @@
         assertEquals(usable(), staysUsable ? List.of("a") : List.of());
     }
 
+    private void loseConnection() {
+        endpoints
+                .ofService("plain")
+                .get(0)
+                .recordTransportFailure(new TransportException(TransportException.Kind.RESET, true, "test"));
+    }
+
+    /** An endpoint that had ended got work until three requests in a row were lost there. */
+    @Test
+    public void connectionThatEndedUnderARequestKeepsWorkAwayForAWhile() {
+        list("a");
+        loseConnection();
+        assertEquals(usable(), List.of());
+        nowMs += 400;
+        assertEquals(usable(), List.of("a"));
+    }
+
+    @Test
+    public void endpointThatIsAliveGetsWorkAgainUntilItsThirdLostConnection() {
+        list("a");
+        for (int lost = 1; lost <= 3; lost++) {
+            loseConnection();
+            endpoints.ofService("plain").get(0).recordAlive();
+            assertEquals(usable(), lost < 3 ? List.of("a") : List.of());
+        }
+    }
+
+    @Test
+    public void lossReportedByAnotherBoxKeepsWorkAwayForAWhile() {
+        list("a");
+        endpoints.recordReportedLoss("a@7");
+        assertEquals(usable(), List.of("a"));
+        endpoints.recordReportedLoss(endpoints.find("a").orElseThrow().key());
+        assertEquals(usable(), List.of());
+        nowMs += 400;
+        assertEquals(usable(), List.of("a"));
+    }
+
     private void listIncarnation(long incarnation, Member.State state) {
         endpoints.applyList(List.of(
                 new Member("a", Member.Kind.ENDPOINT, "east", "127.0.0.1:9", "plain", "v1", state, incarnation, 4, 0)));
--- a/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.wingstall.net.http.TransportException;
 import org.wingstall.schema.platform.Member;
 
 /** Endpoints of a failure domain that is cut off are detected together, and are used again once they respond. */
@@ -137,6 +138,37 @@
         awaitUsable("east-1", "east-2", "east-3", "east-plain", "west-1", "west-2");
     }
 
+    private void loseConnections(String id, int times) {
+        loop.execute(() -> {
+            for (int i = 0; i < times; i++) {
+                endpoints
+                        .find(id)
+                        .orElseThrow()
+                        .recordTransportFailure(new TransportException(TransportException.Kind.RESET, true, "test"));
+            }
+        });
+    }
+
+    /** One broken connection is no end: the endpoint gets work again as soon as it reports its state. */
+    @Test
+    public void anEndpointThatLostConnectionsIsQueriedOnceAndUsedAgain() {
+        loseConnections("west-1", 2);
+        Awaitility.await().until(() -> queried.contains("west-1"));
+        awaitUsable("east-1", "east-2", "east-3", "east-plain", "west-1", "west-2");
+        assertEquals(queried, List.of("west-1"));
+        assertEquals(abandoned, List.of());
+    }
+
+    /** An endpoint that had ended got requests until its connections had failed three times. */
+    @Test
+    public void anEndpointThatEndedGetsNoWorkAfterItsFirstLostConnection() {
+        silentIds.add("west-1");
+        loseConnections("west-1", 1);
+        awaitUsable("east-1", "east-2", "east-3", "east-plain", "west-2");
+        Awaitility.await().until(() -> !abandoned.isEmpty());
+        assertEquals(abandoned, List.of("west-1"));
+    }
+
     /** A burst makes many responses overdue at the same time; the endpoint is queried once for all of them. */
     @Test
     public void aSlowEndpointThatReportsItsStateStaysInUseAndIsQueriedOnce() throws InterruptedException {
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -139,12 +139,16 @@
      * @return its address
      */
     public String start(WorkerStandin worker) throws BindException {
-        return LOOPBACK + ":" + serve(worker).address().getPort();
+        return addressOf(serve(worker));
+    }
+
+    static String addressOf(HttpServer server) {
+        return LOOPBACK + ":" + server.address().getPort();
     }
 
     /** Returns the store's address. */
     public String storeAddress() {
-        return LOOPBACK + ":" + storeServer.address().getPort();
+        return addressOf(storeServer);
     }
 
     /** Writes an endpoint's entry. */
