Move the properties by which a stage waits to a class of their own

No behaviour changes: the six accessors that a gate reads are inherited from StageDemand, with the fields that they need.

--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -23,12 +23,8 @@
  * One stage of a request: waits for a slot, calls an endpoint, calls others when that gives no answer. A repeatable stage
  * whose answer is late may be called at a second endpoint as well; the first sign of an answer decides between the two.
  */
-final class StageRun implements StageWaiter, StageAttempt.Owner {
-    private final RunParts parts;
-    private final RequestContext context;
+final class StageRun extends StageDemand implements StageAttempt.Owner {
     private final int index;
-    private final StageRow stage;
-    private final StageWork work;
     private final StageListener listener;
     private final ServiceGate gate;
     private final EndpointJudge judge;
@@ -44,11 +40,8 @@
     private long askedMs;
 
     StageRun(RunParts parts, RequestContext context, int index, JsonNode input, StageListener listener) {
-        this.parts = parts;
-        this.context = context;
+        super(parts, context, context.pipeline().getStages().get(index), input);
         this.index = index;
-        this.stage = context.pipeline().getStages().get(index);
-        this.work = new StageWork(context, stage, input);
         this.listener = listener;
         this.gate = parts.gates().of(stage.getService());
         this.judge = new EndpointJudge(parts, gate);
@@ -365,34 +358,4 @@
         }
         return false;
     }
-
-    @Override
-    public double expectedMs() {
-        return parts.times().whole(context.pipeline(), stage).quantileMs(0.5);
-    }
-
-    @Override
-    public long[] prefixDigests() {
-        return work.prefixDigests();
-    }
-
-    @Override
-    public int precedence() {
-        return context.pipeline().getPrecedence();
-    }
-
-    @Override
-    public String workspace() {
-        return context.workspace().getName();
-    }
-
-    @Override
-    public double weight() {
-        return context.workspace().getWeight();
-    }
-
-    @Override
-    public long deadlineMs() {
-        return context.deadlineMs();
-    }
 }
