Send a suspect stage only to an endpoint that responds (trial interface)

What callers saw: the first request after three endpoints had ended unnoticed failed with `retries-exhausted`, "3 endpoints ended while they ran this request", 23 ms after its first call, and was refused as `quarantined` for ten minutes.

Reproduced: UnreportedEndsTest ends three endpoints of the gateway's own failure domain behind their proxies and sends one request; 3 of 3 runs fail on the commit before, with 3 attempts in 23 ms.

Cause: a trial, which a request needs after two losses, is meant to attribute the third loss to it. It went to any endpoint, also one that had ended before, of which this gateway could not know: no request had been lost there yet, and it heard nothing of other gateways.

Change: before a trial the endpoint is probed over a connection of its own. One that does not respond is in doubt from then on, is left out for this request, and costs it no attempt. A trial is not hedged: a second call beside it would run on another endpoint at the same time. Only requests with two losses pay for a probe.

Not changed: the relay, whose plain services have no state to ask for; there the first request at a box that hears nobody, before listeners whose endpoints all ended, is still counted. An endpoint of the users' platform that ended refuses connections, so the request counts as not sent.

After: UnreportedEndsTest 3 of 3, EndedEndpointsTest and CrashingInputTest 2 of 2.

--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -134,6 +134,15 @@
         return record.activeLossCount() >= QUARANTINE_THRESHOLD - 1;
     }
 
+    /** Returns whether a request is so suspect that it is sent only as a trial, to one endpoint at a time. */
+    public boolean needsTrial(Supplier<Fingerprint> request) {
+        return !idle && needsTrial(request.get());
+    }
+
+    private synchronized boolean needsTrial(Fingerprint request) {
+        return needsTrial(crashRecords.find(request, clock.nowMs()));
+    }
+
     /** Returns the endpoint incarnations that a request should avoid because another request is on trial there. */
     public Set<String> endpointsToAvoid(Supplier<Fingerprint> request) {
         return idle ? Set.of() : endpointsToAvoid(request.get());
--- a/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
@@ -41,6 +41,11 @@
         return quarantine.endpointsToAvoid(request);
     }
 
+    /** Returns whether the request is so suspect that it is sent only as a trial. */
+    public boolean needsTrial() {
+        return quarantine.needsTrial(request);
+    }
+
     /** Records that the request is sent to an endpoint incarnation. */
     public void sent(String endpoint) {
         trial = quarantine.sent(request, endpoint);
@@ -64,6 +69,11 @@
         quarantine.answered(request, endpoint, sentAtMs, success);
     }
 
+    /** Returns whether the last attempt is a trial that has not ended. */
+    public boolean onTrial() {
+        return trial.isPresent();
+    }
+
     /** Ends the trial of the last attempt, if there is one, whatever its result. */
     public void endTrial() {
         trial.ifPresent(id -> quarantine.endTrial(request.get(), id));
--- a/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/Prober.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -101,11 +102,25 @@
     @Override
     public void connectionLost(EndpointState endpoint) {
         if (endpoint.recordConnectionLost()) {
-            loop.execute(() ->
-                    probe(endpoint, stagesByService().get(endpoint.identity().service())));
+            loop.execute(() -> probe(endpoint));
         }
     }
 
+    @Override
+    public CompletableFuture<Boolean> isAlive(EndpointState endpoint) {
+        return CompletableFuture.supplyAsync(() -> probe(endpoint), loop)
+                .thenCompose(response -> response)
+                .whenComplete((alive, failure) -> {
+                    if (!Boolean.TRUE.equals(alive)) {
+                        connectionLost(endpoint);
+                    }
+                });
+    }
+
+    private CompletableFuture<Boolean> probe(EndpointState endpoint) {
+        return probe(endpoint, stagesByService().get(endpoint.identity().service()));
+    }
+
     /**
      * Records that another gateway has lost an endpoint. It is probed with the next round rather than at once, since all
      * gateways get the report at the same time.
@@ -131,14 +146,17 @@
         return stages;
     }
 
-    private void probe(EndpointState endpoint, StageRow stage) {
+    /** Probes an endpoint; returns whether it responded. */
+    private CompletableFuture<Boolean> probe(EndpointState endpoint, StageRow stage) {
         boolean runs = stage != null && stage.isRepeatable() && stage.getKind() != StageRow.Kind.PLAIN;
         OutgoingRequest request = runs
                 ? OutgoingRequest.post(endpoint.address(), "/v1/stage", Json.write(probeCall(stage)))
                 : OutgoingRequest.get(endpoint.address(), "/healthz");
         long sentAtMs = clock.nowMs();
-        client.call(loop, request.fresh(), policy.getProbeTimeoutMs())
-                .whenComplete((reply, failure) -> record(endpoint, sentAtMs, reply));
+        return client.call(loop, request.fresh(), policy.getProbeTimeoutMs()).handle((reply, failure) -> {
+            record(endpoint, sentAtMs, reply);
+            return reply != null;
+        });
     }
 
     private void record(EndpointState endpoint, long sentAtMs, HttpReply reply) {
--- a/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RunParts.java
@@ -1,5 +1,6 @@
 package org.wingstall.gateway.run;
 
+import java.util.concurrent.CompletableFuture;
 import org.wingstall.core.admit.AdmissionPolicy;
 import org.wingstall.core.answer.RetryAfter;
 import org.wingstall.core.quarantine.Quarantine;
@@ -60,5 +61,8 @@
     public interface EndpointChecks {
         /** Records that a connection to an endpoint ended under a call, and checks the endpoint. */
         void connectionLost(EndpointState endpoint);
+
+        /** Returns whether an endpoint responds now; one that does not gets no work until it does. */
+        CompletableFuture<Boolean> isAlive(EndpointState endpoint);
     }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageCrashes.java
@@ -1,7 +1,9 @@
 package org.wingstall.gateway.run;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.wingstall.core.quarantine.Fingerprint;
 import org.wingstall.core.quarantine.Quarantine;
 import org.wingstall.core.quarantine.QuarantineRefusal;
@@ -25,6 +27,18 @@
         return input.refusal();
     }
 
+    /**
+     * Calls back with whether the endpoint may be called. A suspect may call only an endpoint that responds now, so that
+     * a lost call can be attributed to it.
+     */
+    void check(EndpointState endpoint, RunParts.EndpointChecks checks, EventLoop loop, Consumer<Boolean> next) {
+        if (input.needsTrial()) {
+            checks.isAlive(endpoint).thenAcceptAsync(next, loop);
+        } else {
+            next.accept(true);
+        }
+    }
+
     void sent(EndpointState endpoint) {
         input.sent(endpoint.identity().key());
     }
@@ -41,6 +55,10 @@
         input.answered(endpoint.identity().key(), sentAtMs, true);
     }
 
+    boolean onTrial() {
+        return input.onTrial();
+    }
+
     void over() {
         input.endTrial();
     }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -152,6 +152,10 @@
             waitTimer.cancel(false);
         }
         account.waited(parts.clock().nowMs() - askedMs);
+        crashes.check(endpoint, parts.checks(), context.loop(), alive -> call(endpoint, alive));
+    }
+
+    private void call(EndpointState endpoint, boolean alive) {
         if (ended || !canLand()) {
             giveBack(endpoint);
             noOutput(StageEnd.DEADLINE_UNREACHABLE, "the answer can't land within the deadline any more");
@@ -161,6 +165,12 @@
             giveBack(endpoint);
             return;
         }
+        if (!alive) {
+            excluded.add(endpoint.identity().memberId());
+            giveBack(endpoint);
+            ask();
+            return;
+        }
         begin(endpoint);
         armHedge();
     }
@@ -182,7 +192,7 @@
     }
 
     private void armHedge() {
-        if (stage.isRepeatable() && live.size() == 1) {
+        if (stage.isRepeatable() && live.size() == 1 && !crashes.onTrial()) {
             StageTimes times = parts.times().firstProgress(context.pipeline(), stage);
             parts.hedging().delayMs(times).ifPresent(delayMs -> context.loop()
                     .schedule(this::hedge, delayMs, TimeUnit.MILLISECONDS));
