Tell callers of a quarantined stage when its quarantine ends (trial interface)

What callers saw: a stage that is quarantined for ten minutes was refused with a `retryAfterMs` of 200 to 400 ms, so callers came back some 2,000 times in vain; the refusal of one that is on trial elsewhere was named `quarantined`.

Cause: StageListener.noOutput carried no time, so RequestRun named its hint for causes that pass quickly. QuarantineRefusal knew the end.

Change: a stage hands the end on with its refusal, also of a request whose other calls have run; a trial elsewhere has the reason `suspect-on-trial`, as at the relay.

Looked at elsewhere: the relay names the remaining time of a quarantined request and of a quarantined piece already; pauses that endpoints ask for, limits and cold endpoints name the time after which one takes more; a held claim names half of its deadline, since it may end earlier. Ejected endpoints, the deadline and exhausted retries have no known end.

--- a/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
@@ -196,17 +196,17 @@
     }
 
     @Override
-    public void noOutput(StageEnd end, String detail) {
+    public void noOutput(StageEnd end, String detail, long retryAfterMs) {
         if (answered) {
             afterUnknown();
             return;
         }
         boolean nothingRan = handedOver == 0;
-        long soonMs = parts.retryAfter().jitteredMs(RETRY_SOON_MS);
+        long soonMs = retryAfterMs > 0 ? retryAfterMs : parts.retryAfter().jitteredMs(RETRY_SOON_MS);
         switch (end) {
             case NO_ENDPOINT -> end(nothingRan ? Reason.NO_ENDPOINT : Reason.NO_ENDPOINT_LATER, detail, soonMs);
-            case QUARANTINED ->
-                end(nothingRan ? Reason.QUARANTINED : Reason.RETRIES_EXHAUSTED, detail, nothingRan ? soonMs : 0);
+            case QUARANTINED -> end(nothingRan ? Reason.QUARANTINED : Reason.RETRIES_EXHAUSTED, detail, soonMs);
+            case ON_TRIAL -> end(nothingRan ? Reason.SUSPECT_ON_TRIAL : Reason.RETRIES_EXHAUSTED, detail, soonMs);
             case EXHAUSTED -> end(nothingRan ? Reason.NO_ENDPOINT : Reason.RETRIES_EXHAUSTED, detail, soonMs);
             case DEADLINE_UNREACHABLE ->
                 end(nothingRan ? Reason.DEADLINE_UNREACHABLE : Reason.DEADLINE_UNREACHABLE_LATER, detail, soonMs);
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageListener.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageListener.java
@@ -11,6 +11,7 @@
         STAGE_FAILED,
         EXHAUSTED,
         QUARANTINED,
+        ON_TRIAL,
         UNANSWERED
     }
 
@@ -26,6 +27,12 @@
     /** The output is whole. */
     void output(JsonNode output);
 
-    /** There will be no output. */
-    void noOutput(StageEnd end, String detail);
+    /**
+     * There will be no output.
+     *
+     * @param end why
+     * @param detail text for the caller
+     * @param retryAfterMs time until the cause ends, in ms; 0 if that is not known
+     */
+    void noOutput(StageEnd end, String detail, long retryAfterMs);
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.admit.StageTimes;
+import org.wingstall.core.answer.Reason;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.core.retry.AttemptTimeouts;
 import org.wingstall.core.retry.RetryBudget;
@@ -84,7 +85,10 @@
 
     private boolean heldBack() {
         Optional<QuarantineRefusal> hold = crashes.hold();
-        hold.ifPresent(held -> noOutput(called() ? StageEnd.EXHAUSTED : StageEnd.QUARANTINED, held.detail()));
+        hold.ifPresent(held -> {
+            StageEnd uncalled = held.reason() == Reason.SUSPECT_ON_TRIAL ? StageEnd.ON_TRIAL : StageEnd.QUARANTINED;
+            noOutput(called() ? StageEnd.EXHAUSTED : uncalled, held.detail(), held.retryAfterMs());
+        });
         return hold.isPresent();
     }
 
@@ -337,9 +341,13 @@
     }
 
     private void noOutput(StageEnd end, String detail) {
+        noOutput(end, detail, 0);
+    }
+
+    private void noOutput(StageEnd end, String detail, long retryAfterMs) {
         if (!ended) {
             ended = true;
-            listener.noOutput(end, detail);
+            listener.noOutput(end, detail, retryAfterMs);
         }
     }
 
--- a/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
+++ b/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
@@ -1,6 +1,7 @@
 package org.wingstall.it;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,12 @@
     private static final int REPEATS = 6;
     private static final int HARMLESS = 40;
 
+    /** Time for which a request is quarantined after its third loss, in ms. */
+    private static final long QUARANTINE_MS = 600_000;
+
+    /** Longest time from the third loss to the refusals of the test, in ms. */
+    private static final long ELAPSED_MS = 60_000;
+
     private TestFleet fleet;
 
     @BeforeMethod
@@ -59,6 +66,20 @@
         assertEquals(retried, List.of());
     }
 
+    /** Its refusals named 200 to 400 ms, after which it was refused for another ten minutes. */
+    @Test
+    public void quarantinedRequestIsToldWhenItsQuarantineEnds() {
+        endThreeEndpoints();
+        for (TestFleet.Box box : fleet.boxes()) {
+            Calls calls = new Calls();
+            calls.send(box, "plan", CRASHING, null, false);
+            long retryAfterMs =
+                    calls.await().get(0).answer().path("retryAfterMs").asLong();
+            assertTrue(retryAfterMs > QUARANTINE_MS - ELAPSED_MS, retryAfterMs + " ms");
+            assertTrue(retryAfterMs <= QUARANTINE_MS, retryAfterMs + " ms");
+        }
+    }
+
     private void endThreeEndpoints() {
         for (int i = 0; i < REPEATS; i++) {
             Calls crashing = new Calls();
