Tell the steps of a box's start, late event loops, and what disturbed a soak

Boxes: `start-waiting` every 2 s names the steps of the start that are missing (config, list, peer, first success), `start-complete` the time at which each was reached. A periodic task that begins 500 ms late writes `event-loop-late`: the loop or the whole process stood still. It needs no wake-up of its own.

Soak: a breach is printed with the faults and their times, with the standstills of the soak's own process (a thread that notes how late it wakes), with the folder of the logs, and, where a box does not serve, with the answer to the last probe. The check of SoakTest is unchanged.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -102,6 +102,7 @@
     private final RelayHandler handler;
     private final StoreFollowers store;
     private final HttpServer callers;
+    private final StartTimeline startTimeline = new StartTimeline(clock);
     private volatile boolean stopping;
 
     /**
@@ -293,6 +294,12 @@
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
         gauges.ofFleet(mesh, crashes, limits.stated());
+        startTimeline
+                .await("config", () -> state.config().known())
+                .await("list", endpoints::listLoaded)
+                .await("peer", () -> !mesh.peers().serving().isEmpty())
+                .await("success", () -> metrics.successes() > 0)
+                .start(requests.next());
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
                 .with("failureDomain", settings.getFailureDomain())
--- a/net/src/main/java/org/wingstall/net/PeriodicTask.java
+++ b/net/src/main/java/org/wingstall/net/PeriodicTask.java
@@ -9,7 +9,7 @@
 
 /**
  * Work that an event loop repeats for as long as the process lives; a run that fails does not end it, unlike with the
- * executors' own periodic schedules.
+ * executors' own periodic schedules. A run that begins late shows that the loop or the whole process stood still.
  *
  * <p>{@code PeriodicTask.start(loop, "probe", () -> 1000, this::probeEjected);}
  *
@@ -18,10 +18,14 @@
 public final class PeriodicTask {
     private static final Logger LOG = LogManager.getLogger(PeriodicTask.class);
 
+    /** Lateness from which a run is logged, in ms: several times what a busy loop causes. */
+    private static final long LATE_MS = 500;
+
     private final EventExecutor loop;
     private final String name;
     private final LongSupplier delayMs;
     private final Runnable work;
+    private long dueAtNs;
 
     private PeriodicTask(EventExecutor loop, String name, LongSupplier delayMs, Runnable work) {
         this.loop = loop;
@@ -39,16 +43,34 @@
      * @param work the work
      */
     public static void start(EventExecutor loop, String name, LongSupplier delayMs, Runnable work) {
-        loop.execute(new PeriodicTask(loop, name, delayMs, work)::run);
+        loop.execute(new PeriodicTask(loop, name, delayMs, work)::begin);
+    }
+
+    private void begin() {
+        dueAtNs = System.nanoTime();
+        run();
     }
 
     private void run() {
+        logIfLate();
         try {
             work.run();
         } catch (RuntimeException e) {
             LogEvent.warn("periodic-task-failed").with("task", name).cause(e).to(LOG);
         } finally {
-            loop.schedule(this::run, delayMs.getAsLong(), TimeUnit.MILLISECONDS);
+            long nextMs = delayMs.getAsLong();
+            dueAtNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(nextMs);
+            loop.schedule(this::run, nextMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void logIfLate() {
+        long lateMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueAtNs);
+        if (lateMs >= LATE_MS) {
+            LogEvent.warn("event-loop-late")
+                    .with("task", name)
+                    .with("lateMs", lateMs)
+                    .to(LOG);
         }
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -60,6 +60,11 @@
         timer.record(tookMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the number of successful responses that were forwarded to callers. */
+    public long successes() {
+        return successTime.count();
+    }
+
     /** Counts a request that got no response of an endpoint. */
     public void recordRefusal(Reason reason) {
         outcomes.get(reason).increment();
--- a/soak/src/main/java/org/wingstall/soak/SoakMain.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakMain.java
@@ -111,5 +111,8 @@
         broken.stream()
                 .limit(MOST_DETAILS)
                 .forEach(violation -> System.out.println("  " + violation.promise() + ": " + violation.detail()));
+        if (!broken.isEmpty()) {
+            System.out.println("  " + soak.disturbed());
+        }
     }
 }
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -35,6 +36,7 @@
     private final Observations observations = new Observations();
     private final RunEnd end = new RunEnd();
     private int probes;
+    private String disturbed = "";
 
     /** Creates a run. */
     public SoakRun(SoakOptions options) {
@@ -51,6 +53,16 @@
      */
     public List<Violation> play() throws IOException, BindException, FaultFailedException, InterruptedException {
         List<Violation> broken = new ArrayList<>();
+        try (Standstills standstills = Standstills.watch(observations::nowMs)) {
+            play(broken);
+            disturbed = "faults: " + observations.disturbances() + "; standstills of the soak's own process: "
+                    + standstills.all();
+        }
+        return broken;
+    }
+
+    private void play(List<Violation> broken)
+            throws IOException, BindException, FaultFailedException, InterruptedException {
         try (SoakFleet fleet = new SoakFleet(options, observations)) {
             fleet.start();
             Caller probe = new Caller("probe", options.seed(), fleet, observations, end);
@@ -68,7 +80,11 @@
         for (Promise promise : Promises.all(options.slackMs())) {
             promise.broken(observations).forEach(detail -> broken.add(new Violation(promise.name(), detail)));
         }
-        return broken;
+    }
+
+    /** Returns the faults with their times, and when the soak's own process stood still; printed with each breach. */
+    public String disturbed() {
+        return disturbed;
     }
 
     /** Returns what the callers saw, in short. */
@@ -157,23 +173,28 @@
         List<String> missing = new ArrayList<>();
         for (SoakFleet.Box box : fleet.boxes()) {
             for (Route route : Route.values()) {
-                if (!awaitServing(box, route, probe, untilMs)) {
-                    missing.add(box.id() + " does not serve " + route.path());
-                }
+                awaitServing(box, route, probe, untilMs)
+                        .ifPresent(last -> missing.add(box.id() + " does not serve " + route.path() + ": " + last));
             }
         }
         return missing;
     }
 
-    private boolean awaitServing(SoakFleet.Box box, Route route, Caller probe, long untilMs)
+    /** Waits until a box serves a route; returns the last call if it did not within the time. */
+    private Optional<CallRecord> awaitServing(SoakFleet.Box box, Route route, Caller probe, long untilMs)
             throws InterruptedException {
         while (true) {
             String id = "probe." + probes++;
             probe.call(box, route, id);
-            boolean served =
-                    observations.calls().stream().anyMatch(call -> call.id().equals(id) && call.success());
-            if (served || observations.nowMs() > untilMs) {
-                return served;
+            CallRecord last = observations.calls().stream()
+                    .filter(call -> call.id().equals(id))
+                    .findFirst()
+                    .orElseThrow();
+            if (last.success()) {
+                return Optional.empty();
+            }
+            if (observations.nowMs() > untilMs) {
+                return Optional.of(last);
             }
             PAUSE.within(LOOK_MS);
         }
--- a/soak/src/test/java/org/wingstall/soak/SoakTest.java
+++ b/soak/src/test/java/org/wingstall/soak/SoakTest.java
@@ -33,7 +33,8 @@
     public void allPromisesHoldUnderTheFaultsOfASeed(long seed) throws Exception {
         SoakOptions options =
                 new SoakOptions(seed, BOXES, CALLERS, FAULTS_MS, SLACK_MS, Files.createTempDirectory("soak"));
-        List<Violation> broken = new SoakRun(options).play();
-        assertTrue(broken.isEmpty(), broken.toString());
+        SoakRun run = new SoakRun(options);
+        List<Violation> broken = run.play();
+        assertTrue(broken.isEmpty(), broken + "; " + run.disturbed() + "; logs in " + options.folder());
     }
 }
