Hold boxes to a cold endpoint's rate only while they are in touch with the store

The spans with too many requests lie between 8.56 and 9.58 s; their requests came from boxes that had lost the list of endpoints at 6.1 s (`source-lost`, 503) and read it again at 9.97 and 10.98 s (`source-regained`, `endpoint-cold` in the same moment).

Cause: the check asked only whether the box was free of faults. That is right for limits that endpoints state in their answers, with which it shared its code; that an endpoint has turned cold is told by the store alone.

Change: the check asks `inTouch`, as the ones for the configuration, evacuations and leaving endpoints do. Rate, window and the 3 s stay.

--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -80,11 +81,11 @@
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
                 new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
-                new Named("no more than an endpoint takes", seen -> beyond(seen, seen.limits())),
+                new Named("no more than an endpoint takes", Promises::beyondLimit),
                 new Named("no work for who stated that it leaves", Promises::statedLeaving),
                 new Named("a pause that an endpoint asked for", Promises::pauses),
                 new Named("no more than a cold endpoint bears", Promises::cold),
-                new Named("no more than one that turned cold bears", seen -> beyond(seen, seen.coldAgain())),
+                new Named("no more than one that turned cold bears", Promises::turnedCold),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -285,14 +286,23 @@
         return broken;
     }
 
-    /** Requests of boxes at fault don't count; those that are no caller's do, since nobody knows their box. */
-    private static List<String> beyond(Observations seen, LimitLog log) {
+    /** A limit is stated in answers, so boxes learn it without the store. */
+    private static List<String> beyondLimit(Observations seen) {
+        return excesses(seen, seen.limits(), (call, atMs) -> seen.calm(call.box(), call.sentMs(), atMs, true));
+    }
+
+    /** Boxes learn from the store that an endpoint has turned cold. */
+    private static List<String> turnedCold(Observations seen) {
+        return excesses(seen, seen.coldAgain(), (call, atMs) -> seen.inTouch(call.box(), call.sentMs(), atMs));
+    }
+
+    /** Requests that are no caller's always count, since nobody knows their box. */
+    private static List<String> excesses(Observations seen, LimitLog log, BiPredicate<CallRecord, Long> counts) {
         Map<String, CallRecord> calls = seen.callsById();
         return log
                 .excesses(arrival -> {
                     CallRecord call = calls.get(arrival.what());
-                    long atMs = seen.soakMs(arrival.atMs());
-                    return call == null || seen.calm(call.box(), call.sentMs(), atMs, true);
+                    return call == null || counts.test(call, seen.soakMs(arrival.atMs()));
                 })
                 .stream()
                 .map(Objects::toString)
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -161,6 +161,35 @@
         Promises.all(0).forEach(one -> assertEquals(one.broken(seen), List.of(), one.name()));
     }
 
+    @DataProvider
+    Object[][] disturbances() {
+        return new Object[][] {
+            {Disturbance.STORE, 7001, false},
+            {Disturbance.STORE, 6999, true},
+            {"box-1", 7001, false},
+            {"box-1", 6999, true},
+            {"box-2", 9999, true},
+        };
+    }
+
+    /** Seed 24: boxes that could not read the store for 3.8 s had to know that an endpoint had turned cold meanwhile. */
+    @Test(dataProvider = "disturbances")
+    public void requestsAtAnEndpointThatTurnedColdCountForBoxesInTouch(String target, long untilMs, boolean counts) {
+        Observations seen = new Observations();
+        long zeroMs = -seen.soakMs(0);
+        seen.disturbed(new Disturbance(target, "STORE_BUSY", false, 5000, untilMs));
+        seen.coldAgain().stated("warming-plain-1", 1, zeroMs + 6500);
+        for (String id : List.of("a", "b")) {
+            seen.called(new CallRecord(id, Route.WARMING, "box-1", 1, 10_000, 10_005, 200, id, "s", "answer to " + id));
+            seen.coldAgain().arrived("warming-plain-1", id, zeroMs + 10_000);
+        }
+        List<String> broken = Promises.all(0).stream()
+                .filter(one -> !one.broken(seen).isEmpty())
+                .map(Promise::name)
+                .toList();
+        assertEquals(broken, counts ? List.of("no more than one that turned cold bears") : List.of());
+    }
+
     @Test
     public void aSeedAlwaysGivesTheSamePlan() {
         assertEquals(FaultPlan.of(7, 12_000), FaultPlan.of(7, 12_000));
