--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,38 +28,24 @@
 done
 echo "Tests run: $tests, Failures: $((failures + model)), Errors: $errors, Skipped: $skipped"
 
-# Lines "failed|skipped class.method message" of the tests that did not pass, without the parameters of a method.
+# Lines "failed|skipped TAB class.method[parameters] TAB message" of the tests that did not pass.
 not_passed() {
   cat */target/surefire-reports/TEST-*.xml 2>/dev/null | awk '
-    /<testcase / { name = value($0, " name"); sub(/[\[(].*/, "", name); test = value($0, " classname") "." name }
-    /<failure|<error / { print "failed", test, value($0, " message") }
-    /<skipped/ { print "skipped", test }
+    /<testcase / { name = value($0, " name"); sub(/\([0-9]*\)$/, "", name); test = value($0, " classname") "." name }
+    /<failure|<error / { print "failed\t" test "\t" value($0, " message") }
+    /<skipped/ { print "skipped\t" test "\t" }
     function value(line, key) {
       if (!match(line, key "=\"[^\"]*\"")) return ""
       return substr(line, RSTART + length(key) + 2, RLENGTH - length(key) - 3)
     }'
 }
 
-# A test in KNOWN-RED.txt ("class.method | cause | issue") may fail, and tests that its failing set-up skips with it.
-known=0
-while read -r kind test message; do
-  red=$(grep -sF "$test |" KNOWN-RED.txt | head -1)
-  class=${test%.*}
-  if [ "$kind" = skipped ]; then
-    red=$(not_passed | awk -v class="$class." '$1 == "failed" && index($2, class) == 1 {print $2 " |"}' \
-      | grep -sFf - KNOWN-RED.txt | head -1)
-  fi
-  if [ -n "$red" ]; then
-    known=$((known + 1))
-    echo "known red: $kind $test: $red"
-    [ "$kind" = failed ] && bad=$((bad - 1))
-  elif [ "$kind" = skipped ]; then
-    bad=$((bad + 1))
-    echo "skipped, which is not allowed: $test"
-  else
-    echo "failed: $test: ${message:0:300}"
-  fi
-done < <(not_passed)
+touch KNOWN-RED.txt
+sorted=$(not_passed | awk -f scripts/known-red.awk KNOWN-RED.txt -)
+[ -n "$sorted" ] && echo "$sorted"
+known=$(grep -c '^known red: ' <<<"$sorted")
+bad=$((bad - $(grep -c '^known red: failed ' <<<"$sorted")))
+bad=$((bad + $(grep -c '^skipped, which is not allowed: ' <<<"$sorted")))
 # Whatever else stopped the build is no matter of single tests; a failed build that names no goal counts as well.
 outside=$(grep '^\[ERROR\] Failed to execute goal' "$log" | grep -vc 'There are test failures')
 crashed=$(grep -cE 'The forked VM terminated|error in the forked process|Crashed tests' "$log")
