Don't refuse requests because the first calls of a gateway were slow

What callers saw: right after a service had stood still for 0.9 s before a gateway that had just started, 9 to 18 of 200 callers were refused with `deadline-unreachable`, "needs about 3,848 ms of 2,999 ms", and told to come back after 4 to 9 s, while the service ran their like in some 20 ms.

Cause: admission reckons with the median of the measured calls as soon as there are eight. The first calls of a gateway run together, so one standstill, or code that is not compiled yet, makes all of them slow; their median was taken for the time of a call, times the queue, until as many fast calls had come.

Change: estimates for admission weigh the configured time of a stage as 64 calls. Hedging and time-outs go on with measured quantiles alone. A service that is slow for good is known after as many calls.

--- a/core/src/main/java/org/wingstall/core/admit/StageTimes.java
+++ b/core/src/main/java/org/wingstall/core/admit/StageTimes.java
@@ -17,6 +17,9 @@
     private static final long HALVE_AT_SAMPLES = 1024;
     private static final int MIN_SAMPLES = 8;
 
+    /** Weight of the expected duration in estimates, in samples: more calls than one gateway has running at a time. */
+    private static final int EXPECTED_WEIGHT = 64;
+
     private final AtomicLongArray counts = new AtomicLongArray(BUCKETS);
     private final AtomicLong total = new AtomicLong();
     private final long expectedMs;
@@ -53,10 +56,30 @@
         if (samples < MIN_SAMPLES) {
             return expectedMs;
         }
-        double rank = samples * quantile;
+        return quantileMs(samples * quantile, BUCKETS, 0);
+    }
+
+    /**
+     * Returns a quantile of the recent samples and of a number of samples of the expected duration, for deciding whether a
+     * request can meet its deadline: calls that ran at the same time are slow together when a start or a standstill
+     * delays them, and must not refuse those that come after it.
+     *
+     * @param quantile quantile in (0, 1)
+     * @return the quantile, in ms
+     */
+    public double estimateMs(double quantile) {
+        long samples = sampleCount();
+        if (samples < MIN_SAMPLES) {
+            return expectedMs;
+        }
+        return quantileMs((samples + EXPECTED_WEIGHT) * quantile, bucketOf(expectedMs), EXPECTED_WEIGHT);
+    }
+
+    /** Returns the upper bound of the bucket that holds a rank, with further samples in one of the buckets. */
+    private double quantileMs(double rank, int furtherBucket, int further) {
         long cumulative = 0;
         for (int i = 0; i < BUCKETS; i++) {
-            cumulative += counts.get(i);
+            cumulative += counts.get(i) + (i == furtherBucket ? further : 0);
             if (cumulative >= rank) {
                 return Math.pow(BUCKET_GROWTH, i);
             }
--- a/core/src/test/java/org/wingstall/core/admit/StageTimesTest.java
+++ b/core/src/test/java/org/wingstall/core/admit/StageTimesTest.java
@@ -34,4 +34,24 @@
         }
         assertTrue(times.quantileMs(0.2) > 100);
     }
+
+    /** The calls that ran at the start of a gateway were slow together, and requests after them were refused. */
+    @Test
+    public void aFewSlowCallsDoNotOutweighTheExpectedTime() {
+        StageTimes times = new StageTimes(20);
+        for (int i = 0; i < 48; i++) {
+            times.record(900);
+        }
+        assertEquals(times.quantileMs(0.5), 900, 900 * 0.2);
+        assertEquals(times.estimateMs(0.5), 20, 20 * 0.2);
+    }
+
+    @Test
+    public void manySlowCallsDo() {
+        StageTimes times = new StageTimes(20);
+        for (int i = 0; i < 200; i++) {
+            times.record(900);
+        }
+        assertEquals(times.estimateMs(0.5), 900, 900 * 0.2);
+    }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/RequestRun.java
@@ -72,7 +72,7 @@
         PipelineRow pipeline = context.pipeline();
         double waitMs = 0;
         for (StageRow stage : pipeline.getStages()) {
-            double callMs = parts.times().whole(pipeline, stage).quantileMs(0.5);
+            double callMs = parts.times().whole(pipeline, stage).estimateMs(0.5);
             waitMs += parts.gates().of(stage.getService()).expectedWaitMs(pipeline.getPrecedence(), callMs);
         }
         return waitMs;
--- a/gateway/src/main/java/org/wingstall/gateway/run/StageTimesTable.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageTimesTable.java
@@ -33,7 +33,7 @@
         List<StageRow> stages = pipeline.getStages();
         double sum = 0;
         for (int i = fromStage; i < stages.size(); i++) {
-            sum += whole(pipeline, stages.get(i)).quantileMs(quantile);
+            sum += whole(pipeline, stages.get(i)).estimateMs(quantile);
         }
         return sum;
     }
