Take the losses of a stored crash report for known as well

Evidence: with the boxes' counters in the test's message, a box had lost 9 requests, 2 of them "after the end". Its first two losses were the crashing request's, so 5 were counted for harmless requests sent to an endpoint that its peer had lost 0.8 s before; both boxes held the crashing request back by then.

Cause: the third loss goes over the links and into the store. A box that read it from the store first merged it without noting the endpoint as lost, and the peer's message then had nothing new. Only messages of peers were noted.

Ruled out: the retry budget alone (it limits repeats, of which there were too many for this reason), news that had not arrived (the test waits until both boxes hold the request back, and still failed).

Change: mergeStored notes the losses, by the age that the store's clock gives; it is counted from the write, so an endpoint is taken for lost too late, never too early. QuarantineAfterEndTest.requestSentAfterAStoredLossIsNoSuspect failed before. The test's wait for the third loss to be known is new with the delays it has.

--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -314,6 +314,7 @@
 
     /** Merges a report read from the store; if it lacks losses that are known here, writes the merged report back. */
     public synchronized void mergeStored(CrashReport stored) {
+        recordReportedLosses(List.of(stored));
         mergeReports(List.of(stored), null, false);
         CrashRecord known = crashRecords.find(new Fingerprint(stored.getFingerprint()), clock.nowMs());
         CrashRecord storedRecord = CrashRecord.EMPTY.merge(stored, clock.nowMs());
--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineAfterEndTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineAfterEndTest.java
@@ -46,6 +46,20 @@
         assertEquals(fleet.second.reason(CULPRIT), Reason.QUARANTINED);
     }
 
+    /** A box that read the report of a loss from the store before a peer sent it took the endpoint for alive. */
+    @Test
+    public void requestSentAfterAStoredLossIsNoSuspect() {
+        fleet.disconnected = true;
+        fleet.first.lost(CULPRIT, ENDPOINTS);
+        fleet.nowMs++;
+        fleet.first.persisted.forEach(fleet.second.quarantine::mergeStored);
+        fleet.first.quarantine.snapshot().forEach(news -> fleet.second.quarantine.receive("first", news));
+        fleet.nowMs++;
+        fleet.second.lost(HARMLESS, ENDPOINTS);
+        assertEquals(fleet.second.quarantine.isSuspected(() -> HARMLESS), false);
+        assertEquals(fleet.second.lossesAfterEnd, ENDPOINTS.length);
+    }
+
     /** Connections to one endpoint end one after the other, and boxes hear of the first end before they see their own. */
     @Test(dataProvider = "boxes")
     public void requestSentBeforeTheLossIsASuspect(boolean observer) {
--- a/it/src/test/java/org/wingstall/it/relay/RelayEndedEndpointsTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayEndedEndpointsTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -24,6 +26,9 @@
     /** Time for which a box keeps new work away from an endpoint after a lost connection, in ms. */
     private static final long PAUSE_MS = 400;
 
+    /** Time within which all boxes know that a request has ended its third endpoint, in ms. */
+    private static final long KNOWN_MS = 3000;
+
     private static final String ROUTE = "repeatable";
 
     private final List<RelayBox> boxes = new ArrayList<>();
@@ -74,7 +79,14 @@
                 .filter(reply -> reply.status() != 200)
                 .map(RelayBox.Reply::body)
                 .toList();
-        assertEquals(failed, List.of(), failed.toString());
+        assertEquals(failed, List.of(), failed + counters());
+    }
+
+    private String counters() {
+        return boxes.stream()
+                .flatMap(box -> box.metrics().lines())
+                .filter(line -> line.matches("wingstall_(retries|endpoint_losses|losses_after_end).*"))
+                .collect(Collectors.joining("; ", " ", ""));
     }
 
     private void endThreeEndpoints() {
@@ -82,5 +94,7 @@
             boxes.get(i % BOXES).postBody(ROUTE, "crash-" + i, CrashingEndpoint.CRASH);
         }
         assertEquals(endpoints.stream().filter(EndedEndpoint::ended).count(), ENDED);
+        Awaitility.await().atMost(KNOWN_MS, TimeUnit.MILLISECONDS).until(() -> boxes.stream()
+                .allMatch(box -> box.metrics().contains("wingstall_requests_held_back 1.0")));
     }
 }
