--- a/core/src/main/java/org/wingstall/core/quarantine/LostEndpoints.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/LostEndpoints.java
@@ -5,7 +5,7 @@
 
 /**
  * Remembers which endpoint incarnations were lost and have not answered since. A request that is sent to such an
- * endpoint and lost as well is no suspect: the endpoint had ended before. Not thread-safe.
+ * endpoint and lost as well is not suspected: the endpoint had ended before. Not thread-safe.
  */
 final class LostEndpoints {
     private final Map<String, Loss> losses = new HashMap<>();
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -15,11 +15,12 @@
  * Refuses requests that crash the endpoints that run them, on whichever boxes they arrive. Thread-safe.
  *
  * <p>When the connection to an endpoint ends, every request that ran there becomes a suspect, and boxes merge the
- * losses that they observed. A request that was sent to an endpoint which was already lost does not. A complete successful response on any box clears a request. A later complete response from
- * the endpoint shows that only a connection broke and withdraws that loss. After two losses a request is sent only as a
- * trial: one box sends it at a time, to an endpoint that runs no other trial and that new requests avoid, so that a
- * third loss can be attributed to it. After three losses the request is refused, for a time that doubles with each
- * further loss; then it is sent as a trial again.
+ * losses that they observed. A request that was sent to an endpoint which was already lost does not. A complete
+ * successful response on any box clears a request. A later complete response from the endpoint shows that only a
+ * connection broke and withdraws that loss. After two losses a request is sent only as a trial: one box sends it at a
+ * time, to an endpoint that runs no other trial and that new requests avoid, so that a third loss can be attributed
+ * to it. After three losses the request is refused, for a time that doubles with each further loss; then it is sent
+ * as a trial again.
  *
  * <p>{@code quarantine.refusal(run::fingerprint).ifPresent(this::refuse);
  * quarantine.endpointLost(List.of(fingerprint), "i-7f3a@0", sentAtMs);}
--- a/gateway/src/test/java/org/wingstall/gateway/relay/StartTimelineTest.java
+++ b/gateway/src/test/java/org/wingstall/gateway/relay/StartTimelineTest.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
-/** A box that did not serve for 27 s did not tell which step of its start it waited for. */
+/** A box that does not serve did not say which step of its start is missing. */
 public class StartTimelineTest {
     private long nowMs = 5000;
     private boolean listKnown;
--- a/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
+++ b/it/src/test/java/org/wingstall/it/EndedEndpointsTest.java
@@ -66,7 +66,7 @@
         assertEquals(retried, List.of());
     }
 
-    /** Its refusals named 200 to 400 ms, after which it was refused for another ten minutes. */
+    /** A quarantined request was told to come back long before its quarantine ends. */
     @Test
     public void quarantinedRequestIsToldWhenItsQuarantineEnds() {
         endThreeEndpoints();
--- a/it/src/test/java/org/wingstall/it/relay/RelayStartTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStartTest.java
@@ -15,7 +15,7 @@
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.StoreStandin.Mode;
 
-/** A box did not serve 27 s after its start: no step of a start may wait for an answer that does not come. */
+/** A box did not serve long after its start; no step of a start may wait for a response that does not come. */
 public class RelayStartTest {
     /** Time without faults after which a box has to keep its promises, in ms; the platform's own figure. */
     private static final long CONTACT_MS = 3000;
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -172,7 +172,7 @@
         };
     }
 
-    /** Seed 24: boxes that could not read the store for 3.8 s had to know that an endpoint had turned cold meanwhile. */
+    /** Boxes that could not read the store were held to what an endpoint had written there meanwhile. */
     @Test(dataProvider = "disturbances")
     public void requestsAtAnEndpointThatTurnedColdCountForBoxesInTouch(String target, long untilMs, boolean counts) {
         Observations seen = new Observations();
