Tell how many endpoints a box reaches, and which box failed a stage

A refused stage now names the box that failed it; each box logs a service of which it reaches none, few or most of the endpoints when that changes, and shows both numbers as gauges. No decision depends on them yet.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -17,6 +17,7 @@
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.Listener;
+import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpLimits;
@@ -33,8 +34,10 @@
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeerHost;
 import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.EndpointReports;
 import org.wingstall.relay.endpoint.LeastLoaded;
+import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SilenceWatch;
 import org.wingstall.relay.engine.EngineSelector;
@@ -79,6 +82,9 @@
     /** Pause between looks whether both are there, in ms; a tenth of the time that they usually take. */
     private static final long KNOWN_CHECK_MS = 5;
 
+    /** Interval between two counts of the endpoints that are reached, in ms. */
+    private static final long REACH_INTERVAL_MS = 200;
+
     /** Longest wait for threads to end, in ms. */
     private static final long CLOSE_MS = 2000;
 
@@ -91,6 +97,7 @@
     private final RelayState state = new RelayState();
     private final EvacuationState evacuations = new EvacuationState(clock, this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
+    private final EndpointReach reach = new EndpointReach(endpoints, RelayEndpoint::responding, clock);
     private final RelayMetrics metrics = new RelayMetrics();
     private final ServiceRetryBudgets budgets;
     private final PeerMesh mesh;
@@ -273,6 +280,7 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
+        PeriodicTask.start(requests.next(), "endpoint-reach", () -> REACH_INTERVAL_MS, reach::update);
         store.start();
         long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
         control.execute(() -> acceptWhenKnown(patientUntilMs));
@@ -291,6 +299,7 @@
                 rejection -> new byte[0]);
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
+        gauges.ofReach(reach);
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
         gauges.ofFleet(mesh, crashes, limits.stated());
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -6,6 +6,7 @@
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.RelayState;
+import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.pool.StagePools;
@@ -28,6 +29,13 @@
                 () -> evacuations.current().failureDomains().size());
     }
 
+    /** Shows which endpoints it reaches. */
+    void ofReach(EndpointReach reach) {
+        metrics.gauge("wingstall.endpoints.reached", reach::reachedEndpoints);
+        metrics.gauge(
+                "wingstall.services.poorly.reached", () -> reach.poorlyReached().size());
+    }
+
     /** Shows what it knows of the platform's store. */
     void ofStore(StoreFollowers store) {
         metrics.gauge("wingstall.store.era", store::storeEra);
--- a/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/Backoff.java
@@ -93,6 +93,11 @@
         return state.get().inDoubt();
     }
 
+    /** Returns whether the endpoint has responded since its last few failures. */
+    boolean responding() {
+        return state.get().failures() < FAILURE_THRESHOLD;
+    }
+
     /** Returns whether the endpoint may get new work. */
     boolean allowsRequests(long nowMs) {
         return state.get().untilMs() <= nowMs;
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -105,6 +105,11 @@
         return backoff.inDoubt();
     }
 
+    /** Returns whether it has responded to this box since its last few failures. */
+    public boolean responding() {
+        return backoff.responding();
+    }
+
     /** Returns whether other boxes may send it new work, as far as this box knows. */
     public boolean usableByOthers() {
         return !state.leaving() && backoff.allowsRequests(clock.nowMs());
--- a/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
@@ -115,7 +115,8 @@
 
     private static PieceOutcome decode(StageResult result, String coordinator) {
         if (result.getHandle() == null) {
-            return PieceOutcome.failed(PieceResult.Failure.fromName(result.getFailure()), result.getAgainMs());
+            return PieceOutcome.failed(
+                    PieceResult.Failure.fromName(result.getFailure()), coordinator, result.getAgainMs());
         }
         return PieceOutcome.success(
                 PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), coordinator);
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceOutcome.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceOutcome.java
@@ -8,7 +8,7 @@
  *
  * @param result the result, or the reason for the failure
  * @param endpointAddress endpoint that stores the result; null when there is none
- * @param coordinator box that called the endpoint and tracks its result capacity; null for this box
+ * @param coordinator box that ran or failed the piece, and tracks the result capacity; null for this box
  * @param retryAfterMs time until a rejected request is likely to be accepted, in ms; 0 when that is not known
  */
 record PieceOutcome(PieceResult result, InetSocketAddress endpointAddress, String coordinator, long retryAfterMs) {
@@ -21,6 +21,10 @@
     }
 
     static PieceOutcome failed(PieceResult.Failure failure, long retryAfterMs) {
-        return new PieceOutcome(PieceResult.failed(failure), null, null, retryAfterMs);
+        return failed(failure, null, retryAfterMs);
+    }
+
+    static PieceOutcome failed(PieceResult.Failure failure, String coordinator, long retryAfterMs) {
+        return new PieceOutcome(PieceResult.failed(failure), null, coordinator, retryAfterMs);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -40,8 +40,15 @@
         /** All stages are done. */
         void stagesDone();
 
-        /** A stage failed; the request may be retried after the given time, 0 when that is not known. */
-        void stageFailed(StageSpec stage, PieceResult.Failure failure, long retryAfterMs);
+        /**
+         * A stage failed.
+         *
+         * @param stage the stage
+         * @param failure why it has no result
+         * @param coordinator box that failed it; null for this box
+         * @param retryAfterMs time after which the request may be retried, in ms; 0 when that is not known
+         */
+        void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, long retryAfterMs);
     }
 
     /** Tracks the pieces of one stage, which complete in any order. */
@@ -235,7 +242,7 @@
             pools.freer().free(outcome);
         } else if (!outcome.result().success()) {
             close();
-            listener.stageFailed(stage.spec, outcome.result().failure(), outcome.retryAfterMs());
+            listener.stageFailed(stage.spec, outcome.result().failure(), outcome.coordinator(), outcome.retryAfterMs());
         } else {
             stage.outcomes[task.piece().index()] = outcome;
             stage.remaining--;
--- a/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
@@ -90,11 +90,12 @@
     }
 
     @Override
-    public void stageFailed(StageSpec stage, PieceResult.Failure failure, long againMs) {
+    public void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, long againMs) {
         if (closed) {
             return;
         }
-        String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure;
+        String by = coordinator == null ? "this box" : coordinator;
+        String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure + ", by " + by;
         switch (failure) {
             case QUARANTINED -> owner.stagesFailed(Reason.QUARANTINED, detail, againMs);
             case NOT_IN_TIME -> owner.stagesFailed(Reason.DEADLINE_UNREACHABLE, detail, againMs);
