--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -21,6 +21,7 @@
 import org.wingstall.schema.check.SchemaCheck;
 import org.wingstall.schema.settings.RelaySettings;
 import org.wingstall.standin.fleet.CallerRequests;
+import org.wingstall.standin.fleet.EndpointLinks;
 import org.wingstall.standin.fleet.FleetStandin;
 
 /** A gateway in this process, and callers of it. */
@@ -42,7 +43,17 @@
     }
 
     RelayBox(FleetStandin fleet, String boxId) throws IOException, InvalidDocumentException, BindException {
-        settings = SchemaCheck.of(RelaySettings.class).read(Json.readYaml(fleet.settings(boxId, "east")));
+        this(fleet.settings(boxId, "east"));
+    }
+
+    /** Starts a gateway that calls endpoints by links of its own. */
+    RelayBox(FleetStandin fleet, String boxId, EndpointLinks links)
+            throws IOException, InvalidDocumentException, BindException {
+        this(fleet.settings(boxId, "east", links));
+    }
+
+    private RelayBox(String settingsText) throws InvalidDocumentException, BindException {
+        settings = SchemaCheck.of(RelaySettings.class).read(Json.readYaml(settingsText));
         gateway = RelayGateway.listening(settings);
         gateway.start();
     }
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -64,6 +64,7 @@
     private static final HttpLimits LIMITS = new HttpLimits(1 << 20, 1000, 10_000, 60_000);
 
     private final EventLoopGroup group = EventLoops.group("standins", 1);
+    private final EventLoopGroup linksGroup = EventLoops.group("endpoint-links", 1);
     private final StoreStandin store = new StoreStandin();
     private final HttpServer storeServer;
 
@@ -146,6 +147,16 @@
         return LOOPBACK + ":" + server.address().getPort();
     }
 
+    /**
+     * Returns the links of one box to all endpoints, which can be cut without those of other boxes.
+     *
+     * @throws BindException if no port can be had
+     */
+    public EndpointLinks linksOfOneBox() throws BindException {
+        EndpointLinks links = new EndpointLinks(linksGroup);
+        return links.withStoreAddress(addressOf(serve(store.withEndpointView(links::viewOf))));
+    }
+
     /** Returns the store's address. */
     public String storeAddress() {
         return addressOf(storeServer);
@@ -170,6 +181,19 @@
      * @throws IOException if no port can be had
      */
     public String settings(String boxId, String failureDomain) throws IOException {
+        return settings(boxId, failureDomain, storeAddress());
+    }
+
+    /**
+     * Returns the settings of a gateway that calls endpoints by links of its own.
+     *
+     * @throws IOException if no port can be had
+     */
+    public String settings(String boxId, String failureDomain, EndpointLinks links) throws IOException {
+        return settings(boxId, failureDomain, links.storeAddress());
+    }
+
+    private static String settings(String boxId, String failureDomain, String storeAddress) throws IOException {
         return String.join(
                 "\n",
                 "boxId: " + boxId,
@@ -178,7 +202,7 @@
                 "readinessAddress: " + freeAddress(),
                 "operatorAddress: " + freeAddress(),
                 "peerAddress: " + freeAddress(),
-                "storeAddress: " + storeAddress(),
+                "storeAddress: " + storeAddress,
                 "configWaitMs: 300",
                 "endpointIntervalMs: 100",
                 "retryBudgetRatio: 0.2",
@@ -239,5 +263,6 @@
     @Override
     public void close() {
         group.shutdownGracefully();
+        linksGroup.shutdownGracefully();
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -27,6 +28,7 @@
  * @since 0.2
  */
 public final class StoreStandin implements HttpHandler {
+    private static final String ENDPOINTS = "servers";
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -70,7 +72,7 @@
     /** The rows of all tables at a version. */
     private record Copy(Map<String, TreeMap<String, Change>> tables, long version) {}
 
-    private record Waiter(HttpCall call, String table, long after) {}
+    private record Waiter(HttpCall call, String table, long after, UnaryOperator<String> endpointView) {}
 
     /** Sets how the store answers from now on. */
     public void mode(Mode next) {
@@ -172,6 +174,15 @@
 
     @Override
     public void handle(HttpCall call) {
+        handle(call, UnaryOperator.identity());
+    }
+
+    /** Returns a handler of the same store that shows entries of endpoints in another way. */
+    public HttpHandler withEndpointView(UnaryOperator<String> endpointView) {
+        return call -> handle(call, endpointView);
+    }
+
+    private void handle(HttpCall call, UnaryOperator<String> endpointView) {
         calls.incrementAndGet();
         switch (mode) {
             case BUSY -> respond(call, BUSY_STATUS, new byte[0]);
@@ -179,14 +190,14 @@
                 // No answer is the fault.
             }
             case RESET -> call.abort();
-            case SERVING -> serve(call);
+            case SERVING -> serve(call, endpointView);
         }
     }
 
-    private void serve(HttpCall call) {
+    private void serve(HttpCall call, UnaryOperator<String> endpointView) {
         switch (call.path()) {
-            case "/v1/rows-get" -> respond(call, OK, Json.write(rows(call)));
-            case "/v1/rows-feed" -> feed(call);
+            case "/v1/rows-get" -> respond(call, OK, Json.write(rows(call, endpointView)));
+            case "/v1/rows-feed" -> feed(call, endpointView);
             case "/v1/rows-tx" -> write(call);
             default -> respond(call, NOT_FOUND, new byte[0]);
         }
@@ -206,7 +217,7 @@
         hidden.add(table);
     }
 
-    private synchronized ObjectNode rows(HttpCall call) {
+    private synchronized ObjectNode rows(HttpCall call, UnaryOperator<String> endpointView) {
         String name = call.query("table", "");
         TreeMap<String, Change> table =
                 hidden.contains(name) ? new TreeMap<>() : tables.getOrDefault(name, new TreeMap<>());
@@ -214,10 +225,10 @@
         List<Change> found = table.tailMap(call.query("source", "")).values().stream()
                 .limit(limit + 1L)
                 .toList();
-        return document(found.stream().limit(limit).toList(), found.size() > limit);
+        return document(found.stream().limit(limit).toList(), found.size() > limit, endpointView);
     }
 
-    private ObjectNode document(List<Change> changes, boolean more) {
+    private ObjectNode document(List<Change> changes, boolean more, UnaryOperator<String> endpointView) {
         ObjectNode document = Json.MAPPER.createObjectNode();
         ArrayNode rows = document.putArray("rows");
         for (Change change : changes) {
@@ -229,7 +240,9 @@
             if (change.value() == null) {
                 row.put("removed", true);
             } else {
-                byte[] value = change.value().getBytes(StandardCharsets.UTF_8);
+                boolean endpoint = change.table().equals(ENDPOINTS);
+                String shown = endpoint ? endpointView.apply(change.value()) : change.value();
+                byte[] value = shown.getBytes(StandardCharsets.UTF_8);
                 row.put("value", Base64.getEncoder().encodeToString(value));
             }
         }
@@ -238,10 +251,10 @@
                 .put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + aheadMs.get());
     }
 
-    private synchronized void feed(HttpCall call) {
+    private synchronized void feed(HttpCall call, UnaryOperator<String> endpointView) {
         String table = call.query("table", "");
         long after = Long.parseLong(call.query("after_revision", "0"));
-        Waiter waiter = new Waiter(call, table, after);
+        Waiter waiter = new Waiter(call, table, after, endpointView);
         if (after < historyAfter || after > version) {
             respondGone(call);
         } else if (!changesAfter(waiter).isEmpty()) {
@@ -261,7 +274,7 @@
 
     private synchronized void answerChanges(Waiter waiter) {
         waiters.remove(waiter);
-        respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false)));
+        respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false, waiter.endpointView())));
     }
 
     /** Writes a row as a box does; nobody else repeats it after a restore. */
@@ -279,7 +292,7 @@
                         row.path("private_key").asText(),
                         new String(value, StandardCharsets.UTF_8));
             }
-            respond(call, OK, Json.write(document(List.of(), false)));
+            respond(call, OK, Json.write(document(List.of(), false, UnaryOperator.identity())));
         } catch (InvalidDocumentException e) {
             respond(call, BAD_REQUEST, e.getMessage().getBytes(StandardCharsets.UTF_8));
         }
--- a/standin/src/main/java/org/wingstall/standin/proxy/Route.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/Route.java
@@ -10,6 +10,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
@@ -26,9 +27,13 @@
     private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile Faults faults = Faults.NONE;
 
+    private final EventLoopGroup group;
+    private volatile Channel listener;
+    private UnansweredPort unanswered;
     private InetSocketAddress address;
 
-    private Route(InetSocketAddress target) {
+    private Route(EventLoopGroup group, InetSocketAddress target) {
+        this.group = group;
         this.target = target;
     }
 
@@ -42,7 +47,12 @@
      */
     public static Route open(EventLoopGroup group, InetSocketAddress listen, InetSocketAddress target)
             throws BindException {
-        Route route = new Route(target);
+        Route route = new Route(group, target);
+        route.listen(listen);
+        return route;
+    }
+
+    private void listen(InetSocketAddress listen) throws BindException {
         ChannelFuture bound = new ServerBootstrap()
                 .group(group)
                 .channel(EventLoops.serverChannel())
@@ -52,7 +62,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new Relay(route));
+                        channel.pipeline().addLast(new Relay(Route.this));
                     }
                 })
                 .bind(listen)
@@ -60,8 +70,42 @@
         if (!bound.isSuccess()) {
             throw new BindException(listen, bound.cause());
         }
-        route.address = (InetSocketAddress) bound.channel().localAddress();
-        return route;
+        listener = bound.channel();
+        address = (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Refuses new connections from now on; open ones stay. */
+    public void refuseConnections() {
+        listener.close().awaitUninterruptibly();
+    }
+
+    /**
+     * Lets new connections hang from now on; open ones stay.
+     *
+     * @throws IOException if the port can't be had
+     */
+    public void leaveConnectionsUnanswered() throws IOException {
+        refuseConnections();
+        unanswered = UnansweredPort.open(address);
+    }
+
+    /**
+     * Takes new connections again.
+     *
+     * @throws IOException if the port can't be had
+     */
+    public void acceptConnections() throws IOException {
+        if (unanswered != null) {
+            unanswered.close();
+            unanswered = null;
+        }
+        if (!listener.isOpen()) {
+            try {
+                listen(address);
+            } catch (BindException e) {
+                throw new IOException(e);
+            }
+        }
     }
 
     /** Returns where the route takes connections. */
