Coordinate a service only at boxes that reach its endpoints

Cause: the coordinator of a service is chosen by rendezvous hashing among all boxes that are heard, and nothing asks whether it reaches the endpoints. A box that lost its links queued the pieces of the whole fleet, called nobody, and forecast from that for all.

Heartbeats now name the services of which a box reaches fewer than half of the endpoints, at once when this changes; coordinators are taken from those that reach more, or from all if none does, because then the service has failed and splitting its work helps nobody. A service counts as reached again after a second without interruption, so that two coordinators don't alternate. Reports about an engine count only from boxes that reach most engines of its service. Boxes of earlier versions tell nothing and count as reaching all.

--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -115,7 +115,8 @@
                 0,
                 null,
                 0,
-                0);
+                0,
+                null);
     }
 
     private void updateLimits() {
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -17,7 +17,6 @@
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.Listener;
-import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpLimits;
@@ -34,10 +33,8 @@
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeerHost;
 import org.wingstall.relay.control.RelayState;
-import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.EndpointReports;
 import org.wingstall.relay.endpoint.LeastLoaded;
-import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SilenceWatch;
 import org.wingstall.relay.engine.EngineSelector;
@@ -46,7 +43,6 @@
 import org.wingstall.relay.pool.CoordinatorSelector;
 import org.wingstall.relay.pool.PoolContext;
 import org.wingstall.relay.pool.PoolPolicies;
-import org.wingstall.relay.pool.RendezvousCoordinatorSelector;
 import org.wingstall.relay.pool.StagePools;
 import org.wingstall.relay.run.RelayContext;
 import org.wingstall.relay.run.RelayHandler;
@@ -82,9 +78,6 @@
     /** Pause between looks whether both are there, in ms; a tenth of the time that they usually take. */
     private static final long KNOWN_CHECK_MS = 5;
 
-    /** Interval between two counts of the endpoints that are reached, in ms. */
-    private static final long REACH_INTERVAL_MS = 200;
-
     /** Longest wait for threads to end, in ms. */
     private static final long CLOSE_MS = 2000;
 
@@ -97,7 +90,7 @@
     private final RelayState state = new RelayState();
     private final EvacuationState evacuations = new EvacuationState(clock, this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
-    private final EndpointReach reach = new EndpointReach(endpoints, RelayEndpoint::responding, clock);
+    private final EndpointAccess access;
     private final RelayMetrics metrics = new RelayMetrics();
     private final ServiceRetryBudgets budgets;
     private final PeerMesh mesh;
@@ -132,16 +125,23 @@
         EventLoop loop = requests.next();
         EndpointProtocol wire = new PlatformEndpointWire();
         this.budgets = new ServiceRetryBudgets(budgetPart(settings, LEAST_BOXES));
+        this.access = new EndpointAccess(settings.getBoxId(), endpoints, clock);
         this.mesh = new PeerMesh(
                 PeerSettings.of(settings),
-                new RelayPeerHost(state, evacuations, () -> stopping, this::newerConfigHeard, this::listFollower),
+                new RelayPeerHost(
+                        state,
+                        evacuations,
+                        () -> stopping,
+                        this::newerConfigHeard,
+                        this::listFollower,
+                        access::poorlyReached),
                 loop,
                 clock);
+        access.attach(mesh);
         this.crashes =
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         crashes.setLossListener(endpoints::recordReportedLoss);
-        CoordinatorSelector gathering = new RendezvousCoordinatorSelector(
-                settings.getBoxId(), () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries);
+        CoordinatorSelector gathering = access.coordinators();
         this.limits = new RequestLimits(
                 () -> this.settings,
                 loop,
@@ -157,17 +157,7 @@
         mesh.pieces().attach(pools);
         this.silence = silenceWatch(loop, reports);
         silence.start();
-        this.engines = new EngineSelector(
-                loop,
-                clock,
-                mesh.engines(),
-                gathering,
-                endpoints,
-                service -> state.config().service(service).flatMap(ServiceSpec::engine),
-                limits.sends(),
-                engine -> silence.checkSuspect(engine, () -> {}),
-                limits.answers()::limited,
-                metrics);
+        this.engines = engineSelector(loop, gathering);
         mesh.attach(engines);
         this.handler = new RelayHandler(requestParts(loop, wire), this::known);
         this.store = new StoreFollowers(
@@ -207,6 +197,20 @@
                 gathering);
     }
 
+    private EngineSelector engineSelector(EventLoop loop, CoordinatorSelector gathering) {
+        return new EngineSelector(
+                loop,
+                clock,
+                mesh.engines(),
+                gathering,
+                endpoints,
+                service -> state.config().service(service).flatMap(ServiceSpec::engine),
+                limits.sends(),
+                engine -> silence.checkSuspect(engine, () -> {}),
+                limits.answers()::limited,
+                metrics);
+    }
+
     private SilenceWatch silenceWatch(EventLoop loop, EndpointReports reports) {
         return new SilenceWatch(
                 loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
@@ -280,7 +284,7 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
-        PeriodicTask.start(requests.next(), "endpoint-reach", () -> REACH_INTERVAL_MS, reach::update);
+        access.start(requests.next());
         store.start();
         long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
         control.execute(() -> acceptWhenKnown(patientUntilMs));
@@ -299,7 +303,7 @@
                 rejection -> new byte[0]);
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
-        gauges.ofReach(reach);
+        gauges.ofReach(access.reach());
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
         gauges.ofFleet(mesh, crashes, limits.stated());
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -16,6 +16,8 @@
 import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
+import org.wingstall.schema.peer.TunnelReply;
+import org.wingstall.schema.peer.TunnelRequest;
 
 /**
  * Wraps messages between gateways into frames.
@@ -47,6 +49,8 @@
         private boolean stageTaken;
         private CrashNews crashNews;
         private LimitNews limitNews;
+        private TunnelRequest tunnelRequest;
+        private TunnelReply tunnelReply;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -71,7 +75,9 @@
                     engineOutcome,
                     stageTaken,
                     crashNews,
-                    limitNews);
+                    limitNews,
+                    tunnelRequest,
+                    tunnelReply);
         }
     }
 
@@ -172,6 +178,18 @@
         return parts.frame();
     }
 
+    static PeerFrame tunnelRequest(TunnelRequest request) {
+        Parts parts = new Parts(0);
+        parts.tunnelRequest = request;
+        return parts.frame();
+    }
+
+    static PeerFrame tunnelReply(TunnelReply reply) {
+        Parts parts = new Parts(0);
+        parts.tunnelReply = reply;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- a/peer/src/main/java/org/wingstall/peer/Heartbeats.java
+++ b/peer/src/main/java/org/wingstall/peer/Heartbeats.java
@@ -93,7 +93,8 @@
                 own.getEvacuatedAsOf(),
                 own.getEvacuated(),
                 own.getListEra(),
-                own.getEvacuatedEra());
+                own.getEvacuatedEra(),
+                own.getPoorlyReached());
     }
 
     /**
--- a/peer/src/main/java/org/wingstall/peer/PeerState.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerState.java
@@ -1,6 +1,7 @@
 package org.wingstall.peer;
 
 import java.util.List;
+import java.util.Set;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.WorkspaceDemand;
 
@@ -14,6 +15,7 @@
  * @param tableUnheard whether the platform's table gives it no answers
  * @param listTag tag of the membership list that it read lately; 0 when it read none
  * @param demand requests a second by limited workspace there
+ * @param poorlyReached services of which it reaches fewer than half of the endpoints
  * @since 0.1
  */
 public record PeerState(
@@ -23,7 +25,8 @@
         boolean stopping,
         boolean tableUnheard,
         int listTag,
-        List<WorkspaceDemand> demand) {
+        List<WorkspaceDemand> demand,
+        Set<String> poorlyReached) {
     /** Returns whether the peer was heard lately. */
     boolean heardSince(long sinceMs) {
         return heardAtMs >= sinceMs;
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -62,7 +62,8 @@
                 heartbeat.isStopping(),
                 heartbeat.isTableUnheard(),
                 heartbeat.getListTag(),
-                demand);
+                demand,
+                heartbeat.getPoorlyReached() == null ? Set.of() : Set.copyOf(heartbeat.getPoorlyReached()));
         byBox.put(hello.getBoxId(), state);
     }
 
@@ -116,6 +117,12 @@
         return peer != null && heard(peer);
     }
 
+    /** Returns whether a peer reaches the endpoints of a service, as far as it has told. */
+    public boolean reaches(String boxId, String service) {
+        PeerState peer = byBox.get(boxId);
+        return peer == null || !peer.poorlyReached().contains(service);
+    }
+
     /**
      * Returns the other failure domains of which boxes are known and none is heard. Boxes that are heard seldom don't count:
      * their silence would show seconds later.
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -32,6 +32,8 @@
 import org.wingstall.schema.peer.StagePiece;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
+import org.wingstall.schema.peer.TunnelReply;
+import org.wingstall.schema.peer.TunnelRequest;
 import org.wingstall.schema.peer.WorkspaceDemand;
 import org.wingstall.schema.platform.Member;
 
@@ -52,7 +54,8 @@
             LARGE,
             List.of("kgn-a", "spt-c"),
             3,
-            LARGE);
+            LARGE,
+            List.of("pay-ledger"));
 
     private static final StageWork STAGE_WORK = new StageWork(
             "pay-ledger",
@@ -69,7 +72,10 @@
                 "e1", Member.Kind.ENDPOINT, "kgn-a", "10.1.0.1:80", "llm", null, Member.State.LEAVING, LARGE, 64, 2900);
         return new Object[][] {
             {"hello", frame(1, 0, new Hello("kgn-a-1", "kgn-a", "10.1.0.1:7741", LARGE, 36))},
-            {"heartbeat", frame(2, 0, new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE, 0, null, 0, 0))},
+            {
+                "heartbeat",
+                frame(2, 0, new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE, 0, null, 0, 0, null))
+            },
             {"whole heartbeat", frame(2, 0, WHOLE_HEARTBEAT)},
             {"configRequest", frame(3, 9, new ConfigRequest(12))},
             {"configReply", frame(4, 9, new ConfigReply(7, true, List.of(), List.of(member), "tag"))},
@@ -98,19 +104,22 @@
             {"stageTaken", frame(15, 8, true)},
             {"crashNews", frame(16, 0, CRASH_NEWS)},
             {"limitNews", frame(17, 0, new LimitNews("e1@1", 3, 0.3, "kgn-a-1"))},
+            {"tunnelRequest", frame(18, 0, new TunnelRequest("e1", LARGE))},
+            {"tunnelReply", frame(19, 0, new TunnelReply(true, null))},
+            {"tunnelRefused", frame(19, 0, new TunnelReply(false, "the endpoint is not reached"))},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
             {
                 "withdrawn",
                 new PeerFrame(
                         4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false,
-                        null, null)
+                        null, null, null, null)
             },
         };
     }
 
     /** Makes a frame with one part, given the part's place among the properties. */
     private static PeerFrame frame(int place, long correlation, Object part) {
-        Object[] parts = new Object[18];
+        Object[] parts = new Object[20];
         parts[place] = part;
         return new PeerFrame(
                 correlation,
@@ -130,7 +139,9 @@
                 (EngineOutcome) parts[14],
                 parts[15] != null,
                 (CrashNews) parts[16],
-                (LimitNews) parts[17]);
+                (LimitNews) parts[17],
+                (TunnelRequest) parts[18],
+                (TunnelReply) parts[19]);
     }
 
     @Test(dataProvider = "frames")
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
@@ -15,7 +15,7 @@
  * Connects a box to its peer links: sends its versions, evacuations, list and stopping state, and applies those of
  * peers.
  *
- * <p>{@code new RelayPeerHost(state, evacuations, stopping, follower::onNewerVersion, () -> list)}
+ * <p>{@code new RelayPeerHost(state, evacuations, stopping, follower::onNewerVersion, () -> list, reach::poorlyReached)}
  *
  * @since 0.2
  */
@@ -25,6 +25,7 @@
     private final BooleanSupplier stopping;
     private final LongConsumer newerVersionListener;
     private final Supplier<ListFollower> listFollower;
+    private final Supplier<Set<String>> poorlyReached;
 
     /**
      * Creates the host.
@@ -34,18 +35,21 @@
      * @param stopping whether a planned stop has begun
      * @param newerVersionListener receives versions of the configuration that peers have and this box lacks
      * @param listFollower follower of the endpoint list
+     * @param poorlyReached services of which this box reaches fewer than half of the endpoints
      */
     public RelayPeerHost(
             RelayState state,
             EvacuationState evacuations,
             BooleanSupplier stopping,
             LongConsumer newerVersionListener,
-            Supplier<ListFollower> listFollower) {
+            Supplier<ListFollower> listFollower,
+            Supplier<Set<String>> poorlyReached) {
         this.state = state;
         this.evacuations = evacuations;
         this.stopping = stopping;
         this.newerVersionListener = newerVersionListener;
         this.listFollower = listFollower;
+        this.poorlyReached = poorlyReached;
     }
 
     @Override
@@ -58,6 +62,7 @@
         ListFollower follower = listFollower.get();
         Evacuations evacuated = evacuations.asRead();
         Set<String> domains = evacuated.failureDomains();
+        Set<String> poor = poorlyReached.get();
         return new Heartbeat(
                 revision(),
                 stopping.getAsBoolean(),
@@ -70,7 +75,8 @@
                 evacuated.asOfVersion().number(),
                 domains.isEmpty() ? null : List.copyOf(domains),
                 follower.listVersion().era(),
-                evacuated.asOfVersion().era());
+                evacuated.asOfVersion().era(),
+                poor.isEmpty() ? null : List.copyOf(poor));
     }
 
     @Override
--- a/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReach.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/EndpointReach.java
@@ -23,6 +23,9 @@
 public final class EndpointReach {
     private static final Logger LOG = LogManager.getLogger(EndpointReach.class);
 
+    /** Time for which a service has to be better reached before this counts, in ms, so that choices don't alternate. */
+    private static final long BETTER_AFTER_MS = 1000;
+
     private final RelayEndpoints endpoints;
     private final Predicate<RelayEndpoint> reached;
     private final MonotonicClock clock;
@@ -46,7 +49,25 @@
         }
     }
 
-    private record State(Extent extent, long sinceMs) {}
+    /** What counts at present, since when, and since when the service has been better reached than that. */
+    private record State(Extent extent, long sinceMs, long betterSinceMs) {
+        private static final long NEVER = Long.MAX_VALUE;
+
+        static State of(Extent extent, long nowMs) {
+            return new State(extent, nowMs, NEVER);
+        }
+
+        State next(Extent counted, long nowMs) {
+            if (counted == extent) {
+                return new State(extent, sinceMs, NEVER);
+            }
+            long betterMs = Math.min(betterSinceMs, nowMs);
+            boolean better = counted.compareTo(extent) > 0;
+            return better && nowMs - betterMs < BETTER_AFTER_MS
+                    ? new State(extent, sinceMs, betterMs)
+                    : of(counted, nowMs);
+        }
+    }
 
     /**
      * Creates a tracker that takes all services for reached until the first update.
@@ -87,19 +108,17 @@
 
     private void update(String service, List<RelayEndpoint> listed) {
         long count = listed.stream().filter(reached).count();
-        Extent extent = Extent.of(count, listed.size());
-        State before = states.getOrDefault(service, new State(Extent.MOST, clock.nowMs()));
-        if (extent != before.extent()) {
+        State before = states.computeIfAbsent(service, name -> State.of(Extent.MOST, clock.nowMs()));
+        State after = before.next(Extent.of(count, listed.size()), clock.nowMs());
+        states.put(service, after);
+        if (after.extent() != before.extent()) {
             LogEvent.warn("endpoints-reached")
                     .with("service", service)
-                    .with("extent", extent.name().toLowerCase(Locale.ROOT))
+                    .with("extent", after.extent().name().toLowerCase(Locale.ROOT))
                     .with("reached", count)
                     .with("listed", listed.size())
                     .with("formerExtentForMs", clock.nowMs() - before.sinceMs())
                     .to(LOG);
-            states.put(service, new State(extent, clock.nowMs()));
-        } else {
-            states.putIfAbsent(service, before);
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
@@ -334,6 +334,8 @@
                     .find(id)
                     .filter(engine -> !limits.limited(engine))
                     .ifPresent(engine -> loadBalancer.recordFirstAnswer(engine, estimate, outcome.getFirstAnswerMs()));
+        } else if (!reportsReliably(boxId, id)) {
+            metrics.recordEngineChoice("report-ignored");
         } else if (unreachableReports.confirms(id, boxId)) {
             endpoints.find(id).ifPresent(endpoint -> endpoint.recordNoAnswer("two boxes could not reach it"));
         } else {
@@ -341,6 +343,14 @@
         }
     }
 
+    /** Returns whether a box that could not reach an engine reaches most of the others of its service. */
+    private boolean reportsReliably(String boxId, String engineId) {
+        return endpoints
+                .find(engineId)
+                .map(engine -> coordinators.reaches(boxId, engine.identity().service()))
+                .orElse(true);
+    }
+
     /** Removes the data of engines that are no longer listed. */
     public void endpointsChanged() {
         loadBalancer.retain(endpoints.all().stream().map(RelayEndpoint::id).collect(Collectors.toSet()));
--- a/relay/src/main/java/org/wingstall/relay/pool/CoordinatorSelector.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CoordinatorSelector.java
@@ -19,4 +19,9 @@
      * @return identifier of another box, or null when this box is the coordinator
      */
     String coordinatorOf(String service);
+
+    /** Returns whether a box reaches the endpoints of a service well enough to act on them for other boxes. */
+    default boolean reaches(String boxId, String service) {
+        return true;
+    }
 }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
@@ -41,7 +41,7 @@
                         @Override
                         public void announce(MemberNews news) {}
                     });
-            peers = new RelayPeerHost(new RelayState(), evacuations, () -> false, version -> {}, () -> list);
+            peers = new RelayPeerHost(new RelayState(), evacuations, () -> false, version -> {}, () -> list, Set::of);
         }
 
         Set<String> evacuated() {
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineSelectorTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineSelectorTest.java
@@ -27,6 +27,7 @@
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SendLimits;
 import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.pool.CoordinatorSelector;
 import org.wingstall.relay.wire.RelayRequest.PromptPart;
 import org.wingstall.schema.peer.EngineAsk;
 import org.wingstall.schema.peer.EngineChoice;
@@ -71,7 +72,17 @@
                 loop,
                 System::nanoTime,
                 this,
-                service -> "hub",
+                new CoordinatorSelector() {
+                    @Override
+                    public String coordinatorOf(String service) {
+                        return "hub";
+                    }
+
+                    @Override
+                    public boolean reaches(String boxId, String service) {
+                        return !boxId.startsWith("cut");
+                    }
+                },
                 endpoints,
                 service -> Optional.empty(),
                 limits,
@@ -207,6 +218,16 @@
         assertFalse(engine.usable());
     }
 
+    /** Boxes without links to most engines took each of them away from all other boxes. */
+    @Test
+    public void reportsOfBoxesThatReachFewEnginesAreIgnored() {
+        RelayEndpoint engine = endpoints.find("a").orElseThrow();
+        broker.ended("cut-1", new EngineOutcome("a", 80, -1, 0, 100));
+        broker.ended("cut-2", new EngineOutcome("a", 80, -1, 0, 100));
+        assertTrue(engine.usable());
+        assertEquals(suspects, List.of());
+    }
+
     /** Engines that are listed after the first list have just started. */
     private void startColdEngines() {
         coldSpec = Optional.of(new ColdStartSpec(60_000, 4));
