Connect to endpoints through another box while the direct path is lost

Cause: a box took every endpoint that it could not reach itself for one that has failed, and had no other way to it.

A connection to an endpoint that does not come up within 75 ms, or is refused, is now tried through up to three boxes as well, and the first connection wins. A tunnel is a connection of its own to the mesh's address of the other box, whose first frame names the endpoint by its incarnation; that box connects straight to it or refuses, so there is one box on the way at most. All decisions stay with the box that took the request (choice, limits, budgets, deadline, at most once); only the transport differs. A path counts as lost after two direct failures in a row beside a connection through another box, which shows that the endpoint is there; then idle connections are closed, calls for pieces and repeatable requests are moved, and all other paths are tried. Lost paths are tried again each 250 ms. Bytes in a tunnel are length-prefixed, and an empty frame is the orderly end: the loss of the box on the way must not make an answer that ends with its connection look whole. A connection lost in a tunnel is no evidence that a request crashed the endpoint. A stopping box waits for its tunnels; others close their idle ones through it.

Weighed: passing whole requests on (limits, budgets, quarantine and at-most-once on two boxes); calling oneself not ready (open connections remain, and a failure domain cut whole gains nothing); the tunnel was taken.

Open: in a silent cut coordination moved to two more boxes that did not know yet that they were cut.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -1,33 +1,91 @@
 package org.wingstall.gateway.relay;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.util.Set;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
+import org.wingstall.net.http.Connector;
+import org.wingstall.net.http.DirectConnector;
+import org.wingstall.net.http.HttpClient;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.path.Detours;
+import org.wingstall.relay.path.EndpointPaths;
+import org.wingstall.relay.path.PathConnector;
 import org.wingstall.relay.pool.CoordinatorSelector;
 import org.wingstall.relay.pool.RendezvousCoordinatorSelector;
+import org.wingstall.schema.settings.RelaySettings;
 
-/** Follows which endpoints this box reaches, and tells the other boxes. Confined to the request loop. */
+/**
+ * Leads to the endpoints: directly, or through other boxes while direct paths are lost. Tells the other boxes which
+ * services this box reaches. Confined to the request loop.
+ */
 final class EndpointAccess {
     /** Interval between two counts of the endpoints that are reached, in ms; short compared with a heartbeat. */
     private static final long REACH_INTERVAL_MS = 50;
 
     private final String self;
+    private final EventLoop loop;
+    private final PeerMesh mesh;
+    private final RelayEndpoints endpoints;
+    private final EndpointPaths paths;
     private final EndpointReach reach;
-    private PeerMesh mesh;
+    private final HttpClient client;
 
-    EndpointAccess(String self, RelayEndpoints endpoints, MonotonicClock clock) {
-        this.self = self;
-        this.reach = new EndpointReach(endpoints, RelayEndpoint::responding, clock);
+    /**
+     * Creates direct access to all endpoints.
+     *
+     * @param settings settings of the process
+     * @param loop the request loop
+     * @param clock monotonic clock
+     * @param mesh links to the other boxes
+     * @param endpoints endpoints of all services
+     * @param onPathLost receives an endpoint whose direct path is lost, so that its work is moved
+     */
+    EndpointAccess(
+            RelaySettings settings,
+            EventLoop loop,
+            MonotonicClock clock,
+            PeerMesh mesh,
+            RelayEndpoints endpoints,
+            Consumer<RelayEndpoint> onPathLost) {
+        this.self = settings.getBoxId();
+        this.loop = loop;
+        this.mesh = mesh;
+        this.endpoints = endpoints;
+        Connector direct = new DirectConnector();
+        Detours detours = new PeerDetours(settings.getFailureDomain(), mesh, new Random());
+        this.paths = new EndpointPaths(loop, clock, endpoints, direct, detours, endpoint -> {
+            directPathLost(endpoint);
+            onPathLost.accept(endpoint);
+        });
+        this.client = new HttpClient(new PathConnector(clock, endpoints, paths, direct, detours));
+        this.reach = new EndpointReach(endpoints, endpoint -> endpoint.responding() && !paths.lost(endpoint), clock);
+        mesh.tunnels().attach(this::tunnelTarget);
     }
 
-    /** Sets the links to the other boxes; before the start. */
-    void attach(PeerMesh peerMesh) {
-        mesh = peerMesh;
+    private void directPathLost(RelayEndpoint endpoint) {
+        client.directPathLost(loop, endpoint.identity().address());
+    }
+
+    /** Other boxes are connected only with endpoints that this box reaches itself and that take new work. */
+    private Optional<InetSocketAddress> tunnelTarget(String endpointId, long incarnation) {
+        return endpoints
+                .find(endpointId)
+                .filter(endpoint -> endpoint.identity().incarnation() == incarnation)
+                .filter(endpoint -> !endpoint.state().leaving() && !paths.lost(endpoint))
+                .map(endpoint -> endpoint.identity().address());
+    }
+
+    /** Returns the client for calls to endpoints. */
+    HttpClient client() {
+        return client;
     }
 
     /** Returns a selector of coordinators among the boxes that reach the endpoints of a service. */
@@ -37,7 +95,8 @@
     }
 
     /** Starts to follow and to tell. */
-    void start(EventLoop loop) {
+    void start() {
+        paths.start();
         PeriodicTask.start(loop, "endpoint-reach", () -> REACH_INTERVAL_MS, this::update);
     }
 
@@ -46,19 +105,30 @@
         if (reach.update()) {
             mesh.beatNow();
         }
+        client.closeIdle(loop, this::leadsThroughStoppingBox);
+    }
+
+    private boolean leadsThroughStoppingBox(Channel channel) {
+        String boxId = channel.attr(Connector.VIA_BOX).get();
+        return boxId != null && !mesh.peers().serving().contains(boxId);
+    }
+
+    /** Tries the direct path to an endpoint that did not respond. */
+    void check(RelayEndpoint endpoint) {
+        paths.check(endpoint);
     }
 
     EndpointReach reach() {
         return reach;
     }
 
-    /** Returns the services that this box reaches poorly; can be read on any thread. */
-    Set<String> poorlyReached() {
-        return reach.poorlyReached();
+    /** Returns the number of endpoints whose direct path is lost. */
+    int lostPaths() {
+        return paths.lostPaths();
     }
 
     /** Returns whether a box, this one included, reaches the endpoints of a service. */
-    boolean reaches(String boxId, String service) {
+    private boolean reaches(String boxId, String service) {
         return boxId.equals(self)
                 ? !reach.poorlyReached().contains(service)
                 : mesh.peers().reaches(boxId, service);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/PlannedStop.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/PlannedStop.java
@@ -38,7 +38,7 @@
         this.handler = handler;
     }
 
-    /** Returns when the last connection of a caller has ended, or the grace is nearly over. */
+    /** Returns when the last connection of a caller or through this box has ended, or the grace is nearly over. */
     void run(RelaySettings settings) {
         long graceMs = Math.round(settings.getStopGraceSeconds() * TimeUnit.SECONDS.toMillis(1));
         long untilMs = clock.nowMs() + graceMs - MARGIN_MS;
@@ -48,7 +48,7 @@
         waitUntil(clock.nowMs() + settings.getStopNoticeMs(), () -> false);
         callers.close();
         callers.drain();
-        waitUntil(untilMs, () -> callers.connections() == 0);
+        waitUntil(untilMs, () -> callers.connections() == 0 && mesh.tunnels().carried() == 0);
         LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
         mesh.close();
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -35,6 +35,7 @@
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.EndpointReports;
 import org.wingstall.relay.endpoint.LeastLoaded;
+import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.endpoint.SilenceWatch;
 import org.wingstall.relay.engine.EngineSelector;
@@ -125,7 +126,6 @@
         EventLoop loop = requests.next();
         EndpointProtocol wire = new PlatformEndpointWire();
         this.budgets = new ServiceRetryBudgets(budgetPart(settings, LEAST_BOXES));
-        this.access = new EndpointAccess(settings.getBoxId(), endpoints, clock);
         this.mesh = new PeerMesh(
                 PeerSettings.of(settings),
                 new RelayPeerHost(
@@ -134,10 +134,10 @@
                         () -> stopping,
                         this::newerConfigHeard,
                         this::listFollower,
-                        access::poorlyReached),
+                        () -> access().reach().poorlyReached()),
                 loop,
                 clock);
-        access.attach(mesh);
+        this.access = new EndpointAccess(settings, loop, clock, mesh, endpoints, this::moveWork);
         this.crashes =
                 CrashReports.over(settings.getBoxId(), mesh.crashes(), loop, clock, report -> store().keep(report));
         crashes.setLossListener(endpoints::recordReportedLoss);
@@ -152,7 +152,7 @@
                 () -> store().boxesSettled(),
                 endpoints,
                 metrics);
-        EndpointReports reports = new EndpointReports(loop, client, wire, metrics, limits.answers());
+        EndpointReports reports = new EndpointReports(loop, access.client(), wire, metrics, limits.answers());
         this.pools = stagePools(loop, wire, reports, gathering);
         mesh.pieces().attach(pools);
         this.silence = silenceWatch(loop, reports);
@@ -182,7 +182,7 @@
                 new PoolContext(
                         loop,
                         clock,
-                        client,
+                        access.client(),
                         wire,
                         reports,
                         endpoints,
@@ -213,7 +213,7 @@
 
     private SilenceWatch silenceWatch(EventLoop loop, EndpointReports reports) {
         return new SilenceWatch(
-                loop, clock, endpoints, reports, this::answersReports, pools::abandon, () -> mesh.peers()
+                loop, clock, endpoints, reports, this::answersReports, access::check, pools::abandon, () -> mesh.peers()
                         .doubtfulDomains());
     }
 
@@ -222,7 +222,7 @@
                 loop,
                 clock,
                 random,
-                client,
+                access.client(),
                 new PlatformCallerWire(),
                 wire,
                 state::config,
@@ -260,6 +260,14 @@
         engines.endpointsChanged();
     }
 
+    private void moveWork(RelayEndpoint endpoint) {
+        pools.abandon(endpoint);
+    }
+
+    private EndpointAccess access() {
+        return access;
+    }
+
     private StoreFollowers store() {
         return store;
     }
@@ -284,7 +292,7 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
-        access.start(requests.next());
+        access.start();
         store.start();
         long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
         control.execute(() -> acceptWhenKnown(patientUntilMs));
@@ -303,7 +311,7 @@
                 rejection -> new byte[0]);
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
-        gauges.ofReach(access.reach());
+        gauges.ofReach(access);
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
         gauges.ofFleet(mesh, crashes, limits.stated());
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -6,7 +6,6 @@
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.RelayState;
-import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.pool.StagePools;
@@ -30,10 +29,12 @@
     }
 
     /** Shows which endpoints it reaches. */
-    void ofReach(EndpointReach reach) {
-        metrics.gauge("wingstall.endpoints.reached", reach::reachedEndpoints);
+    void ofReach(EndpointAccess access) {
+        metrics.gauge("wingstall.endpoints.paths.lost", access::lostPaths);
+        metrics.gauge("wingstall.endpoints.reached", access.reach()::reachedEndpoints);
         metrics.gauge(
-                "wingstall.services.poorly.reached", () -> reach.poorlyReached().size());
+                "wingstall.services.poorly.reached",
+                () -> access.reach().poorlyReached().size());
     }
 
     /** Shows what it knows of the platform's store. */
@@ -51,6 +52,7 @@
     /** Shows what it shares with other boxes. */
     void ofFleet(PeerMesh mesh, CrashReports crashes, AdvertisedLimits limits) {
         metrics.gauge("wingstall.endpoints.limited", () -> limits.activeLimits().size());
+        metrics.gauge("wingstall.tunnels.carried", mesh.tunnels()::carried);
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
         metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().quarantinedCount());
         metrics.gauge("wingstall.losses.after.end", crashes::lossesAfterEnd);
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -1,19 +1,18 @@
 package org.wingstall.net.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import org.wingstall.net.EventLoops;
+import java.util.function.Predicate;
 
 /**
  * An HTTP/1.1 client that keeps connections for each event loop; a call and its answer stay on one loop.
@@ -26,6 +25,22 @@
     private static final int KEPT_PER_ADDRESS = 32;
 
     private final Map<EventLoop, Map<InetSocketAddress, ArrayDeque<Channel>>> kept = new ConcurrentHashMap<>();
+    private final Map<EventLoop, Map<InetSocketAddress, Set<HttpExchange>>> active = new ConcurrentHashMap<>();
+    private final Connector connector;
+
+    /** Creates a client that connects straight to each address. */
+    public HttpClient() {
+        this(new DirectConnector());
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param connector opens its connections
+     */
+    public HttpClient(Connector connector) {
+        this.connector = connector;
+    }
 
     /**
      * Sends a request.
@@ -85,27 +100,66 @@
     }
 
     private void connect(EventLoop loop, InetSocketAddress address, int connectTimeoutMs, HttpExchange exchange) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(EventLoops.clientChannel())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec()).addLast(new ExchangeHandler());
-                    }
-                });
-        EventLoops.noticeSilence(bootstrap::option);
-        bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture connected) -> {
-            if (connected.isSuccess()) {
-                exchange.start(connected.channel());
-            } else {
-                exchange.connectFailed(connected.cause());
+        connector.connect(loop, address, connectTimeoutMs, new Connector.Listener() {
+            @Override
+            public void connected(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec()).addLast(new ExchangeHandler());
+                exchange.start(channel);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                exchange.connectFailed(cause);
             }
         });
     }
 
+    /**
+     * Closes the idle connections that lead straight to an address, and tells the listeners of the exchanges on the
+     * others that their connection has most likely broken.
+     *
+     * @param loop event loop of the connections; must be the calling thread's
+     * @param address where they lead
+     */
+    public void directPathLost(EventLoop loop, InetSocketAddress address) {
+        List<Channel> idle = List.copyOf(keptOf(loop, address));
+        idle.stream().filter(HttpClient::direct).forEach(Channel::close);
+        Set<HttpExchange> running = active.getOrDefault(loop, Map.of()).getOrDefault(address, Set.of());
+        List.copyOf(running).forEach(HttpExchange::directPathLost);
+    }
+
+    /**
+     * Closes idle connections.
+     *
+     * @param loop event loop of the connections; must be the calling thread's
+     * @param condition which ones
+     */
+    public void closeIdle(EventLoop loop, Predicate<Channel> condition) {
+        kept.getOrDefault(loop, Map.of()).values().stream()
+                .flatMap(ArrayDeque::stream)
+                .filter(condition)
+                .toList()
+                .forEach(Channel::close);
+    }
+
+    static boolean direct(Channel channel) {
+        return !channel.hasAttr(Connector.VIA_BOX);
+    }
+
+    void started(HttpExchange exchange, EventLoop loop, InetSocketAddress address) {
+        active.computeIfAbsent(loop, key -> new HashMap<>())
+                .computeIfAbsent(address, key -> new HashSet<>())
+                .add(exchange);
+    }
+
+    void ended(HttpExchange exchange, EventLoop loop, InetSocketAddress address) {
+        Map<InetSocketAddress, Set<HttpExchange>> ofLoop = active.getOrDefault(loop, Map.of());
+        Set<HttpExchange> running = ofLoop.getOrDefault(address, Set.of());
+        if (running.remove(exchange) && running.isEmpty()) {
+            ofLoop.remove(address);
+        }
+    }
+
     void keep(Channel channel, InetSocketAddress address) {
         ArrayDeque<Channel> channels = keptOf(channel.eventLoop(), address);
         if (channels.size() >= KEPT_PER_ADDRESS) {
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -37,7 +37,7 @@
 
     /** Ends the exchange; the listener hears nothing more. */
     public void cancel() {
-        ended = true;
+        end();
         if (channel != null) {
             channel.close();
         }
@@ -54,6 +54,7 @@
             return;
         }
         channel = connected;
+        client.started(this, connected.eventLoop(), request.address());
         connected.pipeline().get(ExchangeHandler.class).begin(this, request.address(), client);
         written = true;
         listener.requestWritten();
@@ -98,7 +99,7 @@
     /** Returns whether the connection may be kept; one on which a rest of the request is still due may not. */
     boolean complete() {
         if (!ended) {
-            ended = true;
+            end();
             listener.complete();
         }
         return keepAlive && sentWhole && channel.config().isAutoRead();
@@ -108,11 +109,28 @@
         if (ended) {
             return;
         }
-        ended = true;
+        end();
         if (channel != null) {
             channel.close();
         }
-        listener.failed(new TransportException(kind, written, detail));
+        listener.failed(new TransportException(kind, written, viaBox(), detail));
+    }
+
+    private boolean viaBox() {
+        return channel != null && !HttpClient.direct(channel);
+    }
+
+    private void end() {
+        ended = true;
+        if (channel != null) {
+            client.ended(this, channel.eventLoop(), request.address());
+        }
+    }
+
+    void directPathLost() {
+        if (!ended && !viaBox()) {
+            listener.directPathLost();
+        }
     }
 
     private FullHttpRequest encode() {
--- a/net/src/main/java/org/wingstall/net/http/ResponseListener.java
+++ b/net/src/main/java/org/wingstall/net/http/ResponseListener.java
@@ -19,6 +19,9 @@
     /** Some of the body came; the buffer is the caller's only during the call. */
     void content(ByteBuf part);
 
+    /** The connection leads straight to an address that is reached by way of other boxes only, as was just found. */
+    default void directPathLost() {}
+
     /** The answer is whole. */
     void complete();
 
--- a/net/src/main/java/org/wingstall/net/http/TransportException.java
+++ b/net/src/main/java/org/wingstall/net/http/TransportException.java
@@ -10,6 +10,7 @@
 public final class TransportException extends Exception {
     private final Kind kind;
     private final boolean requestWritten;
+    private final boolean viaBox;
 
     /** Kinds of failure. */
     public enum Kind {
@@ -35,16 +36,29 @@
     }
 
     /**
-     * Creates a failure.
+     * Creates a failure of a connection straight to the other side.
      *
      * @param kind what went wrong
      * @param requestWritten whether a byte of the request was handed to the connection
      * @param detail what went wrong in words
      */
     public TransportException(Kind kind, boolean requestWritten, String detail) {
+        this(kind, requestWritten, false, detail);
+    }
+
+    /**
+     * Creates a failure.
+     *
+     * @param kind what went wrong
+     * @param requestWritten whether a byte of the request was handed to the connection
+     * @param viaBox whether the connection went by way of another box
+     * @param detail what went wrong in words
+     */
+    public TransportException(Kind kind, boolean requestWritten, boolean viaBox, String detail) {
         super(kind.code + ": " + detail, null, false, false);
         this.kind = kind;
         this.requestWritten = requestWritten;
+        this.viaBox = viaBox;
     }
 
     /** Returns what went wrong. */
@@ -52,6 +66,11 @@
         return kind;
     }
 
+    /** Returns whether the other side closed a connection straight to it after the request, as when it ends. */
+    public boolean closedByPeer() {
+        return kind == Kind.RESET && requestWritten && !viaBox;
+    }
+
     /** Returns whether a byte of the request was handed to the connection. */
     public boolean requestWritten() {
         return requestWritten;
--- a/peer/src/main/java/org/wingstall/peer/PeerLink.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.wingstall.schema.peer.Hello;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.TunnelRequest;
 
 /** One connection to a peer; says hello first and passes on what comes after the peer's hello. */
 final class PeerLink extends SimpleChannelInboundHandler<PeerFrame> {
@@ -23,6 +24,9 @@
         void closed(PeerLink link);
 
         void frame(PeerLink link, PeerFrame frame);
+
+        /** Another box wants the connection to lead on to an endpoint, instead of a link. */
+        void tunnelRequested(Channel channel, TunnelRequest request);
     }
 
     /** Creates a link; the dialled address is null when the peer opened it. */
@@ -85,6 +89,10 @@
             events.frame(this, frame);
             return;
         }
+        if (frame.getTunnelRequest() != null && !dialled()) {
+            events.tunnelRequested(ctx.channel(), frame.getTunnelRequest());
+            return;
+        }
         boolean stranger =
                 frame.getHello() == null || frame.getHello().getBoxId().equals(self.getBoxId());
         if (stranger) {
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -35,6 +35,7 @@
 import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.TunnelRequest;
 import org.wingstall.schema.platform.Member;
 
 /**
@@ -63,6 +64,7 @@
     private final MeshEngineLinks engines;
     private final NewsLinks<CrashNews> crashes;
     private final NewsLinks<LimitNews> limits;
+    private final Tunnels tunnels;
     private final Dialer dialer;
     private final RowLinks rows;
     private final DomainTable domains;
@@ -91,6 +93,7 @@
         this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews);
         this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews);
         this.rows = new RowLinks(loop, links);
+        this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
         this.peers =
                 new PeerTable(self, options.silentAfterMs(), this::beatsSeldom, rows::tableUnheard, replies, clock);
@@ -143,6 +146,11 @@
         engines.attach(host);
     }
 
+    /** Returns the connections to endpoints by way of other boxes. */
+    public Tunnels tunnels() {
+        return tunnels;
+    }
+
     /** Returns what gateways say to each other about rows of the platform's table. */
     public RowLinks rows() {
         return rows;
@@ -343,6 +351,11 @@
         }
     }
 
+    @Override
+    public void tunnelRequested(Channel channel, TunnelRequest request) {
+        tunnels.accept(channel, request);
+    }
+
     private void heartbeat(PeerLink link, Heartbeat heartbeat) {
         peers.heard(link.peer(), heartbeat);
         domains.heard(heartbeat.getDomains(), !isLocal(link));
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -173,7 +173,7 @@
                 failure.kind() == TransportException.Kind.CONNECT || failure.kind() == TransportException.Kind.TIMEOUT;
         if (noAnswer) {
             recordNoAnswer(failure.getMessage());
-        } else if (failure.kind() == TransportException.Kind.RESET && failure.requestWritten()) {
+        } else if (failure.closedByPeer()) {
             recordConnectionLost(failure.getMessage());
         } else {
             recordFailure(failure.getMessage());
@@ -210,7 +210,7 @@
     }
 
     /** Records that the endpoint responded to something other than a call, so that it may get new work again. */
-    void markReachable() {
+    public void markReachable() {
         backoff.reset();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -27,7 +27,7 @@
  * don't respond are avoided at once and their work is moved elsewhere. An unresponsive endpoint gets no work until it
  * responds to such a query, so no request is risked as a probe. Confined to the request loop.
  *
- * <p>{@code new SilenceWatch(loop, clock, endpoints, queries, answersQueries, pools::abandon, silentDomains).start();}
+ * <p>{@code new SilenceWatch(loop, clock, endpoints, queries, answersQueries, paths::check, pools::abandon, silentDomains).start();}
  *
  * @since 0.5
  */
@@ -73,6 +73,7 @@
     private final RelayEndpoints endpoints;
     private final StateQueries queries;
     private final Predicate<String> answersQueries;
+    private final Consumer<RelayEndpoint> pathCheck;
     private final Consumer<RelayEndpoint> abandon;
     private final Supplier<Set<String>> silentDomains;
     private Set<String> lastSilentDomains = Set.of();
@@ -96,6 +97,7 @@
      * @param endpoints endpoints of all services
      * @param queries queries endpoints for their state
      * @param answersQueries whether endpoints of a service respond to state queries
+     * @param pathCheck takes an endpoint that did not respond, to find out whether only the path to it is lost
      * @param abandon takes an endpoint whose work is to be moved elsewhere
      * @param silentDomains returns the failure domains from which no heartbeats of boxes arrive any more
      */
@@ -105,6 +107,7 @@
             RelayEndpoints endpoints,
             StateQueries queries,
             Predicate<String> answersQueries,
+            Consumer<RelayEndpoint> pathCheck,
             Consumer<RelayEndpoint> abandon,
             Supplier<Set<String>> silentDomains) {
         this.silentDomains = silentDomains;
@@ -113,6 +116,7 @@
         this.endpoints = endpoints;
         this.queries = queries;
         this.answersQueries = answersQueries;
+        this.pathCheck = pathCheck;
         this.abandon = abandon;
     }
 
@@ -143,6 +147,7 @@
     }
 
     private void onSilent(RelayEndpoint endpoint) {
+        pathCheck.accept(endpoint);
         if (canQuery(endpoint)) {
             abandon.accept(endpoint);
             if (polled.add(endpoint.key())) {
--- a/relay/src/main/java/org/wingstall/relay/pool/PieceQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PieceQuarantine.java
@@ -42,9 +42,7 @@
 
     /** Reports a lost call to the quarantine if the endpoint reset the connection after the request was written. */
     void callLost(List<PieceTask> tasks, RelayEndpoint endpoint, long sentAtMs, Throwable failure) {
-        boolean ended = failure instanceof TransportException broken
-                && broken.kind() == TransportException.Kind.RESET
-                && broken.requestWritten();
+        boolean ended = failure instanceof TransportException broken && broken.closedByPeer();
         if (ended) {
             quarantine.endpointLost(
                     tasks.stream()
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -62,6 +62,9 @@
         /** The response is missing or incomplete; the request may have run. */
         void lost(EndpointAttempt ended, String detail);
 
+        /** The direct path to the endpoint was just found to be lost; the attempt may be given up. */
+        void directPathLost(EndpointAttempt current);
+
         /** Returns whether an error response of the endpoint is forwarded to the caller rather than retried. */
         boolean forwardsFailure(int status);
 
@@ -234,6 +237,21 @@
         return new EndpointLoss(endpoint, nowMs - startedAtMs, head == null ? -1 : nowMs - headAtMs, failure);
     }
 
+    @Override
+    public void directPathLost() {
+        if (!ended) {
+            owner.directPathLost(this);
+        }
+    }
+
+    /** Gives the attempt up without blaming its endpoint; its owner may send the request to another endpoint. */
+    void giveUp(String detail) {
+        if (markEnded()) {
+            exchange.cancel();
+            owner.lost(this, detail);
+        }
+    }
+
     /** Gives the attempt up as failed; its owner may send the request to another endpoint. */
     void abandon(String detail) {
         if (markEnded()) {
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -24,9 +24,6 @@
  * <p>States that a request has not run only before it is sent, or after its endpoint stated that it did not run it.
  */
 final class RelayRun implements RequestStages.Owner, EndpointAttempt.Owner {
-    /** Time before the caller's deadline by which the response is sent, so that it still arrives, in ms. */
-    private static final long DEADLINE_MARGIN_MS = 30;
-
     /** Minimum retry-after time, in ms; used for refusals whose cause passes quickly. */
     private static final long MIN_RETRY_MS = 300;
 
@@ -41,8 +38,7 @@
     private final Runnable onFinished;
     private final RequestLogEntry record;
     private final RunQuarantine quarantine;
-    private final long arrivedMs;
-    private final long deadlineAtMs;
+    private final RequestTimes times;
     private final RegionRestriction regions;
     private final TargetService service;
     private final EndpointSearch search;
@@ -69,8 +65,7 @@
         this.route = route;
         this.workspace = workspace;
         this.onFinished = onFinished;
-        this.arrivedMs = context.clock().nowMs();
-        this.deadlineAtMs = arrivedMs + Math.min(route.timeoutMs(), request.deadlineMs() - DEADLINE_MARGIN_MS);
+        this.times = new RequestTimes(context.clock(), route, request);
         this.regions = route.regionRestriction().intersect(workspace.regionRestriction());
         this.service = new TargetService(
                 context,
@@ -78,17 +73,17 @@
                 route,
                 regions,
                 Prompt.of(request.prompt()));
-        this.record = new RequestLogEntry(request, route, workspace.name(), configVersion, arrivedMs);
+        this.record = new RequestLogEntry(request, route, workspace.name(), configVersion, times.arrivedMs());
         this.quarantine = new RunQuarantine(context, record);
         this.search = new EndpointSearch(context, service, request);
-        this.stages = new RequestStages(context, request, route, deadlineAtMs, this);
+        this.stages = new RequestStages(context, request, route, times.deadlineAtMs(), this);
         this.response = new ResponseForwarder(call, route.retryable() && route.streamed());
     }
 
     void start() {
         call.onDisconnect(this::onCallerDisconnect);
         context.retryBudgets().of(service.name()).recordCall();
-        timer = context.loop().schedule(this::onTimeout, Math.max(1, deadlineAtMs - arrivedMs), TimeUnit.MILLISECONDS);
+        timer = context.loop().schedule(this::onTimeout, Math.max(1, times.remainingMs()), TimeUnit.MILLISECONDS);
         if (regions.allowsNone()) {
             refuseUntil(
                     Reason.NO_COMMON_REGION,
@@ -102,7 +97,7 @@
         if (route.stages().isEmpty()) {
             callEndpoint(List.of());
         } else {
-            stages.start(service.urgency(workspace, arrivedMs, deadlineAtMs), service.readerDomain());
+            stages.start(service.urgency(workspace, times.arrivedMs(), times.deadlineAtMs()), service.readerDomain());
         }
     }
 
@@ -110,18 +105,10 @@
         return possibleRuns > 0;
     }
 
-    private long untilTargetMs() {
-        return Math.max(0, arrivedMs + route.targetMs() - context.clock().nowMs());
-    }
-
-    private long remainingMs() {
-        return deadlineAtMs - context.clock().nowMs();
-    }
-
     @Override
     public void stagesDone(List<String> outputs) {
         if (!finished) {
-            record.stagesDone(context.clock().nowMs());
+            record.stagesDone(times.nowMs());
             callEndpoint(outputs);
         }
     }
@@ -161,28 +148,28 @@
         if (finished || refuseIfQuarantined()) {
             return;
         }
-        search.start(
-                quarantine.endpointsToAvoid(), stages.outputPlace(), untilTargetMs(), new EndpointSearch.Listener() {
-                    @Override
-                    public void found(EngineAssignment engine) {
-                        send(engine, inputs);
-                    }
-
-                    @Override
-                    public void found(RelayEndpoint endpoint) {
-                        send(endpoint, null, inputs);
-                    }
-
-                    @Override
-                    public void atCapacity(long againMs) {
-                        waitForCapacity(againMs, inputs);
-                    }
-
-                    @Override
-                    public void noEndpoint() {
-                        refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT, service.noEndpointDetail());
-                    }
-                });
+        long untilTargetMs = times.untilTargetMs();
+        search.start(quarantine.endpointsToAvoid(), stages.outputPlace(), untilTargetMs, new EndpointSearch.Listener() {
+            @Override
+            public void found(EngineAssignment engine) {
+                send(engine, inputs);
+            }
+
+            @Override
+            public void found(RelayEndpoint endpoint) {
+                send(endpoint, null, inputs);
+            }
+
+            @Override
+            public void atCapacity(long againMs) {
+                waitForCapacity(againMs, inputs);
+            }
+
+            @Override
+            public void noEndpoint() {
+                refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT, service.noEndpointDetail());
+            }
+        });
     }
 
     /** Waits for capacity if the response can still meet its target; otherwise refuses with a retry-after time. */
@@ -192,7 +179,7 @@
         }
         String detail = "endpoints of '" + service.name()
                 + "' are cold, state a limit or asked for a pause, and take no more for " + retryAfterMs + " ms";
-        if (retryAfterMs < untilTargetMs() - service.expectedResponseMs()) {
+        if (retryAfterMs < times.untilTargetMs() - service.expectedResponseMs()) {
             record.attemptEnded("waits", detail);
             context.loop().schedule(() -> callEndpoint(inputs), Math.max(1, retryAfterMs), TimeUnit.MILLISECONDS);
         } else if (response.started()) {
@@ -234,8 +221,9 @@
         service.markTried(endpoint);
         attempts++;
         long reuseIdleMs = route.retryable() ? MAX_REUSE_IDLE_MS : 0;
+        long remainingMs = times.remainingMs();
         EndpointCall endpointCall = new EndpointCall(
-                endpoint.identity(), remainingMs(), workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
+                endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
         record.attempt(endpoint, context.endpoints().ageMs());
         attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, this);
         attempt.start();
@@ -257,7 +245,7 @@
 
     @Override
     public void firstByte() {
-        record.firstByte(context.clock().nowMs());
+        record.firstByte(times.nowMs());
         if (engineAssignment != null) {
             engineAssignment.answered();
         }
@@ -267,7 +255,7 @@
     @Override
     public void complete(int status) {
         if (!finished) {
-            context.metrics().recordCompleted(status, context.clock().nowMs() - arrivedMs);
+            context.metrics().recordCompleted(status, times.elapsedMs());
             finish("complete", status, null);
         }
     }
@@ -316,6 +304,15 @@
         }
     }
 
+    /** A request that must not be sent twice keeps waiting, as the path may come back. */
+    @Override
+    public void directPathLost(EndpointAttempt current) {
+        boolean resendable = route.retryable() && response.resumable() && attempts < route.maxAttempts();
+        if (current == attempt && resendable) {
+            current.giveUp("the direct path to its endpoint is lost");
+        }
+    }
+
     @Override
     public boolean forwardsFailure(int status) {
         return !(route.retryable() && tryRetry("failed"));
@@ -329,7 +326,7 @@
 
     private boolean tryRetry(String why) {
         boolean retry = attempts < route.maxAttempts()
-                && remainingMs() > 0
+                && times.remainingMs() > 0
                 && !service.candidates().isEmpty()
                 && context.retryBudgets().of(service.name()).tryRetry();
         if (retry) {
@@ -342,7 +339,7 @@
         if (response.started()) {
             return;
         }
-        String detail = "no answer within " + (context.clock().nowMs() - arrivedMs) + " ms";
+        String detail = "no answer within " + times.elapsedMs() + " ms";
         if (attempt != null) {
             attempt.cancel();
         }
@@ -393,8 +390,7 @@
         }
         record.stages(stages.progress());
         stages.close();
-        context.log()
-                .logRequest(record, outcome, status, detail, context.clock().nowMs());
+        context.log().logRequest(record, outcome, status, detail, times.nowMs());
         onFinished.run();
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.core.quarantine.RequestQuarantine;
-import org.wingstall.net.http.TransportException;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.log.RequestLog;
@@ -36,7 +35,7 @@
     /** An endpoint that ends closes its connections; an unresponsive one may be cut off, which is no evidence of a crash. */
     void endpointLost(EndpointLoss loss, long sentAtMs) {
         log.logEndpointLoss(record, loss);
-        if (loss.failure().kind() == TransportException.Kind.RESET) {
+        if (loss.failure().closedByPeer()) {
             request.endpointLost(loss.endpoint().key(), sentAtMs);
         }
     }
--- a/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/SilenceWatchTest.java
@@ -54,6 +54,7 @@
                 endpoints,
                 questions,
                 service -> service.equals("pool"),
+                endpoint -> {},
                 endpoint -> abandoned.add(endpoint.id()),
                 () -> silentDomains);
         watch.start();
