Try the paths to a service that another box has come to reach poorly

A box that may coordinate now tries its own paths when another box tells that it reaches a service poorly.

A connection through another box that comes up before the direct one has failed now counts as well: in a silent cut it always does, and the path was never found to be lost by the connections of callers, only by trials.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
@@ -37,6 +38,7 @@
     private final EndpointPaths paths;
     private final EndpointReach reach;
     private final HttpClient client;
+    private Set<String> lastTold = Set.of();
 
     /**
      * Creates direct access to all endpoints.
@@ -105,9 +107,25 @@
         if (reach.update()) {
             mesh.beatNow();
         }
+        checkServicesOfPeers();
         client.closeIdle(loop, this::leadsThroughStoppingBox);
     }
 
+    /**
+     * Tries the paths to the endpoints of a service that another box has come to reach poorly: this box may be cut off
+     * as well, and would find out only by the work of others if it coordinates the service next.
+     */
+    private void checkServicesOfPeers() {
+        Set<String> told = mesh.peers().poorlyReached();
+        if (mesh.carries(self)) {
+            told.stream()
+                    .filter(service -> !lastTold.contains(service))
+                    .flatMap(service -> endpoints.ofService(service).stream())
+                    .forEach(paths::check);
+        }
+        lastTold = told;
+    }
+
     private boolean leadsThroughStoppingBox(Channel channel) {
         String boxId = channel.attr(Connector.VIA_BOX).get();
         return boxId != null && !mesh.peers().serving().contains(boxId);
--- a/peer/src/main/java/org/wingstall/peer/PeerTable.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerTable.java
@@ -117,6 +117,17 @@
         return peer != null && heard(peer);
     }
 
+    /** Returns the services of which a box that is heard reaches fewer than half of the endpoints. */
+    public Set<String> poorlyReached() {
+        Set<String> services = new HashSet<>();
+        for (PeerState peer : all()) {
+            if (!peer.poorlyReached().isEmpty() && heard(peer)) {
+                services.addAll(peer.poorlyReached());
+            }
+        }
+        return services;
+    }
+
     /** Returns whether a peer reaches the endpoints of a service, as far as it has told. */
     public boolean reaches(String boxId, String service) {
         PeerState peer = byBox.get(boxId);
--- a/relay/src/main/java/org/wingstall/relay/path/EndpointPaths.java
+++ b/relay/src/main/java/org/wingstall/relay/path/EndpointPaths.java
@@ -140,11 +140,9 @@
 
     /** Records a connection through another box, which shows that the endpoint is there. */
     void detourConnected(RelayEndpoint endpoint) {
-        PathState state = states.get(endpoint.key());
-        if (state != null) {
-            state.reachedByDetour = true;
-            update(endpoint, state);
-        }
+        PathState state = states.computeIfAbsent(endpoint.key(), key -> new PathState());
+        state.reachedByDetour = true;
+        update(endpoint, state);
     }
 
     /** Tries the direct path to an endpoint that may not be reached, unless this is being done. */
@@ -160,7 +158,7 @@
         }
         if (state.failures >= FAILURES_TO_LOSE || anyLost() && state.failures > 0) {
             markLost(endpoint, state);
-        } else {
+        } else if (state.failures > 0) {
             enqueueTrial(endpoint);
         }
     }
