Keep the rejections of brittle endpoints below what they bear

New term of the users: endpoints that are brittle say so in all answers (Server-Brittle = N) and fail when they reject more than N requests within a second for want of room.

Boxes now tell each other of each rejection by a brittle endpoint. A box limits its requests in flight there: from those that it has when it first hears, one more for as many answers as the limit, while nothing was rejected for a second, down to those in flight at a rejection, since these have places. After a rejection boxes without requests in flight pause, the one that was rejected for longer; from three quarters of N on all pause until the first rejection is a second old. Pauses end at different times. The statement is kept by incarnation and ends with an answer without it.

Known: a rejected call for pieces is no longer counted as in flight when it is recorded, so its box is taken to have one place less.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RequestLimits.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RequestLimits.java
@@ -8,6 +8,7 @@
 import org.wingstall.core.limit.AdvertisedLimits;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.gateway.limit.LimitExchange;
+import org.wingstall.gateway.limit.RejectionExchange;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.relay.config.ServiceSpec;
 import org.wingstall.relay.control.RelayState;
@@ -51,7 +52,11 @@
             RelayMetrics metrics) {
         RelaySettings atStart = settings.get();
         this.stated = LimitExchange.over(atStart.getBoxId(), mesh.limits(), clock);
-        this.answers = new StatementReader(stated, endpoints, metrics);
+        this.answers = new StatementReader(
+                stated,
+                endpoints,
+                metrics,
+                RejectionExchange.over(atStart.getBoxId(), mesh.rejections(), endpoints, clock));
         KnownFleet fleet = new KnownFleet(
                 atStart.getBoxId(),
                 atStart.getFailureDomain(),
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -13,6 +13,7 @@
 import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.RejectionNews;
 import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
@@ -51,6 +52,7 @@
         private LimitNews limitNews;
         private TunnelRequest tunnelRequest;
         private TunnelReply tunnelReply;
+        private RejectionNews rejectionNews;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -77,7 +79,8 @@
                     crashNews,
                     limitNews,
                     tunnelRequest,
-                    tunnelReply);
+                    tunnelReply,
+                    rejectionNews);
         }
     }
 
@@ -190,6 +193,12 @@
         return parts.frame();
     }
 
+    static PeerFrame rejectionNews(RejectionNews news) {
+        Parts parts = new Parts(0);
+        parts.rejectionNews = news;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -35,6 +35,7 @@
 import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.RejectionNews;
 import org.wingstall.schema.peer.TunnelRequest;
 import org.wingstall.schema.platform.Member;
 
@@ -64,6 +65,7 @@
     private final MeshEngineLinks engines;
     private final NewsLinks<CrashNews> crashes;
     private final NewsLinks<LimitNews> limits;
+    private final NewsLinks<RejectionNews> rejections;
     private final Tunnels tunnels;
     private final Dialer dialer;
     private final RowLinks rows;
@@ -92,6 +94,7 @@
         this.engines = new MeshEngineLinks(links, replies);
         this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews);
         this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews);
+        this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews);
         this.rows = new RowLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
@@ -141,6 +144,11 @@
         return limits;
     }
 
+    /** Returns what gateways say to each other about rejections by brittle endpoints. */
+    public NewsLinks<RejectionNews> rejections() {
+        return rejections;
+    }
+
     /** Attaches what is done with what peers say about engines; before the mesh starts. */
     public void attach(EngineHost host) {
         engines.attach(host);
@@ -346,7 +354,8 @@
         } else if (!rows.frame(link, frame)
                 && !engines.frame(link.peer().getBoxId(), frame)
                 && !crashes.frame(link.peer().getBoxId(), frame)
-                && !limits.frame(link.peer().getBoxId(), frame)) {
+                && !limits.frame(link.peer().getBoxId(), frame)
+                && !rejections.frame(link.peer().getBoxId(), frame)) {
             pieces.frame(link.peer().getBoxId(), frame);
         }
     }
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -28,6 +28,7 @@
 import org.wingstall.schema.peer.LimitNews;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.peer.PeerFrame;
+import org.wingstall.schema.peer.RejectionNews;
 import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StagePiece;
 import org.wingstall.schema.peer.StageResult;
@@ -107,19 +108,20 @@
             {"tunnelRequest", frame(18, 0, new TunnelRequest("e1", LARGE))},
             {"tunnelReply", frame(19, 0, new TunnelReply(true, null))},
             {"tunnelRefused", frame(19, 0, new TunnelReply(false, "the endpoint is not reached"))},
+            {"rejectionNews", frame(20, 0, new RejectionNews("e1", LARGE, 4, "kgn-a-1", LARGE))},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
             {
                 "withdrawn",
                 new PeerFrame(
                         4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false,
-                        null, null, null, null)
+                        null, null, null, null, null)
             },
         };
     }
 
     /** Makes a frame with one part, given the part's place among the properties. */
     private static PeerFrame frame(int place, long correlation, Object part) {
-        Object[] parts = new Object[20];
+        Object[] parts = new Object[21];
         parts[place] = part;
         return new PeerFrame(
                 correlation,
@@ -141,7 +143,8 @@
                 (CrashNews) parts[16],
                 (LimitNews) parts[17],
                 (TunnelRequest) parts[18],
-                (TunnelReply) parts[19]);
+                (TunnelReply) parts[19],
+                (RejectionNews) parts[20]);
     }
 
     @Test(dataProvider = "frames")
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -20,6 +20,9 @@
 public final class RelayEndpoint {
     private static final Logger LOG = LogManager.getLogger(RelayEndpoint.class);
 
+    /** Time after which a brittle endpoint with as many requests as it is to get is tried again, in ms. */
+    private static final long WINDOW_RETRY_MS = 25;
+
     private final EndpointState state;
     private final SendRestrictions restrictions;
     private final int slots;
@@ -117,10 +120,31 @@
 
     /**
      * Returns the time until the endpoint takes requests from this box again, in ms; 0 unless it has rejected one and
-     * named a time.
+     * named a time, or is brittle and has as many requests of this box as it is to get.
      */
     public long closedForMs() {
-        return restrictions.closedForMs(clock.nowMs());
+        long pauseMs = restrictions.closedForMs(clock.nowMs());
+        boolean full = pauseMs == 0 && !restrictions.window().allows(state.inFlight());
+        return full ? WINDOW_RETRY_MS : pauseMs;
+    }
+
+    /** Records that it is brittle: the requests in flight from this box are limited. */
+    void limitRequests() {
+        restrictions.window().limit(state.inFlight());
+    }
+
+    /**
+     * Records that it is brittle and has rejected a request.
+     *
+     * @param own whether it was a request of this box, which still counts as in flight
+     */
+    void reduceRequests(boolean own) {
+        restrictions.window().rejected(state.inFlight() - (own ? 1 : 0), clock.nowMs());
+    }
+
+    /** Records that it is not brittle. */
+    void endRequestLimit() {
+        restrictions.window().end();
     }
 
     /** Records that it rejected a request of this box and takes no more for a time. */
@@ -155,6 +179,7 @@
     /** Records a call that got a response. */
     public void recordAnswer(double runMs) {
         backoff.reset();
+        restrictions.window().answered(state.inFlight() + 1, clock.nowMs());
         state.recordSuccess(runMs);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendRestrictions.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendRestrictions.java
@@ -13,6 +13,7 @@
     private final AtomicLong closedUntilMs = new AtomicLong(Long.MIN_VALUE);
     private volatile boolean leaving;
     private volatile boolean gone;
+    private final RequestWindow window = new RequestWindow();
 
     /** Records that the endpoint is leaving, which is permanent for this incarnation. */
     void markLeaving() {
@@ -37,6 +38,11 @@
         return gone;
     }
 
+    /** Returns the limit on requests of this box that are in flight. */
+    RequestWindow window() {
+        return window;
+    }
+
     /** Records that the endpoint takes no requests from this box for a time; of several times the latest end counts. */
     void closeFor(long durationMs, long nowMs) {
         long untilMs = nowMs + Math.min(MAX_RETRY_AFTER_MS, durationMs);
--- a/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
@@ -23,6 +23,7 @@
     private final AdvertisedLimits limits;
     private final RelayEndpoints endpoints;
     private final RelayMetrics metrics;
+    private final RejectionGuard rejections;
 
     /** The kind of call whose response carries a statement. */
     public enum Carrier {
@@ -45,11 +46,14 @@
      * @param limits records the limits that endpoints advertise
      * @param endpoints marks endpoints as leaving
      * @param metrics counts the statements
+     * @param rejections records rejections of brittle endpoints
      */
-    public StatementReader(AdvertisedLimits limits, RelayEndpoints endpoints, RelayMetrics metrics) {
+    public StatementReader(
+            AdvertisedLimits limits, RelayEndpoints endpoints, RelayMetrics metrics, RejectionGuard rejections) {
         this.limits = limits;
         this.endpoints = endpoints;
         this.metrics = metrics;
+        this.rejections = rejections;
     }
 
     /**
@@ -70,6 +74,9 @@
      */
     public void read(RelayEndpoint endpoint, ResponseHead head, long sentMs, Carrier carrier) {
         read(endpoint, head, carrier);
+        if (!head.otherIncarnation()) {
+            rejections.record(endpoint, head);
+        }
         boolean unlimited = head.statement().limit().kind() == AdvertisedLimit.Kind.NONE;
         // A response without a limit counts only when the endpoint executed the request, which shows that it can take
         // it.
@@ -95,6 +102,9 @@
                 // Only the response to executed work shows that the endpoint takes more.
             }
         }
+        if (statement.maxRejectionsPerSecond().isPresent()) {
+            metrics.recordStatement("brittle");
+        }
         if (statement.leaving()) {
             recordLeaving(endpoint, carrier);
         }
--- a/relay/src/main/java/org/wingstall/relay/wire/EndpointStatement.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/EndpointStatement.java
@@ -11,7 +11,13 @@
  * @param load requests running and waiting at the endpoint, when it reports them
  * @param limit rate limit for all boxes together, when it advertises one
  * @param leaving whether it is about to end and takes no new requests
+ * @param maxRejectionsPerSecond rejections within a second above which it fails, when it states to be brittle
  * @param retryAfterMs time for which a rejecting endpoint takes no requests from this box, when it names one
  * @since 0.10
  */
-public record EndpointStatement(OptionalInt load, AdvertisedLimit limit, boolean leaving, OptionalLong retryAfterMs) {}
+public record EndpointStatement(
+        OptionalInt load,
+        AdvertisedLimit limit,
+        boolean leaving,
+        OptionalInt maxRejectionsPerSecond,
+        OptionalLong retryAfterMs) {}
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -36,6 +36,7 @@
 
     private static final String LIMIT = "Server-Limit";
     private static final String LEAVING = "Server-Leaving";
+    private static final String BRITTLE = "Server-Brittle";
     private static final String RETRY_AFTER = "Retry-After";
 
     /** Results that a request of the staged route reads, as callers of the tests ask for. */
@@ -58,6 +59,7 @@
     private volatile String limit;
     private volatile boolean leaving;
     private volatile String retryAfter;
+    private volatile BrittleRoom brittleRoom;
 
     /** A request that came to an endpoint, run or turned away. */
     public record Arrival(String id, String endpoint, String target, boolean ran, long deadlineMs) {}
@@ -151,6 +153,11 @@
         limitLog.cleared(incarnation);
     }
 
+    /** States from now on that it fails when it rejects too many requests, and has room for a few only. */
+    public void turnBrittle(BrittleRoom room) {
+        brittleRoom = room;
+    }
+
     /** Finds the inputs of so many calls for pieces gone. */
     public void loseInputs(int calls) {
         inputsToLose.set(calls);
@@ -226,6 +233,9 @@
         if (limit != null) {
             headers.set(LIMIT, limit);
         }
+        if (brittleRoom != null) {
+            headers.set(BRITTLE, Integer.toString(brittleRoom.maxRejectionsPerSecond()));
+        }
         if (leaving) {
             headers.set(LEAVING, "1");
             statements.toldLeaving(incarnation, call);
@@ -244,8 +254,10 @@
     }
 
     private void run(HttpCall call) {
-        arrived(call, behaviour != Behaviour.FULL);
-        if (behaviour == Behaviour.FULL) {
+        BrittleRoom room = brittleRoom;
+        boolean full = behaviour == Behaviour.FULL || room != null && !room.take();
+        arrived(call, !full);
+        if (full) {
             turnAway(call);
             return;
         }
@@ -262,7 +274,7 @@
             case SILENT, DARK -> {
                 // No answer is the fault.
             }
-            case ANSWERS, CUTS_ANSWER, FULL -> answer(call, signed);
+            case ANSWERS, CUTS_ANSWER, FULL -> answerAfterWork(call, signed, room);
         }
     }
 
@@ -275,6 +287,18 @@
         respond(call, FULL, headers, "");
     }
 
+    private void answerAfterWork(HttpCall call, HttpHeaders signed, BrittleRoom room) {
+        if (room == null) {
+            answer(call, signed);
+            return;
+        }
+        Runnable work = () -> {
+            room.release();
+            answer(call, signed);
+        };
+        call.eventLoop().schedule(work, room.workMs(), TimeUnit.MILLISECONDS);
+    }
+
     private void answer(HttpCall call, HttpHeaders signed) {
         boolean cut = behaviour == Behaviour.CUTS_ANSWER;
         if (events > 0) {
