Don't take a connection that timed out for closed by its endpoint

A connection whose bytes are not acknowledged ends after the user timeout with 'Connection timed out', which counted as a reset: the request was reported to all boxes as one that may have crashed its endpoint, and they kept new work away from the endpoint for 400 ms. It is a timeout now: no evidence of a crash, and the endpoint counts as unresponsive, so that the path to it is checked.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -6,11 +6,15 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
 /** Passes the answer on a connection to the exchange that the connection carries at the moment. */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
+    /** Text of the system's error for a connection that timed out. */
+    private static final String TIMED_OUT = "Connection timed out";
+
     private HttpExchange current;
     private InetSocketAddress address;
     private HttpClient client;
@@ -81,7 +85,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(TransportException.Kind.RESET, String.valueOf(cause.getMessage()));
+        fail(kindOf(cause), String.valueOf(cause.getMessage()));
         ctx.close();
     }
+
+    /** A connection whose bytes are not acknowledged has timed out; nobody closed it. */
+    private static TransportException.Kind kindOf(Throwable cause) {
+        boolean timedOut = cause instanceof IOException
+                && cause.getMessage() != null
+                && cause.getMessage().contains(TIMED_OUT);
+        return timedOut ? TransportException.Kind.TIMEOUT : TransportException.Kind.RESET;
+    }
 }
