Partition boxes from all endpoints in the soak

PromisesTest shows that the check finds a breach.

The routes now take ports that the system gives to nobody else.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -45,6 +45,7 @@
             new StatementLog(call -> senders.getOrDefault(String.valueOf(WorkerStandin.requestId(call)), NO_SENDER));
     private final Map<String, String> domains = new ConcurrentHashMap<>();
     private final Queue<Evacuation> evacuations = new ConcurrentLinkedQueue<>();
+    private final Queue<LinkCut> linkCuts = new ConcurrentLinkedQueue<>();
     private final Queue<String> unplannedEnds = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> leavingSinceMs = new ConcurrentHashMap<>();
     private final Map<Long, Long> versionSinceMs = new ConcurrentHashMap<>();
@@ -143,6 +144,14 @@
         return evacuations;
     }
 
+    void linksCut(LinkCut cut) {
+        linkCuts.add(cut);
+    }
+
+    Collection<LinkCut> linkCuts() {
+        return linkCuts;
+    }
+
     void endedByItself(String box) {
         unplannedEnds.add(box);
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -86,6 +86,7 @@
                 new Named("a pause that an endpoint asked for", Promises::pauses),
                 new Named("no more than a cold endpoint bears", Promises::cold),
                 new Named("no more than one that turned cold bears", Promises::turnedCold),
+                new LinkCutPromise(slackMs),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -15,6 +15,7 @@
 import org.wingstall.net.EventLoops;
 import org.wingstall.standin.fleet.CrashingEndpoint;
 import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
+import org.wingstall.standin.fleet.EndpointLinks;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.StoreStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
@@ -54,8 +55,14 @@
     private final Map<String, Endpoint> endpoints = new ConcurrentSkipListMap<>();
     private final AtomicLong version = new AtomicLong();
 
-    /** A gateway, its addresses and its way to the store. */
-    record Box(String id, BoxProcess process, String callerAddress, String readinessAddress, Route store) {}
+    /** A gateway, its addresses, its way to the store and its links to endpoints. */
+    record Box(
+            String id,
+            BoxProcess process,
+            String callerAddress,
+            String readinessAddress,
+            Route store,
+            EndpointLinks links) {}
 
     /** An endpoint and the proxy before it. */
     record Endpoint(String id, String service, String domain, WorkerStandin worker, Route route) {
@@ -91,7 +98,8 @@
     }
 
     private void startBox(String boxId, String domain) throws BindException, IOException {
-        Route store = Route.open(group, anyPort(), Addresses.parse(standin.storeAddress()));
+        EndpointLinks links = standin.linksOfOneBox();
+        Route store = Route.open(group, anyPort(), Addresses.parse(links.storeAddress()));
         String text = standin.settings(boxId, domain)
                 .replace(
                         standin.storeAddress(), LOOPBACK + ":" + store.address().getPort())
@@ -112,7 +120,8 @@
                         process,
                         FleetStandin.valueOf(text, "callerAddress"),
                         FleetStandin.valueOf(text, "readinessAddress"),
-                        store));
+                        store,
+                        links));
     }
 
     private static InetSocketAddress anyPort() {
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -151,6 +151,11 @@
             restored.play(end);
             return null;
         }));
+        LinkCutter cutter = new LinkCutter(options.seed(), fleet, observations);
+        faults.add(threads.submit(() -> {
+            cutter.play(end);
+            return null;
+        }));
         awaitAll(faults);
         end.come();
         threads.shutdown();
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -128,6 +129,26 @@
                 seen.called(call(Route.ONCE, 200, "seal-of-plain-1", "answer to a", 0, 5));
                 seen.arrived(run());
             }),
+            breach("boxes without links serve like others", seen -> {
+                seen.linksCut(new LinkCut(Set.of("box-1"), -LinkCutPromise.SERVED_AGAIN_MS - 1, Long.MAX_VALUE));
+                for (int i = 0; i < 20; i++) {
+                    String cut = "cut-" + i;
+                    String other = "other-" + i;
+                    seen.called(new CallRecord(cut, Route.ONCE, "box-1", 1, 10, 20, 503, cut, null, ""));
+                    seen.called(new CallRecord(
+                            other,
+                            Route.ONCE,
+                            "box-2",
+                            1,
+                            10,
+                            20,
+                            200,
+                            other,
+                            "seal-of-plain-1",
+                            "answer to " + other));
+                    seen.arrived(new Arrival(other, "plain-1", "/once/x", true, DEADLINE_MS));
+                }
+            }),
         };
     }
 
--- a/standin/src/main/java/org/wingstall/standin/fleet/EndpointLinks.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/EndpointLinks.java
@@ -10,6 +10,7 @@
 import java.util.regex.Pattern;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.BindException;
+import org.wingstall.standin.LoopbackPorts;
 import org.wingstall.standin.proxy.Faults;
 import org.wingstall.standin.proxy.Route;
 
@@ -22,6 +23,7 @@
  * @since 0.15
  */
 public final class EndpointLinks {
+    private static final String LOOPBACK = "127.0.0.1";
     private static final Pattern ADDRESS = Pattern.compile("\"address\":\"([^\"]+)\"");
 
     private final EventLoopGroup group;
@@ -48,7 +50,7 @@
     }
 
     /** Returns the address at which the store shows the box the endpoints by these links. */
-    String storeAddress() {
+    public String storeAddress() {
         return storeAddress;
     }
 
@@ -62,11 +64,15 @@
         return entry.replace(found.group(), "\"address\":\"" + Addresses.format(route.address()) + "\"");
     }
 
+    /** Opens a route at a port that the system gives to nobody else while the route is closed. */
     private Route open(String endpointAddress) {
         try {
-            return Route.open(group, new InetSocketAddress("127.0.0.1", 0), Addresses.parse(endpointAddress));
+            InetSocketAddress listen = new InetSocketAddress(LOOPBACK, LoopbackPorts.next(LOOPBACK));
+            return Route.open(group, listen, Addresses.parse(endpointAddress));
         } catch (BindException e) {
             throw new UncheckedIOException(new IOException(e));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
