Don't take direct connections for ones through another box after a look

So callers could have had one more endpoint ended by a request than the three that are allowed.

Cause: whether a connection goes through another box was asked by the presence of a channel attribute. The look for idle connections through stopping boxes, each 100 ms, reads the attribute and so creates it, without a value, on every idle connection. From then on its loss was no evidence that a request had crashed the endpoint, it did not put the endpoint in doubt, and the connection was not closed when its path was lost.

The value is asked now, in one place. The look is made only once a connection went through another box. ExchangeHandlerTest has a case that looks first.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -16,7 +16,6 @@
 import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
-import org.wingstall.relay.path.Detours;
 import org.wingstall.relay.path.EndpointPaths;
 import org.wingstall.relay.path.PathConnector;
 import org.wingstall.relay.pool.CoordinatorSelector;
@@ -35,6 +34,7 @@
     private final EventLoop loop;
     private final PeerMesh mesh;
     private final RelayEndpoints endpoints;
+    private final PeerDetours detours;
     private final EndpointPaths paths;
     private final EndpointReach reach;
     private final HttpClient client;
@@ -62,7 +62,7 @@
         this.mesh = mesh;
         this.endpoints = endpoints;
         Connector direct = new DirectConnector();
-        Detours detours = new PeerDetours(settings.getFailureDomain(), mesh, new Random());
+        this.detours = new PeerDetours(settings.getFailureDomain(), mesh, new Random());
         this.paths = new EndpointPaths(loop, clock, endpoints, direct, detours, endpoint -> {
             directPathLost(endpoint);
             onPathLost.accept(endpoint);
@@ -108,7 +108,9 @@
             mesh.beatNow();
         }
         checkServicesOfPeers();
-        client.closeIdle(loop, this::leadsThroughStoppingBox);
+        if (detours.used()) {
+            client.closeIdle(loop, this::leadsThroughStoppingBox);
+        }
     }
 
     /**
@@ -127,8 +129,9 @@
     }
 
     private boolean leadsThroughStoppingBox(Channel channel) {
-        String boxId = channel.attr(Connector.VIA_BOX).get();
-        return boxId != null && !mesh.peers().serving().contains(boxId);
+        return Connector.viaBox(channel)
+                .filter(boxId -> !mesh.peers().serving().contains(boxId))
+                .isPresent();
     }
 
     /** Tries the direct path to an endpoint that did not respond. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/PeerDetours.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/PeerDetours.java
@@ -20,6 +20,7 @@
     private final String failureDomain;
     private final PeerMesh mesh;
     private final Random random;
+    private boolean used;
 
     /**
      * Creates detours.
@@ -56,8 +57,14 @@
                 .toList();
     }
 
+    /** Returns whether a connection was ever led through another box. */
+    boolean used() {
+        return used;
+    }
+
     @Override
     public void open(String boxId, EndpointIdentity endpoint, int timeoutMs, Connector.Listener listener) {
+        used = true;
         TunnelRequest request = new TunnelRequest(endpoint.memberId(), endpoint.incarnation());
         mesh.tunnels().open(boxId, request, timeoutMs, listener);
     }
--- a/net/src/main/java/org/wingstall/net/http/Connector.java
+++ b/net/src/main/java/org/wingstall/net/http/Connector.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * Opens connections for a client, directly or by way of another box.
@@ -16,6 +17,11 @@
     /** Set on a connection that goes by way of another box: the name of that box. */
     AttributeKey<String> VIA_BOX = AttributeKey.valueOf("wingstall.viaBox");
 
+    /** Returns the box by way of which a connection goes; empty when it goes straight to its address. */
+    static Optional<String> viaBox(Channel channel) {
+        return Optional.ofNullable(channel.attr(VIA_BOX).get());
+    }
+
     /** Receives the result of a connection attempt, on the event loop of the connection; once. */
     interface Listener {
         /** A connection is open; its pipeline has no handlers of the client yet. */
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -142,8 +142,8 @@
                 .forEach(Channel::close);
     }
 
-    static boolean direct(Channel channel) {
-        return !channel.hasAttr(Connector.VIA_BOX);
+    private static boolean direct(Channel channel) {
+        return Connector.viaBox(channel).isEmpty();
     }
 
     void started(HttpExchange exchange, EventLoop loop, InetSocketAddress address) {
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -117,7 +117,7 @@
     }
 
     private boolean viaBox() {
-        return channel != null && !HttpClient.direct(channel);
+        return channel != null && Connector.viaBox(channel).isPresent();
     }
 
     private void end() {
--- a/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -42,6 +43,19 @@
         assertFalse(channel.isOpen());
     }
 
+    /** A look at the way of idle connections made them count as leading through another box. */
+    @Test
+    public void aConnectionWhoseWayWasLookedUpStaysDirect() {
+        List<TransportException> failures = new ArrayList<>();
+        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), new ExchangeHandler());
+        assertFalse(Connector.viaBox(channel).isPresent());
+        HttpExchange exchange =
+                new HttpExchange(OutgoingRequest.post(ADDRESS, "/", new byte[0]), listener(failures), new HttpClient());
+        exchange.start(channel);
+        channel.close();
+        assertTrue(failures.get(0).closedByPeer());
+    }
+
     private static ResponseListener listener(List<TransportException> failures) {
         return new ResponseListener() {
             @Override
