Log how the end of each stream was recognised, and where in the stream it came

The line of a request that streamed says by what its end was known (length, last chunk, or the end of the connection), how many events came and how many bytes after the last one; wingstall_streams_ended_total counts the same by end and position. Events of all streams are followed for this, of those that go on byte by byte as well: no byte is held back for it.

--- a/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageAttempt.java
@@ -10,6 +10,7 @@
 import org.wingstall.core.retry.AttemptTimeouts;
 import org.wingstall.core.retry.RetryRules.AttemptOutcome;
 import org.wingstall.core.route.EndpointState;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.http.EventReader;
 import org.wingstall.net.http.HttpExchange;
 import org.wingstall.net.http.OutgoingRequest;
@@ -157,7 +158,7 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(BodyEnd end) {
         if (status != OK) {
             AttemptOutcome kind = refusedUnrun ? AttemptOutcome.REFUSED_UNRUN : AttemptOutcome.FAILED;
             finish(kind, "the endpoint answered with status " + status);
--- a/load/src/main/java/org/wingstall/load/CallerExchange.java
+++ b/load/src/main/java/org/wingstall/load/CallerExchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.http.EventReader;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.ResponseListener;
@@ -90,7 +91,7 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(BodyEnd end) {
         try {
             answer = Json.read(streamed ? lastEvent : body.toByteArray(), Answer.class);
         } catch (InvalidDocumentException e) {
--- a/load/src/main/java/org/wingstall/load/DirectRun.java
+++ b/load/src/main/java/org/wingstall/load/DirectRun.java
@@ -15,6 +15,7 @@
 import org.HdrHistogram.Histogram;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.net.EventLoops;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.OutgoingRequest;
 import org.wingstall.net.http.ResponseListener;
@@ -81,7 +82,7 @@
             }
 
             @Override
-            public void complete() {
+            public void complete(BodyEnd end) {
                 if (counting && !over) {
                     tookMicros.recordValue((System.nanoTime() - beganNs) / 1000);
                     if (status != 200) {
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -27,6 +27,7 @@
     private boolean sentWhole;
     private boolean ended;
     private boolean keepAlive = true;
+    private BodyEnd bodyEnd = BodyEnd.LENGTH;
     private long keptIdleMs = OutgoingRequest.ANY_IDLE_MS;
 
     HttpExchange(OutgoingRequest request, ResponseListener listener, HttpClient client) {
@@ -72,6 +73,7 @@
 
     void head(HttpResponse response) {
         keepAlive = HttpUtil.isKeepAlive(response);
+        bodyEnd = BodyEnd.of(response);
         keptIdleMs = KeepAlive.idleMs(response.headers());
         if (!ended) {
             listener.head(response.status().code(), response.headers());
@@ -100,7 +102,7 @@
     boolean complete() {
         if (!ended) {
             end();
-            listener.complete();
+            listener.complete(bodyEnd);
         }
         return keepAlive && sentWhole && channel.config().isAutoRead();
     }
--- a/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -79,7 +79,7 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(BodyEnd end) {
         timer.cancel(false);
         reply.complete(new HttpReply(status, body.toByteArray(), headers));
     }
--- a/net/src/main/java/org/wingstall/net/http/ResponseListener.java
+++ b/net/src/main/java/org/wingstall/net/http/ResponseListener.java
@@ -22,8 +22,12 @@
     /** The connection leads straight to an address that is reached by way of other boxes only, as was just found. */
     default void directPathLost() {}
 
-    /** The answer is whole. */
-    void complete();
+    /**
+     * The answer is whole, as far as its framing shows.
+     *
+     * @param end how its end was recognised
+     */
+    void complete(BodyEnd end);
 
     /** There will be no whole answer. */
     void failed(TransportException failure);
--- a/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
@@ -65,7 +65,7 @@
             public void content(ByteBuf part) {}
 
             @Override
-            public void complete() {}
+            public void complete(BodyEnd end) {}
 
             @Override
             public void failed(TransportException failure) {
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -28,6 +28,7 @@
     private final Map<String, Counter> stateQueries = new ConcurrentHashMap<>();
     private final Map<String, Counter> limitedEndpoints = new ConcurrentHashMap<>();
     private final Map<String, Counter> statements = new ConcurrentHashMap<>();
+    private final Map<String, Counter> streamEnds = new ConcurrentHashMap<>();
     private final Counter droppedResponses = registry.counter("wingstall.answers.dropped");
     private final Counter droppedLogLines = registry.counter("wingstall.log.lines.dropped");
     private final Timer successTime =
@@ -112,6 +113,16 @@
                 .increment();
     }
 
+    /** Counts the end of an endpoint's stream, by how it was recognised and where in the stream it came. */
+    public void recordStreamEnd(String end, int events, int unfinishedBytes) {
+        String position = unfinishedBytes > 0 ? "inside-event" : events == 0 ? "no-event" : "after-event";
+        streamEnds
+                .computeIfAbsent(
+                        end + position,
+                        name -> registry.counter("wingstall.streams.ended", "end", end, "position", position))
+                .increment();
+    }
+
     /** Counts a response that was dropped because it is unsigned or belongs to another request. */
     public void recordDroppedResponse() {
         droppedResponses.increment();
--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -5,6 +5,7 @@
 import org.wingstall.core.answer.RefusedException;
 import org.wingstall.core.limit.TokenBucket;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.run.RequestLogEntry;
 
@@ -76,6 +77,12 @@
                 .to(LOG);
     }
 
+    /** Records how an endpoint's stream ended; logged with its request. */
+    public void recordStreamEnd(RequestLogEntry record, BodyEnd end, int events, int unfinishedBytes) {
+        record.streamEnded(end.code(), events, unfinishedBytes);
+        metrics.recordStreamEnd(end.code(), events, unfinishedBytes);
+    }
+
     /** Logs a request that was refused before its run started. */
     public void logRejected(String requestId, String target, RefusedException refusal, long configVersion) {
         if (!tryAcquireLine()) {
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.http.HttpExchange;
 import org.wingstall.net.http.ResponseListener;
 import org.wingstall.net.http.TransportException;
@@ -159,14 +160,14 @@
     }
 
     @Override
-    public void complete() {
+    public void complete(BodyEnd end) {
         if (ended || head == null) {
             return;
         }
         if (head.notExecuted()) {
             rejected();
         } else if (streaming) {
-            endStream();
+            endStream(end);
         } else if (head.success()) {
             markEnded();
             endpoint.recordAnswer(context.clock().nowMs() - startedAtMs);
@@ -177,8 +178,10 @@
         }
     }
 
-    private void endStream() {
+    private void endStream(BodyEnd end) {
         markEnded();
+        EventStreamParser progress = owner.response().progress();
+        quarantine.streamEnded(end, progress);
         if (owner.response().end()) {
             quarantine.answered(endpoint, startedAtMs, true);
             owner.complete(head.status());
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/EventStreamParser.java
@@ -0,0 +1,107 @@
+package org.wingstall.relay.run;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Follows the bytes of server-sent events and tells where events end. Lines end with CR, LF or both; an event ends with
+ * an empty line; a line that begins with a colon is a comment.
+ */
+final class EventStreamParser {
+    private static final String BYTE_ORDER_MARK = "\uFEFF";
+    private static final String ID = "id";
+    private static final char COLON = ':';
+
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private boolean firstLine;
+    private boolean afterCarriageReturn;
+    private boolean eventBegun;
+    private String pendingEventId;
+    private String lastEventId;
+    private int events;
+    private int unfinishedBytes;
+
+    EventStreamParser() {
+        beginBody();
+    }
+
+    /** Starts at the first byte of another body, which goes on after the last complete event. */
+    void beginBody() {
+        line.reset();
+        firstLine = true;
+        afterCarriageReturn = false;
+        eventBegun = false;
+        pendingEventId = null;
+        events = 0;
+        unfinishedBytes = 0;
+    }
+
+    /** Reads the next byte; returns whether all bytes so far belong to complete events and complete comments. */
+    boolean read(byte next) {
+        boolean endsLineBefore = next == '\n' && afterCarriageReturn;
+        afterCarriageReturn = next == '\r';
+        unfinishedBytes++;
+        if (next != '\n' && next != '\r') {
+            line.write(next);
+        } else if (!endsLineBefore) {
+            finishLine();
+        }
+        if (!insideEvent()) {
+            unfinishedBytes = 0;
+        }
+        return !insideEvent();
+    }
+
+    private void finishLine() {
+        String text = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        if (firstLine && text.startsWith(BYTE_ORDER_MARK)) {
+            text = text.substring(BYTE_ORDER_MARK.length());
+        }
+        firstLine = false;
+        if (text.isEmpty()) {
+            finishEvent();
+        } else if (text.charAt(0) != COLON) {
+            eventBegun = true;
+            readField(text);
+        }
+    }
+
+    private void readField(String text) {
+        int colon = text.indexOf(COLON);
+        String name = colon < 0 ? text : text.substring(0, colon);
+        if (name.equals(ID)) {
+            pendingEventId = colon < 0 ? "" : text.substring(colon + 1).strip();
+        }
+    }
+
+    private void finishEvent() {
+        if (eventBegun) {
+            events++;
+            // A stream can't be resumed after an event without an identifier: it would come twice.
+            lastEventId = pendingEventId == null || pendingEventId.isEmpty() ? null : pendingEventId;
+            eventBegun = false;
+            pendingEventId = null;
+        }
+    }
+
+    /** Returns whether the bytes so far end inside an event, or inside a line. */
+    boolean insideEvent() {
+        return eventBegun || line.size() > 0;
+    }
+
+    /** Returns the number of complete events in the body. */
+    int events() {
+        return events;
+    }
+
+    /** Returns the number of bytes after the last complete event or comment. */
+    int unfinishedBytes() {
+        return unfinishedBytes;
+    }
+
+    /** Returns the identifier of the last complete event; null if it has none, or there is none. */
+    String lastEventId() {
+        return lastEventId;
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -69,6 +69,12 @@
                 + (inputs.bytes() == 0 ? "" : ", " + inputs.bytes() + " bytes to fetch from " + inputs.failureDomain());
     }
 
+    /** Records how the stream of an attempt ended. */
+    public void streamEnded(String end, int events, int unfinishedBytes) {
+        attempts.add(
+                "stream ended by " + end + " after " + events + " events and " + unfinishedBytes + " bytes of another");
+    }
+
     void attemptEnded(String how, String detail) {
         attempts.add(how + ": " + detail);
     }
--- a/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
@@ -7,12 +7,13 @@
 
 /**
  * Forwards the response of an endpoint to the caller. Resumable streams are forwarded in whole events, so that another
- * endpoint can resume after the last one. Confined to the request loop.
+ * endpoint can resume after the last one; others as their bytes come. Confined to the request loop.
  */
 final class ResponseForwarder {
     private final HttpCall call;
     private final boolean wholeEvents;
-    private final EventStreamBuffer eventBuffer = new EventStreamBuffer();
+    private final EventStreamParser parser = new EventStreamParser();
+    private final EventStreamBuffer eventBuffer = new EventStreamBuffer(parser);
     private boolean started;
 
     ResponseForwarder(HttpCall call, boolean wholeEvents) {
@@ -27,17 +28,23 @@
 
     /** Returns whether another endpoint can start or resume the response. */
     boolean resumable() {
-        return !started || wholeEvents && eventBuffer.lastEventId() != null;
+        return !started || wholeEvents && parser.lastEventId() != null;
     }
 
     /** Returns the identifier of the last event that was sent to the caller, or null. */
     String lastEventId() {
-        return eventBuffer.lastEventId();
+        return parser.lastEventId();
+    }
+
+    /** Returns how far the current endpoint's stream has been read. */
+    EventStreamParser progress() {
+        return parser;
     }
 
     /** Starts a streamed response; one that is resumed keeps the head that was already sent. */
     void start(int status, HttpHeaders headers) {
-        eventBuffer.discardPartialEvent();
+        eventBuffer.discard();
+        parser.beginBody();
         if (!started) {
             started = true;
             call.begin(status, headers);
@@ -47,6 +54,10 @@
     /** Forwards a part of the body; returns false if the connection to the caller is not writable. */
     boolean forwardPart(ByteBuf content) {
         if (!wholeEvents) {
+            content.forEachByte(next -> {
+                parser.read(next);
+                return true;
+            });
             return call.part(content.retainedSlice());
         }
         byte[] whole = eventBuffer.add(content);
@@ -60,7 +71,7 @@
 
     /** Ends a streamed response; returns false, and leaves it open, if its last event is incomplete. */
     boolean end() {
-        if (wholeEvents && eventBuffer.hasPartialEvent()) {
+        if (wholeEvents && parser.insideEvent()) {
             return false;
         }
         call.end();
--- a/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.core.quarantine.RequestQuarantine;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.log.RequestLog;
@@ -40,6 +41,10 @@
         }
     }
 
+    void streamEnded(BodyEnd end, EventStreamParser progress) {
+        log.recordStreamEnd(record, end, progress.events(), progress.unfinishedBytes());
+    }
+
     void endpointAnswered(RelayEndpoint endpoint, long sentAtMs) {
         request.endpointAnswered(endpoint.key(), sentAtMs);
     }
--- a/relay/src/test/java/org/wingstall/relay/run/EventStreamBufferTest.java
+++ b/relay/src/test/java/org/wingstall/relay/run/EventStreamBufferTest.java
@@ -20,16 +20,18 @@
 
     @Test(dataProvider = "cuts")
     public void aBrokenEventIsHeldBackAndTheLastWholeOneIsKnown(int bytesAtOnce) {
-        EventStreamBuffer tail = new EventStreamBuffer();
+        EventStreamParser parser = new EventStreamParser();
+        EventStreamBuffer tail = new EventStreamBuffer(parser);
         StringBuilder passed = new StringBuilder();
         for (int at = 0; at < STREAM.length(); at += bytesAtOnce) {
             String part = STREAM.substring(at, Math.min(STREAM.length(), at + bytesAtOnce));
             passed.append(new String(tail.add(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8))));
         }
         assertEquals(passed.toString(), STREAM.substring(0, STREAM.indexOf("id: 3")));
-        assertEquals(tail.lastEventId(), "2");
-        assertTrue(tail.hasPartialEvent());
-        tail.discardPartialEvent();
-        assertFalse(tail.hasPartialEvent());
+        assertEquals(parser.lastEventId(), "2");
+        assertTrue(parser.insideEvent());
+        tail.discard();
+        parser.beginBody();
+        assertFalse(parser.insideEvent());
     }
 }
--- /dev/null
+++ b/relay/src/test/java/org/wingstall/relay/run/EventStreamParserTest.java
@@ -0,0 +1,46 @@
+package org.wingstall.relay.run;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the rules of server-sent events by which the end of a stream is judged. */
+public class EventStreamParserTest {
+    @DataProvider
+    Object[][] streams() {
+        return new Object[][] {
+            {"", false, 0, null},
+            {"id: 1\ndata: a\n\n", false, 1, "1"},
+            {"id: 1\r\ndata: a\r\n\r\n", false, 1, "1"},
+            {"id: 1\rdata: a\r\r", false, 1, "1"},
+            {"id: 1\r\ndata: a\r\n\r", false, 1, "1"},
+            {"\uFEFFid:1\ndata: a\n\n", false, 1, "1"},
+            {"id: 1\ndata: a\ndata: b\n\n\n\n", false, 1, "1"},
+            {"id: 1\ndata\n\n", false, 1, "1"},
+            {"id: 1\ndata: a\n\n: waiting\n", false, 1, "1"},
+            {": waiting\n\n", false, 0, null},
+            {"id: 1\ndata: a\n\ndata: b\n\n", false, 2, null},
+            {"id: 1\ndata: a\n\nid\ndata: b\n\n", false, 2, null},
+            {"id: 1\ndata: a\n\nid: 2\ndata: b\n", true, 1, "1"},
+            {"id: 1\ndata: a\n\nid: 2\ndata: b", true, 1, "1"},
+            {"id: 1\ndata: a\n\nid: 2\ndata: b\n: waiting\n", true, 1, "1"},
+            {"id: 1\ndata: a\n\n: wait", true, 1, "1"},
+            {"id: 1\ndata: a\n\n ", true, 1, "1"},
+            {"weights: 3\n", true, 0, null},
+        };
+    }
+
+    @Test(dataProvider = "streams")
+    public void theEndOfAStreamIsJudgedByItsLastLine(String stream, boolean inside, int events, String lastId) {
+        EventStreamParser parser = new EventStreamParser();
+        for (byte next : stream.getBytes(StandardCharsets.UTF_8)) {
+            parser.read(next);
+        }
+        assertEquals(parser.insideEvent(), inside);
+        assertEquals(parser.unfinishedBytes() > 0, inside);
+        assertEquals(parser.events(), events);
+        assertEquals(parser.lastEventId(), lastId);
+    }
+}
