Don't complete a stream that its endpoint broke off

Callers of streams that may not be resumed got the closing chunk, so a complete answer, although the endpoint had closed its connection in the midst of an event.

Cause: only streams that may be resumed were checked for an incomplete event, since the check grew out of resuming; others took the end that the framing showed for the end of the stream. An answer with neither length nor chunks ends with its connection, and a process that crashes may close its connections in order.

Now one place decides for all streams, from framing, end of the connection and last event: a stream is complete if it ends outside an event and a line, and, where only the connection ends it, if it had an event. Else the attempt has failed as by a reset: it counts against the endpoint and towards the quarantine, a stream that may be resumed goes on elsewhere, and the caller of another sees its connection end without the closing chunk. No byte is held back.

Ruled out: resets (no case looked complete, on either route) and resumed streams (whose incomplete events were seen). A stream that ends with its connection between two events can't be told from a whole one.

--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -118,6 +118,18 @@
         listener.failed(new TransportException(kind, written, viaBox(), detail));
     }
 
+    /**
+     * Returns the failure of an answer whose content shows that it was broken off, although its framing does not.
+     *
+     * @param end how the end of its body was recognised
+     * @param detail what the content shows
+     */
+    public TransportException brokenOff(BodyEnd end, String detail) {
+        TransportException.Kind kind =
+                end == BodyEnd.CONNECTION ? TransportException.Kind.RESET : TransportException.Kind.PROTOCOL;
+        return new TransportException(kind, written, viaBox(), detail);
+    }
+
     private boolean viaBox() {
         return channel != null && Connector.viaBox(channel).isPresent();
     }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -179,14 +179,17 @@
     }
 
     private void endStream(BodyEnd end) {
-        markEnded();
         EventStreamParser progress = owner.response().progress();
         quarantine.streamEnded(end, progress);
-        if (owner.response().end()) {
+        if (owner.response().end(end)) {
+            markEnded();
             quarantine.answered(endpoint, startedAtMs, true);
             owner.complete(head.status());
         } else {
-            owner.lost(this, "the stream ended within an event");
+            failed(exchange.brokenOff(
+                    end,
+                    "the stream ended after " + progress.events() + " events and " + progress.unfinishedBytes()
+                            + " bytes of another"));
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.wingstall.net.http.BodyEnd;
 import org.wingstall.net.http.HttpCall;
 
 /**
@@ -69,13 +70,19 @@
         call.onWritable(action);
     }
 
-    /** Ends a streamed response; returns false, and leaves it open, if its last event is incomplete. */
-    boolean end() {
-        if (wholeEvents && parser.insideEvent()) {
-            return false;
+    /** Ends a streamed response; returns false, and leaves it open, if the endpoint broke its stream off. */
+    boolean end(BodyEnd end) {
+        boolean complete = complete(end);
+        if (complete) {
+            call.end();
         }
-        call.end();
-        return true;
+        return complete;
+    }
+
+    /** An endpoint that ends may close its connection in order, so that only the last event shows it. */
+    private boolean complete(BodyEnd end) {
+        boolean withoutEvents = end == BodyEnd.CONNECTION && parser.events() == 0;
+        return !parser.insideEvent() && !withoutEvents;
     }
 
     /** Forwards a complete response. */
