Don't send chunks to HTTP/1.0 callers, and reset their streams that are broken off

Callers that speak HTTP/1.0, or 1.0 with keep-alive, got streams in chunks, which they don't know; and since their streams end with their connection, one that is broken off has to be reset to look incomplete.

--- a/net/src/main/java/org/wingstall/net/http/HttpCall.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -47,6 +48,7 @@
     private final HttpHeaders headers;
     private final byte[] body;
     private final boolean keepAlive;
+    private final boolean chunks;
     private final Runnable whenAnswered;
     private final AtomicBoolean draining;
     private Runnable onDisconnect = () -> {};
@@ -63,6 +65,7 @@
         this.body = ByteBufUtil.getBytes(request.content());
         this.draining = draining;
         this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.chunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         this.whenAnswered = whenAnswered;
     }
 
@@ -159,8 +162,8 @@
         }
         streaming = true;
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        HttpUtil.setTransferEncodingChunked(head, true);
         setHeaders(head, EVENT_STREAM);
+        setStreamFraming(head);
         channel.writeAndFlush(head, channel.voidPromise());
     }
 
@@ -204,8 +207,8 @@
         streaming = true;
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         head.headers().set(answerHeaders);
-        HttpUtil.setTransferEncodingChunked(head, true);
         setConnection(head);
+        setStreamFraming(head);
         channel.write(head, channel.voidPromise());
     }
 
@@ -237,12 +240,30 @@
         }
     }
 
-    /** Closes the connection without an answer, or without the rest of one. */
+    /**
+     * Closes the connection without an answer, or without the rest of one. An answer that ends with its connection would
+     * look complete, so that connection is reset.
+     */
     public void abort() {
         answered = true;
+        if (endsWithConnection()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         channel.close();
     }
 
+    /** Returns whether the client does not know chunks, so that the end of the connection ends its stream. */
+    private boolean endsWithConnection() {
+        return streaming && !chunks;
+    }
+
+    private void setStreamFraming(HttpResponse head) {
+        HttpUtil.setTransferEncodingChunked(head, chunks);
+        if (!chunks) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
     private void setHeaders(HttpResponse response, String contentType) {
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         setConnection(response);
@@ -255,7 +276,7 @@
     }
 
     private boolean keepsConnection() {
-        return keepAlive && !draining.get();
+        return keepAlive && !endsWithConnection() && !draining.get();
     }
 
     private void finish(Object last) {
