Move the end of a request out of its run

RequestOutcome ends a request once and tells caller, counters and log; the run decides how. No change of behaviour.

--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.answer.Reason;
-import org.wingstall.core.answer.RefusedException;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.relay.config.RegionRestriction;
@@ -37,6 +36,7 @@
     private final Workspace workspace;
     private final Runnable onFinished;
     private final RequestLogEntry record;
+    private final RequestOutcome outcome;
     private final RunQuarantine quarantine;
     private final RequestTimes times;
     private final RegionRestriction regions;
@@ -47,7 +47,6 @@
     private EndpointAttempt attempt;
     private EngineAssignment engineAssignment;
     private ScheduledFuture<?> timer;
-    private boolean finished;
     private int attempts;
     private int possibleRuns;
 
@@ -74,6 +73,7 @@
                 regions,
                 Prompt.of(request.prompt()));
         this.record = new RequestLogEntry(request, route, workspace.name(), configVersion, times.arrivedMs());
+        this.outcome = new RequestOutcome(context, call, record, times, this::release);
         this.quarantine = new RunQuarantine(context, record);
         this.search = new EndpointSearch(context, service, request);
         this.stages = new RequestStages(context, request, route, times.deadlineAtMs(), this);
@@ -85,7 +85,7 @@
         context.retryBudgets().of(service.name()).recordCall();
         timer = context.loop().schedule(this::onTimeout, Math.max(1, times.remainingMs()), TimeUnit.MILLISECONDS);
         if (regions.allowsNone()) {
-            refuseUntil(
+            outcome.refuse(
                     Reason.NO_COMMON_REGION,
                     "route '" + route.name() + "' and workspace '" + workspace.name() + "' are bound to other regions",
                     0);
@@ -107,7 +107,7 @@
 
     @Override
     public void stagesDone(List<String> outputs) {
-        if (!finished) {
+        if (!outcome.finished()) {
             record.stagesDone(times.nowMs());
             callEndpoint(outputs);
         }
@@ -121,7 +121,7 @@
     @Override
     public void stagesFailed(Reason reason, String detail, long retryAfterMs) {
         if (reason == Reason.QUARANTINED) {
-            refuseUntil(reason, detail, retryAfterMs);
+            outcome.refuse(reason, detail, retryAfterMs);
         } else {
             refuse(reason, detail, retryAfterMs);
         }
@@ -136,16 +136,16 @@
 
     private void refuse(QuarantineRefusal refusal) {
         if (response.started()) {
-            abortResponse(Reason.ENDPOINT_LOST, refusal.detail());
+            outcome.abort(Reason.ENDPOINT_LOST, refusal.detail());
         } else if (mayHaveRun()) {
             refuse(Reason.ENDPOINT_LOST, refusal.detail());
         } else {
-            refuseUntil(refusal.reason(), refusal.detail(), refusal.retryAfterMs());
+            outcome.refuse(refusal.reason(), refusal.detail(), refusal.retryAfterMs());
         }
     }
 
     private void callEndpoint(List<String> inputs) {
-        if (finished || refuseIfQuarantined()) {
+        if (outcome.finished() || refuseIfQuarantined()) {
             return;
         }
         long untilTargetMs = times.untilTargetMs();
@@ -174,7 +174,7 @@
 
     /** Waits for capacity if the response can still meet its target; otherwise refuses with a retry-after time. */
     private void waitForCapacity(long retryAfterMs, List<String> inputs) {
-        if (finished) {
+        if (outcome.finished()) {
             return;
         }
         String detail = "endpoints of '" + service.name()
@@ -183,7 +183,7 @@
             record.attemptEnded("waits", detail);
             context.loop().schedule(() -> callEndpoint(inputs), Math.max(1, retryAfterMs), TimeUnit.MILLISECONDS);
         } else if (response.started()) {
-            abortResponse(Reason.ENDPOINT_LOST, detail);
+            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY, detail, retryAfterMs);
         }
@@ -191,7 +191,7 @@
 
     private void send(EngineAssignment chosen, List<String> inputs) {
         // Endpoint losses may have been reported while the engine was selected.
-        if (!finished && !refuseIfQuarantined()) {
+        if (!outcome.finished() && !refuseIfQuarantined()) {
             engineAssignment = chosen;
             record.engineChosen(chosen, stages.outputPlace());
             send(chosen.endpoint(), chosen.fetchFrom(), inputs);
@@ -205,7 +205,7 @@
     }
 
     private boolean awaitsResponseOf(EndpointAttempt sent) {
-        return !finished && attempt == sent && !response.started();
+        return !outcome.finished() && attempt == sent && !response.started();
     }
 
     /** Abandons a retryable attempt; a request that must not be sent twice keeps waiting, as its engine may recover. */
@@ -254,10 +254,7 @@
 
     @Override
     public void complete(int status) {
-        if (!finished) {
-            context.metrics().recordCompleted(status, times.elapsedMs());
-            finish("complete", status, null);
-        }
+        outcome.complete(status);
     }
 
     @Override
@@ -278,7 +275,7 @@
         if (tryRetry("not-run")) {
             callEndpoint(ended.inputs());
         } else if (response.started()) {
-            abortResponse(Reason.ENDPOINT_LOST, detail);
+            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(Reason.ENDPOINTS_BUSY, detail, service.openInMs());
         }
@@ -298,7 +295,7 @@
         if (retry) {
             callEndpoint(ended.inputs());
         } else if (response.started()) {
-            abortResponse(Reason.ENDPOINT_LOST, detail);
+            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(Reason.ENDPOINT_LOST, detail);
         }
@@ -347,12 +344,7 @@
     }
 
     private void onCallerDisconnect() {
-        if (finished) {
-            return;
-        }
-        Reason reason = mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING;
-        context.metrics().recordRefusal(reason);
-        finish(reason.code(), 0, "the caller closed its connection");
+        outcome.callerGone(mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING);
     }
 
     private void refuse(Reason reason, String detail) {
@@ -360,29 +352,11 @@
     }
 
     private void refuse(Reason reason, String detail, long waitMs) {
-        refuseUntil(reason, detail, mayHaveRun() ? 0 : context.retryAfter().jitteredMs(Math.max(MIN_RETRY_MS, waitMs)));
-    }
-
-    private void refuseUntil(Reason reason, String detail, long retryAfterMs) {
-        if (finished) {
-            return;
-        }
-        context.metrics().recordRefusal(reason);
-        finish(reason.code(), reason.httpStatus(), detail);
-        context.callerProtocol().refuse(call, new RefusedException(reason, detail, retryAfterMs));
-    }
-
-    /** Closes the connection, so that the caller does not take an incomplete response for a complete one. */
-    private void abortResponse(Reason reason, String detail) {
-        if (!finished) {
-            context.metrics().recordRefusal(reason);
-            finish(reason.code() + "-midway", 0, detail);
-            call.abort();
-        }
+        outcome.refuse(
+                reason, detail, mayHaveRun() ? 0 : context.retryAfter().jitteredMs(Math.max(MIN_RETRY_MS, waitMs)));
     }
 
-    private void finish(String outcome, int status, String detail) {
-        finished = true;
+    private void release() {
         quarantine.endTrial();
         timer.cancel(false);
         if (attempt != null) {
@@ -390,7 +364,6 @@
         }
         record.stages(stages.progress());
         stages.close();
-        context.log().logRequest(record, outcome, status, detail, times.nowMs());
         onFinished.run();
     }
 }
