Log which stream a request resumes, and the version of each endpoint that it is sent to

The line of a request names the attempt that began the stream (Resumes) and the last event that the caller has, and for each attempt the software version of its endpoint, so that a mix shows in the lines of one caller's tries. The stand-ins write several versions and name theirs in each event. No decision changes.

--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -50,6 +50,7 @@
                 .with("status", status)
                 .with("detail", detail)
                 .with("tookMs", nowMs - record.arrivedMs())
+                .with("resumes", record.resumes())
                 .with("stagesMs", record.stagesMs())
                 .with("stages", record.stages())
                 .with("firstByteMs", record.firstByteMs())
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -50,8 +50,8 @@
     }
 
     void attempt(RelayEndpoint endpoint, long listAgeMs) {
-        attempts.add(endpoint.id() + " load " + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs
-                + " ms old");
+        attempts.add(endpoint.id() + " version " + endpoint.identity().boxClass() + " load "
+                + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs + " ms old");
     }
 
     void engineChosen(EngineAssignment chosen, InputLocation inputs) {
@@ -84,6 +84,11 @@
         return request.id();
     }
 
+    /** Returns which stream it resumes, and after which event; empty when it resumes none. */
+    public String resumes() {
+        return request.lastEventId() == null ? "" : request.resumes() + " after event " + request.lastEventId();
+    }
+
     /** Returns the name of its route. */
     public String route() {
         return route.name();
--- a/relay/src/main/java/org/wingstall/relay/wire/RelayRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/RelayRequest.java
@@ -23,6 +23,7 @@
  * @param pieces pieces of each stage; a stage that is not named has one
  * @param pieceKey key of the input of the first stages' pieces, or null
  * @param lastEventId last event that the caller received of a stream that it resumes, or null
+ * @param resumes identifier of the attempt that brought the first event of that stream, or null
  * @since 0.2
  */
 public record RelayRequest(
@@ -40,7 +41,8 @@
         int answerTokens,
         List<Integer> pieces,
         String pieceKey,
-        String lastEventId) {
+        String lastEventId,
+        String resumes) {
     /**
      * A part of a prompt; many prompts may contain the same part.
      *
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -57,6 +57,7 @@
                     + bound("{\"name\":\"bound\",\"api_keys\":[\"" + BOUND_KEY + "\"],\"priority\":1}", "home")
                     + "]";
 
+    private static final String FIRST_VERSION = "v1";
     private static final long ROUTE_TIMEOUT_MS = 1500;
     private static final int STAGE_MS = 20;
     private static final long TARGET_MS = 1000;
@@ -170,9 +171,24 @@
     /** Writes the entry of an endpoint that stays cold for so many ms. */
     public void list(
             String service, String failureDomain, String incarnation, String address, String state, long coldMs) {
-        String entry = "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":4,"
+        list(incarnation, entry(service, failureDomain, address, state, coldMs, FIRST_VERSION));
+    }
+
+    private void list(String incarnation, String entry) {
+        store.put("servers", incarnation, entry);
+    }
+
+    /** Writes the entry of an endpoint that runs some version of its software. */
+    public void listVersion(
+            String service, String failureDomain, String incarnation, String address, String state, String version) {
+        list(incarnation, entry(service, failureDomain, address, state, 0, version));
+    }
+
+    private static String entry(
+            String service, String failureDomain, String address, String state, long coldMs, String version) {
+        String text = "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\",\"slots\":4,"
                 + "\"state\":\"%s\",\"cold_left_ms\":%d,\"sequence\":1}";
-        store.put("servers", incarnation, entry.formatted(service, address, failureDomain, state, coldMs));
+        return text.formatted(service, address, failureDomain, version, state, coldMs);
     }
 
     /**
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -39,16 +38,13 @@
     private static final String BRITTLE = "Server-Brittle";
     private static final String RETRY_AFTER = "Retry-After";
 
-    /** Results that a request of the staged route reads, as callers of the tests ask for. */
-    private static final int STAGED_INPUTS = 3;
-
     private final String incarnation;
     private final int events;
     private final long callMs;
     private final List<Seen> runs = new CopyOnWriteArrayList<>();
     private final List<Integer> batches = new CopyOnWriteArrayList<>();
     private final List<String> freed = new CopyOnWriteArrayList<>();
-    private final List<String> wrongInputs = new CopyOnWriteArrayList<>();
+    private final InputChecks inputs = new InputChecks();
     private final AtomicInteger results = new AtomicInteger();
     private final AtomicInteger inputsToLose = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
@@ -60,6 +56,7 @@
     private volatile boolean leaving;
     private volatile String retryAfter;
     private volatile BrittleRoom brittleRoom;
+    private volatile String version = "";
 
     /** A request that came to an endpoint, run or turned away. */
     public record Arrival(String id, String endpoint, String target, boolean ran, long deadlineMs) {}
@@ -141,6 +138,12 @@
         behaviour = Behaviour.ANSWERS;
     }
 
+    /** Names in each event the software version that wrote it. */
+    public WorkerStandin writeAs(String softwareVersion) {
+        version = " by " + softwareVersion;
+        return this;
+    }
+
     /** States from now on how many requests a second it takes, in whatever words. */
     public void limit(String text, double requestsPerSecond) {
         limit = text;
@@ -171,12 +174,16 @@
     }
 
     private static String eventOf(String id, int number) {
-        return "id: " + number + "\ndata: token " + number + " of " + id + "\n\n";
+        return eventOf(id, number, "");
+    }
+
+    private static String eventOf(String id, int number, String version) {
+        return "id: " + number + "\ndata: token " + number + " of " + id + version + "\n\n";
     }
 
     /** Returns the pieces and requests that came with inputs of another request, or without some of their own. */
     public List<String> wrongInputs() {
-        return List.copyOf(wrongInputs);
+        return inputs.wrong();
     }
 
     /** Returns the requests that it ran. */
@@ -261,7 +268,7 @@
             turnAway(call);
             return;
         }
-        checkInputs(call);
+        inputs.check(call);
         runs.add(new Seen(
                 call.header(ID), call.method(), call.target(), call.headers().copy(), call.body()));
         call.onDisconnect(cancelled::incrementAndGet);
@@ -324,7 +331,7 @@
         } else if (number > events) {
             call.end();
         } else {
-            part(call, eventOf(call.header(ID), number));
+            part(call, eventOf(call.header(ID), number, version));
             call.eventLoop().schedule(() -> event(call, number + 1, cut), 5, TimeUnit.MILLISECONDS);
         }
     }
@@ -333,28 +340,6 @@
         call.part(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     }
 
-    /** The stages before a request of the staged route end in {@link #STAGED_INPUTS} results of its own. */
-    private void checkInputs(HttpCall call) {
-        if (call.path().startsWith("/staged/")) {
-            String inputs = call.header("X-Wingstall-Inputs");
-            List<String> handles = inputs == null ? List.of() : List.of(inputs.split(","));
-            checkInputs(call.header(ID), handles, STAGED_INPUTS);
-        }
-    }
-
-    private void checkInputs(String id, List<String> handles, int expected) {
-        boolean own = handles.stream().allMatch(handle -> handle.contains("/" + id + "."));
-        if (!own || handles.stream().distinct().count() != expected || handles.size() != expected) {
-            wrongInputs.add(id + " got " + handles);
-        }
-    }
-
-    private void checkInputs(JsonNode piece) {
-        List<String> handles = new ArrayList<>();
-        piece.path("inputs").forEach(handle -> handles.add(handle.asText()));
-        checkInputs(piece.path("id").asText(), handles, piece.path("phase").asInt());
-    }
-
     private String handleOf(JsonNode piece) {
         String of = piece.path("id").asText() + "." + piece.path("phase").asInt() + "."
                 + piece.path("piece").asInt();
@@ -368,7 +353,7 @@
         }
         JsonNode items = items(call, "items");
         int pieces = items.size();
-        items.forEach(this::checkInputs);
+        items.forEach(inputs::check);
         batches.add(pieces);
         ObjectNode document = Json.MAPPER.createObjectNode();
         ArrayNode made = document.putArray("items");
