--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -1,6 +1,8 @@
 package org.wingstall.it.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -162,6 +164,26 @@
                 .thenApply(reply -> new Reply(reply.statusCode(), reply.headers(), reply.body()));
     }
 
+    /** What came of an answer until it ended, and whether it was whole; no status when not even its head came. */
+    record Partial(int status, String body, boolean whole) {}
+
+    /** Sends a request and keeps what comes, also of an answer that is broken off. */
+    static Partial sendPartially(HttpRequest request) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        int status = 0;
+        try {
+            HttpResponse<InputStream> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            status = response.statusCode();
+            response.body().transferTo(body);
+            return new Partial(status, body.toString(StandardCharsets.UTF_8), true);
+        } catch (IOException e) {
+            return new Partial(status, body.toString(StandardCharsets.UTF_8), false);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Partial(status, body.toString(StandardCharsets.UTF_8), false);
+        }
+    }
+
     /** Returns whether the answer ended before it was whole. */
     boolean brokenOff(String route, String id) {
         try {
