Break a begun stream off when no other endpoint can be reached

Found while reading what happens to a stream whose version has no other endpoint. Callers of a stream that had begun, whose endpoint was lost and whose next endpoint refused the connection, waited for a rest that never came: the box tried to answer with a refusal, which can't be written into a begun answer and was dropped; the connection stayed open until its idle time was over. Now whatever would refuse a request breaks its answer off once it has begun; the four places that asked for this by themselves don't have to.

--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -1,8 +1,10 @@
 package org.wingstall.it.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.net.http.HttpRequest;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +15,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.standin.LoopbackPorts;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Behaviour;
@@ -27,6 +30,9 @@
     /** Time in which some requests are served although the first is given to an engine that is silent, in ms. */
     private static final long DARK_FOUND_MS = 4000;
 
+    /** Time within which a stream that can't go on has ended, in ms; far below the callers' patience of 5 s. */
+    private static final long ENDED_MS = 2000;
+
     private static final int MANY = 20;
 
     private final AtomicInteger ids = new AtomicInteger();
@@ -155,6 +161,26 @@
         assertEquals(successor.runs().size(), 0);
     }
 
+    /** A refusal was written into the begun stream, so that its caller waited for a rest that never came. */
+    @Test
+    public void aBegunStreamEndsAtOnceWhenNoOtherEndpointCanBeReached() throws Exception {
+        add("engine", 5, Behaviour.CUTS_ANSWER, "faulty");
+        fleet.list("engine", "east", "refusing", "127.0.0.1:" + LoopbackPorts.next("127.0.0.1"), "ready");
+        box = new RelayBox(fleet, "resumes-nowhere").awaitReady();
+        boolean begun = false;
+        for (int i = 0; i < RETRIES_SAVED && !begun; i++) {
+            HttpRequest request =
+                    box.request("resumable", "request-" + ids.incrementAndGet()).build();
+            long beganNs = System.nanoTime();
+            RelayBox.Partial answer = RelayBox.sendPartially(request);
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs);
+            begun = answer.status() == 200;
+            assertFalse(begun && answer.whole(), answer.body());
+            assertTrue(tookMs < ENDED_MS, "took " + tookMs + " ms");
+        }
+        assertTrue(begun);
+    }
+
     @Test
     public void aFailureOfTheSecondEndpointNeverGetsIntoABegunStream() throws Exception {
         add("engine", 5, Behaviour.CUTS_ANSWER, "faulty");
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -135,9 +135,7 @@
     }
 
     private void refuse(QuarantineRefusal refusal) {
-        if (response.started()) {
-            outcome.abort(Reason.ENDPOINT_LOST, refusal.detail());
-        } else if (mayHaveRun()) {
+        if (mayHaveRun()) {
             refuse(Reason.ENDPOINT_LOST, refusal.detail());
         } else {
             outcome.refuse(refusal.reason(), refusal.detail(), refusal.retryAfterMs());
@@ -182,8 +180,6 @@
         if (retryAfterMs < times.untilTargetMs() - service.expectedResponseMs()) {
             record.attemptEnded("waits", detail);
             context.loop().schedule(() -> callEndpoint(inputs), Math.max(1, retryAfterMs), TimeUnit.MILLISECONDS);
-        } else if (response.started()) {
-            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY, detail, retryAfterMs);
         }
@@ -274,8 +270,6 @@
         record.attemptEnded("not-run", detail);
         if (tryRetry("not-run")) {
             callEndpoint(ended.inputs());
-        } else if (response.started()) {
-            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(Reason.ENDPOINTS_BUSY, detail, service.openInMs());
         }
@@ -294,8 +288,6 @@
         boolean retry = route.retryable() && response.resumable() && tryRetry("lost");
         if (retry) {
             callEndpoint(ended.inputs());
-        } else if (response.started()) {
-            outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
             refuse(Reason.ENDPOINT_LOST, detail);
         }
@@ -351,7 +343,12 @@
         refuse(reason, detail, MIN_RETRY_MS);
     }
 
+    /** A response that has begun can't become a refusal; it is broken off. */
     private void refuse(Reason reason, String detail, long waitMs) {
+        if (response.started()) {
+            outcome.abort(Reason.ENDPOINT_LOST, detail);
+            return;
+        }
         outcome.refuse(
                 reason, detail, mayHaveRun() ? 0 : context.retryAfter().jitteredMs(Math.max(MIN_RETRY_MS, waitMs)));
     }
