Let streams go on only at the software version that began them

Callers got streams whose events came from two versions of an engine, in one answer and over their tries, at any box.

Cause: nothing that chose an endpoint asked for its version, and a box that got Resumes could not know it: the attempt that began the stream was known to the box that had sent it only. The class: a choice that has to fit an earlier one is made without it.

Inside one answer the version of the endpoint that began the stream binds all later endpoints. Over tries a record says which version an attempt was sent to. The box that sends it keeps the record until the caller's deadline and tells it to two boxes of its failure domain and one in each of two others, chosen by rendezvous hashing, before the endpoint can have written an event; later endpoints of the attempt replace it. A box that gets Resumes asks all boxes that it has links to, and is done with the reply of the one that began the stream, or with all replies, or after 60 ms. Without a record the version is taken only if the list, followed without a gap for longer than the stream can be old, showed no other. Else the request is refused at once, and so it is when no endpoint runs the version: with a time to come back only where boxes that may know gave no reply. Nothing is written to the platform's store. A box that is linked anew is told what it holds.

--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -44,6 +44,10 @@
     DEADLINE_PASSED_WAITING("deadline-passed-waiting", Answer.Outcome.NOT_RUN, 503),
     /** No endpoint of the first service can take the request. */
     NO_ENDPOINT("no-endpoint", Answer.Outcome.NOT_RUN, 503),
+    /** No box knows which software version began the stream that is to be resumed. */
+    STREAM_VERSION_UNKNOWN("stream-version-unknown", Answer.Outcome.NOT_RUN, 503),
+    /** No endpoint runs the software version that began the stream that is to be resumed. */
+    STREAM_VERSION_GONE("stream-version-gone", Answer.Outcome.NOT_RUN, 503),
     /** The endpoints rejected the request before running it. */
     ENDPOINTS_BUSY("endpoints-busy", Answer.Outcome.NOT_RUN, 503),
     /** A stage before the request produced no result, so the request itself was never sent. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -3,23 +3,32 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
 import org.wingstall.net.http.Connector;
 import org.wingstall.net.http.DirectConnector;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerState;
 import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.path.EndpointPaths;
 import org.wingstall.relay.path.PathConnector;
 import org.wingstall.relay.pool.CoordinatorSelector;
 import org.wingstall.relay.pool.RendezvousCoordinatorSelector;
+import org.wingstall.relay.stream.DomainOriginHolders;
+import org.wingstall.relay.stream.OriginHolders;
+import org.wingstall.relay.stream.StreamOrigins;
 import org.wingstall.schema.settings.RelaySettings;
 
 /**
@@ -31,6 +40,7 @@
     private static final long REACH_INTERVAL_MS = 100;
 
     private final String self;
+    private final String failureDomain;
     private final EventLoop loop;
     private final PeerMesh mesh;
     private final RelayEndpoints endpoints;
@@ -58,6 +68,7 @@
             RelayEndpoints endpoints,
             Consumer<RelayEndpoint> onPathLost) {
         this.self = settings.getBoxId();
+        this.failureDomain = settings.getFailureDomain();
         this.loop = loop;
         this.mesh = mesh;
         this.endpoints = endpoints;
@@ -96,6 +107,32 @@
                 self, () -> mesh.peers().serving(), mesh.pieces()::linked, mesh::carries, this::reaches);
     }
 
+    /** Connects a directory of the origins of streams with the other boxes. */
+    StreamOrigins streamOrigins(MonotonicClock clock, RelayMetrics metrics) {
+        OriginHolders holders = new DomainOriginHolders(
+                failureDomain, this::linkedHubs, this::allHubsLinked, DomainOriginHolders.Spread.STANDARD);
+        StreamOrigins origins = new StreamOrigins(self, loop, clock, holders, mesh.streamOrigins(), endpoints, metrics);
+        mesh.attach(origins);
+        return origins;
+    }
+
+    private Collection<LinkPlan.Box> linkedHubs() {
+        List<LinkPlan.Box> hubs = new ArrayList<>();
+        for (PeerState peer : mesh.peers().all()) {
+            String boxId = peer.hello().getBoxId();
+            if (mesh.carries(boxId) && mesh.pieces().linked(boxId)) {
+                hubs.add(new LinkPlan.Box(boxId, peer.hello().getFailureDomain()));
+            }
+        }
+        return hubs;
+    }
+
+    private boolean allHubsLinked() {
+        return mesh.peers().all().stream()
+                .map(peer -> peer.hello().getBoxId())
+                .allMatch(boxId -> mesh.pieces().linked(boxId) || !mesh.carries(boxId));
+    }
+
     /** Starts to follow and to tell. */
     void start() {
         paths.start();
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -48,6 +48,7 @@
 import org.wingstall.relay.run.RelayContext;
 import org.wingstall.relay.run.RelayHandler;
 import org.wingstall.relay.run.ServiceRetryBudgets;
+import org.wingstall.relay.stream.StreamOrigins;
 import org.wingstall.relay.wire.EndpointProtocol;
 import org.wingstall.schema.settings.RelaySettings;
 
@@ -100,6 +101,7 @@
     private final SilenceWatch silence;
     private final CrashReports crashes;
     private final EngineSelector engines;
+    private final StreamOrigins streamOrigins;
     private final RelayHandler handler;
     private final StoreFollowers store;
     private final HttpServer callers;
@@ -159,6 +161,7 @@
         silence.start();
         this.engines = engineSelector(loop, gathering);
         mesh.attach(engines);
+        this.streamOrigins = access.streamOrigins(clock, metrics);
         this.handler = new RelayHandler(requestParts(loop, wire), this::known);
         this.store = new StoreFollowers(
                 settings,
@@ -229,6 +232,7 @@
                 endpoints,
                 pools,
                 engines,
+                streamOrigins,
                 Regions.parse(settings.getRegions()),
                 limits.sends(),
                 limits.answers(),
@@ -314,6 +318,7 @@
         gauges.ofReach(access);
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers);
+        gauges.ofStreams(streamOrigins);
         gauges.ofFleet(mesh, crashes, limits.stated());
         startTimeline
                 .await("config", () -> state.config().known())
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -10,6 +10,7 @@
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.pool.StagePools;
 import org.wingstall.relay.run.RelayHandler;
+import org.wingstall.relay.stream.StreamOrigins;
 
 /** Shows what a gateway knows and has under way as gauges; see OPERATIONS.md for their meaning. */
 final class RelayGauges {
@@ -49,6 +50,11 @@
         metrics.gauge("wingstall.caller.connections", callers::connections);
     }
 
+    /** Shows what it keeps of streams that callers may resume. */
+    void ofStreams(StreamOrigins origins) {
+        metrics.gauge("wingstall.stream.origins", origins::size);
+    }
+
     /** Shows what it shares with other boxes. */
     void ofFleet(PeerMesh mesh, CrashReports crashes, AdvertisedLimits limits) {
         metrics.gauge("wingstall.endpoints.limited", () -> limits.activeLimits().size());
--- a/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
@@ -50,6 +50,8 @@
             boxes.add(new RelayBox(fleet, "box-" + i));
         }
         boxes.forEach(RelayBox::awaitReady);
+        boxes.forEach(box ->
+                Awaitility.await().until(() -> box.metrics().contains("wingstall_peers_heard " + (count - 1) + ".0")));
     }
 
     private WorkerStandin addEngine(String name, String version, Behaviour behaviour) throws Exception {
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -17,6 +17,8 @@
 import org.wingstall.schema.peer.StageFreed;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
+import org.wingstall.schema.peer.StreamOrigin;
+import org.wingstall.schema.peer.StreamOriginAsk;
 import org.wingstall.schema.peer.TunnelReply;
 import org.wingstall.schema.peer.TunnelRequest;
 
@@ -53,6 +55,8 @@
         private TunnelRequest tunnelRequest;
         private TunnelReply tunnelReply;
         private RejectionNews rejectionNews;
+        private StreamOrigin streamOrigin;
+        private StreamOriginAsk streamOriginAsk;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -80,7 +84,9 @@
                     limitNews,
                     tunnelRequest,
                     tunnelReply,
-                    rejectionNews);
+                    rejectionNews,
+                    streamOrigin,
+                    streamOriginAsk);
         }
     }
 
@@ -199,6 +205,18 @@
         return parts.frame();
     }
 
+    static PeerFrame streamOrigin(long correlation, StreamOrigin origin) {
+        Parts parts = new Parts(correlation);
+        parts.streamOrigin = origin;
+        return parts.frame();
+    }
+
+    static PeerFrame streamOriginAsk(long correlation, StreamOriginAsk ask) {
+        Parts parts = new Parts(correlation);
+        parts.streamOriginAsk = ask;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -66,6 +66,7 @@
     private final NewsLinks<CrashNews> crashes;
     private final NewsLinks<LimitNews> limits;
     private final NewsLinks<RejectionNews> rejections;
+    private final MeshStreamOriginLinks streamOrigins;
     private final Tunnels tunnels;
     private final Dialer dialer;
     private final RowLinks rows;
@@ -95,6 +96,7 @@
         this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews);
         this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews);
         this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews);
+        this.streamOrigins = new MeshStreamOriginLinks(links);
         this.rows = new RowLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
@@ -149,6 +151,16 @@
         return rejections;
     }
 
+    /** Returns what gateways say to each other about the origins of streams. */
+    public StreamOriginLinks streamOrigins() {
+        return streamOrigins;
+    }
+
+    /** Attaches what is done with what peers say about the origins of streams; before the mesh starts. */
+    public void attach(StreamOriginHost host) {
+        streamOrigins.attach(host);
+    }
+
     /** Attaches what is done with what peers say about engines; before the mesh starts. */
     public void attach(EngineHost host) {
         engines.attach(host);
@@ -317,6 +329,7 @@
         heartbeats.sendFirst(link);
         crashes.linked(link);
         limits.linked(link);
+        streamOrigins.linked(boxId);
     }
 
     /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
@@ -353,6 +366,7 @@
             host.membersChanged(frame.getMemberNews());
         } else if (!rows.frame(link, frame)
                 && !engines.frame(link.peer().getBoxId(), frame)
+                && !streamOrigins.frame(link.peer().getBoxId(), frame)
                 && !crashes.frame(link.peer().getBoxId(), frame)
                 && !limits.frame(link.peer().getBoxId(), frame)
                 && !rejections.frame(link.peer().getBoxId(), frame)) {
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -33,6 +33,8 @@
 import org.wingstall.schema.peer.StagePiece;
 import org.wingstall.schema.peer.StageResult;
 import org.wingstall.schema.peer.StageWork;
+import org.wingstall.schema.peer.StreamOrigin;
+import org.wingstall.schema.peer.StreamOriginAsk;
 import org.wingstall.schema.peer.TunnelReply;
 import org.wingstall.schema.peer.TunnelRequest;
 import org.wingstall.schema.peer.WorkspaceDemand;
@@ -109,19 +111,21 @@
             {"tunnelReply", frame(19, 0, new TunnelReply(true, null))},
             {"tunnelRefused", frame(19, 0, new TunnelReply(false, "the endpoint is not reached"))},
             {"rejectionNews", frame(20, 0, new RejectionNews("e1", LARGE, 4, "kgn-a-1", LARGE))},
+            {"streamOrigin", frame(21, 7, new StreamOrigin("c2", "kgn-a-1", 1, "canteen", "llm", "v1", 40, LARGE))},
+            {"streamOriginAsk", frame(22, LARGE, new StreamOriginAsk("c2"))},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
             {
                 "withdrawn",
                 new PeerFrame(
                         4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false,
-                        null, null, null, null, null)
+                        null, null, null, null, null, null, null)
             },
         };
     }
 
     /** Makes a frame with one part, given the part's place among the properties. */
     private static PeerFrame frame(int place, long correlation, Object part) {
-        Object[] parts = new Object[21];
+        Object[] parts = new Object[23];
         parts[place] = part;
         return new PeerFrame(
                 correlation,
@@ -144,7 +148,9 @@
                 (LimitNews) parts[17],
                 (TunnelRequest) parts[18],
                 (TunnelReply) parts[19],
-                (RejectionNews) parts[20]);
+                (RejectionNews) parts[20],
+                (StreamOrigin) parts[21],
+                (StreamOriginAsk) parts[22]);
     }
 
     @Test(dataProvider = "frames")
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -90,6 +90,11 @@
         return state.identity().memberId();
     }
 
+    /** Returns the version of its software, which the list gives as the class of its box. */
+    public String softwareVersion() {
+        return identity().boxClass();
+    }
+
     /** Returns the key of this incarnation of the endpoint; a restarted endpoint gets another one. */
     public String key() {
         return identity().key();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -61,6 +61,7 @@
     private volatile Set<String> evacuated = Set.of();
     private volatile Map<InetSocketAddress, RelayEndpoint> byAddress = Map.of();
     private volatile long readAtMs = Long.MIN_VALUE;
+    private final VersionHistory versions = new VersionHistory();
     private volatile RelayEndpoint.Listener listener = new RelayEndpoint.Listener() {};
     private final RelayEndpoint.Listener forwarder = new RelayEndpoint.Listener() {
         @Override
@@ -203,9 +204,28 @@
             LogEvent.info("endpoints-known").with("count", next.size()).to(LOG);
         }
         readAtMs = nowMs;
+        versions.listRead(versionsByService(next.values()), nowMs);
         return first || !servingBefore.equals(serving());
     }
 
+    private static Map<String, Set<String>> versionsByService(Collection<RelayEndpoint> listed) {
+        return listed.stream()
+                .collect(Collectors.groupingBy(
+                        endpoint -> endpoint.identity().service(),
+                        Collectors.mapping(RelayEndpoint::softwareVersion, Collectors.toSet())));
+    }
+
+    /**
+     * Returns the only software version that the endpoints of some services have had; empty if there were several, or if
+     * that is not known.
+     *
+     * @param services the services
+     * @param withinMs time to look back over, in ms
+     */
+    public Optional<String> onlyVersion(Set<String> services, long withinMs) {
+        return versions.onlyVersion(services, withinMs, clock.nowMs());
+    }
+
     /**
      * Keeps endpoints that are missing from the first list after an outage; one that disappears from a later list has
      * ended or is leaving.
@@ -255,6 +275,7 @@
     public void markListCurrent() {
         if (listLoaded()) {
             readAtMs = clock.nowMs();
+            versions.listUnchanged(readAtMs);
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -29,6 +29,8 @@
     private final Map<String, Counter> limitedEndpoints = new ConcurrentHashMap<>();
     private final Map<String, Counter> statements = new ConcurrentHashMap<>();
     private final Map<String, Counter> streamEnds = new ConcurrentHashMap<>();
+    private final Map<String, Counter> resumedStreams = new ConcurrentHashMap<>();
+    private final Counter droppedStreamOrigins = registry.counter("wingstall.stream.origins.dropped");
     private final Counter droppedResponses = registry.counter("wingstall.answers.dropped");
     private final Counter droppedLogLines = registry.counter("wingstall.log.lines.dropped");
     private final Timer successTime =
@@ -123,6 +125,18 @@
                 .increment();
     }
 
+    /** Counts a stream that a caller resumes, by how the software version that began it was learnt. */
+    public void recordStreamResumed(String source) {
+        resumedStreams
+                .computeIfAbsent(source, name -> registry.counter("wingstall.streams.resumed", "source", name))
+                .increment();
+    }
+
+    /** Counts the origin of a stream that was dropped before its time, for want of room. */
+    public void recordDroppedStreamOrigin() {
+        droppedStreamOrigins.increment();
+    }
+
     /** Counts a response that was dropped because it is unsigned or belongs to another request. */
     public void recordDroppedResponse() {
         droppedResponses.increment();
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -48,6 +48,9 @@
         /** The response began, so the endpoint has read its inputs. */
         void firstByte();
 
+        /** The endpoint began a stream, or went on with one. */
+        void streamBegan(RelayEndpoint endpoint);
+
         /** A complete response was forwarded to the caller. */
         void complete(int status);
 
@@ -138,6 +141,7 @@
         streaming = head.success() && head.streamed();
         if (streaming) {
             endpoint.recordAnswer(context.clock().nowMs() - startedAtMs);
+            owner.streamBegan(endpoint);
             owner.response().start(status, head.callerHeaders());
             owner.response().onWritable(() -> exchange.reading(true));
         }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
@@ -19,6 +19,7 @@
 import org.wingstall.relay.log.RelayMetrics;
 import org.wingstall.relay.log.RequestLog;
 import org.wingstall.relay.pool.StagePools;
+import org.wingstall.relay.stream.StreamOrigins;
 import org.wingstall.relay.wire.CallerProtocol;
 import org.wingstall.relay.wire.EndpointProtocol;
 
@@ -37,6 +38,7 @@
  * @param endpoints the endpoints
  * @param stagePools endpoint pools that run stages
  * @param engineSelector selects model engines
+ * @param streamOrigins tells which software versions began streams
  * @param regions region of each failure domain
  * @param sendLimits limits requests to endpoints with reduced capacity
  * @param statementReader applies what endpoints state in their responses
@@ -60,6 +62,7 @@
         RelayEndpoints endpoints,
         StagePools stagePools,
         EngineSelector engineSelector,
+        StreamOrigins streamOrigins,
         Regions regions,
         SendLimits sendLimits,
         StatementReader statementReader,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
@@ -10,6 +10,7 @@
 import org.wingstall.relay.config.RelayConfig;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.Workspace;
+import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -68,9 +69,30 @@
                     Reason.UNKNOWN_ROUTE, "no route for '" + request.host() + request.path() + "'", 0);
         }
         Workspace workspace = workspaceOf(request, route.get(), config);
+        RequestTimes times = new RequestTimes(context.clock(), route.get(), request);
+        begin(new RoutedRequest(call, request, route.get(), workspace, config.version(), times));
+    }
+
+    private void begin(RoutedRequest routed) {
         inFlight.incrementAndGet();
-        new RelayRun(context, call, request, route.get(), workspace, config.version(), inFlight::decrementAndGet)
-                .start();
+        if (routed.resumesStream()) {
+            context.streamOrigins().find(routed.resumedStream(), stream -> resume(routed, stream));
+        } else {
+            run(routed, StreamVersion.ANY);
+        }
+    }
+
+    private void resume(RoutedRequest routed, StreamVersion stream) {
+        if (routed.call().answered()) {
+            // The caller closed its connection meanwhile.
+            inFlight.decrementAndGet();
+        } else {
+            run(routed, stream);
+        }
+    }
+
+    private void run(RoutedRequest routed, StreamVersion stream) {
+        new RelayRun(context, routed, stream, inFlight::decrementAndGet).start();
     }
 
     private static Workspace workspaceOf(RelayRequest request, Route route, RelayConfig config)
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.answer.Reason;
 import org.wingstall.core.quarantine.QuarantineRefusal;
-import org.wingstall.net.http.HttpCall;
 import org.wingstall.relay.config.RegionRestriction;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.Workspace;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.engine.EngineAssignment;
 import org.wingstall.relay.engine.Prompt;
+import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.RelayRequest;
 
@@ -30,10 +30,11 @@
     private static final long MAX_REUSE_IDLE_MS = 3000;
 
     private final RelayContext context;
-    private final HttpCall call;
+    private final RoutedRequest routed;
     private final RelayRequest request;
     private final Route route;
     private final Workspace workspace;
+    private final StreamVersion stream;
     private final Runnable onFinished;
     private final RequestLogEntry record;
     private final RequestOutcome outcome;
@@ -50,38 +51,27 @@
     private int attempts;
     private int possibleRuns;
 
-    RelayRun(
-            RelayContext context,
-            HttpCall call,
-            RelayRequest request,
-            Route route,
-            Workspace workspace,
-            long configVersion,
-            Runnable onFinished) {
+    RelayRun(RelayContext context, RoutedRequest routed, StreamVersion stream, Runnable onFinished) {
         this.context = context;
-        this.call = call;
-        this.request = request;
-        this.route = route;
-        this.workspace = workspace;
+        this.routed = routed;
+        this.request = routed.request();
+        this.route = routed.route();
+        this.workspace = routed.workspace();
+        this.stream = stream;
         this.onFinished = onFinished;
-        this.times = new RequestTimes(context.clock(), route, request);
+        this.times = routed.times();
         this.regions = route.regionRestriction().intersect(workspace.regionRestriction());
-        this.service = new TargetService(
-                context,
-                route.selectService(context.random().nextDouble()),
-                route,
-                regions,
-                Prompt.of(request.prompt()));
-        this.record = new RequestLogEntry(request, route, workspace.name(), configVersion, times.arrivedMs());
-        this.outcome = new RequestOutcome(context, call, record, times, this::release);
+        this.service = new TargetService(context, serviceName(), route, regions, Prompt.of(request.prompt()));
+        this.record = new RequestLogEntry(request, route, workspace.name(), routed.configVersion(), times.arrivedMs());
+        this.outcome = new RequestOutcome(context, routed.call(), record, times, this::release);
         this.quarantine = new RunQuarantine(context, record);
         this.search = new EndpointSearch(context, service, request);
         this.stages = new RequestStages(context, request, route, times.deadlineAtMs(), this);
-        this.response = new ResponseForwarder(call, route.retryable() && route.streamed());
+        this.response = new ResponseForwarder(routed.call(), route.retryable() && route.streamed());
     }
 
     void start() {
-        call.onDisconnect(this::onCallerDisconnect);
+        routed.call().onDisconnect(this::onCallerDisconnect);
         context.retryBudgets().of(service.name()).recordCall();
         timer = context.loop().schedule(this::onTimeout, Math.max(1, times.remainingMs()), TimeUnit.MILLISECONDS);
         if (regions.allowsNone()) {
@@ -91,7 +81,7 @@
                     0);
             return;
         }
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || refuseIfVersionMissing()) {
             return;
         }
         if (route.stages().isEmpty()) {
@@ -101,6 +91,36 @@
         }
     }
 
+    private String serviceName() {
+        return routed.leadsTo(stream.service())
+                ? stream.service()
+                : route.selectService(context.random().nextDouble());
+    }
+
+    /** Refuses to resume a stream for which the version that began it is not known, or has no endpoint. */
+    private boolean refuseIfVersionMissing() {
+        if (stream.bound()) {
+            service.requireVersion(stream.version());
+            record.streamResumed(stream);
+        }
+        if (!stream.known()) {
+            long retryAfterMs = stream.othersMayKnow() ? context.retryAfter().jitteredMs(MIN_RETRY_MS) : 0;
+            String detail = "no box knows which version began the stream '" + request.resumes() + "'";
+            outcome.refuse(Reason.STREAM_VERSION_UNKNOWN, detail, retryAfterMs);
+        } else if (service.versionGone()) {
+            refuseWithoutEndpoint();
+        }
+        return outcome.finished();
+    }
+
+    private void refuseWithoutEndpoint() {
+        if (service.versionGone() && !mayHaveRun()) {
+            outcome.refuse(Reason.STREAM_VERSION_GONE, service.noEndpointDetail(), 0);
+        } else {
+            refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT, service.noEndpointDetail());
+        }
+    }
+
     private boolean mayHaveRun() {
         return possibleRuns > 0;
     }
@@ -165,7 +185,7 @@
 
             @Override
             public void noEndpoint() {
-                refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.NO_ENDPOINT, service.noEndpointDetail());
+                refuseWithoutEndpoint();
             }
         });
     }
@@ -221,6 +241,9 @@
         EndpointCall endpointCall = new EndpointCall(
                 endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
         record.attempt(endpoint, context.endpoints().ageMs());
+        if (routed.beginsResumableStream() && !response.started()) {
+            context.streamOrigins().sent(request.id(), attempts, workspace.name(), endpoint, request.deadlineMs());
+        }
         attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, this);
         attempt.start();
     }
@@ -248,6 +271,12 @@
         stages.close();
     }
 
+    /** Events of two versions don't fit together. */
+    @Override
+    public void streamBegan(RelayEndpoint endpoint) {
+        service.requireVersion(endpoint.softwareVersion());
+    }
+
     @Override
     public void complete(int status) {
         outcome.complete(status);
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -8,6 +8,7 @@
 import org.wingstall.relay.engine.EngineAssignment;
 import org.wingstall.relay.engine.EngineEstimate;
 import org.wingstall.relay.engine.InputLocation;
+import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -50,7 +51,7 @@
     }
 
     void attempt(RelayEndpoint endpoint, long listAgeMs) {
-        attempts.add(endpoint.id() + " version " + endpoint.identity().boxClass() + " load "
+        attempts.add(endpoint.id() + " version " + endpoint.softwareVersion() + " load "
                 + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs + " ms old");
     }
 
@@ -75,6 +76,11 @@
                 "stream ended by " + end + " after " + events + " events and " + unfinishedBytes + " bytes of another");
     }
 
+    void streamResumed(StreamVersion stream) {
+        attempts.add("goes on at version " + stream.version() + ", by "
+                + stream.source().code() + " " + stream.ageMs() + " ms old");
+    }
+
     void attemptEnded(String how, String detail) {
         attempts.add(how + ": " + detail);
     }
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
@@ -0,0 +1,52 @@
+package org.wingstall.relay.run;
+
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.wingstall.net.http.HttpCall;
+import org.wingstall.relay.config.Route;
+import org.wingstall.relay.config.Route.ServiceShare;
+import org.wingstall.relay.config.Workspace;
+import org.wingstall.relay.stream.StreamOrigins;
+import org.wingstall.relay.wire.RelayRequest;
+
+/**
+ * A request with its route and workspace.
+ *
+ * @param call the caller's call
+ * @param request the decoded request
+ * @param route its route
+ * @param workspace workspace of the caller's key
+ * @param configVersion version of the configuration that was used
+ * @param times when it arrived and is due
+ */
+record RoutedRequest(
+        HttpCall call, RelayRequest request, Route route, Workspace workspace, long configVersion, RequestTimes times) {
+    /** Shortest time for which a stream is taken to be resumable, in ms. */
+    private static final long MIN_STREAM_LIFETIME_MS = 30_000;
+
+    /** A caller's tries together may take longer than one request may. */
+    private static final int TRIES = 3;
+
+    /** Returns whether the caller resumes a stream of which it has some events. */
+    boolean resumesStream() {
+        return route.streamed() && request.lastEventId() != null;
+    }
+
+    /** Returns whether the caller may resume the stream that this request begins. */
+    boolean beginsResumableStream() {
+        return route.streamed() && route.resumable() && request.lastEventId() == null;
+    }
+
+    /** Returns the stream that the caller resumes. */
+    StreamOrigins.Query resumedStream() {
+        Set<String> services =
+                route.serviceShares().stream().map(ServiceShare::service).collect(Collectors.toSet());
+        long lifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, TRIES * route.timeoutMs());
+        return new StreamOrigins.Query(request.resumes(), workspace.name(), services, lifetimeMs);
+    }
+
+    /** Returns whether the route leads to a service. */
+    boolean leadsTo(String service) {
+        return route.serviceShares().stream().anyMatch(share -> share.service().equals(service));
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -32,12 +32,15 @@
     /** Upper limit of the ranks of routes; requests are ordered by the rank of the workspace first. */
     private static final int ROUTE_RANKS = 100;
 
+    private static final String ANY_VERSION = "";
+
     private final RelayContext context;
     private final String name;
     private final Route route;
     private final RegionRestriction regions;
     private final Prompt prompt;
     private final Set<String> tried = new HashSet<>();
+    private String version = ANY_VERSION;
 
     TargetService(RelayContext context, String name, Route route, RegionRestriction regions, Prompt prompt) {
         this.regions = regions;
@@ -60,6 +63,23 @@
         tried.add(endpoint.id());
     }
 
+    /** Leaves only endpoints of one software version as candidates. */
+    void requireVersion(String required) {
+        version = required;
+    }
+
+    private boolean fits(RelayEndpoint endpoint) {
+        return inRegion(endpoint) && (version.equals(ANY_VERSION) || version.equals(endpoint.softwareVersion()));
+    }
+
+    /** Returns whether no endpoint that serves on runs the required version. */
+    boolean versionGone() {
+        return !version.equals(ANY_VERSION)
+                && context.endpoints().ofService(name).stream()
+                        .noneMatch(
+                                endpoint -> fits(endpoint) && !endpoint.state().leaving());
+    }
+
     /** Returns the candidates; endpoints that are not usable at present are returned only if there are no others. */
     List<RelayEndpoint> candidates() {
         return candidates(Set.of());
@@ -82,7 +102,7 @@
         List<RelayEndpoint> usable = new ArrayList<>();
         List<RelayEndpoint> avoided = new ArrayList<>();
         for (RelayEndpoint endpoint : context.endpoints().ofService(name)) {
-            if (!inRegion(endpoint)
+            if (!fits(endpoint)
                     || endpoint.state().leaving()
                     || tried.contains(endpoint.id())
                     || endpoint.closedForMs() > 0) {
@@ -120,7 +140,7 @@
     private long openInMs(Predicate<RelayEndpoint> considered) {
         return context.endpoints().ofService(name).stream()
                 .filter(considered)
-                .filter(endpoint -> inRegion(endpoint) && !endpoint.state().leaving())
+                .filter(endpoint -> fits(endpoint) && !endpoint.state().leaving())
                 .mapToLong(RelayEndpoint::closedForMs)
                 .min()
                 .orElse(0);
@@ -129,7 +149,9 @@
     /** Returns the detail text for a request without candidates, for the caller and the log. */
     String noEndpointDetail() {
         Set<String> evacuated = context.endpoints().evacuated();
-        return "no endpoint of '" + name + "' is left" + (evacuated.isEmpty() ? "" : ", evacuated: " + evacuated);
+        String wanted = version.equals(ANY_VERSION) ? "" : " with version " + version;
+        return "no endpoint of '" + name + "'" + wanted + " is left"
+                + (evacuated.isEmpty() ? "" : ", evacuated: " + evacuated);
     }
 
     /** Returns whether the endpoints are engines and the request has a prompt to prefill. */
--- /dev/null
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -0,0 +1,234 @@
+package org.wingstall.relay.stream;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.peer.StreamOriginHost;
+import org.wingstall.peer.StreamOriginLinks;
+import org.wingstall.relay.endpoint.RelayEndpoint;
+import org.wingstall.relay.endpoint.RelayEndpoints;
+import org.wingstall.relay.log.RelayMetrics;
+import org.wingstall.relay.stream.StreamVersion.Source;
+import org.wingstall.schema.peer.StreamOrigin;
+
+/**
+ * Tells which software version began a stream that a caller resumes, at whatever box. Each box tells a few others of the
+ * streams that it begins, before the endpoint can have written an event, and asks all of them about a stream that it did
+ * not begin itself. Nothing is written to the platform. Confined to the request loop.
+ *
+ * <p>{@code origins.find(new StreamOrigins.Query("c287ed77", "canteen", Set.of("llm"), 30_000), this::resume);}
+ *
+ * @since 0.16
+ */
+public final class StreamOrigins implements StreamOriginHost {
+    /** Longest wait for the replies of other boxes, in ms; a way there and back takes a few ms. */
+    private static final long REPLY_TIMEOUT_MS = 60;
+
+    /** Time after its deadline within which a caller's last try may still arrive, in ms. */
+    private static final long LATE_TRY_MS = 1000;
+
+    private final String self;
+    private final EventLoop loop;
+    private final OriginHolders holders;
+    private final StreamOriginLinks links;
+    private final RelayEndpoints endpoints;
+    private final RelayMetrics metrics;
+    private final StreamOriginTable table;
+    private final Map<Long, Search> searches = new HashMap<>();
+    private long nextCorrelation = 1;
+
+    /**
+     * Describes the stream that a caller resumes.
+     *
+     * @param streamId identifier of the attempt that brought its first event, or null if the caller names none
+     * @param workspace workspace of the caller
+     * @param services services that its route leads to
+     * @param lifetimeMs longest time since the stream can have begun, in ms
+     */
+    public record Query(String streamId, String workspace, Set<String> services, long lifetimeMs) {}
+
+    /** A question to other boxes whose replies are outstanding. */
+    private static final class Search {
+        private final Query query;
+        private final Consumer<StreamVersion> listener;
+        private final Set<String> awaited = new HashSet<>();
+        private Optional<StreamOrigin> found;
+        private ScheduledFuture<?> timeout;
+
+        Search(Query query, Optional<StreamOrigin> found, Consumer<StreamVersion> listener) {
+            this.query = query;
+            this.found = found;
+            this.listener = listener;
+        }
+
+        /** The attempt may have been sent to several endpoints before one wrote an event: the last one counts. */
+        void offer(StreamOrigin origin) {
+            if (found.isEmpty() || found.get().getNumber() < origin.getNumber()) {
+                found = Optional.of(origin);
+            }
+        }
+    }
+
+    /**
+     * Creates a directory without any origins.
+     *
+     * @param self this box
+     * @param loop the request loop
+     * @param clock monotonic clock
+     * @param holders chooses the boxes to tell and to ask
+     * @param links sends messages to other boxes
+     * @param endpoints tells which versions the services have had
+     * @param metrics counts resumed streams
+     */
+    public StreamOrigins(
+            String self,
+            EventLoop loop,
+            MonotonicClock clock,
+            OriginHolders holders,
+            StreamOriginLinks links,
+            RelayEndpoints endpoints,
+            RelayMetrics metrics) {
+        this.self = self;
+        this.loop = loop;
+        this.holders = holders;
+        this.links = links;
+        this.endpoints = endpoints;
+        this.metrics = metrics;
+        this.table = new StreamOriginTable(clock, metrics::recordDroppedStreamOrigin);
+    }
+
+    /** Returns the number of streams whose origin this box keeps. */
+    public int size() {
+        return table.size();
+    }
+
+    /**
+     * Records that a request is about to be sent to an endpoint which may begin its stream.
+     *
+     * @param streamId identifier of the caller's attempt
+     * @param number number of the endpoint among those of the attempt
+     * @param workspace workspace of the caller
+     * @param endpoint the endpoint
+     * @param remainingMs time that the caller waits, in ms
+     */
+    public void sent(String streamId, int number, String workspace, RelayEndpoint endpoint, long remainingMs) {
+        StreamOrigin origin = new StreamOrigin(
+                streamId,
+                self,
+                number,
+                workspace,
+                endpoint.identity().service(),
+                endpoint.softwareVersion(),
+                0,
+                remainingMs + LATE_TRY_MS);
+        table.put(origin);
+        holders.holdersOf(streamId).forEach(box -> links.tell(box, origin));
+    }
+
+    /**
+     * Finds the version at which a stream goes on.
+     *
+     * @param query the stream
+     * @param listener receives the result, during the call or later
+     */
+    public void find(Query query, Consumer<StreamVersion> listener) {
+        Optional<StreamOrigin> known = query.streamId() == null ? Optional.empty() : lookUp(query);
+        Search search = new Search(query, known, listener);
+        boolean certain = known.filter(origin -> origin.getBox().equals(self)).isPresent();
+        if (certain) {
+            decide(search, Source.OWN_RECORD);
+        } else if (query.streamId() == null || !askOthers(search)) {
+            decide(search, Source.PEER_RECORD);
+        }
+    }
+
+    private Optional<StreamOrigin> lookUp(Query query) {
+        return table.find(query.streamId()).filter(origin -> belongsTo(query, origin));
+    }
+
+    private static boolean belongsTo(Query query, StreamOrigin origin) {
+        return origin.getWorkspace().equals(query.workspace());
+    }
+
+    private boolean askOthers(Search search) {
+        long correlation = nextCorrelation++;
+        for (String box : holders.reachable()) {
+            if (links.ask(box, correlation, search.query.streamId())) {
+                search.awaited.add(box);
+            }
+        }
+        if (search.awaited.isEmpty()) {
+            return false;
+        }
+        searches.put(correlation, search);
+        search.timeout = loop.schedule(() -> finish(correlation), REPLY_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        return true;
+    }
+
+    @Override
+    public void replied(String boxId, long correlation, Optional<StreamOrigin> reply) {
+        Search search = searches.get(correlation);
+        if (search == null || !search.awaited.remove(boxId)) {
+            return;
+        }
+        Optional<StreamOrigin> origin = reply.filter(known -> belongsTo(search.query, known));
+        origin.ifPresent(search::offer);
+        boolean certain = origin.filter(known -> known.getBox().equals(boxId)).isPresent();
+        if (certain || search.awaited.isEmpty()) {
+            finish(correlation);
+        }
+    }
+
+    private void finish(long correlation) {
+        Search search = searches.remove(correlation);
+        if (search != null) {
+            search.timeout.cancel(false);
+            decide(search, Source.PEER_RECORD);
+        }
+    }
+
+    private void decide(Search search, Source source) {
+        StreamVersion result =
+                search.found.map(origin -> recorded(origin, source)).orElseGet(() -> withoutRecord(search));
+        metrics.recordStreamResumed(result.source().code());
+        search.listener.accept(result);
+    }
+
+    private static StreamVersion recorded(StreamOrigin origin, Source source) {
+        return new StreamVersion(source, origin.getService(), origin.getVersion(), origin.getAgeMs(), false);
+    }
+
+    private StreamVersion withoutRecord(Search search) {
+        Query query = search.query;
+        boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable();
+        return endpoints
+                .onlyVersion(query.services(), query.lifetimeMs())
+                .map(version -> new StreamVersion(Source.SINGLE_VERSION, "", version, 0, false))
+                .orElseGet(() -> new StreamVersion(Source.UNKNOWN, "", "", 0, othersMayKnow));
+    }
+
+    @Override
+    public void linked(String boxId) {
+        table.all().stream()
+                .filter(origin -> origin.getBox().equals(self))
+                .filter(origin -> holders.holdersOf(origin.getStreamId()).contains(boxId))
+                .forEach(origin -> links.tell(boxId, origin));
+    }
+
+    @Override
+    public void told(StreamOrigin origin) {
+        table.put(origin);
+    }
+
+    @Override
+    public Optional<StreamOrigin> asked(String streamId) {
+        return table.find(streamId);
+    }
+}
