Let a stream go on at the last endpoints of its version that have just begun to leave

An endpoint whose entry says that it leaves takes streams of its version, where no other endpoint can, for half of the time that the settings allow (leavingWithinMs), counted from the last list that did not say it yet. One that says so itself in an answer gets nothing.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -17,7 +17,6 @@
 import org.wingstall.net.BindException;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.Listener;
-import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpLimits;
 import org.wingstall.net.http.HttpServer;
@@ -65,8 +64,6 @@
     /** Connections of callers at once; leaves descriptors for endpoints out of the platform's 4,100. */
     private static final int MOST_CONNECTIONS = 2000;
 
-    private static final HttpLimits INSIDE_LIMITS = new HttpLimits(65_536, 64, 2000, 60_000);
-
     /** Boxes that share a retry budget at least, also while fewer are known; the users' smallest fleets have 8 or 9. */
     private static final int LEAST_BOXES = 9;
 
@@ -234,6 +231,7 @@
                 engines,
                 streamOrigins,
                 Regions.parse(settings.getRegions()),
+                (long) settings.getLeavingWithinMs() / 2,
                 limits.sends(),
                 limits.answers(),
                 silence::checkSuspect,
@@ -300,19 +298,12 @@
         store.start();
         long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
         control.execute(() -> acceptWhenKnown(patientUntilMs));
-        HttpServer.start(
+        InsideServers.start(
+                settings,
                 control,
-                Addresses.parse(settings.getReadinessAddress()),
-                INSIDE_LIMITS,
-                this::answerReadiness,
-                rejection -> new byte[0]);
-        // Gauges look into pools that are confined to the request loop.
-        HttpServer.start(
                 requests,
-                Addresses.parse(settings.getOperatorAddress()),
-                INSIDE_LIMITS,
-                new OperatorHandler(metrics::scrape, crashes.quarantine(), limits.stated()),
-                rejection -> new byte[0]);
+                () -> known() && !stopping,
+                new OperatorHandler(metrics::scrape, crashes.quarantine(), limits.stated()));
         RelayGauges gauges = new RelayGauges(metrics);
         gauges.ofKnowledge(state, evacuations, endpoints);
         gauges.ofReach(access);
@@ -351,11 +342,6 @@
         return rejection.name().getBytes(StandardCharsets.US_ASCII);
     }
 
-    private void answerReadiness(HttpCall call) {
-        boolean ready = known() && !stopping;
-        call.respond(ready ? 200 : 503, "text/plain", new byte[0]);
-    }
-
     /**
      * Takes new settings into force: retry budgets and the grace of a planned stop; addresses and names stay until the next
      * start.
--- a/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
@@ -171,6 +171,7 @@
         Try first = send(boxes.get(0), "root", null, 0);
         assertTrue(first.events() > 0);
         addEngine("new", "v2", Behaviour.ANSWERS);
+        awaitEngines();
         fleet.store().remove("servers", "old");
         engines.remove("old");
         awaitEngines();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -30,6 +30,7 @@
     private final Listener listener;
     private final Backoff backoff = new Backoff();
     private volatile long startedAtMs;
+    private volatile long listedLeavingAtMs = Long.MIN_VALUE / 2;
     private volatile ColdReport coldReport = new ColdReport(0, Long.MIN_VALUE);
 
     /** Receives what this box observes of endpoints, on the thread that observes it. */
@@ -108,6 +109,21 @@
         return usableByOthers() && closedForMs() == 0;
     }
 
+    /** Records that its entry says that it leaves, and the earliest time at which it can have said so. */
+    void recordListedLeaving(long sinceMs) {
+        listedLeavingAtMs = sinceMs;
+    }
+
+    /** Records that it stated in an answer that it leaves: from there on it gets nothing. */
+    void recordStatedLeaving() {
+        listedLeavingAtMs = Long.MIN_VALUE / 2;
+    }
+
+    /** Returns whether it leaves, by its entry only, and has done so for no longer than a time. */
+    public boolean leavingWithin(long graceMs) {
+        return state.leaving() && clock.nowMs() - listedLeavingAtMs < graceMs;
+    }
+
     /** Returns whether it may have ended: a connection to it ended under a request, and it has not responded since. */
     public boolean inDoubt() {
         return backoff.inDoubt();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -291,8 +291,21 @@
                 .to(LOG);
     }
 
+    /** It may have said so at any time since the list was last read. */
+    private void listedLeaving(RelayEndpoint endpoint) {
+        if (listLoaded() && !endpoint.state().leaving()) {
+            endpoint.recordListedLeaving(readAtMs);
+        }
+        recordLeaving(endpoint, "list");
+    }
+
     /** Marks an endpoint as leaving; no list undoes this, even if the endpoint is no longer listed at present. */
     public void markLeaving(RelayEndpoint endpoint, String why) {
+        endpoint.recordStatedLeaving();
+        recordLeaving(endpoint, why);
+    }
+
+    private static void recordLeaving(RelayEndpoint endpoint, String why) {
         endpoint.restrictions().markLeaving();
         if (!endpoint.state().leaving()) {
             endpoint.state().markLeaving();
@@ -319,7 +332,7 @@
             endpoint.updateColdUntil(member.getColdMs());
         }
         if (member.getState() == Member.State.LEAVING) {
-            markLeaving(endpoint, "list");
+            listedLeaving(endpoint);
         }
         if (before == null && listLoaded()) {
             LogEvent.info("endpoint-listed")
--- a/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
@@ -40,6 +40,7 @@
  * @param engineSelector selects model engines
  * @param streamOrigins tells which software versions began streams
  * @param regions region of each failure domain
+ * @param leavingGraceMs time for which an endpoint that leaves takes streams of its version, in ms; 0 for none
  * @param sendLimits limits requests to endpoints with reduced capacity
  * @param statementReader applies what endpoints state in their responses
  * @param engineStateQuery queries the state of an engine, and runs the action if it is unresponsive
@@ -64,6 +65,7 @@
         EngineSelector engineSelector,
         StreamOrigins streamOrigins,
         Regions regions,
+        long leavingGraceMs,
         SendLimits sendLimits,
         StatementReader statementReader,
         BiConsumer<RelayEndpoint, Runnable> engineStateQuery,
--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.config.RegionRestriction;
 import org.wingstall.relay.config.Route;
@@ -72,12 +73,17 @@
         return inRegion(endpoint) && (version.equals(ANY_VERSION) || version.equals(endpoint.softwareVersion()));
     }
 
-    /** Returns whether no endpoint that serves on runs the required version. */
+    /** Returns whether no endpoint that takes streams runs the required version. */
     boolean versionGone() {
         return !version.equals(ANY_VERSION)
                 && context.endpoints().ofService(name).stream()
                         .noneMatch(
-                                endpoint -> fits(endpoint) && !endpoint.state().leaving());
+                                endpoint -> fits(endpoint) && (!endpoint.state().leaving() || takesLast(endpoint)));
+    }
+
+    /** Returns whether an endpoint that leaves may still go on with a stream, as long as no other one can. */
+    private boolean takesLast(RelayEndpoint endpoint) {
+        return !version.equals(ANY_VERSION) && endpoint.leavingWithin(context.leavingGraceMs());
     }
 
     /** Returns the candidates; endpoints that are not usable at present are returned only if there are no others. */
@@ -101,16 +107,21 @@
     private List<RelayEndpoint> untried() {
         List<RelayEndpoint> usable = new ArrayList<>();
         List<RelayEndpoint> avoided = new ArrayList<>();
+        List<RelayEndpoint> leaving = new ArrayList<>();
         for (RelayEndpoint endpoint : context.endpoints().ofService(name)) {
-            if (!fits(endpoint)
-                    || endpoint.state().leaving()
-                    || tried.contains(endpoint.id())
-                    || endpoint.closedForMs() > 0) {
+            if (!fits(endpoint) || tried.contains(endpoint.id()) || endpoint.closedForMs() > 0) {
                 continue;
             }
-            (endpoint.usable() && !risky(endpoint) ? usable : avoided).add(endpoint);
+            if (!endpoint.state().leaving()) {
+                (endpoint.usable() && !risky(endpoint) ? usable : avoided).add(endpoint);
+            } else if (takesLast(endpoint)) {
+                leaving.add(endpoint);
+            }
         }
-        return usable.isEmpty() ? avoided : usable;
+        return Stream.of(usable, leaving, avoided)
+                .filter(endpoints -> !endpoints.isEmpty())
+                .findFirst()
+                .orElse(List.of());
     }
 
     /**
