Play broken-off streams and two software versions in the soak

A caller takes broken streams up again at any box. New checks, from the callers' side: a stream has all events once and of one version, in one answer and over tries, and is complete where it looks so; and at boxes in touch streams go on at least half as often as new ones begin. The actors of a run are a list now instead of eight copies of one block.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -1,8 +1,6 @@
 package org.wingstall.it.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
@@ -25,6 +23,7 @@
 import org.wingstall.standin.fleet.CallerRequests;
 import org.wingstall.standin.fleet.EndpointLinks;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.PartialAnswer;
 
 /** A gateway in this process, and callers of it. */
 final class RelayBox implements AutoCloseable {
@@ -164,24 +163,9 @@
                 .thenApply(reply -> new Reply(reply.statusCode(), reply.headers(), reply.body()));
     }
 
-    /** What came of an answer until it ended, and whether it was whole; no status when not even its head came. */
-    record Partial(int status, String body, boolean whole) {}
-
     /** Sends a request and keeps what comes, also of an answer that is broken off. */
-    static Partial sendPartially(HttpRequest request) {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        int status = 0;
-        try {
-            HttpResponse<InputStream> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofInputStream());
-            status = response.statusCode();
-            response.body().transferTo(body);
-            return new Partial(status, body.toString(StandardCharsets.UTF_8), true);
-        } catch (IOException e) {
-            return new Partial(status, body.toString(StandardCharsets.UTF_8), false);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return new Partial(status, body.toString(StandardCharsets.UTF_8), false);
-        }
+    static PartialAnswer sendPartially(HttpRequest request) throws InterruptedException {
+        return PartialAnswer.of(CLIENT, request);
     }
 
     /** Returns whether the answer ended before it was whole. */
--- a/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayRetryTest.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.Test;
 import org.wingstall.standin.LoopbackPorts;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.PartialAnswer;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Behaviour;
 
@@ -172,7 +173,7 @@
             HttpRequest request =
                     box.request("resumable", "request-" + ids.incrementAndGet()).build();
             long beganNs = System.nanoTime();
-            RelayBox.Partial answer = RelayBox.sendPartially(request);
+            PartialAnswer answer = RelayBox.sendPartially(request);
             long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs);
             begun = answer.status() == 200;
             assertFalse(begun && answer.whole(), answer.body());
--- a/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
@@ -10,14 +10,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.PartialAnswer;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Behaviour;
 
@@ -25,7 +24,6 @@
 public class RelayStreamVersionTest {
     private static final int EVENTS = 5;
     private static final int TRIES = 8;
-    private static final Pattern WRITER = Pattern.compile("data: token (\\d+) of \\S+ by (\\S+)");
 
     private final Map<String, WorkerStandin> engines = new HashMap<>();
     private final List<RelayBox> boxes = new ArrayList<>();
@@ -67,31 +65,14 @@
                 .until(() -> box.metrics().contains("wingstall_endpoints_reached " + engines.size() + ".0")));
     }
 
-    /** A caller's try: the body that came, whether it was whole, and the status. */
-    private record Try(int status, String body, boolean whole) {
-        int events() {
-            return body.split("\n\n", -1).length - 1;
-        }
-
-        TreeSet<String> writers() {
-            TreeSet<String> writers = new TreeSet<>();
-            Matcher matcher = WRITER.matcher(body);
-            while (matcher.find()) {
-                writers.add(matcher.group(2));
-            }
-            return writers;
-        }
-    }
-
-    private static Try send(RelayBox box, String id, String root, int after) {
+    private static PartialAnswer send(RelayBox box, String id, String root, int after) throws InterruptedException {
         // Prompts without a common part are spread over all engines.
         HttpRequest.Builder request =
                 box.request("resumable", id).setHeader("X-Wingstall-Prefix-Hash", id + ":800,own:10");
         if (after > 0) {
             request.header("Resumes", root).header("Last-Event-Id", Integer.toString(after));
         }
-        RelayBox.Partial partial = RelayBox.sendPartially(request.build());
-        return new Try(partial.status(), partial.body(), partial.whole());
+        return RelayBox.sendPartially(request.build());
     }
 
     @Test
@@ -102,7 +83,7 @@
         awaitEngines();
         int broken = 0;
         for (int i = 0; i < TRIES; i++) {
-            Try first = send(boxes.get(0), "request-" + i, null, 0);
+            PartialAnswer first = send(boxes.get(0), "request-" + i, null, 0);
             assertTrue(first.writers().size() <= 1, first.body());
             broken += first.whole() ? 0 : 1;
         }
@@ -117,7 +98,7 @@
         addEngine("old-too", "v1", Behaviour.ANSWERS);
         awaitEngines();
         for (int i = 0; i < TRIES; i++) {
-            Try first = send(boxes.get(0), "request-" + i, null, 0);
+            PartialAnswer first = send(boxes.get(0), "request-" + i, null, 0);
             if (first.status() == 200) {
                 assertEquals(first.writers(), new TreeSet<>(List.of("v1")), first.body());
                 assertTrue(first.whole(), first.body());
@@ -138,10 +119,10 @@
         addEngine("v1-a", "v1", Behaviour.CUTS_ANSWER);
         addEngine("v2-a", "v2", Behaviour.CUTS_ANSWER);
         awaitEngines();
-        Map<String, Try> begun = new HashMap<>();
+        Map<String, PartialAnswer> begun = new HashMap<>();
         for (int i = 0; i < TRIES; i++) {
-            Try first = send(boxes.get(0), "root-" + i, null, 0);
-            if (first.events() > 0) {
+            PartialAnswer first = send(boxes.get(0), "root-" + i, null, 0);
+            if (first.events().size() > 0) {
                 begun.put("root-" + i, first);
             }
         }
@@ -153,13 +134,16 @@
         if (firstBoxEnds) {
             boxes.get(0).close();
         }
-        begun.forEach((root, first) -> {
-            Try next = send(boxes.get(nextBox), root + "-next", root, first.events());
+        for (Map.Entry<String, PartialAnswer> entry : begun.entrySet()) {
+            String root = entry.getKey();
+            PartialAnswer first = entry.getValue();
+            PartialAnswer next = send(
+                    boxes.get(nextBox), root + "-next", root, first.events().size());
             assertEquals(next.status(), 200, root);
             assertTrue(next.whole(), next.body());
             assertEquals(next.writers(), first.writers(), root);
-            assertEquals(first.events() + next.events(), EVENTS);
-        });
+            assertEquals(first.events().size() + next.events().size(), EVENTS);
+        }
     }
 
     /** The version is gone for good, so that a time to come back could not come true. */
@@ -168,8 +152,8 @@
         startFleet(2);
         addEngine("old", "v1", Behaviour.CUTS_ANSWER);
         awaitEngines();
-        Try first = send(boxes.get(0), "root", null, 0);
-        assertTrue(first.events() > 0);
+        PartialAnswer first = send(boxes.get(0), "root", null, 0);
+        assertTrue(first.events().size() > 0);
         addEngine("new", "v2", Behaviour.ANSWERS);
         awaitEngines();
         fleet.store().remove("servers", "old");
@@ -178,7 +162,7 @@
         HttpRequest next = boxes.get(1)
                 .request("resumable", "next")
                 .header("Resumes", "root")
-                .header("Last-Event-Id", Integer.toString(first.events()))
+                .header("Last-Event-Id", Integer.toString(first.events().size()))
                 .build();
         RelayBox.Reply refusal = RelayBox.send(next);
         assertEquals(refusal.status(), 503);
--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -32,6 +32,7 @@
 
     private final long zeroNs = System.nanoTime();
     private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
+    private final Queue<StreamTry> streamTries = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> strangers = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
@@ -77,6 +78,15 @@
         calls.add(call);
     }
 
+    void streamTried(StreamTry tried) {
+        streamTries.add(tried);
+    }
+
+    /** Returns the tries of callers that take streams up again, in the order of their ends. */
+    Collection<StreamTry> streamTries() {
+        return streamTries;
+    }
+
     /** Records a request at an endpoint; one without an identifier is no caller's. */
     void arrived(Arrival arrival) {
         SeenArrival seen = new SeenArrival(arrival, nowMs());
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -17,6 +17,7 @@
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.LimitLog;
+import org.wingstall.standin.fleet.PartialAnswer;
 import org.wingstall.standin.fleet.StatementLog.Pair;
 import org.wingstall.standin.fleet.WorkerStandin;
 
@@ -87,6 +88,8 @@
                 new Named("no more than a cold endpoint bears", Promises::cold),
                 new Named("no more than one that turned cold bears", Promises::turnedCold),
                 new LinkCutPromise(slackMs),
+                new StreamPromise(),
+                new ResumePromise(),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
@@ -158,7 +161,9 @@
         String expected = call.route().streamed()
                 ? WorkerStandin.streamOf(call.id(), SoakFleet.EVENTS)
                 : "answer to " + call.id();
-        return call.body().equals(expected) && call.id().equals(call.answerId()) && call.seal() != null;
+        return PartialAnswer.withoutWriters(call.body()).equals(expected)
+                && call.id().equals(call.answerId())
+                && call.seal() != null;
     }
 
     private static List<String> onceOnly(Observations seen) {
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -39,6 +39,7 @@
     /** Share of requests that the settings allow to be sent once more; a quarter of the platform's, for the same reason. */
     static final double RETRY_RATIO = 0.05;
 
+    private static final String ENGINES = "engine";
     private static final String LOOPBACK = "127.0.0.1";
     static final List<String> DOMAINS = List.of("east", "west");
     /** Endpoints that a request can crash. */
@@ -149,6 +150,9 @@
         String id = service + "-" + number;
         WorkerStandin worker = new WorkerStandin(id, events, CALL_MS).recordIn(observations.limits());
         worker.observe(observations::arrived);
+        if (service.equals(ENGINES)) {
+            worker.writeAs(versionOf(number));
+        }
         InetSocketAddress target = Addresses.parse(standin.start(worker));
         Route route = reused;
         if (route == null) {
@@ -168,8 +172,15 @@
         list(create(service, events, left.route()), "ready");
     }
 
+    /** Engines of two software versions serve side by side. */
+    private static String versionOf(int number) {
+        return "v" + (1 + number % 2);
+    }
+
     void list(Endpoint endpoint, String state) {
-        standin.list(endpoint.service(), endpoint.domain(), endpoint.id(), endpoint.address(), state);
+        int number = Integer.parseInt(endpoint.id().substring(endpoint.id().lastIndexOf('-') + 1));
+        standin.listVersion(
+                endpoint.service(), endpoint.domain(), endpoint.id(), endpoint.address(), state, versionOf(number));
         if (!state.equals("ready")) {
             observations.leaving(endpoint.id());
         }
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -110,6 +110,7 @@
             threads.submit(new Caller("caller-" + i, options.seed() + i, fleet, observations, end));
         }
         threads.submit(crashing);
+        threads.submit(new ResumingCaller("resuming", options.seed(), fleet, observations, end));
         FaultInjector injector = new FaultInjector(fleet, observations, end);
         List<Future<?>> faults = new ArrayList<>();
         long beginMs = observations.nowMs();
@@ -121,47 +122,36 @@
                 return null;
             }));
         }
-        EvacuatingOperator operator = new EvacuatingOperator(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            operator.play(end);
-            return null;
-        }));
-        ColdReturns coldReturns = new ColdReturns(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            coldReturns.play(end);
-            return null;
-        }));
-        ColdAgain coldAgain = new ColdAgain(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            coldAgain.play(end);
-            return null;
-        }));
-        EndpointInNeed inNeed = new EndpointInNeed(options.seed(), fleet);
-        faults.add(threads.submit(() -> {
-            inNeed.play(end);
-            return null;
-        }));
-        StatingEndpoint stating = new StatingEndpoint(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            stating.play(end);
-            return null;
-        }));
-        RestoredStore restored = new RestoredStore(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            restored.play(end);
-            return null;
-        }));
-        LinkCutter cutter = new LinkCutter(options.seed(), fleet, observations);
-        faults.add(threads.submit(() -> {
-            cutter.play(end);
-            return null;
-        }));
+        for (Actor actor : actors(fleet)) {
+            faults.add(threads.submit(() -> {
+                actor.play(end);
+                return null;
+            }));
+        }
         awaitAll(faults);
         end.come();
         threads.shutdown();
         threads.awaitTermination(RECOVERY_MS * 2, TimeUnit.MILLISECONDS);
     }
 
+    /** Brings about one kind of trouble beside the planned faults, until it is over or the run ends. */
+    private interface Actor {
+        void play(RunEnd runEnd) throws Exception;
+    }
+
+    private List<Actor> actors(SoakFleet fleet) {
+        long seed = options.seed();
+        return List.of(
+                new EvacuatingOperator(seed, fleet, observations)::play,
+                new ColdReturns(seed, fleet, observations)::play,
+                new ColdAgain(seed, fleet, observations)::play,
+                new EndpointInNeed(seed, fleet)::play,
+                new StatingEndpoint(seed, fleet, observations)::play,
+                new RestoredStore(seed, fleet, observations)::play,
+                new LinkCutter(seed, fleet, observations)::play,
+                new BreakingEngines(seed, fleet, observations)::play);
+    }
+
     private static void awaitAll(List<Future<?>> faults) throws InterruptedException, FaultFailedException {
         for (Future<?> fault : faults) {
             try {
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -10,6 +10,7 @@
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.LimitLog;
+import org.wingstall.standin.fleet.PartialAnswer;
 import org.wingstall.standin.fleet.StatementLog;
 import org.wingstall.standin.fleet.WorkerStandin;
 import org.wingstall.standin.fleet.WorkerStandin.Arrival;
@@ -29,6 +30,14 @@
         return new CallRecord(id, Route.VERSIONED, "box-1", 1, sentMs, sentMs + 5, 200, id, seal, "answer to " + id);
     }
 
+    private static String event(int number, String version) {
+        return "id: " + number + "\ndata: token " + number + " of a by " + version + "\n\n";
+    }
+
+    private static StreamTry streamTry(String streamId, int after, String body, boolean whole) {
+        return new StreamTry(streamId, "box-1", 5000, 5005, after, new PartialAnswer(200, body, whole));
+    }
+
     private static Arrival run() {
         return new Arrival("a", "plain-1", "/x", true, DEADLINE_MS);
     }
@@ -157,6 +166,38 @@
         aBreachIsFound(promise, events);
     }
 
+    @DataProvider
+    Object[][] breachesOfStreams() {
+        return new Object[][] {
+            breach("own whole answer", seen -> {
+                String mixed = event(1, "v1") + event(2, "v2");
+                seen.called(call(Route.STREAM, 200, "s", mixed, 0, 5));
+            }),
+            breach("one whole stream of one version", seen -> {
+                seen.streamTried(streamTry("a", 0, event(1, "v1"), false));
+                seen.streamTried(streamTry("a", 1, event(2, "v2"), false));
+            }),
+            breach("one whole stream of one version", seen -> {
+                seen.streamTried(streamTry("a", 0, event(1, "v1"), false));
+                seen.streamTried(streamTry("a", 1, event(3, "v1"), false));
+            }),
+            breach("one whole stream of one version", seen -> {
+                seen.streamTried(streamTry("a", 0, event(1, "v1"), true));
+            }),
+            breach("streams go on", seen -> {
+                for (int i = 0; i < 12; i++) {
+                    seen.streamTried(streamTry("s" + i, 0, event(1, "v1"), false));
+                    seen.streamTried(streamTry("s" + i, 1, i < 5 ? event(2, "v1") : "", false));
+                }
+            }),
+        };
+    }
+
+    @Test(dataProvider = "breachesOfStreams")
+    public void aBreachOfStreamsIsFound(String promise, Consumer<Observations> events) {
+        aBreachIsFound(promise, events);
+    }
+
     private static Object[] breach(String promise, Consumer<Observations> events) {
         return new Object[] {promise, events};
     }
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -38,6 +38,9 @@
     private static final String BRITTLE = "Server-Brittle";
     private static final String RETRY_AFTER = "Retry-After";
 
+    /** Event within which streams are broken off. */
+    private static final int BROKEN_EVENT = 3;
+
     private final String incarnation;
     private final int events;
     private final long callMs;
@@ -71,6 +74,8 @@
         FAILS,
         /** It breaks off within its answer; of a stream, within the third event. */
         CUTS_ANSWER,
+        /** It ends its streams within the third event, as if they were complete; other answers are sound. */
+        ENDS_INSIDE_EVENT,
         /** It answers with the identifier of another request. */
         OTHER_ID,
         /** It answers without a signature. */
@@ -281,7 +286,7 @@
             case SILENT, DARK -> {
                 // No answer is the fault.
             }
-            case ANSWERS, CUTS_ANSWER, FULL -> answerAfterWork(call, signed, room);
+            case ANSWERS, CUTS_ANSWER, ENDS_INSIDE_EVENT, FULL -> answerAfterWork(call, signed, room);
         }
     }
 
@@ -311,7 +316,7 @@
         if (events > 0) {
             call.begin(OK, signed.set("content-type", "text/event-stream"));
             String resumed = call.header("Last-Event-Id");
-            event(call, resumed == null ? 1 : Integer.parseInt(resumed) + 1, cut);
+            event(call, resumed == null ? 1 : Integer.parseInt(resumed) + 1, behaviour);
         } else if (cut) {
             call.begin(OK, signed);
             part(call, "half of ");
@@ -321,18 +326,20 @@
         }
     }
 
-    private void event(HttpCall call, int number, boolean cut) {
+    private void event(HttpCall call, int number, Behaviour begun) {
         if (call.answered()) {
             return;
         }
-        if (cut && number == 3) {
-            part(call, "id: 3\nda");
-            call.eventLoop().schedule(call::abort, 10, TimeUnit.MILLISECONDS);
+        boolean broken = begun == Behaviour.CUTS_ANSWER || begun == Behaviour.ENDS_INSIDE_EVENT;
+        if (broken && number == BROKEN_EVENT) {
+            part(call, "id: " + number + "\nda");
+            Runnable end = begun == Behaviour.CUTS_ANSWER ? call::abort : call::end;
+            call.eventLoop().schedule(end, 10, TimeUnit.MILLISECONDS);
         } else if (number > events) {
             call.end();
         } else {
             part(call, eventOf(call.header(ID), number, version));
-            call.eventLoop().schedule(() -> event(call, number + 1, cut), 5, TimeUnit.MILLISECONDS);
+            call.eventLoop().schedule(() -> event(call, number + 1, begun), 5, TimeUnit.MILLISECONDS);
         }
     }
 
