Don't take a cut of a box's links for the planned work beside it in the soak

The users' rule excludes requests with an unplanned disruption of the box or its links from contact_ms before them to their end. A request long after the cut, or at another box, still counts (PromisesTest).

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -216,6 +216,13 @@
         return calm(box, fromMs, untilMs, true) && calm(Disturbance.STORE, fromMs, untilMs, true);
     }
 
+    /** Returns whether a box had its links to endpoints from some time before a span until its end. */
+    boolean linked(String box, long fromMs, long untilMs) {
+        return linkCuts.stream()
+                .filter(cut -> cut.boxes().contains(box))
+                .noneMatch(cut -> cut.fromMs() <= untilMs && cut.untilMs() >= fromMs - CONTACT_MS);
+    }
+
     /** Returns whether someone was free of faults from some time before a span until its end. */
     boolean calm(String who, long fromMs, long untilMs, boolean alsoOfPlannedWork) {
         return disturbances.stream()
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -258,6 +258,7 @@
         for (CallRecord call : seen.calls()) {
             boolean stopped = !seen.calm(call.box(), call.sentMs(), call.endedMs(), true)
                     && seen.calm(call.box(), call.sentMs(), call.endedMs(), false)
+                    && seen.linked(call.box(), call.sentMs(), call.endedMs())
                     && seen.calm(Disturbance.STORE, call.sentMs(), call.endedMs(), false);
             List<SeenArrival> own = runs.getOrDefault(call.id(), List.of());
             boolean sound =
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -252,6 +252,27 @@
         assertEquals(broken, counts ? List.of("no more than one that turned cold bears") : List.of());
     }
 
+    /** Which boxes are cut off, until when, and whether a request that breaks off at 8000 ms counts. */
+    @DataProvider
+    Object[][] linkCuts() {
+        return new Object[][] {{"box-1", 7000, false}, {"box-1", 4000, true}, {"box-2", 9000, true}};
+    }
+
+    /** A cut of a box's links that broke a stream was taken for the reload beside it. */
+    @Test(dataProvider = "linkCuts")
+    public void aPlannedStopIsNoCauseWhereTheLinksToEndpointsWereCut(String box, long untilMs, boolean counts) {
+        Observations seen = new Observations();
+        seen.disturbed(new Disturbance("box-1", "BOX_RELOAD", true, 7900, 8100));
+        seen.linksCut(new LinkCut(Set.of(box), 1000, untilMs));
+        seen.called(call(Route.ONCE, 0, null, "", 7950, 8000));
+        seen.arrived(run());
+        List<String> broken = Promises.all(0).stream()
+                .filter(one -> !one.broken(seen).isEmpty())
+                .map(Promise::name)
+                .toList();
+        assertEquals(broken, counts ? List.of("planned stop cuts nothing") : List.of());
+    }
+
     @Test
     public void aSeedAlwaysGivesTheSamePlan() {
         assertEquals(FaultPlan.of(7, 12_000), FaultPlan.of(7, 12_000));
