Play a brittle service in the soak

In every seed all endpoints of the plain service say that they are brittle, with 2, 4 or 8 rejections a second, and take one request at a time from 3 s on, for 4 s. Checked: rejections by boxes in touch bring them down 2 + a tenth of their number times at most.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -33,6 +33,7 @@
     private final long zeroNs = System.nanoTime();
     private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
     private final Queue<StreamTry> streamTries = new ConcurrentLinkedQueue<>();
+    private final Queue<BrittleSpan> brittleSpans = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> arrivals = new ConcurrentLinkedQueue<>();
     private final Queue<SeenArrival> strangers = new ConcurrentLinkedQueue<>();
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
@@ -78,6 +79,14 @@
         calls.add(call);
     }
 
+    void brittle(BrittleSpan span) {
+        brittleSpans.add(span);
+    }
+
+    Collection<BrittleSpan> brittleSpans() {
+        return brittleSpans;
+    }
+
     void streamTried(StreamTry tried) {
         streamTries.add(tried);
     }
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -88,6 +88,7 @@
                 new Named("no more than a cold endpoint bears", Promises::cold),
                 new Named("no more than one that turned cold bears", Promises::turnedCold),
                 new LinkCutPromise(slackMs),
+                new BrittlePromise(),
                 new StreamPromise(),
                 new ResumePromise(),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -149,6 +149,7 @@
                 new StatingEndpoint(seed, fleet, observations)::play,
                 new RestoredStore(seed, fleet, observations)::play,
                 new LinkCutter(seed, fleet, observations)::play,
+                new BrittleService(seed, fleet, observations)::play,
                 new BreakingEngines(seed, fleet, observations)::play);
     }
 
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -138,6 +138,14 @@
                 seen.called(call(Route.ONCE, 200, "seal-of-plain-1", "answer to a", 0, 5));
                 seen.arrived(run());
             }),
+            breach("brittle endpoints seldom fall", seen -> {
+                seen.brittle(new BrittleSpan(Set.of("plain-1"), 2, 0, Long.MAX_VALUE));
+                for (int i = 0; i < 9; i++) {
+                    String id = "rejected-" + i;
+                    seen.called(new CallRecord(id, Route.ONCE, "box-1", 1, 10, 20, 503, null, null, ""));
+                    seen.arrived(new Arrival(id, "plain-1", "/once/x", false, DEADLINE_MS));
+                }
+            }),
             breach("boxes without links serve like others", seen -> {
                 seen.linksCut(new LinkCut(Set.of("box-1"), -LinkCutPromise.SERVED_AGAIN_MS - 1, Long.MAX_VALUE));
                 for (int i = 0; i < 20; i++) {
