Number each endpoint that an attempt is sent to anew in the origins of streams

An attempt that was not sent after all gave its number back, so that the origins told for it and for the next endpoint had the same number, and a holder that had missed the second could not be told from one that had both. Found by reading; no stream was seen to mix by it.

--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -49,6 +49,7 @@
     private EngineAssignment engineAssignment;
     private ScheduledFuture<?> timer;
     private int attempts;
+    private int sends;
     private int possibleRuns;
 
     RelayRun(RelayContext context, RoutedRequest routed, StreamVersion stream, Runnable onFinished) {
@@ -242,7 +243,8 @@
                 endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
         record.attempt(endpoint, context.endpoints().ageMs());
         if (routed.beginsResumableStream() && !response.started()) {
-            context.streamOrigins().sent(request.id(), attempts, workspace.name(), endpoint, request.deadlineMs());
+            sends++;
+            context.streamOrigins().sent(request.id(), sends, workspace.name(), endpoint, request.deadlineMs());
         }
         attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, this);
         attempt.start();
