--- a/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.wingstall.standin.fleet.CallerRequests;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.PartialAnswer;
 import org.wingstall.standin.fleet.WorkerStandin;
@@ -66,11 +67,9 @@
     }
 
     private static PartialAnswer send(RelayBox box, String id, String root, int after) throws InterruptedException {
-        // Prompts without a common part are spread over all engines.
-        HttpRequest.Builder request =
-                box.request("resumable", id).setHeader("X-Wingstall-Prefix-Hash", id + ":800,own:10");
+        HttpRequest.Builder request = CallerRequests.withOwnPrompt(box.request("resumable", id), id);
         if (after > 0) {
-            request.header("Resumes", root).header("Last-Event-Id", Integer.toString(after));
+            CallerRequests.resuming(request, root, after);
         }
         return RelayBox.sendPartially(request.build());
     }
@@ -159,10 +158,10 @@
         fleet.store().remove("servers", "old");
         engines.remove("old");
         awaitEngines();
-        HttpRequest next = boxes.get(1)
-                .request("resumable", "next")
-                .header("Resumes", "root")
-                .header("Last-Event-Id", Integer.toString(first.events().size()))
+        HttpRequest next = CallerRequests.resuming(
+                        boxes.get(1).request("resumable", "next"),
+                        "root",
+                        first.events().size())
                 .build();
         RelayBox.Reply refusal = RelayBox.send(next);
         assertEquals(refusal.status(), 503);
--- a/soak/src/main/java/org/wingstall/soak/ResumingCaller.java
+++ b/soak/src/main/java/org/wingstall/soak/ResumingCaller.java
@@ -66,13 +66,11 @@
         return new StreamTry(streamId, box.id(), sentMs, observations.nowMs(), after, answer);
     }
 
-    /** Prompts without a common part are spread over all engines. */
     private static HttpRequest request(SoakFleet.Box box, String id, String streamId, int after) {
-        HttpRequest.Builder request = CallerRequests.post(
-                        box.callerAddress(), PATH + id, id, Caller.DEADLINE_MS, "body of " + id)
-                .setHeader("X-Wingstall-Prefix-Hash", id + ":800,own:10");
+        HttpRequest.Builder request = CallerRequests.withOwnPrompt(
+                CallerRequests.post(box.callerAddress(), PATH + id, id, Caller.DEADLINE_MS, "body of " + id), id);
         if (after > 0) {
-            request.header("Resumes", streamId).header("Last-Event-Id", Integer.toString(after));
+            CallerRequests.resuming(request, streamId, after);
         }
         return CallerRequests.within(request, 2 * Caller.DEADLINE_MS);
     }
--- a/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
@@ -38,6 +38,22 @@
                 .POST(HttpRequest.BodyPublishers.ofString(body));
     }
 
+    /** Gives a request a prompt that has no part in common with others, so that such requests are spread over all engines. */
+    public static HttpRequest.Builder withOwnPrompt(HttpRequest.Builder request, String id) {
+        return request.setHeader("X-Wingstall-Prefix-Hash", id + ":800,own:10");
+    }
+
+    /**
+     * Lets a request take a stream up again.
+     *
+     * @param request the request
+     * @param streamId identifier of the attempt that brought the first event
+     * @param after last event that the caller has
+     */
+    public static HttpRequest.Builder resuming(HttpRequest.Builder request, String streamId, int after) {
+        return request.header("Resumes", streamId).header("Last-Event-Id", Integer.toString(after));
+    }
+
     /** Returns a request with the time after which its sender gives up, in ms. */
     public static HttpRequest within(HttpRequest.Builder request, long timeoutMs) {
         return request.timeout(Duration.ofMillis(timeoutMs)).build();
