Look only at the ends of stream parts that are passed on as they come

A part that ends with an empty line ends outside an event, whatever stands before; only the first event and parts that end otherwise are read byte by byte now.

--- a/relay/src/main/java/org/wingstall/relay/run/EventStreamParser.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EventStreamParser.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.run;
 
+import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
@@ -36,6 +37,29 @@
         unfinishedBytes = 0;
     }
 
+    /**
+     * Follows a part of a stream whose bytes are not held back. Most parts end with an event, and after the first event
+     * the bytes before its end don't matter.
+     */
+    void follow(ByteBuf part) {
+        if (events > 0 && endsWithEmptyLine(part)) {
+            line.reset();
+            afterCarriageReturn = false;
+            eventBegun = true;
+            finishEvent();
+            unfinishedBytes = 0;
+            return;
+        }
+        for (int at = part.readerIndex(); at < part.writerIndex(); at++) {
+            read(part.getByte(at));
+        }
+    }
+
+    private static boolean endsWithEmptyLine(ByteBuf part) {
+        int end = part.writerIndex();
+        return part.readableBytes() > 1 && part.getByte(end - 1) == '\n' && part.getByte(end - 2) == '\n';
+    }
+
     /** Reads the next byte; returns whether all bytes so far belong to complete events and complete comments. */
     boolean read(byte next) {
         boolean endsLineBefore = next == '\n' && afterCarriageReturn;
@@ -90,7 +114,7 @@
         return eventBegun || line.size() > 0;
     }
 
-    /** Returns the number of complete events in the body. */
+    /** Returns the number of complete events in the body; the least number, if parts of it were only followed. */
     int events() {
         return events;
     }
--- a/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
@@ -55,10 +55,7 @@
     /** Forwards a part of the body; returns false if the connection to the caller is not writable. */
     boolean forwardPart(ByteBuf content) {
         if (!wholeEvents) {
-            content.forEachByte(next -> {
-                parser.read(next);
-                return true;
-            });
+            parser.follow(content);
             return call.part(content.retainedSlice());
         }
         byte[] whole = eventBuffer.add(content);
--- a/relay/src/test/java/org/wingstall/relay/run/EventStreamParserTest.java
+++ b/relay/src/test/java/org/wingstall/relay/run/EventStreamParserTest.java
@@ -1,7 +1,9 @@
 package org.wingstall.relay.run;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -43,4 +45,24 @@
         assertEquals(parser.events(), events);
         assertEquals(parser.lastEventId(), lastId);
     }
+
+    /** Bytes of the first part; the rest is the second one. */
+    @DataProvider
+    Object[][] splits() {
+        return new Object[][] {{0}, {1}, {7}, {15}, {16}, {20}, {33}};
+    }
+
+    /** A stream that is only followed ends inside an event exactly where one that is read does. */
+    @Test(dataProvider = "splits")
+    public void aFollowedStreamEndsWhereAReadOneDoes(int firstBytes) {
+        for (Object[] row : streams()) {
+            byte[] stream = ("id: 0\ndata: z\n\n" + row[0]).getBytes(StandardCharsets.UTF_8);
+            int split = Math.min(firstBytes, stream.length);
+            EventStreamParser parser = new EventStreamParser();
+            parser.follow(Unpooled.wrappedBuffer(stream, 0, split));
+            parser.follow(Unpooled.wrappedBuffer(stream, split, stream.length - split));
+            assertEquals(parser.insideEvent(), row[1], row[0] + " split at " + firstBytes);
+            assertTrue(parser.events() > 0);
+        }
+    }
 }
