--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -77,12 +77,12 @@
     boolean versionGone() {
         return !version.equals(ANY_VERSION)
                 && context.endpoints().ofService(name).stream()
-                        .noneMatch(
-                                endpoint -> fits(endpoint) && (!endpoint.state().leaving() || takesLast(endpoint)));
+                        .noneMatch(endpoint ->
+                                fits(endpoint) && (!endpoint.state().leaving() || takesResumedStream(endpoint)));
     }
 
     /** Returns whether an endpoint that leaves may still go on with a stream, as long as no other one can. */
-    private boolean takesLast(RelayEndpoint endpoint) {
+    private boolean takesResumedStream(RelayEndpoint endpoint) {
         return !version.equals(ANY_VERSION) && endpoint.leavingWithin(context.leavingGraceMs());
     }
 
@@ -114,7 +114,7 @@
             }
             if (!endpoint.state().leaving()) {
                 (endpoint.usable() && !risky(endpoint) ? usable : avoided).add(endpoint);
-            } else if (takesLast(endpoint)) {
+            } else if (takesResumedStream(endpoint)) {
                 leaving.add(endpoint);
             }
         }
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOriginTable.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOriginTable.java
@@ -50,7 +50,7 @@
     void put(StreamOrigin origin) {
         long nowMs = clock.nowMs();
         Entry before = entries.get(origin.getStreamId());
-        if (before != null && before.origin().getNumber() > origin.getNumber()) {
+        if (before != null && !replaces(origin, before.origin())) {
             return;
         }
         entries.remove(origin.getStreamId());
@@ -59,6 +59,11 @@
         removeEldest(nowMs);
     }
 
+    /** Returns whether an origin replaces another one of the same stream: the last endpoint of an attempt counts. */
+    static boolean replaces(StreamOrigin origin, StreamOrigin known) {
+        return origin.getNumber() >= known.getNumber();
+    }
+
     private void removeEldest(long nowMs) {
         Iterator<Entry> eldest = entries.values().iterator();
         while (eldest.hasNext()) {
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -68,9 +68,8 @@
             this.listener = listener;
         }
 
-        /** The attempt may have been sent to several endpoints before one wrote an event: the last one counts. */
         void offer(StreamOrigin origin) {
-            if (found.isEmpty() || found.get().getNumber() < origin.getNumber()) {
+            if (found.isEmpty() || StreamOriginTable.replaces(origin, found.get())) {
                 found = Optional.of(origin);
             }
         }
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
@@ -1,7 +1,5 @@
 package org.wingstall.relay.stream;
 
-import java.util.Set;
-
 /**
  * The software version at which a request has to run, and how it was learnt.
  *
@@ -52,9 +50,4 @@
     public boolean bound() {
         return known() && source != Source.NOT_RESUMED;
     }
-
-    /** Returns whether the service that began the stream is known and one of these. */
-    public boolean beganIn(Set<String> services) {
-        return services.contains(service);
-    }
 }
