Name the parts of a prompt in the line of a lost endpoint

On-call could not tell whether requests that lose their endpoints share a part of their prompts: the line bore a fingerprint of the whole request only. It now lists promptParts. No logic is changed.

--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -68,6 +68,7 @@
         LogEvent.warn("endpoint-lost")
                 .with("requestId", record.requestId())
                 .with("fingerprint", record.fingerprint())
+                .with("promptParts", record.promptParts())
                 .with("endpoint", loss.endpoint().id())
                 .with("service", loss.endpoint().identity().service())
                 .with("address", loss.endpoint().identity().address())
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -10,6 +10,7 @@
 import org.wingstall.relay.engine.InputLocation;
 import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.RelayRequest;
+import org.wingstall.relay.wire.RelayRequest.PromptPart;
 
 /**
  * Collects the log fields of one request: what decided, and how old that information was. Confined to the request loop.
@@ -113,6 +114,11 @@
         return fingerprint;
     }
 
+    /** Returns the identifiers of the parts of its prompt, in order; the last one is the request's own. */
+    public List<String> promptParts() {
+        return request.prompt().stream().map(PromptPart::id).toList();
+    }
+
     /** Returns the version of the configuration that was used. */
     public long configVersion() {
         return configVersion;
