Add a failing test for a prompt part that crashes endpoints

Three gateways, eight endpoints of a kind; eight requests a second share a part and nothing else, beside sound callers that share the part before it. The stand-in endpoint crashes by a part of the prompt as well as by the body.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -128,6 +129,11 @@
         return answer(request);
     }
 
+    /** Sends a request with a prompt and a body of its own; empty when it got no whole answer. */
+    Optional<Reply> postPrompt(String route, String id, List<String> parts) {
+        return answer(CallerRequests.withPrompt(request(route, id), parts).build());
+    }
+
     /** Sends a request of the staged route whose first piece is made from a key; empty when it got no whole answer. */
     Optional<Reply> postPiece(String id, String pieceKey) {
         HttpRequest request = request("staged", id)
--- /dev/null
+++ b/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
@@ -0,0 +1,244 @@
+package org.wingstall.it.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.awaitility.Awaitility;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.it.harness.Pauses;
+import org.wingstall.standin.fleet.CrashingEndpoint;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
+import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
+import org.wingstall.standin.fleet.FleetStandin;
+
+/** Requests that share a prompt part which crashes endpoints, but nothing else, were sent to one endpoint after another. */
+public class RelayCrashingPartTest {
+    private static final int BOXES = 3;
+    private static final int ENDPOINTS = 8;
+
+    /** Crashed endpoints after which the part has to be known, and the requests that may still be sent later than that. */
+    private static final int CRASHES = 5;
+
+    private static final int LATER_SENDINGS = 3;
+
+    /** Time after the fifth crash from which requests count, in ms. */
+    private static final long CONTACT_MS = 3000;
+
+    private static final long PLAYED_MS = 10_000;
+    private static final long CRASHING_PAUSE_MS = 125;
+    private static final long SOUND_PAUSE_MS = 50;
+    private static final int SOUND_CALLERS = 6;
+    private static final String SYSTEM = "5957";
+    private static final int OK = 200;
+
+    private final AtomicInteger ids = new AtomicInteger();
+    private final List<RelayBox> boxes = new ArrayList<>();
+    private final Queue<SoundCall> soundCalls = new ConcurrentLinkedQueue<>();
+    private FleetStandin fleet;
+    private CrashLog crashes;
+    private ExecutorService callers;
+    private AtomicBoolean over;
+
+    /** A request without the crashing part; without an answer when its connection ended. */
+    private record SoundCall(long sentAtMs, Optional<RelayBox.Reply> reply) {
+        boolean served() {
+            return reply.isPresent() && reply.get().status() == OK;
+        }
+    }
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fleet = new FleetStandin();
+        fleet.configure(1, 3000);
+        crashes = new CrashLog();
+        soundCalls.clear();
+        over = new AtomicBoolean();
+        callers = Executors.newCachedThreadPool();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            new CrashingEndpoint(fleet, crashes, new Kind("engine", "east", "e" + i, 5)).start();
+            new CrashingEndpoint(fleet, crashes, new Kind("plain", "east", "p" + i, 0)).start();
+        }
+        for (int i = 0; i < BOXES; i++) {
+            startBox("box-" + i);
+        }
+    }
+
+    private RelayBox startBox(String id) throws Exception {
+        RelayBox box = new RelayBox(fleet, id).awaitReady();
+        boxes.add(box);
+        return box;
+    }
+
+    private void awaitLinks() {
+        String all = "wingstall_peers_heard " + (boxes.size() - 1) + ".0";
+        Awaitility.await()
+                .until(() -> boxes.stream().allMatch(box -> box.metrics().contains(all)));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        over.set(true);
+        callers.shutdownNow();
+        closeBoxes();
+        fleet.close();
+    }
+
+    private void closeBoxes() {
+        boxes.forEach(RelayBox::close);
+        boxes.clear();
+    }
+
+    private static long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private String nextId() {
+        return "request-" + ids.incrementAndGet();
+    }
+
+    private RelayBox nextBox() {
+        return boxes.get(ThreadLocalRandom.current().nextInt(boxes.size()));
+    }
+
+    /** Returns the parts of a prompt, the last one being the request's own. */
+    private List<String> prompt(String... shared) {
+        List<String> parts = new ArrayList<>(Arrays.asList(shared));
+        parts.add("0a" + ids.incrementAndGet());
+        return parts;
+    }
+
+    private void callWithCrashingPart(String route, List<String> shared) {
+        RelayBox box = nextBox();
+        List<String> parts = prompt(shared.toArray(String[]::new));
+        callers.execute(() -> box.postPrompt(route, nextId(), parts));
+    }
+
+    private void repeatCrashingPart(String route, List<String> shared, long forMs) {
+        long untilMs = nowMs() + forMs;
+        while (nowMs() < untilMs) {
+            callWithCrashingPart(route, shared);
+            Pauses.ofMs(CRASHING_PAUSE_MS);
+        }
+    }
+
+    private void startSoundCallers(String route) {
+        for (int i = 0; i < SOUND_CALLERS; i++) {
+            String subject = "50" + i % 3;
+            callers.execute(() -> {
+                while (!over.get()) {
+                    long sentAtMs = nowMs();
+                    soundCalls.add(
+                            new SoundCall(sentAtMs, nextBox().postPrompt(route, nextId(), prompt(SYSTEM, subject))));
+                    Pauses.ofMs(SOUND_PAUSE_MS);
+                }
+            });
+        }
+    }
+
+    /** Returns when the given number of endpoints had crashed, in ms; far in the future while they have not. */
+    private long crashedAtMs(int number) {
+        List<String> ended = new ArrayList<>();
+        for (CrashingRun run : crashes.runs()) {
+            boolean another = !ended.contains(run.incarnation()) && ended.add(run.incarnation());
+            if (another && ended.size() == number) {
+                return run.atMs();
+            }
+        }
+        return Long.MAX_VALUE / 2;
+    }
+
+    private void assertHeldBack() {
+        long knownAtMs = crashedAtMs(CRASHES) + CONTACT_MS;
+        List<CrashingRun> later =
+                crashes.runs().stream().filter(run -> run.atMs() > knownAtMs).toList();
+        assertTrue(later.size() <= LATER_SENDINGS, crashes.ended() + " crashed; sent later: " + later);
+        assertTrue(crashes.ended() > 0, "no endpoint crashed");
+    }
+
+    /** From twice the time after the last crash that counts, nothing disturbs requests without the part. */
+    private void assertSoundRequestsServed() {
+        int last = (int) Math.min(CRASHES, crashes.ended());
+        long fromMs = crashedAtMs(last) + 2 * CONTACT_MS;
+        List<SoundCall> counted =
+                soundCalls.stream().filter(call -> call.sentAtMs() > fromMs).toList();
+        assertTrue(counted.size() >= 20, "only " + counted.size());
+        assertEquals(counted.stream().filter(call -> !call.served()).toList(), List.of());
+    }
+
+    @DataProvider
+    Object[][] routesAndPlaces() {
+        return new Object[][] {
+            {"stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART)},
+            {"stream", List.of(CrashingEndpoint.CRASHING_PART, SYSTEM)},
+            {"resumable", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART, "6b1d")},
+            {"once", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART)},
+            {"repeatable", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART)}
+        };
+    }
+
+    @Test(dataProvider = "routesAndPlaces")
+    public void aPartThatCrashesItsEndpointsIsHeldBackAtEveryBox(String route, List<String> shared) {
+        awaitLinks();
+        startSoundCallers(route);
+        repeatCrashingPart(route, shared, PLAYED_MS);
+        assertHeldBack();
+        assertSoundRequestsServed();
+    }
+
+    @Test
+    public void aBoxThatStartsLaterHoldsThePartBack() throws Exception {
+        awaitLinks();
+        startSoundCallers("stream");
+        repeatCrashingPart("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART), CONTACT_MS);
+        long before = crashes.ended();
+        RelayBox late = startBox("late");
+        for (int i = 0; i < 2 * LATER_SENDINGS; i++) {
+            late.postPrompt("stream", nextId(), prompt(SYSTEM, CrashingEndpoint.CRASHING_PART));
+        }
+        assertEquals(crashes.ended(), before);
+    }
+
+    @Test
+    public void aPartIsHeldBackAfterAllBoxesHaveStartedAnew() throws Exception {
+        awaitLinks();
+        List<String> shared = List.of(SYSTEM, CrashingEndpoint.CRASHING_PART);
+        repeatCrashingPart("stream", shared, CONTACT_MS);
+        closeBoxes();
+        for (int i = 0; i < BOXES; i++) {
+            startBox("box-" + i);
+        }
+        startSoundCallers("stream");
+        repeatCrashingPart("stream", shared, PLAYED_MS);
+        assertHeldBack();
+    }
+
+    /** Boxes that never hear each other, but reach the store. */
+    @Test
+    public void aPartIsHeldBackByBoxesThatAreCutOffFromEachOther() throws Exception {
+        closeBoxes();
+        fleet.store().hide("boxes");
+        for (int i = 0; i < BOXES; i++) {
+            startBox("cut-" + i);
+        }
+        startSoundCallers("stream");
+        repeatCrashingPart("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART), PLAYED_MS);
+        assertHeldBack();
+        assertSoundRequestsServed();
+    }
+}
--- a/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
@@ -4,6 +4,8 @@
 import java.net.http.HttpHeaders;
 import java.net.http.HttpRequest;
 import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Speaks to a gateway as callers of the users' platform do: the one place on the test side that names their headers.
@@ -43,6 +45,17 @@
         return request.setHeader("X-Wingstall-Prefix-Hash", id + ":800,own:10");
     }
 
+    /**
+     * Gives a request a prompt.
+     *
+     * @param request the request
+     * @param parts the parts that other requests may share, in order, and last the request's own
+     */
+    public static HttpRequest.Builder withPrompt(HttpRequest.Builder request, List<String> parts) {
+        String prompt = parts.stream().map(part -> part + ":100").collect(Collectors.joining(","));
+        return request.setHeader("X-Wingstall-Prefix-Hash", prompt);
+    }
+
     /**
      * Lets a request take a stream up again.
      *
--- a/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CrashingEndpoint.java
@@ -29,6 +29,11 @@
     /** Text in a request's body, or in the key of a piece, that crashes whatever begins to run it. */
     public static final String CRASH = "crash-what-runs-this";
 
+    /** Identifier of a part of prompts that crashes whatever begins to answer one, wherever it stands before the last part. */
+    public static final String CRASHING_PART = "c4a5";
+
+    private static final String PROMPT_PARTS = "X-Wingstall-Prefix-Hash";
+
     /** Time from the begin of the run until the process ends, in ms. */
     private static final long RUN_MS = 40;
 
@@ -106,14 +111,29 @@
     public void handle(HttpCall call) {
         String expected = call.header("X-Wingstall-Expect-Instance");
         boolean meant = expected == null || expected.equals(incarnation());
-        boolean free = call.path().equals("/v1/stage-free");
-        if (meant && !free && new String(call.body(), StandardCharsets.UTF_8).contains(CRASH)) {
+        if (meant && crashing(call)) {
             crash(call);
         } else {
             worker.handle(call);
         }
     }
 
+    private static boolean crashing(HttpCall call) {
+        boolean free = call.path().equals("/v1/stage-free");
+        return !free && new String(call.body(), StandardCharsets.UTF_8).contains(CRASH)
+                || hasCrashingPart(call.header(PROMPT_PARTS));
+    }
+
+    private static boolean hasCrashingPart(String prompt) {
+        if (prompt == null) {
+            return false;
+        }
+        List<String> parts = List.of(prompt.split(","));
+        return parts.subList(0, parts.size() - 1).stream()
+                .map(part -> part.substring(0, part.indexOf(':')))
+                .anyMatch(CRASHING_PART::equals);
+    }
+
     private void crash(HttpCall call) {
         long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         log.add(new CrashingRun(WorkerStandin.requestId(call), nowMs, incarnation()));
