Clear requests whose losses are more than two minutes old

Cause: a report that withdraws all losses leaves a record without active losses, which expires after two minutes, so the merged record counted as outdated and was dropped in favour of the old one. A report is outdated only if the request was not known before.

Evidence: QuarantineTest.clearedRequestNeedsNoTrialHoweverOldItsLossesAre failed for 121 s, 10 and 20 minutes before (held, or a trial), and passes now; at once it passed before. GossipTest passes: news still comes to rest.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
@@ -43,7 +43,8 @@
         Fingerprint request = new Fingerprint(report.getFingerprint());
         CrashRecord before = find(request, nowMs);
         CrashRecord after = before.merge(report, nowMs);
-        if (!after.containsMoreThan(before) || expired(after, nowMs)) {
+        boolean outdated = before == CrashRecord.EMPTY && expired(after, nowMs);
+        if (!after.containsMoreThan(before) || outdated) {
             return Optional.empty();
         }
         records.put(request, after);
--- a/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/QuarantineTest.java
@@ -259,6 +259,22 @@
         assertEquals(fleet.first.reason(CULPRIT), null);
     }
 
+    @DataProvider
+    Object[][] timesOfClearing() {
+        return new Object[][] {{0}, {121_000}, {TEN_MINUTES_MS}, {2 * TEN_MINUTES_MS}};
+    }
+
+    /** A request stayed on trial, or held, when it was cleared over two minutes after its last loss. */
+    @Test(dataProvider = "timesOfClearing")
+    public void clearedRequestNeedsNoTrialHoweverOldItsLossesAre(long afterMs) {
+        fleet.first.lost(CULPRIT, "e1", "e2", "e3");
+        fleet.nowMs += afterMs;
+        fleet.second.succeeded(CULPRIT, "e4");
+        assertEquals(fleet.first.reason(CULPRIT), null);
+        assertEquals(fleet.first.sent(CULPRIT, "e5"), Optional.empty());
+        assertEquals(fleet.second.sent(CULPRIT, "e5"), Optional.empty());
+    }
+
     @Test
     public void evictionKeepsQuarantinedRequests() {
         fleet.first.lost(CULPRIT, "e1", "e2", "e3");
