Hold back parts of prompts that crash endpoints

Cause: the quarantine counted something finer than what did the harm. A request is known again by workspace, method, target and body, so requests that share one part of their prompts were first offences each; nothing counted parts.

Ruled out as causes: repeats by the box (one attempt each), boxes that started anew (others sent as well), evidence withdrawn (no loss of the guilty requests was).

The change: parts of prompts are suspects of their own, by service and model, under a rule of their own (SuspicionRule, PartRule) in the same records, messages and rows. A loss is blamed on the parts of requests that the endpoint had not answered for 500 ms, of these on the most suspicious ones. An answer for 500 ms at any box clears a part. Losses count in rounds, each sent after the one before had settled, so that endpoints which end together count once. After one loss a part is tried one endpoint at a time, unless it was answered lately; after three, of two different requests, it is refused for 10 s, then eight times as long. Losses that a held part explains don't count against its neighbours, and requests that tell two suspects apart are tried first. Records have an era, so that parts which are lost and answered again and again never fill their sets; older builds read the reports as before.

Failed on the way: trials that also bound repeats of a lost request broke off streams that had to go on (RelayRetryTest) and kept a repeated request from being counted (RelayQuarantineTest); repeats are refused only for held parts now. Requests with several suspected parts waited from the first loss on, which refused all traffic whose parts always come together (RelayEndedEndpointsTest); now from the second. A CrashReport has fields era, requests and rounds, so tests that build one name them.

--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -56,6 +56,10 @@
     QUARANTINED("quarantined", Answer.Outcome.NOT_RUN, 503),
     /** Endpoints were lost while they ran this request, and it is on trial on one endpoint now. */
     SUSPECT_ON_TRIAL("suspect-on-trial", Answer.Outcome.NOT_RUN, 503),
+    /** Several endpoints were lost while they ran different requests with a part of this prompt. */
+    PROMPT_PART_QUARANTINED("prompt-part-quarantined", Answer.Outcome.NOT_RUN, 503),
+    /** Endpoints were lost while they ran requests with a part of this prompt, and it is on trial on one endpoint now. */
+    PROMPT_PART_ON_TRIAL("prompt-part-on-trial", Answer.Outcome.NOT_RUN, 503),
     /** The platform's table could not decide the claim in time. */
     TABLE_UNAVAILABLE("table-unavailable", Answer.Outcome.NOT_RUN, 503),
     /** The gateway has no configuration or no membership list yet. */
--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.wingstall.schema.peer.CrashReport;
 
 /**
@@ -63,7 +64,33 @@
                 .toList();
     }
 
-    Set<Fingerprint> requests() {
+    /**
+     * Returns the active losses of the parts of prompts that are suspicious enough to be held, and more suspicious than a
+     * part with this record: by more losses, or by as many that were complete earlier.
+     */
+    Set<String> lossesExplainedByParts(CrashRecord record, long nowMs) {
+        return heldParts(nowMs).stream()
+                .map(part -> find(part, nowMs))
+                .filter(other -> other.moreSuspiciousThan(record))
+                .flatMap(other -> other.activeLosses().stream())
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the parts that are suspicious enough to be held, and were lost with all of these endpoints. */
+    List<Fingerprint> heldPartsLostWith(Set<String> incarnations, long nowMs) {
+        return heldParts(nowMs).stream()
+                .filter(part -> find(part, nowMs).activeLosses().containsAll(incarnations))
+                .toList();
+    }
+
+    private List<Fingerprint> heldParts(long nowMs) {
+        return records.keySet().stream()
+                .filter(Fingerprint::isPart)
+                .filter(part -> find(part, nowMs).activeLossCount() >= Quarantine.QUARANTINE_THRESHOLD)
+                .toList();
+    }
+
+    Set<Fingerprint> suspects() {
         return records.keySet();
     }
 
--- a/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
@@ -3,17 +3,24 @@
 import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HexFormat;
+import java.util.regex.Pattern;
 
 /**
- * Identifies requests with equal content, whichever box receives them and whatever request identifier they carry: a
- * hash of workspace, method, path with query, and body. The body itself is not stored.
+ * Identifies what may crash endpoints, whichever box receives it: requests with equal content, whatever request
+ * identifier they carry, or a part that prompts have in common. The content itself is not stored.
  *
  * <p>{@code Fingerprint.of("canteen", "POST", "/menu?day=3", body).hex()}
  *
- * @param hex 128 bits of a hash, in hex
+ * @param hex of a request, 128 bits of a hash of workspace, method, path with query, and body, in hex; of a part of
+ * prompts, {@code part:} and its service, model and identifier
  * @since 0.7
  */
 public record Fingerprint(String hex) {
+    private static final String PART_PREFIX = "part:";
+
+    /** Longer texts, and those with other characters, are hashed: they are keys of rows, and operators type them. */
+    private static final Pattern READABLE = Pattern.compile("[A-Za-z0-9:._-]{1,120}");
+
     /**
      * Returns the fingerprint of a request.
      *
@@ -30,7 +37,30 @@
                 .putString(target)
                 .putByteArray(body)
                 .get();
-        return new Fingerprint(HexFormat.of().formatHex(hash.toByteArray()));
+        return new Fingerprint(hex(hash));
+    }
+
+    /**
+     * Returns the fingerprint of a part of prompts; it has a meaning for one service and model only.
+     *
+     * @param service service whose endpoints read the prompt
+     * @param model the model; empty when the request names none
+     * @param partId identifier of the part
+     */
+    public static Fingerprint ofPart(String service, String model, String partId) {
+        String text = service + ":" + model + ":" + partId;
+        boolean readable = READABLE.matcher(text).matches();
+        return new Fingerprint(
+                PART_PREFIX + (readable ? text : hex(Hashing.murmur3_128().hashCharsTo128Bits(text))));
+    }
+
+    private static String hex(HashValue128 hash) {
+        return HexFormat.of().formatHex(hash.toByteArray());
+    }
+
+    /** Returns whether this identifies a part of prompts rather than a request. */
+    boolean isPart() {
+        return hex.startsWith(PART_PREFIX);
     }
 
     @Override
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.wingstall.core.answer.Reason;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.CrashReport;
 import org.wingstall.schema.peer.CrashTrial;
 
 /**
- * Refuses requests that crash the endpoints that run them, on whichever boxes they arrive. Thread-safe.
+ * Refuses requests that crash the endpoints that run them, and requests with a part of their prompts that does, on
+ * whichever boxes they arrive. Thread-safe.
  *
  * <p>When the connection to an endpoint ends, every request that ran there becomes a suspect, and boxes merge the
  * losses that they observed. A request that was sent to an endpoint which was already lost does not. A complete
@@ -20,7 +20,7 @@
  * connection broke and withdraws that loss. After two losses a request is sent only as a trial: one box sends it at a
  * time, to an endpoint that runs no other trial and that new requests avoid, so that a third loss can be attributed
  * to it. After three losses the request is refused, for a time that doubles with each further loss; then it is sent
- * as a trial again.
+ * as a trial again. Parts of prompts are suspects of their own, see {@link PromptQuarantine}.
  *
  * <p>{@code quarantine.refusal(run::fingerprint).ifPresent(this::refuse);
  * quarantine.endpointLost(List.of(fingerprint), "i-7f3a@0", sentAtMs);}
@@ -31,33 +31,20 @@
     /** Age after which a crash report has no effect and can be deleted, in ms: one day. */
     public static final long REPORT_RETENTION_MS = 86_400_000;
 
-    /** Number of losses from which a request is quarantined. */
+    /** Number of losses from which a suspect is quarantined. */
     static final int QUARANTINE_THRESHOLD = 3;
 
-    /**
-     * Time for which a request is quarantined after its third loss, in ms; an operator who fixes the cause earlier can
-     * lift the quarantine.
-     */
-    private static final long INITIAL_QUARANTINE_MS = 600_000;
-
-    /** Maximum number of doublings of the quarantine time, one for each further loss: up to about ten hours. */
-    private static final int MAX_DOUBLINGS = 6;
-
-    /** Retry hint while the same request is on trial elsewhere, in ms. */
-    private static final long TRIAL_RETRY_AFTER_MS = 1000;
-
     /** Minimum time between two removals of expired entries, in ms: each one scans all entries. */
     private static final long EXPIRY_INTERVAL_MS = 1000;
 
-    /** Maximum number of reports in one message; limits a frame to about 10 KB. */
-    private static final int MAX_REPORTS_PER_MESSAGE = 100;
-
     private final String boxId;
     private final MonotonicClock clock;
     private final Listener listener;
     private final CrashRecordStore crashRecords = new CrashRecordStore();
     private final TrialTable trials = new TrialTable();
-    private final LostEndpoints lostEndpoints = new LostEndpoints(CrashRecordStore.SUSPICION_MS, INITIAL_QUARANTINE_MS);
+    private final LostEndpoints lostEndpoints =
+            new LostEndpoints(CrashRecordStore.SUSPICION_MS, RequestRule.INITIAL_HOLD_MS);
+    private final Suspects suspects = new Suspects(crashRecords, trials);
 
     private long startedTrials;
     private long lastExpiryMs = Long.MIN_VALUE / 2;
@@ -104,35 +91,22 @@
         return idle ? Optional.empty() : refusal(request.get());
     }
 
-    private synchronized Optional<QuarantineRefusal> refusal(Fingerprint request) {
-        long nowMs = clock.nowMs();
-        CrashRecord record = crashRecords.find(request, nowMs);
-        long remainingMs = remainingQuarantineMs(record, nowMs);
-        if (remainingMs > 0) {
-            String detail = record.activeLossCount() + " endpoints ended while they ran this request";
-            return Optional.of(new QuarantineRefusal(Reason.QUARANTINED, detail, remainingMs));
-        }
-        if (needsTrial(record) && trials.remainingMs(request, nowMs).isPresent()) {
-            String detail = "endpoints ended while they ran this request, and one tries it now";
-            return Optional.of(new QuarantineRefusal(Reason.SUSPECT_ON_TRIAL, detail, TRIAL_RETRY_AFTER_MS));
-        }
-        return Optional.empty();
+    private synchronized Optional<QuarantineRefusal> refusal(Fingerprint suspect) {
+        return suspects.refusal(suspect, clock.nowMs());
     }
 
-    private static long remainingQuarantineMs(CrashRecord record, long nowMs) {
-        int activeLosses = record.activeLossCount();
-        if (activeLosses < QUARANTINE_THRESHOLD) {
-            return 0;
-        }
-        // A full record could not store the loss that a further trial causes, so the request gets no further trial.
-        long quarantineMs = record.isFull()
-                ? REPORT_RETENTION_MS
-                : INITIAL_QUARANTINE_MS << Math.min(MAX_DOUBLINGS, activeLosses - QUARANTINE_THRESHOLD);
-        return Math.max(0, record.lastLossAtMs() + quarantineMs - nowMs);
+    /**
+     * Returns the refusal for a request whose prompt has these parts, if it must not be sent now. Repeats of a request
+     * that was lost before are no trials of its parts.
+     */
+    Optional<QuarantineRefusal> refusalOfParts(Supplier<Fingerprint> request, List<Fingerprint> parts) {
+        return idle ? Optional.empty() : refusalOfParts(request.get(), parts);
     }
 
-    private static boolean needsTrial(CrashRecord record) {
-        return record.activeLossCount() >= QUARANTINE_THRESHOLD - 1;
+    private synchronized Optional<QuarantineRefusal> refusalOfParts(Fingerprint request, List<Fingerprint> parts) {
+        boolean repeat = find(request).activeLossCount() > 0;
+        long nowMs = clock.nowMs();
+        return repeat ? suspects.refusalOfHeldParts(parts, nowMs) : suspects.refusalOfParts(parts, nowMs);
     }
 
     /** Returns whether a request is so suspect that it is sent only as a trial, to one endpoint at a time. */
@@ -140,8 +114,8 @@
         return !idle && needsTrial(request.get());
     }
 
-    private synchronized boolean needsTrial(Fingerprint request) {
-        return needsTrial(crashRecords.find(request, clock.nowMs()));
+    private synchronized boolean needsTrial(Fingerprint suspect) {
+        return suspects.needsTrial(suspect, clock.nowMs());
     }
 
     /** Returns the endpoint incarnations that a request should avoid because another request is on trial there. */
@@ -165,12 +139,12 @@
 
     private synchronized Optional<String> sent(Fingerprint request, String endpoint) {
         long nowMs = clock.nowMs();
-        if (!needsTrial(crashRecords.find(request, nowMs))) {
+        if (!needsTrial(request)) {
             return Optional.empty();
         }
         String id = boxId + "/" + Long.toHexString(clock.nanoTime()) + "/" + startedTrials++;
         trials.start(request, id, endpoint, nowMs);
-        listener.broadcast(trialMessage(new CrashTrial(request.hex(), id, endpoint)), null);
+        listener.broadcast(CrashMessages.ofTrial(new CrashTrial(request.hex(), id, endpoint)), null);
         return Optional.of(id);
     }
 
@@ -178,7 +152,7 @@
     public synchronized void endTrial(Fingerprint request, String trialId) {
         CrashTrial ended = new CrashTrial(request.hex(), trialId, null);
         if (trials.apply(ended, clock.nowMs())) {
-            listener.broadcast(trialMessage(ended), null);
+            listener.broadcast(CrashMessages.ofTrial(ended), null);
         }
     }
 
@@ -192,23 +166,51 @@
      * @param sentAtMs when they were sent there, in ms of the monotonic clock
      */
     public synchronized void endpointLost(List<Fingerprint> requests, String endpoint, long sentAtMs) {
-        if (!lostEndpoints.recordLoss(endpoint, sentAtMs, clock.nowMs())) {
+        if (mayHaveEnded(requests, endpoint, sentAtMs)) {
+            mergeReports(lossReports(requests, endpoint), null, true);
+        }
+    }
+
+    /** Records a loss as above, of a request whose prompt has these parts, which may have caused it as well. */
+    synchronized void endpointLost(Fingerprint request, List<Fingerprint> parts, String endpoint, long sentAtMs) {
+        List<Fingerprint> requests = List.of(request);
+        if (mayHaveEnded(requests, endpoint, sentAtMs)) {
+            List<CrashReport> reports = new ArrayList<>(lossReports(requests, endpoint));
+            reports.addAll(suspects.blame(request, parts, endpoint, sentAtMs, clock.nowMs()));
+            mergeReports(reports, null, true);
+        }
+    }
+
+    /** Returns whether requests may have ended the endpoint at which they were lost. */
+    private boolean mayHaveEnded(List<Fingerprint> requests, String endpoint, long sentAtMs) {
+        boolean first = lostEndpoints.recordLoss(endpoint, sentAtMs, clock.nowMs());
+        if (!first) {
             listener.lostAfterEnd(endpoint, requests.size());
-            return;
         }
-        List<CrashReport> reports = requests.stream()
-                .map(request -> new CrashReport(request.hex(), List.of(endpoint), List.of(), 0))
+        return first;
+    }
+
+    private List<CrashReport> lossReports(List<Fingerprint> requests, String endpoint) {
+        return requests.stream()
+                .map(request -> find(request).lossReport(request, endpoint))
                 .toList();
-        mergeReports(reports, null, true);
+    }
+
+    /** Records that an endpoint has answered a request with a part of prompts and goes on, which clears the part. */
+    void partSurvived(Fingerprint part) {
+        suspects.survivals().record(part, clock.nowMs());
+        if (!idle) {
+            lift(part);
+        }
     }
 
     /** Returns whether a request has at least one loss that has not been withdrawn. */
     public boolean isSuspected(Supplier<Fingerprint> request) {
-        return !idle && activeLossCount(request.get()) > 0;
+        return !idle && find(request.get()).activeLossCount() > 0;
     }
 
-    private synchronized int activeLossCount(Fingerprint request) {
-        return crashRecords.find(request, clock.nowMs()).activeLossCount();
+    private synchronized CrashRecord find(Fingerprint suspect) {
+        return crashRecords.find(suspect, clock.nowMs());
     }
 
     /**
@@ -260,16 +262,14 @@
             return List.of();
         }
         return crashRecords.requestsLostWith(endpoint).stream()
-                .map(request -> new CrashReport(request.hex(), List.of(), List.of(endpoint), 0))
+                .map(request -> find(request).withdrawalReport(request, endpoint))
                 .toList();
     }
 
     /** Returns a report that withdraws all losses of a request, if any of them is still active. */
     private Optional<CrashReport> clearingReport(Fingerprint request) {
-        CrashRecord record = crashRecords.find(request, clock.nowMs());
-        return record.activeLossCount() == 0
-                ? Optional.empty()
-                : Optional.of(new CrashReport(request.hex(), List.of(), List.copyOf(record.losses()), 0));
+        CrashRecord record = find(request);
+        return record.activeLossCount() == 0 ? Optional.empty() : Optional.of(record.clearingReport(request));
     }
 
     /**
@@ -317,7 +317,7 @@
     public synchronized void mergeStored(CrashReport stored) {
         recordReportedLosses(List.of(stored));
         mergeReports(List.of(stored), null, false);
-        CrashRecord known = crashRecords.find(new Fingerprint(stored.getFingerprint()), clock.nowMs());
+        CrashRecord known = find(new Fingerprint(stored.getFingerprint()));
         CrashRecord storedRecord = CrashRecord.EMPTY.merge(stored, clock.nowMs());
         if (known.containsMoreThan(storedRecord)) {
             listener.persist(known.toReport(new Fingerprint(stored.getFingerprint()), clock.nowMs()));
@@ -333,7 +333,11 @@
             Fingerprint request = new Fingerprint(report.getFingerprint());
             boolean quarantinedBefore = crashRecords.find(request, nowMs).activeLossCount() >= QUARANTINE_THRESHOLD;
             Optional<CrashReport> added = crashRecords.add(report, nowMs);
-            if (added.isPresent()) {
+            if (crashRecords.find(request, nowMs).era() > report.getEra()) {
+                // The sender has missed that the suspect was cleared, and its losses would never count.
+                merged.add(crashRecords.find(request, nowMs).toReport(request, nowMs));
+                senderIsUpToDate = false;
+            } else if (added.isPresent()) {
                 CrashRecord known = crashRecords.find(request, nowMs);
                 merged.add(added.get());
                 senderIsUpToDate &= !known.containsMoreThan(CrashRecord.EMPTY.merge(report, nowMs));
@@ -347,7 +351,7 @@
         }
         idle = crashRecords.isEmpty() && trials.isEmpty();
         String exceptBox = senderIsUpToDate ? fromBox : null;
-        toMessages(merged).forEach(message -> listener.broadcast(message, exceptBox));
+        CrashMessages.ofReports(merged).forEach(message -> listener.broadcast(message, exceptBox));
     }
 
     private void removeExpiredPeriodically(long nowMs) {
@@ -364,22 +368,9 @@
         idle = crashRecords.isEmpty() && trials.isEmpty();
     }
 
-    private static CrashNews trialMessage(CrashTrial trial) {
-        return new CrashNews(List.of(), List.of(trial));
-    }
-
-    private static List<CrashNews> toMessages(List<CrashReport> reports) {
-        List<CrashNews> messages = new ArrayList<>();
-        for (int from = 0; from < reports.size(); from += MAX_REPORTS_PER_MESSAGE) {
-            int to = Math.min(reports.size(), from + MAX_REPORTS_PER_MESSAGE);
-            messages.add(new CrashNews(reports.subList(from, to), List.of()));
-        }
-        return messages;
-    }
-
     /** Returns all reports as messages for a box that has received none yet. */
     public synchronized List<CrashNews> snapshot() {
-        return toMessages(reports());
+        return CrashMessages.ofReports(reports());
     }
 
     /** Returns all current reports, as shown to operators. */
@@ -389,11 +380,18 @@
     }
 
     /** Returns how many requests are quarantined. */
-    public synchronized int quarantinedCount() {
+    public int quarantinedRequests() {
+        return quarantinedCount(false);
+    }
+
+    /** Returns how many parts of prompts are quarantined. */
+    public int quarantinedParts() {
+        return quarantinedCount(true);
+    }
+
+    private synchronized int quarantinedCount(boolean parts) {
         long nowMs = clock.nowMs();
         removeExpired(nowMs);
-        return (int) crashRecords.requests().stream()
-                .filter(request -> remainingQuarantineMs(crashRecords.find(request, nowMs), nowMs) > 0)
-                .count();
+        return suspects.heldCount(parts, nowMs);
     }
 }
--- a/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/RequestQuarantine.java
@@ -59,6 +59,11 @@
         quarantine.endpointLost(List.of(request.get()), endpoint, sentAtMs);
     }
 
+    /** Records a loss as above, which the parts of the request's prompt may have caused as well. */
+    public void endpointLost(PromptQuarantine prompt, String endpoint, long sentAtMs) {
+        quarantine.endpointLost(request.get(), prompt.suspects(), endpoint, sentAtMs);
+    }
+
     /** Records a response of any kind to the request as sent at {@code sentAtMs}, in ms of the monotonic clock. */
     public void endpointAnswered(String endpoint, long sentAtMs) {
         quarantine.endpointAnswered(endpoint, sentAtMs);
--- a/core/src/main/java/org/wingstall/core/quarantine/TrialTable.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/TrialTable.java
@@ -39,7 +39,8 @@
     Set<String> endpointsOfOthers(Fingerprint request, long nowMs) {
         Set<String> endpoints = new HashSet<>();
         trials.forEach((other, trial) -> {
-            if (!other.equals(request) && trial.untilMs() > nowMs) {
+            // Many parts may be on trial at once, and their trials need no endpoint for themselves.
+            if (!other.isPart() && !other.equals(request) && trial.untilMs() > nowMs) {
                 endpoints.add(trial.endpoint());
             }
         });
--- a/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/GossipTest.java
@@ -67,16 +67,61 @@
         return seeds;
     }
 
-    @Test(dataProvider = "seeds")
-    public void messagesStopInAnyDeliveryOrder(int seed) {
+    private void connect() {
         boxes.clear();
         network = new SimulatedGossipNetwork<>(BOXES, MOST_MESSAGES, (box, fromBox, news) -> boxes.get(box)
                 .quarantine
                 .receive(fromBox, news));
-        Random random = new Random(seed);
         for (int i = 0; i < BOXES; i++) {
             boxes.add(new Box(i));
         }
+    }
+
+    /** Losses and answers of requests with the same part cross each other on their way. */
+    @Test(dataProvider = "seeds")
+    public void boxesAgreeOnAPartInAnyDeliveryOrder(int seed) {
+        connect();
+        Random random = new Random(seed);
+        Fingerprint part = Fingerprint.ofPart("llm", "m", "5957");
+        for (int i = 0; i < 30; i++) {
+            nowMs += random.nextInt(20);
+            Quarantine quarantine = boxes.get(random.nextInt(BOXES)).quarantine;
+            if (random.nextInt(4) > 0) {
+                Fingerprint request = Fingerprint.of("canteen", "POST", "/" + i, new byte[0]);
+                quarantine.endpointLost(request, List.of(part), "e" + i, nowMs);
+            } else {
+                quarantine.partSurvived(part);
+            }
+            network.deliver(random, random.nextInt(8));
+        }
+        network.deliverAll(random);
+        List<CrashReport> reports = boxes.stream()
+                .map(box -> reportOf(part, box.quarantine))
+                .distinct()
+                .toList();
+        assertEquals(reports.size(), 1, reports.toString());
+    }
+
+    /** Returns a box's report without its age and the requests, of which any two are enough. */
+    private static CrashReport reportOf(Fingerprint suspect, Quarantine quarantine) {
+        return quarantine.reports().stream()
+                .filter(report -> report.getFingerprint().equals(suspect.hex()))
+                .map(report -> new CrashReport(
+                        suspect.hex(),
+                        report.getLosses().stream().sorted().toList(),
+                        report.getWithdrawn().stream().sorted().toList(),
+                        0,
+                        report.getEra(),
+                        List.of(),
+                        report.getRounds()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test(dataProvider = "seeds")
+    public void messagesStopInAnyDeliveryOrder(int seed) {
+        connect();
+        Random random = new Random(seed);
         boxes.get(0).quarantine.endpointLost(List.of(SUSPECT), "e1", nowMs);
         boxes.get(1).quarantine.endpointLost(List.of(SUSPECT), "e2", nowMs);
         network.deliverAll(random);
--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -306,7 +306,7 @@
         metrics.gauge("wingstall.caller.connections", callerServer::connections);
         metrics.gauge("wingstall.engine.lease.token", () -> orders.status().getToken());
         metrics.gauge("wingstall.claims.pending", claims::pending);
-        metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().quarantinedCount());
+        metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().quarantinedRequests());
         metrics.gauge("wingstall.losses.after.end", crashes::lossesAfterEnd);
         metrics.gauge("wingstall.peers.heard.in.domain", () -> mesh.peers().heardInDomain());
         metrics.gauge("wingstall.peer.sent.bytes", mesh::sentBytes);
--- a/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -105,6 +105,8 @@
                     .with("losses", report.getLosses())
                     .with("withdrawn", report.getWithdrawn())
                     .with("ageMs", report.getAgeMs())
+                    .with("era", report.getEra())
+                    .with("rounds", report.getRounds())
                     .to(LOG);
         }
     }
--- a/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
@@ -171,10 +171,22 @@
         assertTrue(crashes.ended() > 0, "no endpoint crashed");
     }
 
+    /** Returns when requests without the part must be served again, in ms. */
+    private long soundFromMs() {
+        return crashedAtMs((int) Math.min(CRASHES, crashes.ended())) + 2 * CONTACT_MS;
+    }
+
+    /** Plays long enough to see requests without the part after the last crash that counts. */
+    private void playOn(String route, List<String> shared) {
+        repeatCrashingPart(route, shared, PLAYED_MS);
+        while (nowMs() < soundFromMs() + CONTACT_MS) {
+            repeatCrashingPart(route, shared, CRASHING_PAUSE_MS);
+        }
+    }
+
     /** From twice the time after the last crash that counts, nothing disturbs requests without the part. */
     private void assertSoundRequestsServed() {
-        int last = (int) Math.min(CRASHES, crashes.ended());
-        long fromMs = crashedAtMs(last) + 2 * CONTACT_MS;
+        long fromMs = soundFromMs();
         List<SoundCall> counted =
                 soundCalls.stream().filter(call -> call.sentAtMs() > fromMs).toList();
         assertTrue(counted.size() >= 20, "only " + counted.size());
@@ -196,7 +208,7 @@
     public void aPartThatCrashesItsEndpointsIsHeldBackAtEveryBox(String route, List<String> shared) {
         awaitLinks();
         startSoundCallers(route);
-        repeatCrashingPart(route, shared, PLAYED_MS);
+        playOn(route, shared);
         assertHeldBack();
         assertSoundRequestsServed();
     }
@@ -237,7 +249,7 @@
             startBox("cut-" + i);
         }
         startSoundCallers("stream");
-        repeatCrashingPart("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART), PLAYED_MS);
+        playOn("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART));
         assertHeldBack();
         assertSoundRequestsServed();
     }
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -66,7 +66,8 @@
                     new StagePiece("r", 0, 1, "key", null, 101, 900, 0, 3_000_000, "", 0, "key"),
                     new StagePiece("r", 2, 300, null, List.of("h1", "h2"), 1, 1, 70_000, 8, null, 5, null)));
     private static final CrashNews CRASH_NEWS = new CrashNews(
-            List.of(new CrashReport("f4a7", List.of("e1@0", "e2@5"), List.of("e2@5"), LARGE)),
+            List.of(new CrashReport(
+                    "f4a7", List.of("e1@0", "e2@5"), List.of("e2@5"), LARGE, LARGE, List.of("f4a8"), 3)),
             List.of(new CrashTrial("f4a7", "kgn-a-1/7/1", "e3@0"), new CrashTrial("f4a7", "kgn-a-1/7/1", null)));
 
     @DataProvider
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -153,6 +153,7 @@
             return;
         }
         if (streaming) {
+            quarantine.streamContinues(context.clock().nowMs() - headAtMs);
             if (!owner.response().forwardPart(part)) {
                 exchange.reading(false);
             }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -26,6 +26,9 @@
     /** Minimum retry-after time, in ms; used for refusals whose cause passes quickly. */
     private static final long MIN_RETRY_MS = 300;
 
+    /** Time after which a request that waits for the end of a trial looks again, in ms. */
+    private static final long TRIAL_POLL_MS = 100;
+
     /** Idle time after which a pooled connection is not reused for retryable requests, in ms. */
     private static final long MAX_REUSE_IDLE_MS = 3000;
 
@@ -42,6 +45,8 @@
     private final RequestTimes times;
     private final RegionRestriction regions;
     private final TargetService service;
+    private final TargetWait wait;
+    private final RequestRetries retries;
     private final EndpointSearch search;
     private final RequestStages stages;
     private final ResponseForwarder response;
@@ -65,7 +70,9 @@
         this.service = new TargetService(context, serviceName(), route, regions, Prompt.of(request.prompt()));
         this.record = new RequestLogEntry(request, route, workspace.name(), routed.configVersion(), times.arrivedMs());
         this.outcome = new RequestOutcome(context, routed.call(), record, times, this::release);
-        this.quarantine = new RunQuarantine(context, record);
+        this.quarantine = new RunQuarantine(context, record, service.name(), request);
+        this.wait = new TargetWait(context, times, service, record);
+        this.retries = new RequestRetries(context, route, times, service);
         this.search = new EndpointSearch(context, service, request);
         this.stages = new RequestStages(context, request, route, times.deadlineAtMs(), this);
         this.response = new ResponseForwarder(routed.call(), route.retryable() && route.streamed());
@@ -82,7 +89,11 @@
                     0);
             return;
         }
-        if (refuseIfQuarantined() || refuseIfVersionMissing()) {
+        begin();
+    }
+
+    private void begin() {
+        if (outcome.finished() || blockedByQuarantine(this::begin) || refuseIfVersionMissing()) {
             return;
         }
         if (route.stages().isEmpty()) {
@@ -148,13 +159,17 @@
         }
     }
 
-    /** Refuses a quarantined request; checked before its stages and before each attempt. */
-    private boolean refuseIfQuarantined() {
+    /** Refuses a quarantined request, or delays it until a trial ends; checked before its stages and each attempt. */
+    private boolean blockedByQuarantine(Runnable again) {
         Optional<QuarantineRefusal> refusal = quarantine.refusal();
-        refusal.ifPresent(this::refuse);
+        refusal.filter(blocked -> !waitsForTrial(blocked, again)).ifPresent(this::refuse);
         return refusal.isPresent();
     }
 
+    private boolean waitsForTrial(QuarantineRefusal refusal, Runnable again) {
+        return refusal.reason() == Reason.PROMPT_PART_ON_TRIAL && wait.tryWait(TRIAL_POLL_MS, refusal.detail(), again);
+    }
+
     private void refuse(QuarantineRefusal refusal) {
         if (mayHaveRun()) {
             refuse(Reason.ENDPOINT_LOST, refusal.detail());
@@ -164,7 +179,7 @@
     }
 
     private void callEndpoint(List<String> inputs) {
-        if (outcome.finished() || refuseIfQuarantined()) {
+        if (outcome.finished() || blockedByQuarantine(() -> callEndpoint(inputs))) {
             return;
         }
         long untilTargetMs = times.untilTargetMs();
@@ -198,17 +213,14 @@
         }
         String detail = "endpoints of '" + service.name()
                 + "' are cold, state a limit or asked for a pause, and take no more for " + retryAfterMs + " ms";
-        if (retryAfterMs < times.untilTargetMs() - service.expectedResponseMs()) {
-            record.attemptEnded("waits", detail);
-            context.loop().schedule(() -> callEndpoint(inputs), Math.max(1, retryAfterMs), TimeUnit.MILLISECONDS);
-        } else {
+        if (!wait.tryWait(retryAfterMs, detail, () -> callEndpoint(inputs))) {
             refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY, detail, retryAfterMs);
         }
     }
 
     private void send(EngineAssignment chosen, List<String> inputs) {
         // Endpoint losses may have been reported while the engine was selected.
-        if (!outcome.finished() && !refuseIfQuarantined()) {
+        if (!outcome.finished() && !blockedByQuarantine(() -> callEndpoint(inputs))) {
             engineAssignment = chosen;
             record.engineChosen(chosen, stages.outputPlace());
             send(chosen.endpoint(), chosen.fetchFrom(), inputs);
@@ -299,7 +311,7 @@
     public void notRun(EndpointAttempt ended, String detail) {
         possibleRuns--;
         record.attemptEnded("not-run", detail);
-        if (tryRetry("not-run")) {
+        if (retries.tryRetry(attempts, "not-run")) {
             callEndpoint(ended.inputs());
         } else {
             refuse(Reason.ENDPOINTS_BUSY, detail, service.openInMs());
@@ -316,7 +328,7 @@
     @Override
     public void lost(EndpointAttempt ended, String detail) {
         record.attemptEnded("lost", detail);
-        boolean retry = route.retryable() && response.resumable() && tryRetry("lost");
+        boolean retry = route.retryable() && response.resumable() && retries.tryRetry(attempts, "lost");
         if (retry) {
             callEndpoint(ended.inputs());
         } else {
@@ -335,7 +347,7 @@
 
     @Override
     public boolean forwardsFailure(int status) {
-        return !(route.retryable() && tryRetry("failed"));
+        return !(route.retryable() && retries.tryRetry(attempts, "failed"));
     }
 
     @Override
@@ -344,17 +356,6 @@
         callEndpoint(ended.inputs());
     }
 
-    private boolean tryRetry(String why) {
-        boolean retry = attempts < route.maxAttempts()
-                && times.remainingMs() > 0
-                && !service.candidates().isEmpty()
-                && context.retryBudgets().of(service.name()).tryRetry();
-        if (retry) {
-            context.metrics().recordRetry(why);
-        }
-        return retry;
-    }
-
     private void onTimeout() {
         if (response.started()) {
             return;
--- a/relay/src/main/java/org/wingstall/relay/wire/RelayRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/RelayRequest.java
@@ -17,6 +17,7 @@
  * @param body the body
  * @param deadlineMs time that the caller waits, in ms from its arrival
  * @param key the caller's key, or null
+ * @param model name of the model that is to answer the prompt; empty when the caller names none
  * @param prompt the parts of its prompt, in order; empty without a prompt
  * @param promptTokens tokens of the prompt; 0 without one
  * @param answerTokens maximum tokens of the response; 0 without a prompt
@@ -36,6 +37,7 @@
         byte[] body,
         long deadlineMs,
         String key,
+        String model,
         List<PromptPart> prompt,
         int promptTokens,
         int answerTokens,
@@ -51,6 +53,11 @@
      */
     public record PromptPart(String id, int tokens) {}
 
+    /** Returns the parts of the prompt that other requests may share: all but the last. */
+    public List<PromptPart> sharedParts() {
+        return prompt.subList(0, Math.max(0, prompt.size() - 1));
+    }
+
     /** Returns the number of pieces of a stage for this request. */
     public int piecesOf(int stage) {
         return stage < pieces.size() ? pieces.get(stage) : 1;
--- a/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/CrashReportFollowerTest.java
@@ -25,7 +25,7 @@
     private volatile boolean told;
 
     private static CrashReport report(String fingerprint) {
-        return new CrashReport(fingerprint, List.of("e1@0"), List.of(), 0);
+        return new CrashReport(fingerprint, List.of("e1@0"), List.of(), 0, 0, List.of(), 0);
     }
 
     /** A store that was restored from a copy lacked the reports that this box had saved since. */
