Know what is held before a starting box takes callers

A caller that connected while a box started had its request sent, although its prompt had a part that other boxes held: the box took callers once it had the configuration and the list, whichever came first, and read the held requests beside them. After a kill of several boxes each may send one, and the rule allows three of all.

Evidence: RelayCrashingPartTest.aBoxThatStartsKnowsWhatIsHeldBeforeItTakesCallers, where the store answers reads of that table 400 ms late, got 502 and an ended endpoint before, and 503 now. RelayStartTest and CrashReportFollowerTest pass. The wait ends with the patience of a start (800 ms), or with a link to a peer, which tells what is held; readiness is as before.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -251,6 +251,11 @@
                 .orElse(false);
     }
 
+    /** Peers tell what is held when a link opens. */
+    private boolean quarantineKnown() {
+        return store.crashReportsRead() || !mesh.peers().serving().isEmpty();
+    }
+
     private void evacuate(Set<String> failureDomains) {
         endpoints.evacuate(failureDomains);
         requests.next().execute(this::endpointsChanged);
@@ -325,7 +330,7 @@
 
     /** Callers who connected during the start are served once there is something to serve by, or else refused. */
     private void acceptWhenKnown(long patientUntilMs) {
-        if (known() || clock.nowMs() >= patientUntilMs) {
+        if (known() && quarantineKnown() || clock.nowMs() >= patientUntilMs) {
             callers.accept();
         } else {
             control.schedule(() -> acceptWhenKnown(patientUntilMs), KNOWN_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -157,6 +157,11 @@
         return boxes.initialReadsDone();
     }
 
+    /** Returns whether the reports of requests that crash endpoints have been read. */
+    boolean crashReportsRead() {
+        return crashReports.initialReadDone();
+    }
+
     /** Keeps a report of a request that crashes endpoints. */
     void keep(CrashReport report) {
         crashReports.save(report);
--- a/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
@@ -44,6 +44,7 @@
     private static final long CRASHING_PAUSE_MS = 125;
     private static final long SOUND_PAUSE_MS = 50;
     private static final int SOUND_CALLERS = 6;
+    private static final long READ_DELAY_MS = 400;
     private static final String SYSTEM = "5957";
     private static final int OK = 200;
 
@@ -240,6 +241,23 @@
         assertHeldBack();
     }
 
+    /** Callers connect while a box starts, and it read what is held later than what it needs to serve. */
+    @Test
+    public void aBoxThatStartsKnowsWhatIsHeldBeforeItTakesCallers() throws Exception {
+        awaitLinks();
+        List<String> shared = List.of(SYSTEM, CrashingEndpoint.CRASHING_PART);
+        repeatCrashingPart("stream", shared, CONTACT_MS);
+        long before = crashes.ended();
+        closeBoxes();
+        fleet.store().delayReads("crashes", READ_DELAY_MS);
+        RelayBox starting = new RelayBox(fleet, "starting");
+        boxes.add(starting);
+        Optional<RelayBox.Reply> reply =
+                starting.postPrompt("stream", nextId(), prompt(SYSTEM, CrashingEndpoint.CRASHING_PART));
+        assertEquals(reply.orElseThrow().status(), 503);
+        assertEquals(crashes.ended(), before);
+    }
+
     /** Boxes that never hear each other, but reach the store. */
     @Test
     public void aPartIsHeldBackByBoxesThatAreCutOffFromEachOther() throws Exception {
--- a/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/CrashReportFollower.java
@@ -39,7 +39,7 @@
     private final Map<String, CrashReport> pending = new LinkedHashMap<>();
     private final Set<String> saved = new LinkedHashSet<>();
     private boolean fullReadDue = true;
-    private boolean initialReadDone;
+    private volatile boolean initialReadDone;
     private boolean writeInProgress;
 
     /**
@@ -73,11 +73,16 @@
         }
     }
 
+    /** Returns whether the reports that were saved before have been read. */
+    public boolean initialReadDone() {
+        return initialReadDone;
+    }
+
     private void onRead(List<CrashReport> reports, Throwable failure) {
         fullReadDue = failure != null;
         if (failure == null) {
-            initialReadDone = true;
             reports.forEach(this::process);
+            initialReadDone = true;
         }
         readHealth.recordResult(failure);
         long delayMs = failure == null ? 0 : readHealth.retryDelayMs(initialReadDone);
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -39,6 +39,7 @@
     private final List<Change> history = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private final Set<String> hidden = ConcurrentHashMap.newKeySet();
+    private final Map<String, Long> readDelaysMs = new ConcurrentHashMap<>();
     private final AtomicLong aheadMs = new AtomicLong();
     private final AtomicInteger calls = new AtomicInteger();
     private volatile Mode mode = Mode.SERVING;
@@ -196,13 +197,20 @@
 
     private void serve(HttpCall call, UnaryOperator<String> endpointView) {
         switch (call.path()) {
-            case "/v1/rows-get" -> respond(call, OK, Json.write(rows(call, endpointView)));
+            case "/v1/rows-get" -> read(call, endpointView);
             case "/v1/rows-feed" -> feed(call, endpointView);
             case "/v1/rows-tx" -> write(call);
             default -> respond(call, NOT_FOUND, new byte[0]);
         }
     }
 
+    private void read(HttpCall call, UnaryOperator<String> endpointView) {
+        long delayMs = readDelaysMs.getOrDefault(call.query("table", ""), 0L);
+        call.eventLoop()
+                .schedule(
+                        () -> respond(call, OK, Json.write(rows(call, endpointView))), delayMs, TimeUnit.MILLISECONDS);
+    }
+
     private void respondGone(HttpCall call) {
         historyGone.incrementAndGet();
         respond(call, GONE, new byte[0]);
@@ -212,6 +220,11 @@
         call.respond(status, HttpCall.JSON, body, Map.of("Store-Era", Long.toString(era)));
     }
 
+    /** Answers reads of a table's rows after so many ms from now on. */
+    public void delayReads(String table, long delayMs) {
+        readDelaysMs.put(table, delayMs);
+    }
+
     /** Shows no rows of a table from now on. */
     public void hide(String table) {
         hidden.add(table);
