Play prompts with a crashing part in the soak

Six endpoints of a service of their own crash under it; a caller sends prompts of which one in four has it, at whichever box, through all faults and 7 s of calm after them. Promises: no more than three sendings by boxes in touch later than 3 s after the fifth crash, and prompts that share the other parts served at least half as often as other requests from 6 s after it (the platform's own figures). PromisesTest breaks each.

--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -39,6 +39,8 @@
     private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
     private final Map<String, String> repeatsByBox = new ConcurrentHashMap<>();
     private final CrashLog crashes = new CrashLog();
+    private final CrashLog partCrashes = new CrashLog();
+    private final Queue<PromptCall> promptCalls = new ConcurrentLinkedQueue<>();
     private final LimitLog limits = new LimitLog();
     private final LimitLog cold = new LimitLog(ColdReturns.RULE);
     private final LimitLog coldAgain = new LimitLog(ColdAgain.RULE);
@@ -126,6 +128,20 @@
         return crashes;
     }
 
+    /** Returns the runs of requests with the part of prompts that crashes endpoints. */
+    CrashLog partCrashes() {
+        return partCrashes;
+    }
+
+    void promptCalled(PromptCall call) {
+        promptCalls.add(call);
+    }
+
+    /** Returns the requests without that part which share the other parts. */
+    Collection<PromptCall> promptCalls() {
+        return promptCalls;
+    }
+
     /** Returns the requests of endpoints, and the limits that they stated. */
     LimitLog limits() {
         return limits;
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.wingstall.soak.CallRecord.Route;
 import org.wingstall.soak.Observations.SeenArrival;
+import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
 import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.LimitLog;
@@ -50,6 +51,8 @@
     /** Endpoints that a request may end, and its sendings that may follow; the platform's own figures. */
     private static final int LOSSES = 3;
 
+    private static final int PART_LOSSES = 5;
+
     private static final int LATER_SENDINGS = 3;
 
     /** Time after the third loss from which sendings count, in ms; the platform's own figure. */
@@ -80,7 +83,11 @@
                 new Named("retry budget", Promises::retryBudget),
                 new Named("deadline passed on", seen -> deadlinePassedOn(seen, slackMs)),
                 new Named("answer by the deadline", seen -> answeredInTime(seen, slackMs)),
-                new Named("three losses and no more", seen -> heldBack(seen, slackMs)),
+                new Named("three losses and no more", seen -> heldBack(seen, seen.crashes(), LOSSES, slackMs)),
+                new Named(
+                        "five losses of a part and no more",
+                        seen -> heldBack(seen, seen.partCrashes(), PART_LOSSES, slackMs)),
+                new SoundPromptPromise(slackMs),
                 new Named("no work for who is evacuated", seen -> evacuated(seen, slackMs)),
                 new Named("no more than an endpoint takes", Promises::beyondLimit),
                 new Named("no work for who stated that it leaves", Promises::statedLeaving),
@@ -94,21 +101,21 @@
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
 
-    /** Sendings by boxes in touch later than {@link #KNOWN_MS} after the third endpoint ended under the same request. */
-    private static List<String> heldBack(Observations seen, long slackMs) {
+    /** Sendings by boxes in touch later than {@link #KNOWN_MS} after so many endpoints had ended. */
+    private static List<String> heldBack(Observations seen, CrashLog crashes, int losses, long slackMs) {
         Set<String> ended = new HashSet<>();
         List<String> later = new ArrayList<>();
-        long thirdMs = Long.MAX_VALUE;
-        for (CrashingRun run : seen.crashes().runs()) {
+        long lastMs = Long.MAX_VALUE;
+        for (CrashingRun run : crashes.runs()) {
             long atMs = seen.soakMs(run.atMs());
             boolean another = ended.add(run.incarnation());
-            if (another && ended.size() == LOSSES) {
-                thirdMs = atMs;
-            } else if (ended.size() >= LOSSES
-                    && atMs > thirdMs + KNOWN_MS + slackMs
+            if (another && ended.size() == losses) {
+                lastMs = atMs;
+            } else if (ended.size() >= losses
+                    && atMs > lastMs + KNOWN_MS + slackMs
                     && seen.inTouch(seen.boxOfRepeat(run.requestId()), atMs, atMs)) {
-                later.add(run + " by " + seen.boxOfRepeat(run.requestId()) + ", " + (atMs - thirdMs)
-                        + " ms after the third loss");
+                later.add(run + " by " + seen.boxOfRepeat(run.requestId()) + ", " + (atMs - lastMs) + " ms after loss "
+                        + losses);
             }
         }
         return later.size() > LATER_SENDINGS ? later : List.of();
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -45,6 +45,9 @@
     /** Endpoints that a request can crash. */
     private static final int FRAGILE = 4;
 
+    /** Endpoints that a part of a prompt can crash. */
+    private static final int PROMPTED = 6;
+
     private static final long CALL_MS = 30;
     private static final long ROUTE_TIMEOUT_MS = 4000;
 
@@ -92,6 +95,10 @@
             Kind kind = new Kind("fragile", DOMAINS.get(i % DOMAINS.size()), "fragile-" + i, 0);
             new CrashingEndpoint(standin, observations.crashes(), kind).start();
         }
+        for (int i = 0; i < PROMPTED; i++) {
+            Kind kind = new Kind("prompted", DOMAINS.get(i % DOMAINS.size()), "prompted-" + i, 0);
+            new CrashingEndpoint(standin, observations.partCrashes(), kind).start();
+        }
         configureNext();
         for (int i = 0; i < options.boxes(); i++) {
             startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()));
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -71,7 +71,7 @@
             playFaults(fleet, crashing);
             fleet.heal();
             awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("recovery", detail)));
-            crashing.repeatFor(CALM_MS);
+            playCalm(fleet, crashing);
             noteEnds(fleet);
             fleet.endpoints().forEach(endpoint -> endpoint.worker()
                     .wrongInputs()
@@ -82,6 +82,16 @@
         }
     }
 
+    /** Goes on with requests that crash endpoints while no fault excuses anything. */
+    private void playCalm(SoakFleet fleet, CrashingCaller crashing) throws InterruptedException {
+        RunEnd calmEnd = new RunEnd();
+        Thread prompts = new Thread(new PromptCaller("calm-prompt", options.seed(), fleet, observations, calmEnd));
+        prompts.start();
+        crashing.repeatFor(CALM_MS);
+        calmEnd.come();
+        prompts.join();
+    }
+
     /** Returns the faults with their times, and when the soak's own process stood still; printed with each breach. */
     public String disturbed() {
         return disturbed;
@@ -110,6 +120,7 @@
             threads.submit(new Caller("caller-" + i, options.seed() + i, fleet, observations, end));
         }
         threads.submit(crashing);
+        threads.submit(new PromptCaller("prompt", options.seed(), fleet, observations, end));
         threads.submit(new ResumingCaller("resuming", options.seed(), fleet, observations, end));
         FaultInjector injector = new FaultInjector(fleet, observations, end);
         List<Future<?>> faults = new ArrayList<>();
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -100,6 +100,13 @@
             breach(
                     "answer by the deadline",
                     seen -> seen.called(call(Route.ONCE, 200, "s", "answer to a", 0, 2 * DEADLINE_MS))),
+            breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
+        };
+    }
+
+    @DataProvider
+    Object[][] breachesOfQuarantine() {
+        return new Object[][] {
             breach("three losses and no more", seen -> {
                 long zeroMs = -seen.soakMs(0);
                 for (int i = 0; i < 7; i++) {
@@ -108,10 +115,30 @@
                     seen.crashes().add(new CrashingRun("r" + i, zeroMs + atMs, "fragile-" + i));
                 }
             }),
-            breach("no process ends by itself", seen -> seen.endedByItself("box-1")),
+            breach("five losses of a part and no more", seen -> {
+                long zeroMs = -seen.soakMs(0);
+                for (int i = 0; i < 9; i++) {
+                    seen.repeated("p" + i, "box-1");
+                    long atMs = i < 5 ? i : 10_000 + i;
+                    seen.partCrashes().add(new CrashingRun("p" + i, zeroMs + atMs, "prompted-" + i));
+                }
+            }),
+            breach("sound prompts beside a crashing part", seen -> {
+                long zeroMs = -seen.soakMs(0);
+                seen.partCrashes().add(new CrashingRun("p", zeroMs, "prompted-1"));
+                seen.called(call(Route.REPEATABLE, 200, "seal-of-plain-1", "answer to a", 0, 5));
+                for (int i = 0; i < 20; i++) {
+                    seen.promptCalled(new PromptCall("box-1", 10_000, 10_005, i % 3 == 0));
+                }
+            }),
         };
     }
 
+    @Test(dataProvider = "breachesOfQuarantine")
+    public void aBreachOfTheQuarantineIsFound(String promise, Consumer<Observations> events) {
+        aBreachIsFound(promise, events);
+    }
+
     @DataProvider
     Object[][] breachesOfPlacing() {
         return new Object[][] {
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -46,6 +46,7 @@
             + "{\"name\":\"warming-plain\",\"max_conns\":110,\"cold_start_s\":3,\"cold_per_s\":" + COLD_PER_SECOND
             + "},"
             + "{\"name\":\"fragile\",\"max_conns\":110},"
+            + "{\"name\":\"prompted\",\"max_conns\":110},"
             + "{\"name\":\"first\",\"max_conns\":370,\"pieces\":" + POOL + "},"
             + "{\"name\":\"second\",\"max_conns\":370,\"pieces\":" + POOL + "}";
 
@@ -256,6 +257,7 @@
                 route("once", "non_idempotent", "plain", 1, timeoutMs, false, ""),
                 route("repeatable", "idempotent", "plain", 2, timeoutMs, false, ""),
                 route("fragile", "idempotent", "fragile", 2, timeoutMs, false, ""),
+                route("prompted", "idempotent", "prompted", 2, timeoutMs, false, ""),
                 route("versioned", "idempotent", serviceOfVersion(version), 1, timeoutMs, false, ""));
         String services = SERVICES + ",{\"name\":\"" + serviceOfVersion(version) + "\",\"max_conns\":110}";
         return "{\"version\":%d,\"routes\":[%s],\"services\":[%s],%s,%s}"
