Share the fleet of crashing endpoints between its tests

RelayCrashingPartTest repeated the set-up of RelayQuarantineTest and its search for the crash from which sendings count. Both use CrashingFleet; their checks are as before.

--- a/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayCrashingPartTest.java
@@ -15,21 +15,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.standin.fleet.CrashingEndpoint;
-import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
-import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
-import org.wingstall.standin.fleet.FleetStandin;
 
 /** Requests that share a prompt part which crashes endpoints, but nothing else, were sent to one endpoint after another. */
 public class RelayCrashingPartTest {
-    private static final int BOXES = 3;
     private static final int ENDPOINTS = 8;
 
     /** Crashed endpoints after which the part has to be known, and the requests that may still be sent later than that. */
@@ -49,10 +44,8 @@
     private static final int OK = 200;
 
     private final AtomicInteger ids = new AtomicInteger();
-    private final List<RelayBox> boxes = new ArrayList<>();
     private final Queue<SoundCall> soundCalls = new ConcurrentLinkedQueue<>();
-    private FleetStandin fleet;
-    private CrashLog crashes;
+    private CrashingFleet fleet;
     private ExecutorService callers;
     private AtomicBoolean over;
 
@@ -65,46 +58,19 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new FleetStandin();
-        fleet.configure(1, 3000);
-        crashes = new CrashLog();
+        fleet = new CrashingFleet(ENDPOINTS);
         soundCalls.clear();
         over = new AtomicBoolean();
         callers = Executors.newCachedThreadPool();
-        for (int i = 0; i < ENDPOINTS; i++) {
-            new CrashingEndpoint(fleet, crashes, new Kind("engine", "east", "e" + i, 5)).start();
-            new CrashingEndpoint(fleet, crashes, new Kind("plain", "east", "p" + i, 0)).start();
-        }
-        for (int i = 0; i < BOXES; i++) {
-            startBox("box-" + i);
-        }
-    }
-
-    private RelayBox startBox(String id) throws Exception {
-        RelayBox box = new RelayBox(fleet, id).awaitReady();
-        boxes.add(box);
-        return box;
-    }
-
-    private void awaitLinks() {
-        String all = "wingstall_peers_heard " + (boxes.size() - 1) + ".0";
-        Awaitility.await()
-                .until(() -> boxes.stream().allMatch(box -> box.metrics().contains(all)));
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() {
         over.set(true);
         callers.shutdownNow();
-        closeBoxes();
         fleet.close();
     }
 
-    private void closeBoxes() {
-        boxes.forEach(RelayBox::close);
-        boxes.clear();
-    }
-
     private static long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -114,7 +80,8 @@
     }
 
     private RelayBox nextBox() {
-        return boxes.get(ThreadLocalRandom.current().nextInt(boxes.size()));
+        return fleet.boxes()
+                .get(ThreadLocalRandom.current().nextInt(fleet.boxes().size()));
     }
 
     /** Returns the parts of a prompt, the last one being the request's own. */
@@ -152,29 +119,15 @@
         }
     }
 
-    /** Returns when the given number of endpoints had crashed, in ms; far in the future while they have not. */
-    private long crashedAtMs(int number) {
-        List<String> ended = new ArrayList<>();
-        for (CrashingRun run : crashes.runs()) {
-            boolean another = !ended.contains(run.incarnation()) && ended.add(run.incarnation());
-            if (another && ended.size() == number) {
-                return run.atMs();
-            }
-        }
-        return Long.MAX_VALUE / 2;
-    }
-
     private void assertHeldBack() {
-        long knownAtMs = crashedAtMs(CRASHES) + CONTACT_MS;
-        List<CrashingRun> later =
-                crashes.runs().stream().filter(run -> run.atMs() > knownAtMs).toList();
-        assertTrue(later.size() <= LATER_SENDINGS, crashes.ended() + " crashed; sent later: " + later);
-        assertTrue(crashes.ended() > 0, "no endpoint crashed");
+        List<CrashingRun> later = fleet.runsLaterThan(fleet.crashedAtMs(CRASHES) + CONTACT_MS);
+        assertTrue(later.size() <= LATER_SENDINGS, fleet.crashed() + " crashed; sent later: " + later);
+        assertTrue(fleet.crashed() > 0, "no endpoint crashed");
     }
 
     /** Returns when requests without the part must be served again, in ms. */
     private long soundFromMs() {
-        return crashedAtMs((int) Math.min(CRASHES, crashes.ended())) + 2 * CONTACT_MS;
+        return fleet.crashedAtMs((int) Math.min(CRASHES, fleet.crashed())) + 2 * CONTACT_MS;
     }
 
     /** Plays long enough to see requests without the part after the last crash that counts. */
@@ -207,7 +160,7 @@
 
     @Test(dataProvider = "routesAndPlaces")
     public void aPartThatCrashesItsEndpointsIsHeldBackAtEveryBox(String route, List<String> shared) {
-        awaitLinks();
+        fleet.awaitLinks();
         startSoundCallers(route);
         playOn(route, shared);
         assertHeldBack();
@@ -216,25 +169,26 @@
 
     @Test
     public void aBoxThatStartsLaterHoldsThePartBack() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         startSoundCallers("stream");
         repeatCrashingPart("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART), CONTACT_MS);
-        long before = crashes.ended();
-        RelayBox late = startBox("late");
+        long before = fleet.crashed();
+        RelayBox late = fleet.startBox("late");
         for (int i = 0; i < 2 * LATER_SENDINGS; i++) {
             late.postPrompt("stream", nextId(), prompt(SYSTEM, CrashingEndpoint.CRASHING_PART));
         }
-        assertEquals(crashes.ended(), before);
+        assertEquals(fleet.crashed(), before);
     }
 
     @Test
     public void aPartIsHeldBackAfterAllBoxesHaveStartedAnew() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         List<String> shared = List.of(SYSTEM, CrashingEndpoint.CRASHING_PART);
         repeatCrashingPart("stream", shared, CONTACT_MS);
-        closeBoxes();
-        for (int i = 0; i < BOXES; i++) {
-            startBox("box-" + i);
+        int boxes = fleet.boxes().size();
+        fleet.closeBoxes();
+        for (int i = 0; i < boxes; i++) {
+            fleet.startBox("box-" + i);
         }
         startSoundCallers("stream");
         repeatCrashingPart("stream", shared, PLAYED_MS);
@@ -244,27 +198,27 @@
     /** Callers connect while a box starts, and it read what is held later than what it needs to serve. */
     @Test
     public void aBoxThatStartsKnowsWhatIsHeldBeforeItTakesCallers() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         List<String> shared = List.of(SYSTEM, CrashingEndpoint.CRASHING_PART);
         repeatCrashingPart("stream", shared, CONTACT_MS);
-        long before = crashes.ended();
-        closeBoxes();
-        fleet.store().delayReads("crashes", READ_DELAY_MS);
-        RelayBox starting = new RelayBox(fleet, "starting");
-        boxes.add(starting);
+        long before = fleet.crashed();
+        fleet.closeBoxes();
+        fleet.standin().store().delayReads("crashes", READ_DELAY_MS);
+        RelayBox starting = fleet.startBoxWithoutWaiting("starting");
         Optional<RelayBox.Reply> reply =
                 starting.postPrompt("stream", nextId(), prompt(SYSTEM, CrashingEndpoint.CRASHING_PART));
         assertEquals(reply.orElseThrow().status(), 503);
-        assertEquals(crashes.ended(), before);
+        assertEquals(fleet.crashed(), before);
     }
 
     /** Boxes that never hear each other, but reach the store. */
     @Test
     public void aPartIsHeldBackByBoxesThatAreCutOffFromEachOther() throws Exception {
-        closeBoxes();
-        fleet.store().hide("boxes");
-        for (int i = 0; i < BOXES; i++) {
-            startBox("cut-" + i);
+        int boxes = fleet.boxes().size();
+        fleet.closeBoxes();
+        fleet.standin().store().hide("boxes");
+        for (int i = 0; i < boxes; i++) {
+            fleet.startBox("cut-" + i);
         }
         startSoundCallers("stream");
         playOn("stream", List.of(SYSTEM, CrashingEndpoint.CRASHING_PART));
--- a/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayQuarantineTest.java
@@ -17,10 +17,7 @@
 import org.testng.annotations.Test;
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.standin.fleet.CrashingEndpoint;
-import org.wingstall.standin.fleet.CrashingEndpoint.CrashLog;
 import org.wingstall.standin.fleet.CrashingEndpoint.CrashingRun;
-import org.wingstall.standin.fleet.CrashingEndpoint.Kind;
-import org.wingstall.standin.fleet.FleetStandin;
 import org.wingstall.standin.fleet.WorkerStandin;
 
 /**
@@ -48,40 +45,15 @@
     private static final String CRASHING = "please " + CrashingEndpoint.CRASH;
 
     private final AtomicInteger ids = new AtomicInteger();
-    private final List<RelayBox> boxes = new ArrayList<>();
-    private FleetStandin fleet;
-    private CrashLog crashes;
+    private CrashingFleet fleet;
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new FleetStandin();
-        fleet.configure(1, 3000);
-        crashes = new CrashLog();
-        for (int i = 0; i < ENDPOINTS; i++) {
-            new CrashingEndpoint(fleet, crashes, new Kind("engine", "east", "e" + i, 5)).start();
-            new CrashingEndpoint(fleet, crashes, new Kind("plain", "east", "p" + i, 0)).start();
-        }
-        for (int i = 0; i < BOXES; i++) {
-            startBox("box-" + i);
-        }
-    }
-
-    private RelayBox startBox(String id) throws Exception {
-        RelayBox box = new RelayBox(fleet, id).awaitReady();
-        boxes.add(box);
-        return box;
-    }
-
-    private void awaitLinks() {
-        String all = "wingstall_peers_heard " + (boxes.size() - 1) + ".0";
-        Awaitility.await()
-                .until(() -> boxes.stream().allMatch(box -> box.metrics().contains(all)));
+        fleet = new CrashingFleet(ENDPOINTS);
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() {
-        boxes.forEach(RelayBox::close);
-        boxes.clear();
         fleet.close();
     }
 
@@ -97,34 +69,24 @@
     private void repeat(String route, long forMs) {
         long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMs);
         for (int i = 0; System.nanoTime() < untilNs; i++) {
-            crash(boxes.get(i % boxes.size()), route);
+            crash(fleet.boxes().get(i % fleet.boxes().size()), route);
             Pauses.ofMs(PAUSE_MS);
         }
     }
 
     private void awaitKnown() {
-        Awaitility.await().atMost(KNOWN_MS, TimeUnit.MILLISECONDS).until(() -> boxes.stream()
+        Awaitility.await().atMost(KNOWN_MS, TimeUnit.MILLISECONDS).until(() -> fleet.boxes().stream()
                 .allMatch(box -> box.metrics().contains("wingstall_requests_held_back 1.0")));
     }
 
     private List<CrashingRun> laterThanKnown() {
-        List<CrashingRun> runs = crashes.runs();
-        assertTrue(runs.size() >= LOSSES, "only " + runs);
-        List<String> ended = new ArrayList<>();
-        long thirdMs = Long.MAX_VALUE;
-        for (CrashingRun run : runs) {
-            boolean another = !ended.contains(run.incarnation()) && ended.add(run.incarnation());
-            if (another && ended.size() == LOSSES) {
-                thirdMs = run.atMs();
-            }
-        }
-        long knownMs = thirdMs + KNOWN_MS;
-        return runs.stream().filter(run -> run.atMs() > knownMs).toList();
+        assertTrue(fleet.crashingRuns().size() >= LOSSES, "only " + fleet.crashingRuns());
+        return fleet.runsLaterThan(fleet.crashedAtMs(LOSSES) + KNOWN_MS);
     }
 
     private void assertHeldBack() {
         List<CrashingRun> later = laterThanKnown();
-        assertTrue(later.size() <= LATER_SENDINGS, crashes.ended() + " ended; sent later: " + later);
+        assertTrue(later.size() <= LATER_SENDINGS, fleet.crashed() + " ended; sent later: " + later);
     }
 
     @DataProvider
@@ -134,12 +96,12 @@
 
     @Test(dataProvider = "routes")
     public void aRequestThatCrashesItsEndpointsIsHeldBackAtEveryBox(String route) throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         repeat(route, REPEATED_MS);
         assertHeldBack();
         // Repeats came one after the other, so each loss was known before the next sending.
-        assertEquals(crashes.ended(), LOSSES);
-        for (RelayBox box : boxes) {
+        assertEquals(fleet.crashed(), LOSSES);
+        for (RelayBox box : fleet.boxes()) {
             RelayBox.Reply refusal = crash(box, route).orElseThrow();
             assertEquals(refusal.status(), 503);
             assertTrue(refusal.body().contains("quarantined"), refusal.body());
@@ -151,7 +113,7 @@
     /** Several callers send it at once, so that some sendings leave before the losses of others are known. */
     @Test
     public void repeatsThatComeTogetherAreHeldBackToo() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         List<CompletableFuture<Void>> callers = new ArrayList<>();
         for (int i = 0; i < 2 * BOXES; i++) {
             callers.add(CompletableFuture.runAsync(() -> repeat("stream", REPEATED_MS)));
@@ -162,23 +124,22 @@
 
     @Test
     public void aBoxThatStartsLaterHoldsItBack() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         repeat("stream", REPEATED_MS);
-        RelayBox late = startBox("late");
+        RelayBox late = fleet.startBox("late");
         awaitKnown();
-        long before = crashes.ended();
+        long before = fleet.crashed();
         assertEquals(crash(late, "stream").orElseThrow().status(), 503);
-        assertEquals(crashes.ended(), before);
+        assertEquals(fleet.crashed(), before);
     }
 
     @Test
     public void itIsHeldBackAfterAllBoxesHaveStartedAnew() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         repeat("stream", KNOWN_MS);
-        boxes.forEach(RelayBox::close);
-        boxes.clear();
+        fleet.closeBoxes();
         for (int i = 0; i < BOXES; i++) {
-            startBox("box-" + i);
+            fleet.startBox("box-" + i);
         }
         awaitKnown();
         repeat("stream", KNOWN_MS);
@@ -188,18 +149,17 @@
     /** A box took each row that it read at its start for news, so every start of a box held requests back for ten minutes more. */
     @Test
     public void aHoldDoesNotBeginAnewWithTheStartOfABox() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         repeat("stream", KNOWN_MS);
-        assertEquals(crashes.ended(), LOSSES);
-        boxes.forEach(RelayBox::close);
-        boxes.clear();
-        fleet.store().advance(TimeUnit.MINUTES.toMillis(11));
-        RelayBox box = startBox("later");
+        assertEquals(fleet.crashed(), LOSSES);
+        fleet.closeBoxes();
+        fleet.standin().store().advance(TimeUnit.MINUTES.toMillis(11));
+        RelayBox box = fleet.startBox("later");
         awaitReports(box);
         crash(box, "stream");
-        assertEquals(crashes.ended(), LOSSES + 1);
+        assertEquals(fleet.crashed(), LOSSES + 1);
         assertEquals(crash(box, "stream").orElseThrow().status(), 503);
-        assertEquals(crashes.ended(), LOSSES + 1);
+        assertEquals(fleet.crashed(), LOSSES + 1);
     }
 
     private static void awaitReports(RelayBox box) {
@@ -209,11 +169,10 @@
     /** Boxes that never hear each other, but reach the store. */
     @Test
     public void itIsHeldBackByBoxesThatAreCutOffFromEachOther() throws Exception {
-        boxes.forEach(RelayBox::close);
-        boxes.clear();
-        fleet.store().hide("boxes");
+        fleet.closeBoxes();
+        fleet.standin().store().hide("boxes");
         for (int i = 0; i < BOXES; i++) {
-            startBox("cut-" + i);
+            fleet.startBox("cut-" + i);
         }
         repeat("stream", REPEATED_MS);
         assertHeldBack();
@@ -226,19 +185,19 @@
     @Test
     public void aPieceThatCrashesItsEndpointsIsHeldBackToo() throws Exception {
         for (int i = 0; i < 4; i++) {
-            new CrashingEndpoint(fleet, crashes, new Kind("first", "east", "f" + i, 0)).start();
+            fleet.add("first", "f" + i, 0);
         }
-        fleet.add("second", "east", "s1", new WorkerStandin("s1", 0, 20));
-        awaitLinks();
+        fleet.standin().add("second", "east", "s1", new WorkerStandin("s1", 0, 20));
+        fleet.awaitLinks();
         long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPEATED_MS);
         for (int i = 0; System.nanoTime() < untilNs; i++) {
-            boxes.get(i % BOXES).postPiece(nextId(), CrashingEndpoint.CRASH);
-            boxes.get(i % BOXES).postPiece(nextId(), "innocent-" + i);
+            fleet.boxes().get(i % BOXES).postPiece(nextId(), CrashingEndpoint.CRASH);
+            fleet.boxes().get(i % BOXES).postPiece(nextId(), "innocent-" + i);
             Pauses.ofMs(PAUSE_MS);
         }
         assertHeldBack();
-        assertEquals(crashes.ended(), LOSSES);
-        for (RelayBox box : boxes) {
+        assertEquals(fleet.crashed(), LOSSES);
+        for (RelayBox box : fleet.boxes()) {
             RelayBox.Reply refusal =
                     box.postPiece(nextId(), CrashingEndpoint.CRASH).orElseThrow();
             assertEquals(refusal.status(), 503);
@@ -250,10 +209,10 @@
     /** Beside the crashing one runs a request that many callers send with the same path and body. */
     @Test
     public void aPopularRequestBesideItIsServed() throws Exception {
-        awaitLinks();
+        fleet.awaitLinks();
         AtomicBoolean over = new AtomicBoolean();
         List<CompletableFuture<Void>> callers = new ArrayList<>();
-        for (RelayBox box : boxes) {
+        for (RelayBox box : fleet.boxes()) {
             for (int i = 0; i < 4; i++) {
                 callers.add(CompletableFuture.runAsync(() -> {
                     while (!over.get()) {
@@ -266,7 +225,7 @@
         over.set(true);
         callers.forEach(CompletableFuture::join);
         assertHeldBack();
-        for (RelayBox box : boxes) {
+        for (RelayBox box : fleet.boxes()) {
             assertEquals(
                     box.postBody("resumable", nextId(), "popular").orElseThrow().status(), 200);
         }
