Rehearse the work of a box in a fleet for the class archive

Cause: The archive of classes is made by a gateway that is alone and gets sound answers only. A box that linked to two others, delegated work and met failing endpoints loaded 493 of 4,612 classes from the jar, or made them at run time. Change: The rehearsal starts two more gateways and lets the rehearsed one do what a box of a fleet does: resumed streams, refusals, bursts, crashes, cut links, cold and leaving endpoints, an evacuation, faults of the store, and peers that end. Steps that fail are printed and passed over, and the rehearsal ends after a minute at the latest.

--- a/scripts/class-archive.sh
+++ b/scripts/class-archive.sh
@@ -1,20 +1,24 @@
 #!/bin/sh
-# Makes target/wingstall.jsa: the classes that a gateway loads to start and to serve requests of every kind, ready to be
-# mapped, which halves its start. Without the archive a gateway starts as well, only later.
+# Makes target/wingstall.jsa: the classes that a gateway loads to start and to serve requests of every kind as one box of
+# a fleet, ready to be mapped, which halves its start. Without the archive a gateway starts as well, only later.
 cd "$(dirname "$0")/.." || exit 1
 folder=target/rehearsal
 archive=target/wingstall.jsa
 rm -rf "$folder" "$archive"
 mkdir -p "$folder"
 parts=standin/target/classes:net/target/classes:core/target/classes:schema/target/classes
-java -Xmx64m -cp "$parts:target/lib/*" org.wingstall.standin.fleet.Rehearsal "$folder" >"$folder/rehearsal.out" 2>&1 &
+options="-Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Dio.netty.jfr.enabled=false"
+# shellcheck disable=SC2086
+java -Xmx96m -cp "$parts:target/lib/*" org.wingstall.standin.fleet.Rehearsal "$folder" \
+  java $options -jar target/wingstall-relay.jar >"$folder/rehearsal.out" 2>&1 &
 rehearsal=$!
 waited=0
 while [ ! -s "$folder/relay.yaml" ] && [ $waited -lt 150 ]; do
   sleep 0.1
   waited=$((waited + 1))
 done
-java -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -Dio.netty.jfr.enabled=false -XX:ArchiveClassesAtExit="$archive" \
+# shellcheck disable=SC2086
+java $options -XX:ArchiveClassesAtExit="$archive" \
   -jar target/wingstall-relay.jar --settings "$folder/relay.yaml" >"$folder/gateway.out" 2>&1 &
 gateway=$!
 wait $rehearsal
--- a/standin/src/main/java/org/wingstall/standin/fleet/Rehearsal.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/Rehearsal.java
@@ -7,16 +7,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.wingstall.net.BindException;
 
 /**
- * Gives one gateway requests of every kind, so that the classes of the request path are loaded when its archive of classes
- * is made.
+ * Gives one gateway requests of every kind and the work of a box in a fleet, so that the classes for these are loaded when
+ * its archive of classes is made.
  *
  * <p>{@code java ... org.wingstall.standin.fleet.Rehearsal target/rehearsal} writes {@code relay.yaml} there, waits for a
- * gateway with those settings, sends requests and ends.
+ * gateway with those settings, sends requests and ends. It starts other gateways by the command that follows the folder.
  *
  * @since 0.2
  */
@@ -27,6 +28,7 @@
     private static final long PATIENCE_MS = 30_000;
     private static final long DEADLINE_MS = 8000;
     private static final long PAUSE_MS = 50;
+    private static final long LONGEST_MS = 60_000;
 
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -36,18 +38,35 @@
         this.settings = settings;
     }
 
-    /** Runs the rehearsal; exits with 1 when requests are not served. */
+    /**
+     * Runs the rehearsal; exits with 1 when requests are not served.
+     *
+     * @param args the folder, and the command that starts another gateway when its settings are added; without a command
+     *     there are no other gateways
+     */
     public static void main(String[] args) throws IOException, BindException, InterruptedException {
         Path folder = Path.of(args[0]);
-        try (FleetStandin fleet = new FleetStandin()) {
-            String settings = fleet.withAllServices().settings("rehearsal-1", "east");
-            Files.createDirectories(folder);
-            Files.writeString(folder.resolve("relay.yaml"), settings);
-            boolean served = new Rehearsal(settings).run();
+        endLater();
+        Files.createDirectories(folder);
+        try (FleetStandin fleet = new FleetStandin().withAllServices();
+                FleetRehearsal others =
+                        new FleetRehearsal(fleet, folder, List.of(args).subList(1, args.length))) {
+            Runtime.getRuntime().addShutdownHook(new Thread(others::close));
+            Files.writeString(folder.resolve("relay.yaml"), others.settings());
+            others.startPeers();
+            boolean served = new Rehearsal(others.settings()).run();
+            if (served) {
+                others.run();
+            }
             System.exit(served ? 0 : 1);
         }
     }
 
+    /** Ends a rehearsal that takes too long: an archive with fewer classes is better than a build that stands still. */
+    private static void endLater() {
+        CompletableFuture.delayedExecutor(LONGEST_MS, TimeUnit.MILLISECONDS).execute(() -> System.exit(1));
+    }
+
     private boolean run() throws InterruptedException {
         return ready() && sendAll();
     }
