Write out equals and hashCode of records that every start uses

Cause: The methods that a record gets are linked at their first use by method handles, whose classes no archive holds. A trace of a start in a fleet showed this for endpoint identities, store versions, pool specifications, stage numbers and retry budgets; each took several ms on the request or control loop, and later calls go through interpreted handles. Change: These records have their own equals and hashCode, and store versions compare without a comparator of lambdas.

--- a/core/src/main/java/org/wingstall/core/member/StoreVersion.java
+++ b/core/src/main/java/org/wingstall/core/member/StoreVersion.java
@@ -1,7 +1,5 @@
 package org.wingstall.core.member;
 
-import java.util.Comparator;
-
 /**
  * A version of the platform's store. A store that is restored from a copy gives out numbers again, so numbers compare
  * only within one era.
@@ -16,12 +14,21 @@
     /** The version before the first read. */
     public static final StoreVersion NONE = new StoreVersion(0, 0);
 
-    private static final Comparator<StoreVersion> ORDER =
-            Comparator.comparingLong(StoreVersion::era).thenComparingLong(StoreVersion::number);
+    // Written out like hashCode: the generated methods of a record are made at its first use, which takes several ms.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoreVersion that && era == that.era && number == that.number;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(era) + Long.hashCode(number);
+    }
 
     @Override
     public int compareTo(StoreVersion other) {
-        return ORDER.compare(this, other);
+        int byEra = Long.compare(era, other.era);
+        return byEra != 0 ? byEra : Long.compare(number, other.number);
     }
 
     /** Returns whether this version is later than another one. */
--- a/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
+++ b/core/src/main/java/org/wingstall/core/route/EndpointIdentity.java
@@ -1,6 +1,7 @@
 package org.wingstall.core.route;
 
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.schema.platform.Member;
 
@@ -29,6 +30,24 @@
         return memberId + "@" + incarnation;
     }
 
+    // Written out like hashCode: the generated methods of a record are made at its first use, which takes several ms.
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof EndpointIdentity that
+                        && incarnation == that.incarnation
+                        && Objects.equals(memberId, that.memberId)
+                        && Objects.equals(failureDomain, that.failureDomain)
+                        && Objects.equals(service, that.service)
+                        && Objects.equals(boxClass, that.boxClass)
+                        && Objects.equals(address, that.address);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Objects.hashCode(memberId) + Long.hashCode(incarnation);
+    }
+
     /** Returns the identity of a member of the membership list. */
     public static EndpointIdentity of(Member member) {
         return new EndpointIdentity(
--- a/relay/src/main/java/org/wingstall/relay/config/PoolSpec.java
+++ b/relay/src/main/java/org/wingstall/relay/config/PoolSpec.java
@@ -22,6 +22,26 @@
         double pieceMs,
         double resultCapacityBytes,
         long resultTtlMs) {
+    // Written out like hashCode: the generated methods of a record are made at its first use, which takes several ms.
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof PoolSpec that
+                        && slots == that.slots
+                        && queueCapacity == that.queueCapacity
+                        && maxBatchSize == that.maxBatchSize
+                        && Double.compare(baseMs, that.baseMs) == 0
+                        && Double.compare(pieceMs, that.pieceMs) == 0
+                        && Double.compare(resultCapacityBytes, that.resultCapacityBytes) == 0
+                        && resultTtlMs == that.resultTtlMs;
+    }
+
+    @Override
+    public int hashCode() {
+        int hash = 31 * Double.hashCode(baseMs) + Double.hashCode(pieceMs);
+        return 31 * (31 * hash + slots) + maxBatchSize;
+    }
+
     /** Returns the time of a call with the given number of pieces, in ms. */
     public double callMs(int pieces) {
         return baseMs + pieces * pieceMs;
--- a/relay/src/main/java/org/wingstall/relay/run/ServiceRetryBudgets.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ServiceRetryBudgets.java
@@ -28,6 +28,21 @@
      * @param boxes boxes of the fleet
      */
     public record FleetBudget(double ratio, double extra, int boxes) {
+        // Written out like hashCode: the generated methods of a record are made at its first use, which takes several
+        // ms.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof FleetBudget that
+                    && Double.compare(ratio, that.ratio) == 0
+                    && Double.compare(extra, that.extra) == 0
+                    && boxes == that.boxes;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * (31 * Double.hashCode(ratio) + Double.hashCode(extra)) + boxes;
+        }
+
         private double percent() {
             return PERCENT * ratio * USED_FRACTION;
         }
@@ -56,6 +71,10 @@
 
     /** Returns a service's budget. */
     public RetryBudget of(String service) {
+        RetryBudget known = budgets.get(service);
+        if (known != null) {
+            return known;
+        }
         return budgets.computeIfAbsent(service, name -> new RetryBudget(fleetBudget.percent(), fleetBudget.boxExtra()));
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/wire/Piece.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/Piece.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import org.wingstall.core.quarantine.Fingerprint;
 
 /**
@@ -24,7 +25,19 @@
      * @param requestId the request
      * @param stage number of the stage
      */
-    public record StageId(String requestId, int stage) {}
+    public record StageId(String requestId, int stage) {
+        // Written out like hashCode: the generated methods of a record are made at its first use, which takes several
+        // ms.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof StageId that && stage == that.stage && Objects.equals(requestId, that.requestId);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * Objects.hashCode(requestId) + stage;
+        }
+    }
 
     /** Returns whether the piece has a fingerprint that does not depend on its request. */
     public boolean identifiable() {
