Choose candidates by loops, and build an endpoint's key once

Cause: Each request builds the key of every candidate as a text, reads the clock several times for each, and runs streams with lambdas over candidates and limits, although there is most often nothing to avoid and no limit. Change: RelayEndpoint keeps its key, TargetService reads the clock once and checks only what can apply, and SendLimits, RunQuarantine and Route loop. Incarnations that serve are compared by their keys instead of records.

--- a/relay/src/main/java/org/wingstall/relay/config/Route.java
+++ b/relay/src/main/java/org/wingstall/relay/config/Route.java
@@ -66,7 +66,10 @@
 
     /** Selects the service of a request by a random number in [0, 1). */
     public String selectService(double random) {
-        double sum = serviceShares.stream().mapToDouble(ServiceShare::weight).sum();
+        double sum = 0;
+        for (ServiceShare share : serviceShares) {
+            sum += share.weight();
+        }
         double left = random * sum;
         for (ServiceShare share : serviceShares) {
             left -= share.weight();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -24,6 +24,7 @@
     private static final long WINDOW_RETRY_MS = 25;
 
     private final EndpointState state;
+    private final String key;
     private final SendRestrictions restrictions;
     private final int slots;
     private final MonotonicClock clock;
@@ -62,6 +63,7 @@
         this.startedAtMs = startedAtMs;
         this.listener = listener;
         this.state = state;
+        this.key = state.identity().key();
         this.restrictions = restrictions;
         this.slots = slots;
         this.clock = clock;
@@ -98,7 +100,7 @@
 
     /** Returns the key of this incarnation of the endpoint; a restarted endpoint gets another one. */
     public String key() {
-        return identity().key();
+        return key;
     }
 
     /**
@@ -106,7 +108,8 @@
      * consecutive failures.
      */
     public boolean usable() {
-        return usableByOthers() && closedForMs() == 0;
+        long nowMs = clock.nowMs();
+        return usableByOthers(nowMs) && closedForMs(nowMs) == 0;
     }
 
     /** Records that its entry says that it leaves, and the earliest time at which it can have said so. */
@@ -136,7 +139,12 @@
 
     /** Returns whether other boxes may send it new work, as far as this box knows. */
     public boolean usableByOthers() {
-        return !state.leaving() && backoff.allowsRequests(clock.nowMs());
+        return usableByOthers(clock.nowMs());
+    }
+
+    /** Returns the same as {@link #usableByOthers()} for a time that the caller has read for several endpoints. */
+    public boolean usableByOthers(long nowMs) {
+        return !state.leaving() && backoff.allowsRequests(nowMs);
     }
 
     /**
@@ -144,7 +152,12 @@
      * named a time, or is brittle and has as many requests of this box as it is to get.
      */
     public long closedForMs() {
-        long pauseMs = restrictions.closedForMs(clock.nowMs());
+        return closedForMs(clock.nowMs());
+    }
+
+    /** Returns the same as {@link #closedForMs()} for a time that the caller has read for several endpoints. */
+    public long closedForMs(long nowMs) {
+        long pauseMs = restrictions.closedForMs(nowMs);
         boolean full = pauseMs == 0 && !restrictions.window().allows(state.inFlight());
         return full ? WINDOW_RETRY_MS : pauseMs;
     }
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -79,16 +79,6 @@
     private long availableSinceMs = Long.MIN_VALUE / 2;
     private long restoredAtMs = Long.MIN_VALUE / 2;
 
-    /**
-     * One incarnation of an endpoint, which may restart under the same identifier without any state of its previous
-     * one.
-     */
-    private record Incarnation(String id, long number) {
-        static Incarnation of(RelayEndpoint endpoint) {
-            return new Incarnation(endpoint.id(), endpoint.identity().incarnation());
-        }
-    }
-
     /**
      * Creates a table without endpoints.
      *
@@ -187,7 +177,7 @@
             unavailable = false;
             availableSinceMs = nowMs;
         }
-        Set<Incarnation> servingBefore = serving();
+        Set<String> servingBefore = serving();
         boolean first = !listLoaded();
         Map<String, RelayEndpoint> next = new HashMap<>();
         for (Member member : members) {
@@ -259,16 +249,22 @@
      * @param key the incarnation, see {@link RelayEndpoint#key}
      */
     public void recordReportedLoss(String key) {
-        byId.values().stream()
-                .filter(endpoint -> endpoint.key().equals(key))
-                .forEach(RelayEndpoint::recordReportedLoss);
+        for (RelayEndpoint endpoint : byId.values()) {
+            if (endpoint.key().equals(key)) {
+                endpoint.recordReportedLoss();
+            }
+        }
     }
 
-    private Set<Incarnation> serving() {
-        return byId.values().stream()
-                .filter(endpoint -> !endpoint.state().leaving())
-                .map(Incarnation::of)
-                .collect(Collectors.toSet());
+    /** Returns the keys of the incarnations that serve; an endpoint may restart under the same identifier. */
+    private Set<String> serving() {
+        Set<String> keys = new HashSet<>();
+        for (RelayEndpoint endpoint : byId.values()) {
+            if (!endpoint.state().leaving()) {
+                keys.add(endpoint.key());
+            }
+        }
+        return keys;
     }
 
     /** Records that a box has just found the list unchanged. */
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
@@ -138,29 +138,44 @@
         if (candidates.isEmpty() || inactive(candidates.get(0).identity().service())) {
             return candidates;
         }
-        List<RelayEndpoint> unlimited =
-                candidates.stream().filter(endpoint -> !limited(endpoint)).toList();
+        List<RelayEndpoint> unlimited = new ArrayList<>(candidates.size());
+        for (RelayEndpoint endpoint : candidates) {
+            if (!limited(endpoint)) {
+                unlimited.add(endpoint);
+            }
+        }
         if (unlimited.size() == candidates.size()) {
             return candidates;
         }
         if (!fleet.discoveryComplete() && !unlimited.isEmpty()) {
             return unlimited;
         }
-        return candidates.stream()
-                .filter(endpoint -> isWithinLimits(endpoint, mode))
-                .toList();
+        List<RelayEndpoint> within = new ArrayList<>(candidates.size());
+        for (RelayEndpoint endpoint : candidates) {
+            if (isWithinLimits(endpoint, mode)) {
+                within.add(endpoint);
+            }
+        }
+        return within;
     }
 
     private boolean isWithinLimits(RelayEndpoint endpoint, SelectionMode mode) {
-        Optional<SendLimit> exceeded = limits.stream()
-                .filter(limit -> waitMs(limit, endpoint, mode) > 0)
-                .findFirst();
-        exceeded.ifPresent(limit -> metrics.recordLimitedEndpoint(limit.reason()));
-        return exceeded.isEmpty();
+        for (SendLimit limit : limits) {
+            if (waitMs(limit, endpoint, mode) > 0) {
+                metrics.recordLimitedEndpoint(limit.reason());
+                return false;
+            }
+        }
+        return true;
     }
 
     private boolean inactive(String service) {
-        return limits.stream().allMatch(limit -> limit.inactive(service));
+        for (SendLimit limit : limits) {
+            if (!limit.inactive(service)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns the time after which a request may be sent to one of these endpoints, in ms; 0 for now. */
@@ -172,20 +187,27 @@
     }
 
     private long waitMs(RelayEndpoint endpoint, SelectionMode mode) {
-        return limits.stream()
-                .mapToLong(limit -> waitMs(limit, endpoint, mode))
-                .max()
-                .orElse(0);
+        long longestMs = 0;
+        for (SendLimit limit : limits) {
+            longestMs = Math.max(longestMs, waitMs(limit, endpoint, mode));
+        }
+        return longestMs;
     }
 
     private long waitMs(SendLimit limit, RelayEndpoint endpoint, SelectionMode mode) {
-        RecentSends recent = sends.getOrDefault(endpoint.key(), NO_SENDS);
-        return limit.appliesTo(endpoint) ? limit.waitMs(endpoint, mode, recent) : 0;
+        return limit.appliesTo(endpoint)
+                ? limit.waitMs(endpoint, mode, sends.getOrDefault(endpoint.key(), NO_SENDS))
+                : 0;
     }
 
     /** Returns whether a limit applies to an endpoint now. */
     public boolean limited(RelayEndpoint endpoint) {
-        return limits.stream().anyMatch(limit -> limit.appliesTo(endpoint));
+        for (SendLimit limit : limits) {
+            if (limit.appliesTo(endpoint)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Records that a request is sent to an endpoint now, by this box or by one that it selects for. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -162,7 +162,9 @@
     /** Refuses a quarantined request, or delays it until a trial ends; checked before its stages and each attempt. */
     private boolean blockedByQuarantine(Runnable again) {
         Optional<QuarantineRefusal> refusal = quarantine.refusal();
-        refusal.filter(blocked -> !waitsForTrial(blocked, again)).ifPresent(this::refuse);
+        if (refusal.isPresent() && !waitsForTrial(refusal.get(), again)) {
+            refuse(refusal.get());
+        }
         return refusal.isPresent();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RunQuarantine.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.run;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import org.wingstall.relay.log.EndpointLoss;
 import org.wingstall.relay.log.RequestLog;
 import org.wingstall.relay.wire.RelayRequest;
+import org.wingstall.relay.wire.RelayRequest.PromptPart;
 
 /** Reports the attempts of one request to the quarantine and the log. Confined to the request loop. */
 final class RunQuarantine {
@@ -28,13 +30,17 @@
     }
 
     private static List<Fingerprint> sharedParts(String service, RelayRequest sent) {
-        return sent.sharedParts().stream()
-                .map(part -> Fingerprint.ofPart(service, sent.model(), part.id()))
-                .toList();
+        List<PromptPart> parts = sent.sharedParts();
+        List<Fingerprint> fingerprints = new ArrayList<>(parts.size());
+        for (PromptPart part : parts) {
+            fingerprints.add(Fingerprint.ofPart(service, sent.model(), part.id()));
+        }
+        return fingerprints;
     }
 
     Optional<QuarantineRefusal> refusal() {
-        return request.refusal().or(prompt::refusal);
+        Optional<QuarantineRefusal> refusal = request.refusal();
+        return refusal.isPresent() ? refusal : prompt.refusal();
     }
 
     Set<String> endpointsToAvoid() {
--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.config.RegionRestriction;
 import org.wingstall.relay.config.Route;
@@ -98,30 +97,52 @@
      */
     List<RelayEndpoint> candidates(Set<String> endpointsToAvoid) {
         List<RelayEndpoint> all = untried();
-        List<RelayEndpoint> others = all.stream()
-                .filter(endpoint -> !endpointsToAvoid.contains(endpoint.key()))
-                .toList();
+        if (endpointsToAvoid.isEmpty()) {
+            return all;
+        }
+        List<RelayEndpoint> others = new ArrayList<>(all.size());
+        for (RelayEndpoint endpoint : all) {
+            if (!endpointsToAvoid.contains(endpoint.key())) {
+                others.add(endpoint);
+            }
+        }
         return 2 * others.size() >= all.size() && !others.isEmpty() ? others : all;
     }
 
     private List<RelayEndpoint> untried() {
-        List<RelayEndpoint> usable = new ArrayList<>();
-        List<RelayEndpoint> avoided = new ArrayList<>();
-        List<RelayEndpoint> leaving = new ArrayList<>();
-        for (RelayEndpoint endpoint : context.endpoints().ofService(name)) {
-            if (!fits(endpoint) || tried.contains(endpoint.id()) || endpoint.closedForMs() > 0) {
+        List<RelayEndpoint> listed = context.endpoints().ofService(name);
+        List<RelayEndpoint> usable = new ArrayList<>(listed.size());
+        List<RelayEndpoint> avoided = List.of();
+        List<RelayEndpoint> leaving = List.of();
+        long nowMs = context.clock().nowMs();
+        for (RelayEndpoint endpoint : listed) {
+            if (!fits(endpoint) || wasTried(endpoint) || endpoint.closedForMs(nowMs) > 0) {
                 continue;
             }
             if (!endpoint.state().leaving()) {
-                (endpoint.usable() && !risky(endpoint) ? usable : avoided).add(endpoint);
+                if (endpoint.usableByOthers(nowMs) && !risky(endpoint)) {
+                    usable.add(endpoint);
+                } else {
+                    avoided = with(avoided, endpoint);
+                }
             } else if (takesResumedStream(endpoint)) {
-                leaving.add(endpoint);
+                leaving = with(leaving, endpoint);
             }
         }
-        return Stream.of(usable, leaving, avoided)
-                .filter(endpoints -> !endpoints.isEmpty())
-                .findFirst()
-                .orElse(List.of());
+        if (!usable.isEmpty()) {
+            return usable;
+        }
+        return leaving.isEmpty() ? avoided : leaving;
+    }
+
+    private static List<RelayEndpoint> with(List<RelayEndpoint> endpoints, RelayEndpoint next) {
+        List<RelayEndpoint> more = endpoints.isEmpty() ? new ArrayList<>() : endpoints;
+        more.add(next);
+        return more;
+    }
+
+    private boolean wasTried(RelayEndpoint endpoint) {
+        return !tried.isEmpty() && tried.contains(endpoint.id());
     }
 
     /**
@@ -133,7 +154,8 @@
     }
 
     private boolean inRegion(RelayEndpoint endpoint) {
-        return regions.allows(context.regions().of(endpoint.identity().failureDomain()));
+        return !regions.restricted()
+                || regions.allows(context.regions().of(endpoint.identity().failureDomain()));
     }
 
     /**
