Read parts of whole events by lines instead of bytes

Cause: A resumable stream is forwarded in whole events. Each byte passed through synchronized buffers three times, and each line became a text, while nearly every part is whole events already. Change: A part that begins between events and ends with an empty line is read line by line and forwarded without a copy; only lines that may be identifiers become texts. All other parts are read by bytes as before. Result: New tests compare both ways over all streams and splits of the existing tests; they and the existing ones pass.

--- a/relay/src/main/java/org/wingstall/relay/run/EventStreamBuffer.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EventStreamBuffer.java
@@ -26,6 +26,11 @@
         return whole.toByteArray();
     }
 
+    /** Returns whether no bytes are held back. */
+    boolean empty() {
+        return pending.size() == 0;
+    }
+
     /** Discards an incomplete event. */
     void discard() {
         pending.reset();
--- a/relay/src/main/java/org/wingstall/relay/run/EventStreamParser.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EventStreamParser.java
@@ -60,6 +60,44 @@
         return part.readableBytes() > 1 && part.getByte(end - 1) == '\n' && part.getByte(end - 2) == '\n';
     }
 
+    /**
+     * Reads a part of a stream that is whole events from its first to its last byte, as most parts are, line by line
+     * instead of byte by byte.
+     *
+     * @return whether the part was read; false for any other part, which has to be read by its bytes
+     */
+    boolean readWholeEvents(ByteBuf part) {
+        boolean whole = !firstLine
+                && !insideEvent()
+                && !afterCarriageReturn
+                && endsWithEmptyLine(part)
+                && part.bytesBefore((byte) '\r') < 0;
+        if (!whole) {
+            return false;
+        }
+        int end = part.writerIndex();
+        int start = part.readerIndex();
+        while (start < end) {
+            int lineEnd = part.indexOf(start, end, (byte) '\n');
+            readLine(part, start, lineEnd - start);
+            start = lineEnd + 1;
+        }
+        unfinishedBytes = 0;
+        return true;
+    }
+
+    /** Reads a line that is in a part as a whole; only one that may be an identifier is read as text. */
+    private void readLine(ByteBuf part, int start, int length) {
+        if (length == 0) {
+            finishEvent();
+        } else if (part.getByte(start) != COLON) {
+            eventBegun = true;
+            if (part.getByte(start) == ID.charAt(0)) {
+                readField(part.toString(start, length, StandardCharsets.UTF_8));
+            }
+        }
+    }
+
     /** Reads the next byte; returns whether all bytes so far belong to complete events and complete comments. */
     boolean read(byte next) {
         boolean endsLineBefore = next == '\n' && afterCarriageReturn;
--- a/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
@@ -58,6 +58,9 @@
             parser.follow(content);
             return call.part(content.retainedSlice());
         }
+        if (eventBuffer.empty() && parser.readWholeEvents(content)) {
+            return call.part(content.retainedSlice());
+        }
         byte[] whole = eventBuffer.add(content);
         return whole.length == 0 || call.part(Unpooled.wrappedBuffer(whole));
     }
--- a/relay/src/test/java/org/wingstall/relay/run/EventStreamParserTest.java
+++ b/relay/src/test/java/org/wingstall/relay/run/EventStreamParserTest.java
@@ -1,10 +1,13 @@
 package org.wingstall.relay.run;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -65,4 +68,47 @@
             assertTrue(parser.events() > 0);
         }
     }
+
+    /** Guards against events that are lost, counted twice or taken for whole when parts are read by lines. */
+    @Test(dataProvider = "splits")
+    public void aPartOfWholeEventsIsReadAsItsBytesAre(int firstBytes) {
+        for (Object[] row : streams()) {
+            byte[] stream = ("id: 0\ndata: z\n\n" + row[0]).getBytes(StandardCharsets.UTF_8);
+            int split = Math.min(firstBytes, stream.length);
+            EventStreamParser byBytes = new EventStreamParser();
+            EventStreamParser byParts = new EventStreamParser();
+            for (ByteBuf part : List.of(
+                    Unpooled.wrappedBuffer(stream, 0, split),
+                    Unpooled.wrappedBuffer(stream, split, stream.length - split))) {
+                readBytes(byBytes, part);
+                if (byParts.readWholeEvents(part)) {
+                    assertFalse(byBytes.insideEvent(), row[0] + " split at " + firstBytes);
+                } else {
+                    readBytes(byParts, part);
+                }
+                assertEquals(byParts.insideEvent(), byBytes.insideEvent(), row[0] + " split at " + firstBytes);
+                assertEquals(byParts.unfinishedBytes(), byBytes.unfinishedBytes());
+                assertEquals(byParts.events(), byBytes.events(), row[0] + " split at " + firstBytes);
+                assertEquals(byParts.lastEventId(), byBytes.lastEventId(), row[0] + " split at " + firstBytes);
+            }
+        }
+    }
+
+    /** Guards against a fast path that is never taken. */
+    @Test
+    public void laterPartsOfWholeEventsAreReadByLines() {
+        EventStreamParser parser = new EventStreamParser();
+        readBytes(parser, Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.UTF_8));
+        ByteBuf part =
+                Unpooled.copiedBuffer("id: 2\ndata: b\n\n: waiting\n\nid: 3\ndata: c\n\n", StandardCharsets.UTF_8);
+        assertTrue(parser.readWholeEvents(part));
+        assertEquals(parser.events(), 3);
+        assertEquals(parser.lastEventId(), "3");
+    }
+
+    private static void readBytes(EventStreamParser parser, ByteBuf part) {
+        for (int at = part.readerIndex(); at < part.writerIndex(); at++) {
+            parser.read(part.getByte(at));
+        }
+    }
 }
