--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -29,6 +29,7 @@
     private ScheduledFuture<?> timer;
     private int unanswered;
     private boolean rejected;
+    private boolean reading;
 
     RequestGuard(Supplier<HttpLimits> limits, Rejection.Body rejections, AtomicInteger connections) {
         this.limits = limits;
@@ -84,14 +85,25 @@
         }
         if (message instanceof HttpRequest) {
             unanswered++;
-            arm(ctx, limits.get().requestReadMs(), Rejection.SLOW_REQUEST);
+            disarm();
+            reading = true;
         }
         if (message instanceof LastHttpContent) {
             disarm();
+            reading = false;
         }
         ctx.fireChannelRead(message);
     }
 
+    /** Most requests arrive at once; only one that is incomplete after a read needs a timer. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (reading && timer == null && !rejected) {
+            arm(ctx, limits.get().requestReadMs(), Rejection.SLOW_REQUEST);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
         if (message instanceof LastHttpContent) {
