Run periodic checks of a gateway in shared wake-ups

Cause: five checks with intervals of 100 and 250 ms each had a timer of their own, which woke the request loop some forty times a second in each box, in code that is mostly interpreted. Change: checks with a fixed interval run at multiples of it, so that they share wake-ups; a run that is late moves the next one to the following multiple. FleetCost no longer fails when a thread ends while its time is read.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -136,7 +136,7 @@
     /** Starts to follow and to tell. */
     void start() {
         paths.start();
-        PeriodicTask.start(loop, "endpoint-reach", () -> REACH_INTERVAL_MS, this::update);
+        PeriodicTask.startAligned(loop, "endpoint-reach", REACH_INTERVAL_MS, this::update);
     }
 
     /** Tells the other boxes of a change at once, since this box may coordinate a service for them. */
--- a/net/src/main/java/org/wingstall/net/PeriodicTask.java
+++ b/net/src/main/java/org/wingstall/net/PeriodicTask.java
@@ -46,6 +46,26 @@
         loop.execute(new PeriodicTask(loop, name, delayMs, work)::begin);
     }
 
+    /**
+     * Does the work now and then at multiples of an interval, so that tasks with the same or a multiple of the interval run
+     * in one wake-up of the loop. With a wake-up each, the timers of an idle gateway cost more than its heartbeats.
+     *
+     * @param loop event loop that does the work
+     * @param name name in the log when a run fails
+     * @param intervalMs time between two runs, in ms; a run that takes longer delays the next to the following multiple
+     * @param work the work
+     */
+    public static void startAligned(EventExecutor loop, String name, long intervalMs, Runnable work) {
+        start(loop, name, () -> untilMultipleMs(System.nanoTime(), intervalMs), work);
+    }
+
+    /** Returns the time until the next multiple of an interval, in ms; at least half of the interval. */
+    static long untilMultipleMs(long nowNs, long intervalMs) {
+        long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNs);
+        long leftMs = intervalMs - Math.floorMod(nowMs, intervalMs);
+        return leftMs < intervalMs / 2 ? leftMs + intervalMs : leftMs;
+    }
+
     private void begin() {
         dueAtNs = System.nanoTime();
         run();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SendLimits.java
@@ -123,7 +123,7 @@
 
     /** Starts to track for which fraction of the fleet this box selects endpoints. */
     public void start(EventLoop loop) {
-        PeriodicTask.start(loop, "coordination", () -> CoordinationHistory.SAMPLE_MS, coordination::sample);
+        PeriodicTask.startAligned(loop, "coordination", CoordinationHistory.SAMPLE_MS, coordination::sample);
     }
 
     /**
--- a/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/SilenceWatch.java
@@ -133,7 +133,7 @@
                 onConnectionLost(endpoint);
             }
         });
-        PeriodicTask.start(loop, "silent-domains", () -> DOMAIN_CHECK_MS, this::checkDomains);
+        PeriodicTask.startAligned(loop, "silent-domains", DOMAIN_CHECK_MS, this::checkDomains);
     }
 
     /**
--- a/relay/src/main/java/org/wingstall/relay/path/EndpointPaths.java
+++ b/relay/src/main/java/org/wingstall/relay/path/EndpointPaths.java
@@ -98,7 +98,7 @@
 
     /** Starts to try lost paths again. */
     public void start() {
-        PeriodicTask.start(loop, "lost-paths", () -> RETRY_INTERVAL_MS, this::retryLost);
+        PeriodicTask.startAligned(loop, "lost-paths", RETRY_INTERVAL_MS, this::retryLost);
     }
 
     /** Returns whether an endpoint is reached through other boxes only. */
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -80,8 +80,8 @@
 
     /** Starts the periodic check of the coordinators that this box delegated pieces to. */
     public void start() {
-        PeriodicTask.start(
-                context.loop(), "silent-gatherers", () -> COORDINATOR_CHECK_MS, this::resubmitFromUnreachableBoxes);
+        PeriodicTask.startAligned(
+                context.loop(), "silent-gatherers", COORDINATOR_CHECK_MS, this::resubmitFromUnreachableBoxes);
     }
 
     private void resubmitFromUnreachableBoxes() {
--- a/standin/src/main/java/org/wingstall/standin/fleet/ThreadTimes.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/ThreadTimes.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
@@ -49,14 +50,22 @@
         Map<String, Double> times = new TreeMap<>();
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/" + pid + "/task"))) {
             for (Path thread : threads) {
-                String name = Files.readString(thread.resolve("comm")).strip();
-                String usedNs = Files.readString(thread.resolve("schedstat")).split(" ")[0];
-                times.merge(job(name), Long.parseLong(usedNs) / NS_PER_MS, Double::sum);
+                add(thread, times);
             }
         }
         return new ThreadTimes(times);
     }
 
+    private static void add(Path thread, Map<String, Double> times) throws IOException {
+        try {
+            String name = Files.readString(thread.resolve("comm")).strip();
+            String usedNs = Files.readString(thread.resolve("schedstat")).split(" ")[0];
+            times.merge(job(name), Long.parseLong(usedNs) / NS_PER_MS, Double::sum);
+        } catch (NoSuchFileException e) {
+            // The thread ended after the folder was listed.
+        }
+    }
+
     /** Returns the processor time of all threads, in ms. */
     public double totalMs() {
         return msByJob.values().stream().mapToDouble(Double::doubleValue).sum();
