--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoint.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.endpoint;
 
+import java.util.OptionalDouble;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.route.EndpointIdentity;
@@ -23,6 +24,9 @@
     /** Time after which a brittle endpoint with as many requests as it is to get is tried again, in ms. */
     private static final long WINDOW_RETRY_MS = 25;
 
+    /** Time for which a stated slowdown is valid, in ms; a few calls long. */
+    private static final long SLOWDOWN_VALID_MS = 1000;
+
     private final EndpointState state;
     private final SendRestrictions restrictions;
     private final int slots;
@@ -32,6 +36,7 @@
     private volatile long startedAtMs;
     private volatile long listedLeavingAtMs = Long.MIN_VALUE / 2;
     private volatile ColdReport coldReport = new ColdReport(0, Long.MIN_VALUE);
+    private volatile StatedSlowdown statedSlowdown = new StatedSlowdown(1, Long.MIN_VALUE / 2);
 
     /** Receives what this box observes of endpoints, on the thread that observes it. */
     interface Listener {
@@ -45,6 +50,8 @@
     /** How long the endpoint last reported to stay cold, and the time at which that ends. */
     private record ColdReport(long reportedMs, long coldUntilMs) {}
 
+    private record StatedSlowdown(double factor, long atMs) {}
+
     /**
      * Creates an endpoint.
      *
@@ -197,6 +204,19 @@
         return nowMs < coldReport.coldUntilMs() || nowMs - startedAtMs < spec.durationMs();
     }
 
+    /** Records the ratio that it states of the time that its work takes now to the usual time. */
+    void recordStatedSlowdown(double factor) {
+        statedSlowdown = new StatedSlowdown(factor, clock.nowMs());
+    }
+
+    /** Returns the slowdown factor that it has stated within the last second. */
+    public OptionalDouble statedSlowdown() {
+        StatedSlowdown stated = statedSlowdown;
+        return clock.nowMs() - stated.atMs() <= SLOWDOWN_VALID_MS
+                ? OptionalDouble.of(stated.factor())
+                : OptionalDouble.empty();
+    }
+
     /** Records a call that got a response. */
     public void recordAnswer(double runMs) {
         backoff.reset();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/StatementReader.java
@@ -95,6 +95,7 @@
         }
         EndpointStatement statement = head.statement();
         statement.load().ifPresent(endpoint.state()::recordReportedLoad);
+        statement.slowdown().ifPresent(endpoint::recordStatedSlowdown);
         switch (statement.limit().kind()) {
             case RATE -> limits.advertised(endpoint.key(), statement.limit().requestsPerSecond());
             case UNREADABLE -> limits.advertisedUnreadable(endpoint.key());
--- a/relay/src/main/java/org/wingstall/relay/wire/EndpointStatement.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/EndpointStatement.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.wire;
 
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -9,6 +10,7 @@
  * <p>{@code if (head.statement().leaving()) { endpoints.markLeaving(endpoint, "answer"); }}
  *
  * @param load requests running and waiting at the endpoint, when it reports them
+ * @param slowdown ratio of the time that its work takes now to the usual time, when it reports it
  * @param limit rate limit for all boxes together, when it advertises one
  * @param leaving whether it is about to end and takes no new requests
  * @param maxRejectionsPerSecond rejections within a second above which it fails, when it states to be brittle
@@ -17,7 +19,18 @@
  */
 public record EndpointStatement(
         OptionalInt load,
+        OptionalDouble slowdown,
         AdvertisedLimit limit,
         boolean leaving,
         OptionalInt maxRejectionsPerSecond,
-        OptionalLong retryAfterMs) {}
+        OptionalLong retryAfterMs) {
+    /** Creates the statement of an endpoint that does not report how long its work takes. */
+    public EndpointStatement(
+            OptionalInt load,
+            AdvertisedLimit limit,
+            boolean leaving,
+            OptionalInt maxRejectionsPerSecond,
+            OptionalLong retryAfterMs) {
+        this(load, OptionalDouble.empty(), limit, leaving, maxRejectionsPerSecond, retryAfterMs);
+    }
+}
