Send groups of pieces to the stage endpoint where they end in time

Cause: a pool treated all endpoints as equally fast, so a free endpoint that took five times as long got groups that a normal one, free a little later, would have served in time; admission counted its slot as a whole one, and its calls timed out. Change: EndpointSlowdowns measures each endpoint relative to the median, and a statement of the endpoint is preferred for a second. A group waits for a normal endpoint where it meets its target, as PoolForecast tells; else it takes what is free. A slow endpoint is tried with one group after 1 s, or 1.5 s if none is in time there. Forecast, load and timeout use the factor. Endpoints within 25 % are alike.

--- a/relay/src/main/java/org/wingstall/relay/pool/CallPlanner.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallPlanner.java
@@ -32,8 +32,32 @@
      * @param freeSlots calls that it can take now
      * @param freeBytes free result capacity
      * @param load estimated load, with a small random part that breaks ties
+     * @param pace how fast it runs calls
      */
-    record EndpointCapacity(String endpointId, String failureDomain, int freeSlots, double freeBytes, double load) {}
+    record EndpointCapacity(
+            String endpointId, String failureDomain, int freeSlots, double freeBytes, double load, Pace pace) {
+        /** Creates the capacity of an endpoint that is as fast as usual. */
+        public EndpointCapacity(String endpointId, String failureDomain, int freeSlots, double freeBytes, double load) {
+            this(endpointId, failureDomain, freeSlots, freeBytes, load, Pace.USUAL);
+        }
+
+        /** Returns whether its calls take longer than those of other endpoints. */
+        boolean slow() {
+            return pace.slowdown() > 1;
+        }
+    }
+
+    /**
+     * How fast an endpoint runs calls.
+     *
+     * @param slowdown ratio of the duration of its calls to the usual one; 1 for endpoints that are alike
+     * @param slotFreeAtMs when each slot is free, in ms of the monotonic clock; empty if no endpoint is slow
+     * @param untestedMs time since its last call ended, in ms; 0 while it runs a call
+     */
+    record Pace(double slowdown, List<Long> slotFreeAtMs, long untestedMs) {
+        /** The pace of an endpoint that is like the others. */
+        public static final Pace USUAL = new Pace(1, List.of(), 0);
+    }
 
     /**
      * A planned call.
--- a/relay/src/main/java/org/wingstall/relay/pool/CallTimeouts.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallTimeouts.java
@@ -19,6 +19,9 @@
      */
     private static final double EXPECTED_TIME_FACTOR = 2;
 
+    /** Factor on the expected time of a call to a slow endpoint, whose slowdown has been measured. */
+    private static final double SLOW_CALL_FACTOR = 1.5;
+
     /** Maximum rounds of lost calls that raise the timeout; it is then about the time of twelve expected calls. */
     private static final int MAX_ROUNDS = 3;
 
@@ -49,6 +52,13 @@
         return Math.round(baseTimeoutMs(spec, pieces) * (1 + rounds));
     }
 
+    /** Returns the time after which a call to an endpoint with a slowdown factor counts as lost, in ms. */
+    long timeoutMs(PoolSpec spec, int pieces, int endpoints, double slowdown) {
+        double slowCallMs =
+                SLOW_CALL_FACTOR * slowdown * spec.callMs(pieces) + CALLS_AHEAD * spec.callMs(spec.maxBatchSize());
+        return Math.max(timeoutMs(spec, pieces, endpoints), Math.round(slowCallMs));
+    }
+
     private static double baseTimeoutMs(PoolSpec spec, int pieces) {
         return EXPECTED_TIME_FACTOR * spec.callMs(pieces) + CALLS_AHEAD * spec.callMs(spec.maxBatchSize());
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolCall.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.net.http.HttpReply;
+import org.wingstall.net.http.TransportException;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.PoolSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
@@ -53,7 +54,7 @@
         this.spec = spec;
         this.tasks = tasks;
         this.startedMs = context.clock().nowMs();
-        this.expectedMs = pool.callMs(spec, tasks.size());
+        this.expectedMs = pool.callTimes().callMs(spec, tasks.size(), endpoint);
     }
 
     RelayEndpoint endpoint() {
@@ -87,7 +88,7 @@
                 .call(
                         context.loop(),
                         context.endpointProtocol().pieces(endpoint.identity(), pieces, remainingMs),
-                        pool.timeoutMs(spec, pieces.size()))
+                        pool.callTimes().timeoutMs(spec, pieces.size(), endpoint, pool.endpointCount()))
                 .whenCompleteAsync(this::ended, context.loop());
         scheduleCheck(Math.round(OVERDUE_FACTOR * expectedMs) + OVERDUE_MARGIN_MS);
     }
@@ -133,6 +134,7 @@
         }
         end();
         if (failure != null) {
+            recordTimeout(failure);
             pool.quarantine().callLost(tasks, endpoint, startedMs, failure);
             unanswered(failure.getMessage());
         } else {
@@ -160,13 +162,21 @@
         }
     }
 
+    /** Records that the endpoint is at least this slow, so that it is left out and its next call may take longer. */
+    private void recordTimeout(Throwable failure) {
+        if (failure instanceof TransportException broken && broken.kind() == TransportException.Kind.TIMEOUT) {
+            pool.callTimes()
+                    .recordTimeout(spec, tasks.size(), endpoint, context.clock().nowMs() - startedMs);
+        }
+    }
+
     private void unanswered(String detail) {
         endpoint.recordNoAnswer(detail);
         lost(detail);
     }
 
     private void lost(String detail) {
-        pool.timeouts().recordLoss();
+        pool.callTimes().recordLoss();
         LogEvent.warn("stage-call-lost")
                 .with("endpoint", endpoint.id())
                 .with("pieces", tasks.size())
@@ -177,7 +187,8 @@
     }
 
     private void answered(HttpReply reply) {
-        pool.recordCallTime(spec, tasks.size(), context.clock().nowMs() - startedMs);
+        pool.callTimes()
+                .recordAnswer(spec, tasks.size(), endpoint, context.clock().nowMs() - startedMs);
         ResponseHead head = context.endpointProtocol().responseHead(reply.status(), reply.headers());
         context.statementReader().read(endpoint, head, startedMs, Carrier.PIECES);
         if (head.otherIncarnation()) {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolLoad.java
@@ -23,7 +23,7 @@
     }
 
     /** Returns the ratio of arriving work to what the given number of slots can do; 1 when both are equal. */
-    double relativeTo(int slots) {
+    double relativeTo(double slots) {
         decay();
         return slots == 0 ? Double.MAX_VALUE : workMsPerMs / slots;
     }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -46,9 +46,8 @@
     private final RandomGenerator random;
     private final List<PieceGroup> waiting = new ArrayList<>();
     private final Set<PoolCall> activeCalls = new HashSet<>();
-    private final CallTimeouts timeouts = new CallTimeouts();
     private final PieceQuarantine pieceQuarantine;
-    private final CallTimeEstimator callTimes = new CallTimeEstimator();
+    private final EndpointCallTimes callTimes;
     private final PoolLoad load;
     private final TokenBucket rejectionLines;
     private boolean dispatchScheduled;
@@ -73,6 +72,7 @@
         this.roomReports = roomReports;
         this.random = random;
         this.pieceQuarantine = new PieceQuarantine(service, context.quarantine());
+        this.callTimes = new EndpointCallTimes(context.clock());
         this.load = new PoolLoad(context.clock());
         this.rejectionLines = new TokenBucket(context.clock());
     }
@@ -107,14 +107,14 @@
         long nowMs = context.clock().nowMs();
         boolean others = nowMs - lastSubmittedAtMs > spec.resultTtlMs();
         lastSubmittedAtMs = nowMs;
-        load.recordArrival(callTimes.slotTimeMs(spec, pieces));
+        load.recordArrival(callTimes.usual().slotTimeMs(spec, pieces));
         if (others) {
             roomReports.queryInitial(endpoints.serving(), spec);
         }
     }
 
     private PieceGroup group(List<PieceTask> tasks) {
-        double callMs = spec().map(spec -> callTimes.callMs(spec, Math.min(tasks.size(), spec.maxBatchSize())))
+        double callMs = spec().map(spec -> callTimes.usual().callMs(spec, Math.min(tasks.size(), spec.maxBatchSize())))
                 .orElse(0.0);
         return new PieceGroup(tasks, context.clock().nowMs(), callMs, pieceQuarantine.anySuspected(tasks));
     }
@@ -123,24 +123,13 @@
         return context.config().get().service(service).flatMap(found -> found.pool());
     }
 
-    CallTimeouts timeouts() {
-        return timeouts;
+    EndpointCallTimes callTimes() {
+        return callTimes;
     }
 
-    /** Records the duration of an answered call. */
-    void recordCallTime(PoolSpec spec, int pieces, long tookMs) {
-        timeouts.recordAnswer(spec, pieces, tookMs);
-        callTimes.recordCall(spec, pieces, tookMs);
-    }
-
-    /** Returns the expected duration of a call, in ms. */
-    double callMs(PoolSpec spec, int pieces) {
-        return callTimes.callMs(spec, pieces);
-    }
-
-    /** Returns the time after which a call counts as lost, in ms. */
-    long timeoutMs(PoolSpec spec, int pieces) {
-        return timeouts.timeoutMs(spec, pieces, endpoints.all().size());
+    /** Returns the number of listed endpoints of the service. */
+    int endpointCount() {
+        return endpoints.all().size();
     }
 
     /** Returns the number of queued pieces. */
@@ -169,7 +158,7 @@
         return serving.isEmpty()
                 ? Optional.empty()
                 : spec().map(spec -> new PoolSnapshot(
-                        spec, serving, capacity, context.clock().nowMs()));
+                        spec, serving, capacity, callTimes, context.clock().nowMs()));
     }
 
     private void sendAll(Optional<PoolSnapshot> snapshot) {
@@ -204,7 +193,7 @@
                         .planner()
                         .planNext(
                                 inOrder,
-                                snapshot.capacities(openEndpoints(snapshot), random),
+                                snapshot.capacities(openEndpoints(snapshot), activeCalls, random),
                                 snapshot.spec(),
                                 snapshot.nowMs());
     }
@@ -250,8 +239,8 @@
         if (waiting.isEmpty()) {
             return;
         }
-        PoolForecast forecast = snapshot.forecast(activeCalls, callTimes);
-        double loadNow = load.relativeTo(forecast.slotsFreeAtMs().size());
+        PoolForecast forecast = snapshot.forecast(activeCalls);
+        double loadNow = load.relativeTo(forecast.usualSlots());
         List<PieceGroup> inOrder = context.policies().order().sorted(waiting, snapshot.nowMs());
         AdmissionContext admissionContext = new AdmissionContext(forecast, snapshot::capacityAtMs, loadNow);
         List<PoolAdmission.RejectedGroup> rejectedGroups =
--- a/relay/src/test/java/org/wingstall/relay/pool/PoolSimulation.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/PoolSimulation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,7 @@
     private final Map<PieceGroup, PendingRequest> requestsByGroup = new HashMap<>();
     private final Map<SimulatedEndpoint, Long> busyUntilMs = new HashMap<>();
     private final Map<String, Outcome> outcomes = new HashMap<>();
+    private final SpeedModel speeds;
     private long nowMs;
     private long nextDispatchAtMs = -1;
     private double wastedMs;
@@ -42,20 +44,12 @@
     record RequestKind(
             String name, int rank, double perSecond, int maxPieces, long resultBytes, long targetMs, double value) {}
 
-    /** An endpoint; calls that are running at any time while it is unresponsive are lost. */
-    record SimulatedEndpoint(
-            String id, String failureDomain, double slowdown, long unresponsiveFromMs, long unresponsiveUntilMs) {
-        static SimulatedEndpoint healthy(String id, String failureDomain) {
-            return new SimulatedEndpoint(id, failureDomain, 1, Long.MAX_VALUE, Long.MAX_VALUE);
-        }
-
-        SimulatedEndpoint slow(double times) {
-            return new SimulatedEndpoint(id, failureDomain, times, unresponsiveFromMs, unresponsiveUntilMs);
-        }
-
-        SimulatedEndpoint unresponsive(long fromMs, long untilMs) {
-            return new SimulatedEndpoint(id, failureDomain, slowdown, fromMs, untilMs);
-        }
+    /** What a pool knows of the speed of its endpoints. */
+    enum SpeedModel {
+        /** All endpoints count as equally fast. */
+        ALIKE,
+        /** The slowdown factor of each endpoint is measured. */
+        BY_ENDPOINT
     }
 
     /** A period in which the arrival rate of a kind is multiplied. */
@@ -141,6 +135,11 @@
     }
 
     PoolSimulation(PoolSetup setup, PoolPolicies policies, long seed) {
+        this(setup, policies, seed, SpeedModel.BY_ENDPOINT);
+    }
+
+    PoolSimulation(PoolSetup setup, PoolPolicies policies, long seed, SpeedModel speeds) {
+        this.speeds = speeds;
         this.setup = setup;
         this.policies = policies;
         this.random = new SplittableRandom(seed);
@@ -244,10 +243,8 @@
         }
         PoolForecast forecast = forecast();
         List<PieceGroup> inOrder = policies.order().sorted(waiting, nowMs);
-        AdmissionContext outlook = new AdmissionContext(
-                forecast,
-                this::capacityAtMs,
-                load.relativeTo(forecast.slotsFreeAtMs().size()));
+        AdmissionContext outlook =
+                new AdmissionContext(forecast, this::capacityAtMs, load.relativeTo(forecast.usualSlots()));
         for (PoolAdmission.RejectedGroup away : policies.admission().rejected(inOrder, outlook, nowMs)) {
             waiting.remove(away.group());
             outcomes.get(requestsByGroup.get(away.group()).kind.name()).rejected++;
@@ -256,11 +253,30 @@
     }
 
     private PoolForecast forecast() {
-        List<Long> freeAtMs = setup.endpoints().stream()
-                .filter(this::usable)
-                .map(maker -> Math.max(nowMs, busyUntilMs.get(maker)))
-                .toList();
-        return new PoolForecast(freeAtMs, setup.spec().maxBatchSize(), pieces -> times.callMs(setup.spec(), pieces));
+        List<SimulatedEndpoint> usable =
+                setup.endpoints().stream().filter(this::usable).toList();
+        return new PoolForecast(
+                usable.stream().map(this::freeAtMs).toList(),
+                setup.spec().maxBatchSize(),
+                pieces -> times.callMs(setup.spec(), pieces),
+                usable.stream().map(this::slowdown).toList());
+    }
+
+    /** Returns when an endpoint is free, as the pool expects it. */
+    private long freeAtMs(SimulatedEndpoint maker) {
+        return Math.max(nowMs, busyUntilMs.get(maker));
+    }
+
+    private double slowdown(SimulatedEndpoint maker) {
+        return speeds == SpeedModel.ALIKE ? 1 : times.slowdowns().of(maker.id(), OptionalDouble.empty(), nowMs);
+    }
+
+    private CallPlanner.Pace pace(SimulatedEndpoint maker) {
+        boolean running = busyUntilMs.get(maker) > nowMs;
+        return new CallPlanner.Pace(
+                slowdown(maker),
+                List.of(freeAtMs(maker)),
+                running ? 0 : times.slowdowns().untestedMs(maker.id(), nowMs));
     }
 
     private long capacityAtMs(PieceGroup group) {
@@ -293,7 +309,8 @@
                         maker.failureDomain(),
                         busyUntilMs.get(maker) <= nowMs ? 1 : 0,
                         capacity.freeBytes(maker.id(), setup.spec().resultCapacityBytes()),
-                        random.nextDouble() / 2))
+                        random.nextDouble() / 2,
+                        pace(maker)))
                 .toList();
         Optional<CallPlanner.PlannedCall> planned =
                 policies.planner().planNext(policies.order().sorted(waiting, nowMs), makers, setup.spec(), nowMs);
@@ -316,13 +333,15 @@
         }
         waiting.removeIf(group -> group.size() == 0);
         int carried = pieces;
-        long tookMs = Math.round(setup.spec().callMs(carried) * maker.slowdown() * random.nextDouble(0.95, 1.1));
+        long tookMs = Math.round(maker.durationMs(nowMs, setup.spec().callMs(carried) * random.nextDouble(0.95, 1.1)));
         long endsAtMs = nowMs + tookMs;
         boolean lost = nowMs < maker.unresponsiveUntilMs() && endsAtMs > maker.unresponsiveFromMs();
         busyUntilMs.put(maker, endsAtMs);
         schedule(endsAtMs, () -> {
-            if (!lost) {
+            if (!lost && speeds == SpeedModel.ALIKE) {
                 times.recordCall(setup.spec(), carried, tookMs);
+            } else if (!lost) {
+                times.recordCall(setup.spec(), carried, tookMs, maker.id(), nowMs);
             }
             planned.parts().forEach(part -> ended(maker, part, tookMs / (double) carried, lost));
             dispatch();
--- a/relay/src/test/java/org/wingstall/relay/pool/PoolSimulationTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/PoolSimulationTest.java
@@ -12,7 +12,6 @@
 import org.wingstall.relay.pool.PoolSimulation.PoolSetup;
 import org.wingstall.relay.pool.PoolSimulation.RequestKind;
 import org.wingstall.relay.pool.PoolSimulation.Result;
-import org.wingstall.relay.pool.PoolSimulation.SimulatedEndpoint;
 
 /** Compares the standard policies of a pool with simpler ones in simulations of difficult loads. */
 public class PoolSimulationTest {
