--- a/relay/src/test/java/org/wingstall/relay/pool/CallTimeoutsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/CallTimeoutsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.relay.config.PoolSpec;
 
@@ -44,4 +45,19 @@
         answeredAfter(200);
         assertEquals(fullCallMs(), usualMs);
     }
+
+    /** Slowdown factor of an endpoint, and the timeout of a full call to it, in durations of a full call. */
+    @DataProvider
+    public Object[][] slowdowns() {
+        return new Object[][] {{1.0, 3.0}, {1.3, 3.0}, {2.0, 4.0}, {5.0, 8.5}};
+    }
+
+    /** Guards against calls to a slow endpoint that are lost although it runs them. */
+    @Test(dataProvider = "slowdowns")
+    public void callToASlowEndpointMayTakeLonger(double slowdown, double expectedCalls) {
+        CallTimeouts fresh = new CallTimeouts();
+        assertEquals(
+                fresh.timeoutMs(SPEC, SPEC.maxBatchSize(), ENDPOINTS, slowdown),
+                Math.round(expectedCalls * SPEC.callMs(SPEC.maxBatchSize())));
+    }
 }
