Separate scheduled retry times from estimated ones

Cause: jitter extends each retry time up to double, which would move callers away from capacity that is reserved for them at a certain time.

--- a/core/src/main/java/org/wingstall/core/answer/RetryAfter.java
+++ b/core/src/main/java/org/wingstall/core/answer/RetryAfter.java
@@ -34,4 +34,18 @@
         long base = Math.max(MIN_MS, Math.min(MAX_MS, expectedWaitMs));
         return base + (long) (base * random.getAsDouble());
     }
+
+    /**
+     * Returns the hint for a retry time. Scheduled times are spread within a step only, since jitter in proportion to
+     * the time would move callers away from the capacity that is reserved for them; others are jittered.
+     *
+     * @param time the retry time
+     * @return the hint, in ms
+     */
+    public long hintMs(RetryTime time) {
+        if (!time.scheduled()) {
+            return jitteredMs(time.afterMs());
+        }
+        return Math.max(MIN_MS, Math.min(MAX_MS, time.afterMs())) + (long) (RetryTime.STEP_MS * random.getAsDouble());
+    }
 }
