Count the queues of later stages in admission, and schedule retries

Cause: a first stage was accepted however long the queues of later stages were, and all callers that were refused together were told the same time of at most 3 s, so they returned together. Change: StageResult reports waitMs, kept for 1 s by service and rank; StagePiece carries the queueing part of later stages, for which the pool of a first stage refuses a request that would be late, and the caller's own deadline.

--- a/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.PieceLinks;
@@ -21,6 +22,7 @@
     private final PieceLinks links;
     private final MonotonicClock clock;
     private final Resubmitter resubmitter;
+    private final PoolWaitTable waits;
     private final Map<Long, Delegation> delegations = new HashMap<>();
     private long nextCorrelation = 1;
 
@@ -63,10 +65,11 @@
         }
     }
 
-    DelegatedPieces(PieceLinks links, MonotonicClock clock, Resubmitter resubmit) {
+    DelegatedPieces(PieceLinks links, MonotonicClock clock, Resubmitter resubmit, PoolWaitTable waits) {
         this.links = links;
         this.clock = clock;
         this.resubmitter = resubmit;
+        this.waits = waits;
     }
 
     /** Delegates pieces to a coordinator; returns whether there is a link to it. */
@@ -95,7 +98,9 @@
                 task.placement().resultBytes(),
                 task.placement().nearDomain(),
                 task.placement().crossDomainBytes(),
-                piece.origin());
+                piece.origin(),
+                Math.max(0, task.urgency().callerDeadlineAtMs() - nowMs),
+                task.urgency().laterWaitMs());
     }
 
     void resultReceived(String boxId, long correlation, StageResult result) {
@@ -110,13 +115,16 @@
         if (work.remaining == 0) {
             delegations.remove(correlation);
         }
+        waits.record(work.service, task.urgency().rank(), result.getWaitMs());
         task.complete(decode(result, boxId));
     }
 
     private static PieceOutcome decode(StageResult result, String coordinator) {
         if (result.getHandle() == null) {
             return PieceOutcome.failed(
-                    PieceResult.Failure.fromName(result.getFailure()), coordinator, result.getAgainMs());
+                    PieceResult.Failure.fromName(result.getFailure()),
+                    coordinator,
+                    new RetryTime(result.getAgainMs(), result.isScheduled()));
         }
         return PieceOutcome.success(
                 PieceResult.of(result.getHandle()), Addresses.parse(result.getMaker()), coordinator);
--- a/relay/src/main/java/org/wingstall/relay/pool/ForecastAdmission.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ForecastAdmission.java
@@ -1,6 +1,7 @@
 package org.wingstall.relay.pool;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -43,16 +44,29 @@
         List<RejectedGroup> rejected = new ArrayList<>();
         long retryAfterMs =
                 ends.isEmpty() ? 0 : Math.min(MAX_RETRY_AFTER_MS, waitMs(ends.get(ends.size() - 1), nowMs, spare));
+        long drainedInMs = 0;
         for (int i = 0; i < ends.size(); i++) {
             PieceGroup group = inOrder.get(i);
             double part = group.isLateAt(nowMs) ? spare : 1;
             long roomAtMs = context.capacityAtMs().applyAsLong(group);
             long endsAtMs = Math.max(nowMs + waitMs(ends.get(i), nowMs, part), roomAtMs + group.callMs());
             if (endsAtMs > completionLimit.latestEndMs(group, context)) {
-                rejected.add(new RejectedGroup(group, Math.max(retryAfterMs, roomAtMs - nowMs)));
+                long untilRoomMs = roomAtMs - nowMs;
+                rejected.add(new RejectedGroup(group, Math.max(retryAfterMs, untilRoomMs), Math.max(0, untilRoomMs)));
+            } else {
+                drainedInMs = Math.max(drainedInMs, Math.min(MAX_RETRY_AFTER_MS, ends.get(i) - nowMs));
             }
         }
-        return rejected;
+        return afterAccepted(rejected, drainedInMs);
+    }
+
+    /** Returns the rejected groups, most urgent first, each to be retried after the accepted ones are done. */
+    private static List<RejectedGroup> afterAccepted(List<RejectedGroup> rejected, long drainedInMs) {
+        return rejected.stream()
+                .map(one ->
+                        new RejectedGroup(one.group(), one.retryAfterMs(), Math.max(drainedInMs, one.drainedInMs())))
+                .sorted(Comparator.comparingInt(one -> one.group().urgency().rank()))
+                .toList();
     }
 
     /**
--- a/relay/src/main/java/org/wingstall/relay/pool/PeerPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PeerPieces.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.PieceLinks;
@@ -31,7 +32,10 @@
         List<PieceTask> tasks = new ArrayList<>();
         for (StagePiece piece : work.getPieces()) {
             int place = tasks.size();
-            tasks.add(decode(piece, (task, outcome) -> completed(boxId, correlation, place, outcome)));
+            tasks.add(decode(
+                    piece,
+                    (task, outcome) -> completed(
+                            boxId, correlation, encode(place, outcome, waitMs(work.getService(), task)), outcome)));
         }
         byBox.computeIfAbsent(boxId, box -> new HashMap<>()).put(correlation, tasks);
         pools.pool(work.getService()).submit(tasks);
@@ -47,30 +51,41 @@
                         piece.getKey(),
                         piece.getInputs(),
                         piece.getOrigin()),
-                new Urgency(piece.getRank(), nowMs + piece.getTargetMs(), nowMs + piece.getRemainingMs()),
+                new Urgency(
+                        piece.getRank(),
+                        nowMs + piece.getTargetMs(),
+                        nowMs + piece.getRemainingMs(),
+                        nowMs + Math.max(piece.getCallerMs(), piece.getRemainingMs()),
+                        piece.getLaterWaitMs()),
                 new PieceTask.Placement(piece.getNearDomain(), piece.getResultBytes(), piece.getAwayBytes()),
                 listener);
     }
 
-    private void completed(String boxId, long correlation, int place, PieceOutcome outcome) {
+    private long waitMs(String service, PieceTask task) {
+        return pools.pool(service).waitMs(task.urgency().rank());
+    }
+
+    private void completed(String boxId, long correlation, StageResult result, PieceOutcome outcome) {
         List<PieceTask> tasks = byBox.getOrDefault(boxId, Map.of()).get(correlation);
-        boolean wanted = tasks != null && links.tellResult(boxId, correlation, encode(place, outcome));
+        boolean wanted = tasks != null && links.tellResult(boxId, correlation, result);
         if (!wanted) {
             pools.freer().free(outcome);
             return;
         }
-        tasks.set(place, null);
+        tasks.set(result.getPlace(), null);
         if (tasks.stream().allMatch(task -> task == null)) {
             byBox.get(boxId).remove(correlation);
         }
     }
 
-    private static StageResult encode(int place, PieceOutcome outcome) {
+    private static StageResult encode(int place, PieceOutcome outcome, long waitMs) {
         if (!outcome.result().success()) {
-            return new StageResult(place, null, null, outcome.result().failure().name(), outcome.retryAfterMs());
+            RetryTime retryTime = outcome.retryTime();
+            String failure = outcome.result().failure().name();
+            return new StageResult(place, null, null, failure, retryTime.afterMs(), waitMs, retryTime.scheduled());
         }
         String endpoint = Addresses.format(outcome.endpointAddress());
-        return new StageResult(place, outcome.result().handle(), endpoint, null, 0);
+        return new StageResult(place, outcome.result().handle(), endpoint, null, 0, waitMs, false);
     }
 
     void withdrawn(String boxId, long correlation) {
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolAdmission.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolAdmission.java
@@ -24,9 +24,10 @@
      * A rejected group.
      *
      * @param group the group
-     * @param retryAfterMs time until a retry is likely to be accepted, in ms
+     * @param retryAfterMs time until a retry is likely to be accepted if few others retry, in ms
+     * @param drainedInMs time until the groups that were accepted are done and there is result capacity, in ms
      */
-    record RejectedGroup(PieceGroup group, long retryAfterMs) {}
+    record RejectedGroup(PieceGroup group, long retryAfterMs, long drainedInMs) {}
 
     /** Rejects nothing: every group waits until its deadline; the baseline. */
     PoolAdmission ACCEPT_ALL = (inOrder, context, nowMs) -> List.of();
@@ -39,10 +40,11 @@
      * Rejects groups that would miss their target while more work arrives than the pool can do, and groups that would
      * miss their deadline at any time. A late response is worth little to its caller, who may retry, and its calls make
      * other requests late. A pool that is not overloaded still serves late groups, and a group that reads results of
-     * earlier stages is not rejected for missing its target.
+     * earlier stages is not rejected for missing its target. A pool also rejects groups that would miss their target
+     * because pools of later stages are overloaded; their queues are part of the target of the group.
      */
-    PoolAdmission UNTIL_TARGET_UNDER_OVERLOAD =
-            new ForecastAdmission((group, context) -> context.load() > 1 && !group.hasPredecessors()
+    PoolAdmission UNTIL_TARGET_UNDER_OVERLOAD = new ForecastAdmission(
+            (group, context) -> (context.load() > 1 || group.urgency().laterWaitMs() > 0) && !group.hasPredecessors()
                     ? group.urgency().targetAtMs()
                     : group.urgency().deadlineAtMs());
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/PoolPolicies.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PoolPolicies.java
@@ -1,5 +1,7 @@
 package org.wingstall.relay.pool;
 
+import java.util.function.Supplier;
+
 /**
  * The policies of a pool; each is a function of the pool's current state.
  *
@@ -8,14 +10,24 @@
  * @param order decides which pieces are sent first
  * @param admission decides which pieces are rejected instead of waiting
  * @param planner decides which pieces share a call, and which endpoint gets it
+ * @param newRetryTimes creates, for each pool, what decides when the callers of rejected groups retry
  * @since 0.5
  */
-public record PoolPolicies(GroupOrder order, PoolAdmission admission, CallPlanner planner) {
+public record PoolPolicies(
+        GroupOrder order, PoolAdmission admission, CallPlanner planner, Supplier<RetryTimes> newRetryTimes) {
     /** The policies of a gateway. */
     public static final PoolPolicies STANDARD = new PoolPolicies(
-            GroupOrder.EARLIEST_TARGET, PoolAdmission.UNTIL_TARGET_UNDER_OVERLOAD, new WholeGroupPlanner());
+            GroupOrder.EARLIEST_TARGET,
+            PoolAdmission.UNTIL_TARGET_UNDER_OVERLOAD,
+            new WholeGroupPlanner(),
+            RetrySchedule::new);
 
     /** Order of arrival, without admission control. */
     public static final PoolPolicies BASELINE =
             new PoolPolicies(GroupOrder.ARRIVAL, PoolAdmission.ACCEPT_ALL, new WholeGroupPlanner());
+
+    /** Creates policies that tell all callers that are rejected together the same retry time. */
+    public PoolPolicies(GroupOrder order, PoolAdmission admission, CallPlanner planner) {
+        this(order, admission, planner, () -> RetryTimes.UNIFORM);
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.engine.InputLocation;
@@ -46,9 +47,9 @@
          * @param stage the stage
          * @param failure why it has no result
          * @param coordinator box that failed it; null for this box
-         * @param retryAfterMs time after which the request may be retried, in ms; 0 when that is not known
+         * @param retryTime time after which the request may be retried; 0 ms when that is not known
          */
-        void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, long retryAfterMs);
+        void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, RetryTime retryTime);
     }
 
     /** Tracks the pieces of one stage, which complete in any order. */
@@ -191,8 +192,7 @@
                 .map(outcome -> outcome.result().handle())
                 .toList();
         String key = inputs.isEmpty() ? request.pieceKey() : null;
-        Urgency stageUrgency =
-                new Urgency(urgency.rank(), urgency.targetAtMs() - successorsMs(stage), urgency.deadlineAtMs());
+        Urgency stageUrgency = urgencyOf(stage);
         PieceTask.Placement placement = placement(stage);
         for (int i = 0; i < stage.outcomes.length; i++) {
             Piece piece = new Piece(request.id(), stage.spec.index(), i, key, inputs, request.pieceKey());
@@ -227,12 +227,27 @@
                 .orElse("");
     }
 
-    /** Returns the expected time of the longest chain of successors of a stage while no pool is overloaded, in ms. */
-    private long successorsMs(StageProgress stage) {
+    /**
+     * Returns the urgency of a stage. The queues of later stages count for stages without predecessors only: others are
+     * not rejected because of them, and are served in the same order as without them.
+     */
+    private Urgency urgencyOf(StageProgress stage) {
+        long usualMs = successorsMs(stage, false);
+        long laterMs = predecessors(stage).isEmpty() ? successorsMs(stage, true) : usualMs;
+        return urgency.beforeStages(laterMs, laterMs - usualMs);
+    }
+
+    /**
+     * Returns the expected time of the longest chain of successors of a stage, in ms.
+     *
+     * @param withQueues whether to add the reported waits of overloaded pools
+     */
+    private long successorsMs(StageProgress stage, boolean withQueues) {
         long longestMs = 0;
         for (StageProgress reader : successors(stage)) {
-            long ownMs = pools.expectedMs(reader.spec, reader.outcomes.length);
-            longestMs = Math.max(longestMs, ownMs + successorsMs(reader));
+            long waitMs = withQueues ? pools.waitMs(reader.spec.service(), urgency.rank()) : 0;
+            long ownMs = pools.expectedMs(reader.spec, reader.outcomes.length, waitMs);
+            longestMs = Math.max(longestMs, ownMs + successorsMs(reader, withQueues));
         }
         return longestMs;
     }
@@ -242,7 +257,7 @@
             pools.freer().free(outcome);
         } else if (!outcome.result().success()) {
             close();
-            listener.stageFailed(stage.spec, outcome.result().failure(), outcome.coordinator(), outcome.retryAfterMs());
+            listener.stageFailed(stage.spec, outcome.result().failure(), outcome.coordinator(), outcome.retryTime());
         } else {
             stage.outcomes[task.piece().index()] = outcome;
             stage.remaining--;
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.limit.TokenBucket;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.core.retry.RetryBudget;
@@ -50,6 +51,8 @@
     private final PieceQuarantine pieceQuarantine;
     private final CallTimeEstimator callTimes = new CallTimeEstimator();
     private final PoolLoad load;
+    private final RetryTimes retryTimes;
+    private final PoolWaits waits;
     private final TokenBucket rejectionLines;
     private boolean dispatchScheduled;
 
@@ -74,6 +77,8 @@
         this.random = random;
         this.pieceQuarantine = new PieceQuarantine(service, context.quarantine());
         this.load = new PoolLoad(context.clock());
+        this.retryTimes = context.policies().newRetryTimes().get();
+        this.waits = new PoolWaits(context.clock());
         this.rejectionLines = new TokenBucket(context.clock());
     }
 
@@ -94,8 +99,8 @@
         Optional<QuarantineRefusal> refusal = pieceQuarantine.refusal(tasks);
         refusal.ifPresent(quarantined -> tasks.stream()
                 .filter(task -> !task.withdrawn())
-                .forEach(task -> task.complete(
-                        PieceOutcome.failed(PieceResult.Failure.QUARANTINED, quarantined.retryAfterMs()))));
+                .forEach(task -> task.complete(PieceOutcome.failed(
+                        PieceResult.Failure.QUARANTINED, RetryTime.estimated(quarantined.retryAfterMs())))));
         return refusal.isPresent();
     }
 
@@ -143,6 +148,18 @@
         return timeouts.timeoutMs(spec, pieces, endpoints.all().size());
     }
 
+    /** Returns the wait of a group of the rank that arrives now, in ms; 0 while the pool is not overloaded. */
+    long waitMs(int rank) {
+        return waiting.isEmpty() ? 0 : waits.waitMs(rank, () -> forecastWaitMs(rank));
+    }
+
+    private long forecastWaitMs(int rank) {
+        return snapshot()
+                .map(current ->
+                        PoolWaits.forecastMs(waiting, rank, current.forecast(activeCalls, callTimes), current.nowMs()))
+                .orElse(0L);
+    }
+
     /** Returns the number of queued pieces. */
     int waiting() {
         return waiting.stream().mapToInt(PieceGroup::size).sum();
@@ -256,26 +273,28 @@
         AdmissionContext admissionContext = new AdmissionContext(forecast, snapshot::capacityAtMs, loadNow);
         List<PoolAdmission.RejectedGroup> rejectedGroups =
                 context.policies().admission().rejected(inOrder, admissionContext, snapshot.nowMs());
-        rejectedGroups.forEach(rejected -> reject(rejected, inOrder.size(), loadNow));
+        for (PoolAdmission.RejectedGroup rejected : rejectedGroups) {
+            RetryTime retryTime = retryTimes.retryTime(rejected, admissionContext, snapshot.nowMs());
+            reject(rejected.group(), retryTime, inOrder.size(), loadNow);
+        }
     }
 
-    private void reject(PoolAdmission.RejectedGroup rejected, int groupsWaiting, double loadNow) {
-        PieceGroup group = rejected.group();
+    private void reject(PieceGroup group, RetryTime retryTime, int groupsWaiting, double loadNow) {
         waiting.remove(group);
+        long nowMs = context.clock().nowMs();
         if (rejectionLines.tryTake(MAX_REJECTION_LINES_PER_SECOND)) {
             LogEvent.info("pieces-turned-away")
                     .with("service", service)
                     .with("pieces", group.size())
                     .with("rank", group.urgency().rank())
-                    .with(
-                            "dueInMs",
-                            group.urgency().deadlineAtMs() - context.clock().nowMs())
+                    .with("dueInMs", group.urgency().deadlineAtMs() - nowMs)
                     .with("groupsWaiting", groupsWaiting)
                     .with("load", loadNow)
-                    .with("againMs", rejected.retryAfterMs())
+                    .with("laterWaitMs", group.urgency().laterWaitMs())
+                    .with("againMs", retryTime.afterMs())
                     .to(LOG);
         }
-        fail(group, PieceOutcome.failed(PieceResult.Failure.NOT_IN_TIME, rejected.retryAfterMs()));
+        fail(group, PieceOutcome.failed(PieceResult.Failure.NOT_IN_TIME, retryTime));
     }
 
     /** Removes withdrawn groups, and fails groups that are past their deadline. */
@@ -309,7 +328,8 @@
                 .filter(group -> retryAfterMs > 0 && group.urgency().deadlineAtMs() <= againAtMs)
                 .toList();
         waiting.removeAll(unservable);
-        unservable.forEach(group -> fail(group, PieceOutcome.failed(PieceResult.Failure.NOT_IN_TIME, retryAfterMs)));
+        RetryTime retryTime = RetryTime.estimated(retryAfterMs);
+        unservable.forEach(group -> fail(group, PieceOutcome.failed(PieceResult.Failure.NOT_IN_TIME, retryTime)));
     }
 
     private void failAll(PieceResult.Failure failure) {
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -42,6 +42,7 @@
     private final Map<String, StagePool> pools = new HashMap<>();
     private final PeerMesh mesh;
     private final CoordinatorSelector coordinators;
+    private final PoolWaitTable reportedWaits;
     private final DelegatedPieces delegated;
     private final PeerPieces peerPieces;
 
@@ -67,7 +68,8 @@
                 mesh.pieces(),
                 capacity,
                 this::rateLimited);
-        this.delegated = new DelegatedPieces(mesh.pieces(), context.clock(), this::submit);
+        this.reportedWaits = new PoolWaitTable(context.clock());
+        this.delegated = new DelegatedPieces(mesh.pieces(), context.clock(), this::submit, reportedWaits);
         this.peerPieces = new PeerPieces(mesh.pieces(), context.clock(), this);
     }
 
@@ -176,14 +178,28 @@
         return context.clock().nowMs();
     }
 
-    /** Returns the expected time of a stage, in ms; 0 when the service is not in the configuration. */
-    long expectedMs(StageSpec stage, int pieces) {
+    /**
+     * Returns the wait of a group of the rank that arrives at a service now, in ms; 0 while the service is not
+     * overloaded, or when its coordinator has not reported lately.
+     */
+    long waitMs(String service, int rank) {
+        StagePool own = pools.get(service);
+        long ownMs = own == null ? 0 : own.waitMs(rank);
+        return Math.max(ownMs, reportedWaits.waitMs(service, rank));
+    }
+
+    /**
+     * Returns the expected time of a stage, in ms; 0 when the service is not in the configuration.
+     *
+     * @param waitMs reported wait; the usual wait for a free slot is the minimum
+     */
+    long expectedMs(StageSpec stage, int pieces, long waitMs) {
         return context.config()
                 .get()
                 .service(stage.service())
                 .flatMap(ServiceSpec::pool)
-                .map(spec -> Math.round(
-                        spec.callMs(Math.min(pieces, spec.maxBatchSize())) + SLOT_WAIT_FRACTION * spec.baseMs()))
+                .map(spec -> Math.round(spec.callMs(Math.min(pieces, spec.maxBatchSize()))
+                        + Math.max(waitMs, SLOT_WAIT_FRACTION * spec.baseMs())))
                 .orElse(0L);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/Urgency.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/Urgency.java
@@ -9,6 +9,24 @@
  * @param targetAtMs when its stages, or one of them, have to be done so that the request meets its target, in ms of the
  *     monotonic clock
  * @param deadlineAtMs when its deadline passes, in ms of the monotonic clock
+ * @param callerDeadlineAtMs when the caller gives up, in ms of the monotonic clock; at or after {@code deadlineAtMs}
+ * @param laterWaitMs part of the time between target and end of the request that later stages spend in queues of
+ *     overloaded pools, in ms
  * @since 0.2
  */
-public record Urgency(int rank, long targetAtMs, long deadlineAtMs) {}
+public record Urgency(int rank, long targetAtMs, long deadlineAtMs, long callerDeadlineAtMs, long laterWaitMs) {
+    /** Creates the urgency of a request whose caller gives up at the deadline, without waits of later stages. */
+    public Urgency(int rank, long targetAtMs, long deadlineAtMs) {
+        this(rank, targetAtMs, deadlineAtMs, deadlineAtMs, 0);
+    }
+
+    /** Returns the same urgency for a caller that gives up at the given time. */
+    public Urgency withCallerDeadline(long atMs) {
+        return new Urgency(rank, targetAtMs, deadlineAtMs, Math.max(deadlineAtMs, atMs), laterWaitMs);
+    }
+
+    /** Returns the urgency of a stage, given the time that later stages take and the part of it that is queueing. */
+    Urgency beforeStages(long laterMs, long laterQueueMs) {
+        return new Urgency(rank, targetAtMs - laterMs, deadlineAtMs, callerDeadlineAtMs, laterQueueMs);
+    }
+}
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.answer.Reason;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.quarantine.QuarantineRefusal;
 import org.wingstall.relay.config.RegionRestriction;
 import org.wingstall.relay.config.Route;
@@ -151,11 +152,11 @@
     }
 
     @Override
-    public void stagesFailed(Reason reason, String detail, long retryAfterMs) {
+    public void stagesFailed(Reason reason, String detail, RetryTime retryTime) {
         if (reason == Reason.QUARANTINED) {
-            outcome.refuse(reason, detail, retryAfterMs);
+            outcome.refuse(reason, detail, retryTime.afterMs());
         } else {
-            refuse(reason, detail, retryAfterMs);
+            refuse(reason, detail, retryTime);
         }
     }
 
@@ -214,7 +215,8 @@
         String detail = "endpoints of '" + service.name()
                 + "' are cold, state a limit or asked for a pause, and take no more for " + retryAfterMs + " ms";
         if (!wait.tryWait(retryAfterMs, detail, () -> callEndpoint(inputs))) {
-            refuse(mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY, detail, retryAfterMs);
+            Reason reason = mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY;
+            refuse(reason, detail, RetryTime.estimated(retryAfterMs));
         }
     }
 
@@ -314,7 +316,7 @@
         if (retries.tryRetry(attempts, "not-run")) {
             callEndpoint(ended.inputs());
         } else {
-            refuse(Reason.ENDPOINTS_BUSY, detail, service.openInMs());
+            refuse(Reason.ENDPOINTS_BUSY, detail, RetryTime.estimated(service.openInMs()));
         }
     }
 
@@ -372,17 +374,17 @@
     }
 
     private void refuse(Reason reason, String detail) {
-        refuse(reason, detail, MIN_RETRY_MS);
+        refuse(reason, detail, RetryTime.UNKNOWN);
     }
 
     /** A response that has begun can't become a refusal; it is broken off. */
-    private void refuse(Reason reason, String detail, long waitMs) {
+    private void refuse(Reason reason, String detail, RetryTime time) {
         if (response.started()) {
             outcome.abort(Reason.ENDPOINT_LOST, detail);
-            return;
+        } else {
+            long hintMs = mayHaveRun() ? 0 : context.retryAfter().hintMs(time.atLeast(MIN_RETRY_MS));
+            outcome.refuse(reason, detail, hintMs);
         }
-        outcome.refuse(
-                reason, detail, mayHaveRun() ? 0 : context.retryAfter().jitteredMs(Math.max(MIN_RETRY_MS, waitMs)));
     }
 
     private void release() {
--- a/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.wingstall.core.answer.Reason;
+import org.wingstall.core.answer.RetryTime;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.StageSpec;
 import org.wingstall.relay.engine.InputLocation;
@@ -19,8 +20,8 @@
     /** Maximum runs of the stages: one, and another if results were lost with the endpoint that stored them. */
     private static final int MAX_RUNS = 2;
 
-    /** Retry-after time of refusals whose cause passes quickly, in ms. */
-    private static final long RETRY_AFTER_MS = 300;
+    /** Retry-after time of refusals whose cause passes quickly. */
+    private static final RetryTime RETRY_SOON = RetryTime.estimated(300);
 
     private final RelayContext context;
     private final RelayRequest request;
@@ -42,7 +43,7 @@
         void stagesRestarted(String detail);
 
         /** A stage failed, so the request is not sent. */
-        void stagesFailed(Reason reason, String detail, long retryAfterMs);
+        void stagesFailed(Reason reason, String detail, RetryTime retryTime);
     }
 
     RequestStages(RelayContext context, RelayRequest request, Route route, long deadlineAtMs, Owner owner) {
@@ -55,7 +56,7 @@
 
     /** Starts the stages. */
     void start(Urgency wanted, String readsIn) {
-        urgency = wanted;
+        urgency = wanted.withCallerDeadline(deadlineAtMs);
         readerDomain = readsIn;
         run();
     }
@@ -90,17 +91,17 @@
     }
 
     @Override
-    public void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, long againMs) {
+    public void stageFailed(StageSpec stage, PieceResult.Failure failure, String coordinator, RetryTime retryTime) {
         if (closed) {
             return;
         }
         String by = coordinator == null ? "this box" : coordinator;
         String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure + ", by " + by;
         switch (failure) {
-            case QUARANTINED -> owner.stagesFailed(Reason.QUARANTINED, detail, againMs);
-            case NOT_IN_TIME -> owner.stagesFailed(Reason.DEADLINE_UNREACHABLE, detail, againMs);
+            case QUARANTINED -> owner.stagesFailed(Reason.QUARANTINED, detail, retryTime);
+            case NOT_IN_TIME -> owner.stagesFailed(Reason.DEADLINE_UNREACHABLE, detail, retryTime);
             case INPUT_GONE -> onInputLost(stage, detail);
-            default -> owner.stagesFailed(Reason.STAGE_WITHOUT_RESULT, detail, RETRY_AFTER_MS);
+            default -> owner.stagesFailed(Reason.STAGE_WITHOUT_RESULT, detail, RETRY_SOON);
         }
     }
 
@@ -109,7 +110,7 @@
             owner.stagesRestarted(detail);
             run();
         } else {
-            owner.stagesFailed(Reason.STAGE_WITHOUT_RESULT, detail, RETRY_AFTER_MS);
+            owner.stagesFailed(Reason.STAGE_WITHOUT_RESULT, detail, RETRY_SOON);
         }
     }
 
