--- a/relay/src/main/java/org/wingstall/relay/pool/RetrySchedule.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RetrySchedule.java
@@ -1,5 +1,6 @@
 package org.wingstall.relay.pool;
 
+import java.util.function.LongToDoubleFunction;
 import org.wingstall.core.answer.RetryTime;
 
 /**
@@ -10,17 +11,14 @@
     /** Length of a step, in ms; below the shortest call, so that a step's callers share a call or two. */
     static final long STEP_MS = RetryTime.STEP_MS;
 
-    /**
-     * Callers wait for at most this fraction of their remaining time after a refusal. Those that are told more give up.
-     * The spread within a step is part of it.
-     */
+    /** Callers wait for at most this fraction of their remaining time, whatever longer time they are told. */
     private static final double MAX_REMAINING_FRACTION = 1.0 / 3;
 
     /**
-     * Minimum fraction of the pool that counts as free for retries. An overload ends or requests are refused again;
-     * with no capacity at all every caller would be told the maximum, and all would return together.
+     * Time constant with which the load is expected to return to the usual one, in ms. Bursts last some seconds, and
+     * how long one will go on is not known.
      */
-    private static final double MIN_FREE_FRACTION = 0.1;
+    private static final double BURST_TIME_CONSTANT_MS = 6000;
 
     /** Steps that the schedule covers: 30 s, which is the longest retry time that is sent. */
     private static final int STEPS = 300;
@@ -33,12 +31,19 @@
     @Override
     public RetryTime retryTime(PoolAdmission.RejectedGroup rejected, AdmissionContext context, long nowMs) {
         Urgency urgency = rejected.group().urgency();
-        long maxMs = Math.round((urgency.callerDeadlineAtMs() - nowMs) * MAX_REMAINING_FRACTION);
-        long earliestMs = Math.max(rejected.drainedInMs(), urgency.laterWaitMs());
-        double stepCapacityMs =
-                context.forecast().slotsFreeAtMs().size() * STEP_MS * Math.max(MIN_FREE_FRACTION, 1 - context.load());
+        long remainingMs = Math.max(0, urgency.callerDeadlineAtMs() - nowMs);
+        long maxMs = Math.round(remainingMs * MAX_REMAINING_FRACTION);
+        if (urgency.laterWaitMs() > 0) {
+            // The free capacity of the pools of later stages is not known here.
+            return RetryTime.scheduled(maxMs);
+        }
+        int slots = context.forecast().slotsFreeAtMs().size();
         double workMs = workMs(rejected.group(), context.forecast());
-        return RetryTime.scheduled(reserve(nowMs, earliestMs, Math.max(0, maxMs - STEP_MS), workMs, stepCapacityMs));
+        return RetryTime.scheduled(reserve(nowMs, rejected.drainedInMs(), maxMs, workMs, inMs -> {
+            double load = context.usualLoad()
+                    + (context.load() - context.usualLoad()) * Math.exp(-inMs / BURST_TIME_CONSTANT_MS);
+            return slots * STEP_MS * (1 - load);
+        }));
     }
 
     private static double workMs(PieceGroup group, PoolForecast forecast) {
@@ -52,25 +57,26 @@
      * @param earliestMs time from now before which nothing is reserved, in ms
      * @param maxMs maximum time from now, in ms
      * @param workMs slot time to reserve, in ms
-     * @param stepCapacityMs slot time of a step, in ms
+     * @param stepCapacityMs free slot time of a step that begins after a time from now, both in ms
      * @return the time from now, in ms; the maximum when no step before it has capacity
      */
-    long reserve(long nowMs, long earliestMs, long maxMs, double workMs, double stepCapacityMs) {
+    long reserve(long nowMs, long earliestMs, long maxMs, double workMs, LongToDoubleFunction stepCapacityMs) {
         clearBefore(Math.floorDiv(nowMs, STEP_MS));
         long endStep = Math.min(firstStep + STEPS, Math.floorDiv(nowMs + maxMs, STEP_MS));
         for (long step = stepAt(nowMs + earliestMs); step < endStep; step++) {
-            if (reservedMs[index(step)] < stepCapacityMs) {
-                take(step, workMs, stepCapacityMs);
+            if (reservedMs[index(step)] < stepCapacityMs.applyAsDouble(step * STEP_MS - nowMs)) {
+                take(step, nowMs, workMs, stepCapacityMs);
                 return step * STEP_MS - nowMs;
             }
         }
         return maxMs;
     }
 
-    private void take(long fromStep, double workMs, double stepCapacityMs) {
+    private void take(long fromStep, long nowMs, double workMs, LongToDoubleFunction stepCapacityMs) {
         double leftMs = workMs;
         for (long step = fromStep; step < firstStep + STEPS && leftMs > 0; step++) {
-            double takenMs = Math.min(leftMs, Math.max(0, stepCapacityMs - reservedMs[index(step)]));
+            double freeMs = stepCapacityMs.applyAsDouble(step * STEP_MS - nowMs) - reservedMs[index(step)];
+            double takenMs = Math.min(leftMs, Math.max(0, freeMs));
             reservedMs[index(step)] += takenMs;
             leftMs -= takenMs;
         }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -268,9 +268,11 @@
             return;
         }
         PoolForecast forecast = snapshot.forecast(activeCalls, callTimes);
-        double loadNow = load.relativeTo(forecast.slotsFreeAtMs().size());
+        int slots = forecast.slotsFreeAtMs().size();
+        double loadNow = load.relativeTo(slots);
         List<PieceGroup> inOrder = context.policies().order().sorted(waiting, snapshot.nowMs());
-        AdmissionContext admissionContext = new AdmissionContext(forecast, snapshot::capacityAtMs, loadNow);
+        AdmissionContext admissionContext =
+                new AdmissionContext(forecast, snapshot::capacityAtMs, loadNow, load.usualRelativeTo(slots));
         List<PoolAdmission.RejectedGroup> rejectedGroups =
                 context.policies().admission().rejected(inOrder, admissionContext, snapshot.nowMs());
         for (PoolAdmission.RejectedGroup rejected : rejectedGroups) {
@@ -281,13 +283,12 @@
 
     private void reject(PieceGroup group, RetryTime retryTime, int groupsWaiting, double loadNow) {
         waiting.remove(group);
-        long nowMs = context.clock().nowMs();
         if (rejectionLines.tryTake(MAX_REJECTION_LINES_PER_SECOND)) {
             LogEvent.info("pieces-turned-away")
                     .with("service", service)
                     .with("pieces", group.size())
                     .with("rank", group.urgency().rank())
-                    .with("dueInMs", group.urgency().deadlineAtMs() - nowMs)
+                    .with("dueInMs", group.urgency().remainingMs(context.clock()))
                     .with("groupsWaiting", groupsWaiting)
                     .with("load", loadNow)
                     .with("laterWaitMs", group.urgency().laterWaitMs())
--- a/relay/src/main/java/org/wingstall/relay/pool/Urgency.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/Urgency.java
@@ -1,5 +1,7 @@
 package org.wingstall.relay.pool;
 
+import org.wingstall.core.time.MonotonicClock;
+
 /**
  * The rank, target and deadline that decide the order of a request among others.
  *
@@ -25,6 +27,11 @@
         return new Urgency(rank, targetAtMs, deadlineAtMs, Math.max(deadlineAtMs, atMs), laterWaitMs);
     }
 
+    /** Returns the time until its deadline, in ms. */
+    long remainingMs(MonotonicClock clock) {
+        return deadlineAtMs - clock.nowMs();
+    }
+
     /** Returns the urgency of a stage, given the time that later stages take and the part of it that is queueing. */
     Urgency beforeStages(long laterMs, long laterQueueMs) {
         return new Urgency(rank, targetAtMs - laterMs, deadlineAtMs, callerDeadlineAtMs, laterQueueMs);
