--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -23,6 +23,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<Reason, Counter> outcomes = new EnumMap<>(Reason.class);
     private final Map<String, Counter> retries = new ConcurrentHashMap<>();
+    private final Map<String, Counter> retryTimes = new ConcurrentHashMap<>();
     private final Map<String, Counter> losses = new ConcurrentHashMap<>();
     private final Map<String, Counter> engineChoices = new ConcurrentHashMap<>();
     private final Map<String, Counter> stateQueries = new ConcurrentHashMap<>();
@@ -73,6 +74,15 @@
         outcomes.get(reason).increment();
     }
 
+    /** Counts a refusal by the pool of a stage, by whether capacity is reserved for the caller's return. */
+    public void recordRetryTime(boolean scheduled) {
+        retryTimes
+                .computeIfAbsent(
+                        scheduled ? "scheduled" : "estimated",
+                        name -> registry.counter("wingstall.stage.retry.times", "kind", name))
+                .increment();
+    }
+
     /** Counts a request that is sent to another endpoint. */
     public void recordRetry(String why) {
         retries.computeIfAbsent(why, name -> registry.counter("wingstall.retries", "reason", name))
--- a/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestStages.java
@@ -99,7 +99,10 @@
         String detail = "stage " + stage.index() + " at '" + stage.service() + "': " + failure + ", by " + by;
         switch (failure) {
             case QUARANTINED -> owner.stagesFailed(Reason.QUARANTINED, detail, retryTime);
-            case NOT_IN_TIME -> owner.stagesFailed(Reason.DEADLINE_UNREACHABLE, detail, retryTime);
+            case NOT_IN_TIME -> {
+                context.metrics().recordRetryTime(retryTime.scheduled());
+                owner.stagesFailed(Reason.DEADLINE_UNREACHABLE, detail, retryTime);
+            }
             case INPUT_GONE -> onInputLost(stage, detail);
             default -> owner.stagesFailed(Reason.STAGE_WITHOUT_RESULT, detail, RETRY_SOON);
         }
