Expect a tenth of a pool to be free after a burst

Cause: the mean load includes the burst, so early in a process's life it was above 1 and every refused caller was told the maximum: in a simulation with a deadline of 60 s and a burst of 2 s as if there were no schedule. Change: the load that is expected after a burst is at most 0.9; ChainSimulation counts how long refused callers wait, and a test compares this with the maximum for all.

--- a/relay/src/main/java/org/wingstall/relay/pool/RetrySchedule.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/RetrySchedule.java
@@ -20,6 +20,12 @@
      */
     private static final double BURST_TIME_CONSTANT_MS = 6000;
 
+    /**
+     * Maximum load that is expected after a burst. The mean includes the burst itself, which would leave no capacity at
+     * any time; a tenth is also what late groups are assumed to get.
+     */
+    private static final double MAX_USUAL_LOAD = 0.9;
+
     /** Steps that the schedule covers: 30 s, which is the longest retry time that is sent. */
     private static final int STEPS = 300;
 
@@ -39,9 +45,9 @@
         }
         int slots = context.forecast().slotsFreeAtMs().size();
         double workMs = workMs(rejected.group(), context.forecast());
+        double usual = Math.min(MAX_USUAL_LOAD, context.usualLoad());
         return RetryTime.scheduled(reserve(nowMs, rejected.drainedInMs(), maxMs, workMs, inMs -> {
-            double load = context.usualLoad()
-                    + (context.load() - context.usualLoad()) * Math.exp(-inMs / BURST_TIME_CONSTANT_MS);
+            double load = usual + (context.load() - usual) * Math.exp(-inMs / BURST_TIME_CONSTANT_MS);
             return slots * STEP_MS * (1 - load);
         }));
     }
--- a/relay/src/test/java/org/wingstall/relay/pool/ChainSimulation.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/ChainSimulation.java
@@ -55,6 +55,7 @@
         int refusedOnce;
         int refusedTwice;
         int expired;
+        long returnWaitMs;
 
         /**
          * Returns the value per request: 1 in time, 0.5 in time at the retry, 0.15 late, -0.25 refused twice or without
@@ -64,11 +65,16 @@
             return (inTime + 0.5 * inTimeAtRetry + 0.15 * late - 0.25 * (refusedTwice + expired)) / requests;
         }
 
+        /** Returns the mean time that refused callers wait before they return, in ms. */
+        long meanReturnWaitMs() {
+            return returnWaitMs / Math.max(1, refusedOnce);
+        }
+
         @Override
         public String toString() {
             return "requests " + requests + ", in time " + inTime + ", at the retry " + inTimeAtRetry + ", late " + late
                     + ", refused once " + refusedOnce + ", refused twice " + refusedTwice + ", expired " + expired
-                    + ", value " + Math.round(1000 * value()) / 1000.0;
+                    + ", value " + Math.round(1000 * value()) / 1000.0 + ", mean wait " + meanReturnWaitMs();
         }
     }
 
@@ -161,6 +167,7 @@
         counts.refusedOnce++;
         long maxMs = (attempt.callerDeadlineAtMs() - nowMs) / 3;
         long waitMs = Math.min(maxMs, retryAfter.hintMs(time.atLeast(300)));
+        counts.returnWaitMs += waitMs;
         schedule(
                 nowMs + waitMs,
                 () -> begin(new Attempt(
--- a/relay/src/test/java/org/wingstall/relay/pool/ChainSimulationTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/ChainSimulationTest.java
@@ -71,6 +71,7 @@
             sum.refusedOnce += counts.refusedOnce;
             sum.refusedTwice += counts.refusedTwice;
             sum.expired += counts.expired;
+            sum.returnWaitMs += counts.returnWaitMs;
         }
         return sum;
     }
@@ -86,6 +87,18 @@
         assertTrue(after.refusedTwice <= before.refusedTwice, figures);
     }
 
+    /** Guards against callers that wait for the maximum although the overload is short. */
+    @Test
+    public void callersReturnEarlierAfterAShortBurstThanAtTheMaximum() {
+        Setup setup = setup(List.of(BOTTLENECK), 60_000, new Burst("first", 4, 6000, 8000));
+        Counts before = run(setup, BEFORE);
+        Counts after = run(setup, SCHEDULED);
+        Counts longest = run(setup, LONGEST);
+        String figures = "\n  before: " + before + "\n  after: " + after + "\n  longest: " + longest;
+        assertTrue(after.value() >= before.value(), figures);
+        assertTrue(after.meanReturnWaitMs() < longest.meanReturnWaitMs(), figures);
+    }
+
     /** Guards against refusals and changes of order while no pool is overloaded. */
     @Test
     public void nothingChangesWithoutOverload() {
