Estimate the slowdown of engines apart from the speed of their service

Cause: the slowdown of an engine was the ratio of its times to a prediction that already included the slowdown, so it converged to the square root of the true ratio, and it was never below 1. The estimate of the service learned the times of slow engines as they were. EngineSlowdownTest failed on the code before for three fleets of four: an engine of factor 0.4 was predicted at 2.14 times its time. Change: EngineSlowdown, with a base over about thirty answers and a recent average over about a second, relative to the estimate of the service and without the predicted wait; it scales prefill, first decode steps and queue. Engines within 10 % of the mean of their service are alike. The estimate of the service learns times divided by the base. Spikes of 600 ms are too short for the recent average to help at these rates. Tests of relay.engine pass.

--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
@@ -14,23 +14,18 @@
      */
     private static final double DECAY_MS = 1000;
 
-    /** Weight of a new sample in the moving average of the slowdown, which converges within about ten responses. */
-    private static final double SAMPLE_WEIGHT = 0.15;
-
-    /** Upper limit of the slowdown; an engine beyond it is the last choice in any case. */
-    private static final double MAX_SLOWDOWN = 8;
-
     private final long incarnation;
     private final EngineSpeed speed;
+    private final EngineSlowdown slowdown;
     private final PrefixCacheModel prefixCache;
     private double prefillUntilMs;
     private double running;
     private double runningAsOfMs;
-    private double slowdown = 1;
 
-    EngineLoad(long incarnation, EngineSpeed speed, PrefixCacheModel prefixCache) {
+    EngineLoad(long incarnation, EngineSpeed speed, EngineSlowdown slowdown, PrefixCacheModel prefixCache) {
         this.incarnation = incarnation;
         this.speed = speed;
+        this.slowdown = slowdown;
         this.prefixCache = prefixCache;
     }
 
@@ -44,17 +39,23 @@
         return incarnation;
     }
 
-    /** Returns the estimated prefill time of a number of tokens, in ms. */
-    double prefillMs(int tokens) {
-        return slowdown() * speed.prefillMs(tokens);
+    /** Returns the slowdown factor that applies now. */
+    double slowdown(long nowMs) {
+        return slowdown.factor(nowMs);
+    }
+
+    /** Returns the estimated prefill time of a number of tokens at a slowdown factor, in ms. */
+    double prefillMs(int tokens, double factor) {
+        return factor * speed.prefillMs(tokens);
     }
 
     /**
      * Returns the estimated time from the end of the prefill to the first event, including the effect of running
      * requests, in ms.
      */
-    double firstDecodeMs(long nowMs) {
-        return speed.firstDecodeMs() + slowdown() * speed.concurrencyPenaltyMs() * running(nowMs);
+    double firstDecodeMs(long nowMs, double factor) {
+        return slowdown.decodeFactor(nowMs) * speed.firstDecodeMs()
+                + factor * speed.concurrencyPenaltyMs() * running(nowMs);
     }
 
     /** Returns the time until the prefill of all assigned prompts is done, in ms. */
@@ -67,23 +68,24 @@
         return running * Math.exp((runningAsOfMs - nowMs) / DECAY_MS);
     }
 
-    /** Returns the ratio of actual to estimated times of first responses, at least 1. */
-    double slowdown() {
-        return Math.max(1, slowdown);
-    }
-
     /** Records a prompt that is assigned now and the number of its tokens to prefill. */
     void recordAssigned(Prompt prompt, int prefillTokens, long nowMs) {
-        prefillUntilMs = Math.max(nowMs, prefillUntilMs) + prefillMs(prefillTokens);
+        prefillUntilMs = Math.max(nowMs, prefillUntilMs) + prefillMs(prefillTokens, slowdown(nowMs));
         prefixCache.add(prompt, (long) prefillUntilMs);
         running = running(nowMs) + 1;
         runningAsOfMs = nowMs;
     }
 
     /** Records the time that a first response took. */
-    void recordFirstAnswer(EngineEstimate estimate, long tookMs) {
-        double ratio = Math.min(MAX_SLOWDOWN, tookMs / (double) Math.max(1, estimate.firstAnswerMs()));
-        slowdown += SAMPLE_WEIGHT * (ratio - slowdown);
-        speed.recordFirstAnswer(estimate.prefillTokens(), tookMs - estimate.waitMs());
+    void recordFirstAnswer(EngineEstimate estimate, long tookMs, long nowMs) {
+        double expectedMs = speed.firstDecodeMs() + speed.prefillMs(estimate.prefillTokens());
+        double usualMs = slowdown.record(
+                new EngineSlowdown.Sample(expectedMs, estimate.waitMs(), estimate.firstAnswerMs(), tookMs), nowMs);
+        speed.recordFirstAnswer(estimate.prefillTokens(), usualMs);
+    }
+
+    /** Ends the contribution of the engine to the estimates of its service. */
+    void retire() {
+        slowdown.retire();
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.wingstall.core.peer.RendezvousHash;
 import org.wingstall.core.time.MonotonicClock;
@@ -61,7 +62,8 @@
     private final MonotonicClock clock;
     private final Predicate<RelayEndpoint> rateLimited;
     private final Map<String, EngineLoad> loads = new HashMap<>();
-    private final Map<String, EngineSpeed> speeds = new HashMap<>();
+    private final Map<String, ServiceSpeed> services = new HashMap<>();
+    private final Function<SlowdownMean, EngineSlowdown> slowdowns;
 
     /**
      * Describes the prompt and the engines of one selection.
@@ -105,6 +107,9 @@
         private static final Fetch NONE = new Fetch(null, 0, 0);
     }
 
+    /** What the engines of a service have in common. */
+    private record ServiceSpeed(EngineSpeed speed, SlowdownMean mean) {}
+
     /** The engine with the most leading parts of a prompt in its cache, and their number. */
     private record CacheHolder(RelayEndpoint endpoint, int parts) {}
 
@@ -115,6 +120,14 @@
      * @param rateLimited whether an engine advertises a limit, so that others don't fetch from it
      */
     EngineLoadBalancer(MonotonicClock clock, Predicate<RelayEndpoint> rateLimited) {
+        this(clock, rateLimited, TwoScaleSlowdown::new);
+    }
+
+    EngineLoadBalancer(
+            MonotonicClock clock,
+            Predicate<RelayEndpoint> rateLimited,
+            Function<SlowdownMean, EngineSlowdown> slowdowns) {
+        this.slowdowns = slowdowns;
         this.rateLimited = rateLimited;
         this.clock = clock;
     }
@@ -167,19 +180,20 @@
     private Cost cost(
             RelayEndpoint candidate, SelectionContext context, String preferred, CacheHolder cacheHolder, long nowMs) {
         EngineLoad load = loadOf(candidate, context.spec());
+        double factor = load.slowdown(nowMs);
         Prompt prompt = context.prompt();
         int shared = prompt.tokens().size() - 1;
         int cachedParts = Math.max(
                 load.prefixCache().assignedParts(prompt), candidate.id().equals(preferred) ? shared : 0);
-        Fetch fetch = fetch(candidate, context, cachedParts, cacheHolder, load);
+        Fetch fetch = fetch(candidate, context, cachedParts, cacheHolder, load, factor);
         int prefillTokens = prompt.tokensFrom(cachedParts) - fetch.tokens();
-        double prefillMs = load.prefillMs(prefillTokens);
-        double repeatedMs = REPEATED_PREFILL_COST * Math.max(0, prefillMs - load.prefillMs(prompt.ownTokens()));
+        double prefillMs = load.prefillMs(prefillTokens, factor);
+        double repeatedMs = REPEATED_PREFILL_COST * Math.max(0, prefillMs - load.prefillMs(prompt.ownTokens(), factor));
         double waitMs = load.waitMs(nowMs);
         double inputMs = context.inputs()
                 .remoteCostMs(
                         candidate.identity().failureDomain(), REMOTE_INPUT_MS, REMOTE_INPUT_MS_PER_MB / BYTES_PER_MB);
-        double firstAnswerMs = waitMs + fetch.durationMs() + prefillMs + load.firstDecodeMs(nowMs) + inputMs;
+        double firstAnswerMs = waitMs + fetch.durationMs() + prefillMs + load.firstDecodeMs(nowMs, factor) + inputMs;
         double inputCostMs = context.inputs()
                 .remoteCostMs(candidate.identity().failureDomain(), 0, REMOTE_INPUT_COST_PER_MB / BYTES_PER_MB);
         double totalMs = timeCostMs(firstAnswerMs, context.targetMs()) + repeatedMs + inputCostMs;
@@ -200,7 +214,8 @@
             SelectionContext context,
             int cachedParts,
             CacheHolder cacheHolder,
-            EngineLoad load) {
+            EngineLoad load,
+            double factor) {
         boolean possible = context.spec().map(EngineSpec::canFetch).orElse(false)
                 && cacheHolder.endpoint() != null
                 && cacheHolder.endpoint() != candidate
@@ -214,7 +229,9 @@
         boolean sameDomain = holderDomain.equals(candidate.identity().failureDomain());
         double durationMs =
                 FETCH_SETUP_MS + context.spec().get().fetchMs(tokens) * (sameDomain ? 1 : REMOTE_FETCH_FACTOR);
-        return durationMs < load.prefillMs(tokens) ? new Fetch(cacheHolder.endpoint(), tokens, durationMs) : Fetch.NONE;
+        return durationMs < load.prefillMs(tokens, factor)
+                ? new Fetch(cacheHolder.endpoint(), tokens, durationMs)
+                : Fetch.NONE;
     }
 
     /** Returns the engine that all boxes prefer for the last shared part of a prompt, by rendezvous hashing. */
@@ -230,22 +247,36 @@
     void recordFirstAnswer(RelayEndpoint engine, EngineEstimate estimate, long tookMs) {
         EngineLoad load = loads.get(engine.id());
         if (load != null && load.incarnation() == engine.identity().incarnation()) {
-            load.recordFirstAnswer(estimate, tookMs);
+            load.recordFirstAnswer(estimate, tookMs, clock.nowMs());
         }
     }
 
     /** Removes the data of engines that are no longer listed. */
     void retain(Set<String> endpointIds) {
-        loads.keySet().retainAll(endpointIds);
+        loads.entrySet().removeIf(entry -> {
+            boolean unlisted = !endpointIds.contains(entry.getKey());
+            if (unlisted) {
+                entry.getValue().retire();
+            }
+            return unlisted;
+        });
     }
 
     /** Returns the load of an engine; a restarted engine begins without the load of its previous incarnation. */
     private EngineLoad loadOf(RelayEndpoint engine, Optional<EngineSpec> spec) {
         EngineLoad known = loads.get(engine.id());
         if (known == null || known.incarnation() != engine.identity().incarnation()) {
-            EngineSpeed speed = speeds.computeIfAbsent(engine.identity().service(), service -> new EngineSpeed());
+            if (known != null) {
+                known.retire();
+            }
+            ServiceSpeed service = services.computeIfAbsent(
+                    engine.identity().service(), name -> new ServiceSpeed(new EngineSpeed(), new SlowdownMean()));
             long cacheTokens = spec.map(EngineSpec::cacheCapacityTokens).orElse(DEFAULT_CACHE_TOKENS);
-            known = new EngineLoad(engine.identity().incarnation(), speed, new PrefixCacheModel(cacheTokens));
+            known = new EngineLoad(
+                    engine.identity().incarnation(),
+                    service.speed(),
+                    slowdowns.apply(service.mean()),
+                    new PrefixCacheModel(cacheTokens));
             loads.put(engine.id(), known);
         }
         return known;
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSpeed.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSpeed.java
@@ -27,8 +27,10 @@
     private final OnlineLinearRegression firstAnswer =
             new OnlineLinearRegression(INITIAL_FIRST_DECODE_MS, 1 / INITIAL_TOKENS_PER_MS, TYPICAL_TOKENS);
 
-    /** Records the time of a first response, without the time that the prompt waited for others. */
-    void recordFirstAnswer(int prefillTokens, long tookMs) {
+    /**
+     * Records the time of a first response, without the wait for other prompts and the slowdown of the engine.
+     */
+    void recordFirstAnswer(int prefillTokens, double tookMs) {
         firstAnswer.observe(prefillTokens, tookMs);
     }
 
