Find the preferred engine of a prompt without sorting

Cause: for a shared part that no engine has, all engines were sorted by their rendezvous scores, which computes two scores per comparison; stack samples of selections with the interpreter showed about 40 of 45 % apart from start-up there. Change: each engine is compared with the best one so far.

--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
@@ -230,13 +230,22 @@
                 : Fetch.NONE;
     }
 
-    /** Returns the engine that all boxes prefer for the last shared part of a prompt, by rendezvous hashing. */
+    /**
+     * Returns the engine that all boxes prefer for the last shared part of a prompt, by rendezvous hashing. Comparing
+     * each engine with the best one so far computes two scores per engine; sorting all of them computed over ten.
+     */
     static String preferredEngine(List<RelayEndpoint> candidates, Prompt prompt) {
         if (prompt.shared().isEmpty()) {
             return "";
         }
-        List<String> ids = candidates.stream().map(RelayEndpoint::id).toList();
-        return RendezvousHash.top(prompt.shared(), ids, 1).get(0);
+        String best = candidates.get(0).id();
+        for (int i = 1; i < candidates.size(); i++) {
+            String id = candidates.get(i).id();
+            if (RendezvousHash.rank(prompt.shared(), List.of(best), id) == 0) {
+                best = id;
+            }
+        }
+        return best;
     }
 
     /** Records the time that the first response of an engine took. */
