Log when an engine becomes slow and when it has recovered

Cause: the slowdown factor of an engine was visible nowhere, so an operator could not tell why it gets fewer prompts. Change: the box that selects logs engine-slow when the long-term factor reaches twice the mean of the service, and engine-slow-ended below one and a half, with the factor in percent. The recent average is not logged, since it changes several times a second in a large service.

--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoad.java
@@ -14,6 +14,12 @@
      */
     private static final double DECAY_MS = 1000;
 
+    /** Long-term slowdown from which on an engine is reported as slow, relative to the mean of its service. */
+    private static final double SLOW_FROM = 2;
+
+    /** Long-term slowdown below which a slow engine is reported as recovered; the gap avoids repeated reports. */
+    private static final double RECOVERED_BELOW = 1.5;
+
     private final long incarnation;
     private final EngineSpeed speed;
     private final EngineSlowdown slowdown;
@@ -21,6 +27,7 @@
     private double prefillUntilMs;
     private double running;
     private double runningAsOfMs;
+    private boolean slow;
 
     EngineLoad(long incarnation, EngineSpeed speed, EngineSlowdown slowdown, PrefixCacheModel prefixCache) {
         this.incarnation = incarnation;
@@ -84,6 +91,24 @@
         speed.recordFirstAnswer(estimate.prefillTokens(), usualMs);
     }
 
+    /** Returns whether the long-term slowdown crossed a limit since the last call, so that it is to be reported. */
+    boolean slowChanged() {
+        double relative = slowdown.relativeToMean();
+        boolean before = slow;
+        slow = before ? relative >= RECOVERED_BELOW : relative >= SLOW_FROM;
+        return slow != before;
+    }
+
+    /** Returns whether the engine is slow, as of the last call of {@link #slowChanged}. */
+    boolean slow() {
+        return slow;
+    }
+
+    /** Returns the long-term slowdown relative to the mean of the service. */
+    double slowdownRelativeToMean() {
+        return slowdown.relativeToMean();
+    }
+
     /** Ends the contribution of the engine to the estimates of its service. */
     void retire() {
         slowdown.retire();
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
@@ -9,8 +9,11 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.wingstall.core.peer.RendezvousHash;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 
@@ -24,6 +27,8 @@
  * @since 0.4
  */
 final class EngineLoadBalancer {
+    private static final Logger LOG = LogManager.getLogger(EngineLoadBalancer.class);
+
     /**
      * Additional cost of the prefill of a shared part, as a fraction of its time, since other prompts wait for it as
      * well. At 0, twice as many tokens were prefilled repeatedly as without a coordinator.
@@ -253,6 +258,13 @@
         EngineLoad load = loads.get(engine.id());
         if (load != null && load.incarnation() == engine.identity().incarnation()) {
             load.recordFirstAnswer(estimate, tookMs, clock.nowMs());
+            if (load.slowChanged()) {
+                LogEvent.info(load.slow() ? "engine-slow" : "engine-slow-ended")
+                        .with("endpoint", engine.id())
+                        .with("service", engine.identity().service())
+                        .with("slowdownPercent", Math.round(100 * load.slowdownRelativeToMean()))
+                        .to(LOG);
+            }
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSlowdown.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSlowdown.java
@@ -32,6 +32,9 @@
     /** Returns the factor on the first decode steps. */
     double decodeFactor(long nowMs);
 
+    /** Returns the long-term factor relative to the mean of the service. */
+    double relativeToMean();
+
     /** Records a first answer; returns its time without wait and slowdown, for the service's estimate, in ms. */
     double record(Sample sample, long nowMs);
 
--- a/relay/src/main/java/org/wingstall/relay/engine/TwoScaleSlowdown.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/TwoScaleSlowdown.java
@@ -80,6 +80,11 @@
         return recent > base + excess ? recent : base;
     }
 
+    @Override
+    public double relativeToMean() {
+        return base / mean.value();
+    }
+
     @Override
     public double record(Sample sample, long nowMs) {
         double weight = sample.weight();
--- a/relay/src/test/java/org/wingstall/relay/engine/EngineSimulationTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/EngineSimulationTest.java
@@ -28,6 +28,11 @@
             return 1;
         }
 
+        @Override
+        public double relativeToMean() {
+            return slowdown;
+        }
+
         @Override
         public double record(Sample sample, long nowMs) {
             slowdown += 0.15 * (Math.min(8, sample.tookMs() / Math.max(1, sample.predictedMs())) - slowdown);
@@ -59,6 +64,11 @@
             return factor(nowMs);
         }
 
+        @Override
+        public double relativeToMean() {
+            return base / mean.value();
+        }
+
         @Override
         public double record(Sample sample, long nowMs) {
             double usualMs = sample.ownMs() / base;
--- a/relay/src/test/java/org/wingstall/relay/engine/TwoScaleSlowdownTest.java
+++ b/relay/src/test/java/org/wingstall/relay/engine/TwoScaleSlowdownTest.java
@@ -108,4 +108,19 @@
         other.retire();
         assertEquals(both.value(), one.factor(nowMs), 0.001);
     }
+
+    /** Guards against a log line with each answer of an engine whose slowdown is near the limit. */
+    @Test
+    public void anEngineIsReportedAsSlowOnceAndAsRecoveredOnce() {
+        EngineLoad load = new EngineLoad(1, new EngineSpeed(), slowdown, new PrefixCacheModel(1000));
+        int changes = 0;
+        for (double ratio : new double[] {1, 2.5, 1.8, 2.5, 1}) {
+            for (int i = 0; i < 100; i++) {
+                answer(1, ratio);
+                changes += load.slowChanged() ? 1 : 0;
+            }
+            assertEquals(load.slow(), ratio > 1, "ratio " + ratio);
+        }
+        assertEquals(changes, 2);
+    }
 }
