--- a/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineLoadBalancer.java
@@ -1,14 +1,19 @@
 package org.wingstall.relay.engine;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.wingstall.core.peer.RendezvousHash;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.EngineSpec;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 
@@ -22,6 +27,8 @@
  * @since 0.4
  */
 final class EngineLoadBalancer {
+    private static final Logger LOG = LogManager.getLogger(EngineLoadBalancer.class);
+
     /**
      * Additional cost of the prefill of a shared part, as a fraction of its time, since other prompts wait for it as
      * well. At 0, twice as many tokens were prefilled repeatedly as without a coordinator.
@@ -61,7 +68,8 @@
     private final MonotonicClock clock;
     private final Predicate<RelayEndpoint> rateLimited;
     private final Map<String, EngineLoad> loads = new HashMap<>();
-    private final Map<String, EngineSpeed> speeds = new HashMap<>();
+    private final Map<String, ServiceSpeed> services = new HashMap<>();
+    private final Function<SlowdownMean, EngineSlowdown> slowdowns;
 
     /**
      * Describes the prompt and the engines of one selection.
@@ -105,6 +113,12 @@
         private static final Fetch NONE = new Fetch(null, 0, 0);
     }
 
+    /** What the engines of a service have in common. */
+    private record ServiceSpeed(EngineSpeed speed, SlowdownMean mean) {}
+
+    /** A candidate with what is known of it, and how many leading parts of the prompt were assigned to it. */
+    private record Candidate(RelayEndpoint endpoint, EngineLoad load, int assignedParts) {}
+
     /** The engine with the most leading parts of a prompt in its cache, and their number. */
     private record CacheHolder(RelayEndpoint endpoint, int parts) {}
 
@@ -115,6 +129,14 @@
      * @param rateLimited whether an engine advertises a limit, so that others don't fetch from it
      */
     EngineLoadBalancer(MonotonicClock clock, Predicate<RelayEndpoint> rateLimited) {
+        this(clock, rateLimited, TwoScaleSlowdown::new);
+    }
+
+    EngineLoadBalancer(
+            MonotonicClock clock,
+            Predicate<RelayEndpoint> rateLimited,
+            Function<SlowdownMean, EngineSlowdown> slowdowns) {
+        this.slowdowns = slowdowns;
         this.rateLimited = rateLimited;
         this.clock = clock;
     }
@@ -122,17 +144,31 @@
     /** Selects an engine and records the prompt as assigned to it. */
     Choice choose(SelectionContext context) {
         long nowMs = clock.nowMs();
-        CacheHolder cacheHolder = cacheHolderOf(context, nowMs);
-        String preferred = unassigned(context) ? preferredEngine(context.candidates(), context.prompt()) : "";
+        Prompt prompt = context.prompt();
+        int shared = prompt.tokens().size() - 1;
+        List<Candidate> candidates = new ArrayList<>(context.candidates().size());
+        CacheHolder cacheHolder = new CacheHolder(null, 0);
+        boolean unassigned = true;
+        for (RelayEndpoint endpoint : context.candidates()) {
+            EngineLoad load = loadOf(endpoint, context.spec());
+            PrefixCacheModel.LeadingParts parts = load.prefixCache().leadingParts(prompt, nowMs);
+            unassigned &= parts.assigned() < shared;
+            candidates.add(new Candidate(endpoint, load, parts.assigned()));
+            if (parts.prefilled() > cacheHolder.parts() && !rateLimited.test(endpoint)) {
+                cacheHolder = new CacheHolder(endpoint, parts.prefilled());
+            }
+        }
+        // Nothing is known of the shared parts yet, so the preferred engine is the best guess.
+        String preferred = unassigned ? preferredEngine(context.candidates(), prompt) : "";
         Cost best = null;
-        for (RelayEndpoint candidate : context.candidates()) {
+        for (Candidate candidate : candidates) {
             Cost cost = cost(candidate, context, preferred, cacheHolder, nowMs);
             if (best == null || cost.totalMs() < best.totalMs()) {
                 best = cost;
             }
         }
         EngineLoad load = loadOf(best.endpoint(), context.spec());
-        load.recordAssigned(context.prompt(), best.prefillTokens(), nowMs);
+        load.recordAssigned(prompt, best.prefillTokens(), nowMs);
         RelayEndpoint source = best.fetch().source();
         EngineEstimate estimate =
                 new EngineEstimate(Math.round(best.firstAnswerMs()), (int) best.waitMs(), best.prefillTokens());
@@ -142,44 +178,23 @@
                 source == null ? null : source.state().address());
     }
 
-    /**
-     * Returns whether this box has assigned the shared parts to no engine yet; then the preferred engine is the best
-     * guess.
-     */
-    private boolean unassigned(SelectionContext context) {
-        int shared = context.prompt().tokens().size() - 1;
-        return context.candidates().stream()
-                .noneMatch(candidate ->
-                        loadOf(candidate, context.spec()).prefixCache().assignedParts(context.prompt()) >= shared);
-    }
-
-    private CacheHolder cacheHolderOf(SelectionContext context, long nowMs) {
-        CacheHolder best = new CacheHolder(null, 0);
-        for (RelayEndpoint candidate : context.candidates()) {
-            int parts = loadOf(candidate, context.spec()).prefixCache().prefilledParts(context.prompt(), nowMs);
-            if (parts > best.parts() && !rateLimited.test(candidate)) {
-                best = new CacheHolder(candidate, parts);
-            }
-        }
-        return best;
-    }
-
     private Cost cost(
-            RelayEndpoint candidate, SelectionContext context, String preferred, CacheHolder cacheHolder, long nowMs) {
-        EngineLoad load = loadOf(candidate, context.spec());
+            Candidate known, SelectionContext context, String preferred, CacheHolder cacheHolder, long nowMs) {
+        RelayEndpoint candidate = known.endpoint();
+        EngineLoad load = known.load();
+        double factor = load.slowdown(nowMs);
         Prompt prompt = context.prompt();
         int shared = prompt.tokens().size() - 1;
-        int cachedParts = Math.max(
-                load.prefixCache().assignedParts(prompt), candidate.id().equals(preferred) ? shared : 0);
-        Fetch fetch = fetch(candidate, context, cachedParts, cacheHolder, load);
+        int cachedParts = Math.max(known.assignedParts(), candidate.id().equals(preferred) ? shared : 0);
+        Fetch fetch = fetch(candidate, context, cachedParts, cacheHolder, load, factor);
         int prefillTokens = prompt.tokensFrom(cachedParts) - fetch.tokens();
-        double prefillMs = load.prefillMs(prefillTokens);
-        double repeatedMs = REPEATED_PREFILL_COST * Math.max(0, prefillMs - load.prefillMs(prompt.ownTokens()));
+        double prefillMs = load.prefillMs(prefillTokens, factor);
+        double repeatedMs = REPEATED_PREFILL_COST * Math.max(0, prefillMs - load.prefillMs(prompt.ownTokens(), factor));
         double waitMs = load.waitMs(nowMs);
         double inputMs = context.inputs()
                 .remoteCostMs(
                         candidate.identity().failureDomain(), REMOTE_INPUT_MS, REMOTE_INPUT_MS_PER_MB / BYTES_PER_MB);
-        double firstAnswerMs = waitMs + fetch.durationMs() + prefillMs + load.firstDecodeMs(nowMs) + inputMs;
+        double firstAnswerMs = waitMs + fetch.durationMs() + prefillMs + load.firstDecodeMs(nowMs, factor) + inputMs;
         double inputCostMs = context.inputs()
                 .remoteCostMs(candidate.identity().failureDomain(), 0, REMOTE_INPUT_COST_PER_MB / BYTES_PER_MB);
         double totalMs = timeCostMs(firstAnswerMs, context.targetMs()) + repeatedMs + inputCostMs;
@@ -200,7 +215,8 @@
             SelectionContext context,
             int cachedParts,
             CacheHolder cacheHolder,
-            EngineLoad load) {
+            EngineLoad load,
+            double factor) {
         boolean possible = context.spec().map(EngineSpec::canFetch).orElse(false)
                 && cacheHolder.endpoint() != null
                 && cacheHolder.endpoint() != candidate
@@ -214,38 +230,70 @@
         boolean sameDomain = holderDomain.equals(candidate.identity().failureDomain());
         double durationMs =
                 FETCH_SETUP_MS + context.spec().get().fetchMs(tokens) * (sameDomain ? 1 : REMOTE_FETCH_FACTOR);
-        return durationMs < load.prefillMs(tokens) ? new Fetch(cacheHolder.endpoint(), tokens, durationMs) : Fetch.NONE;
+        return durationMs < load.prefillMs(tokens, factor)
+                ? new Fetch(cacheHolder.endpoint(), tokens, durationMs)
+                : Fetch.NONE;
     }
 
-    /** Returns the engine that all boxes prefer for the last shared part of a prompt, by rendezvous hashing. */
+    /**
+     * Returns the engine that all boxes prefer for the last shared part of a prompt, by rendezvous hashing. Comparing
+     * each engine with the best one so far computes two scores per engine; sorting all of them computed over ten.
+     */
     static String preferredEngine(List<RelayEndpoint> candidates, Prompt prompt) {
         if (prompt.shared().isEmpty()) {
             return "";
         }
-        List<String> ids = candidates.stream().map(RelayEndpoint::id).toList();
-        return RendezvousHash.top(prompt.shared(), ids, 1).get(0);
+        String best = candidates.get(0).id();
+        for (int i = 1; i < candidates.size(); i++) {
+            String id = candidates.get(i).id();
+            if (RendezvousHash.rank(prompt.shared(), List.of(best), id) == 0) {
+                best = id;
+            }
+        }
+        return best;
     }
 
     /** Records the time that the first response of an engine took. */
     void recordFirstAnswer(RelayEndpoint engine, EngineEstimate estimate, long tookMs) {
         EngineLoad load = loads.get(engine.id());
         if (load != null && load.incarnation() == engine.identity().incarnation()) {
-            load.recordFirstAnswer(estimate, tookMs);
+            load.recordFirstAnswer(estimate, tookMs, clock.nowMs());
+            if (load.slowChanged()) {
+                LogEvent.info(load.slow() ? "engine-slow" : "engine-slow-ended")
+                        .with("endpoint", engine.id())
+                        .with("service", engine.identity().service())
+                        .with("slowdownPercent", Math.round(100 * load.slowdownRelativeToMean()))
+                        .to(LOG);
+            }
         }
     }
 
     /** Removes the data of engines that are no longer listed. */
     void retain(Set<String> endpointIds) {
-        loads.keySet().retainAll(endpointIds);
+        loads.entrySet().removeIf(entry -> {
+            boolean unlisted = !endpointIds.contains(entry.getKey());
+            if (unlisted) {
+                entry.getValue().retire();
+            }
+            return unlisted;
+        });
     }
 
     /** Returns the load of an engine; a restarted engine begins without the load of its previous incarnation. */
     private EngineLoad loadOf(RelayEndpoint engine, Optional<EngineSpec> spec) {
         EngineLoad known = loads.get(engine.id());
         if (known == null || known.incarnation() != engine.identity().incarnation()) {
-            EngineSpeed speed = speeds.computeIfAbsent(engine.identity().service(), service -> new EngineSpeed());
+            if (known != null) {
+                known.retire();
+            }
+            ServiceSpeed service = services.computeIfAbsent(
+                    engine.identity().service(), name -> new ServiceSpeed(new EngineSpeed(), new SlowdownMean()));
             long cacheTokens = spec.map(EngineSpec::cacheCapacityTokens).orElse(DEFAULT_CACHE_TOKENS);
-            known = new EngineLoad(engine.identity().incarnation(), speed, new PrefixCacheModel(cacheTokens));
+            known = new EngineLoad(
+                    engine.identity().incarnation(),
+                    service.speed(),
+                    slowdowns.apply(service.mean()),
+                    new PrefixCacheModel(cacheTokens));
             loads.put(engine.id(), known);
         }
         return known;
