--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -80,7 +80,9 @@
     }
 
     void start() {
-        routed.call().onDisconnect(this::onCallerDisconnect);
+        routed.call()
+                .onDisconnect(() -> outcome.callerGone(
+                        mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING));
         context.retryBudgets().of(service.name()).recordCall();
         timer = context.loop().schedule(this::onTimeout, Math.max(1, times.remainingMs()), TimeUnit.MILLISECONDS);
         if (regions.allowsNone()) {
@@ -371,10 +373,6 @@
         refuse(mayHaveRun() ? Reason.DEADLINE_PASSED_RUNNING : Reason.DEADLINE_PASSED_WAITING, detail);
     }
 
-    private void onCallerDisconnect() {
-        outcome.callerGone(mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING);
-    }
-
     private void refuse(Reason reason, String detail) {
         refuse(reason, detail, RetryTime.UNKNOWN);
     }
@@ -384,8 +382,7 @@
         if (response.started()) {
             outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
-            long hintMs = mayHaveRun() ? 0 : context.retryAfter().hintMs(time.atLeast(MIN_RETRY_MS));
-            outcome.refuse(reason, detail, hintMs);
+            outcome.refuse(reason, detail, mayHaveRun() ? 0 : context.retryAfter().hintMs(time.atLeast(MIN_RETRY_MS)));
         }
     }
 
