Read all crash reports without scans of expired ones

It removed expired records and trials first, which scans all of them, and each check of a record's age built a set of its active losses. Change: The age is compared before losses are counted, and they are counted without a set. Reading all reports skips expired records and removes them at most once a second. Result: GossipTest, the quarantine tests and CrashingPartSimulationTest pass unchanged.

--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecord.java
@@ -83,7 +83,10 @@
      * one at most while a single request was lost, since its repeats say nothing of its parts.
      */
     int activeLossCount() {
-        int active = activeLosses().size();
+        int active = 0;
+        for (String loss : losses) {
+            active += withdrawn.contains(loss) ? 0 : 1;
+        }
         if (rounds == 0) {
             return active;
         }
--- a/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/CrashRecordStore.java
@@ -1,5 +1,6 @@
 package org.wingstall.core.quarantine;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -55,15 +56,22 @@
         return Optional.of(after.toReport(request, nowMs));
     }
 
-    /** Returns the requests that have an active loss of an endpoint incarnation. */
-    List<Fingerprint> requestsLostWith(String incarnation) {
+    /** Returns reports that withdraw the loss of an endpoint incarnation from all requests for which it counts. */
+    List<CrashReport> withdrawalReports(String incarnation, long nowMs) {
         return records.entrySet().stream()
                 .filter(entry -> entry.getValue().losses().contains(incarnation))
                 .filter(entry -> !entry.getValue().withdrawn().contains(incarnation))
                 .map(Map.Entry::getKey)
+                .map(request -> find(request, nowMs).withdrawalReport(request, incarnation))
                 .toList();
     }
 
+    /** Returns a report that withdraws all losses of a request, if any of them is still active. */
+    Optional<CrashReport> clearingReport(Fingerprint request, long nowMs) {
+        CrashRecord record = find(request, nowMs);
+        return record.activeLossCount() == 0 ? Optional.empty() : Optional.of(record.clearingReport(request));
+    }
+
     /**
      * Returns the active losses of the parts of prompts that are suspicious enough to be held, and more suspicious than a
      * part with this record: by more losses, or by as many that were complete earlier.
@@ -95,9 +103,13 @@
     }
 
     List<CrashReport> reports(long nowMs) {
-        return records.entrySet().stream()
-                .map(entry -> entry.getValue().toReport(entry.getKey(), nowMs))
-                .toList();
+        List<CrashReport> reports = new ArrayList<>(records.size());
+        records.forEach((suspect, record) -> {
+            if (!expired(record, nowMs)) {
+                reports.add(record.toReport(suspect, nowMs));
+            }
+        });
+        return reports;
     }
 
     void removeExpired(long nowMs) {
@@ -124,9 +136,8 @@
     }
 
     private static boolean expired(CrashRecord record, long nowMs) {
-        long retentionMs = record.activeLossCount() >= Quarantine.QUARANTINE_THRESHOLD
-                ? Quarantine.REPORT_RETENTION_MS
-                : SUSPICION_MS;
-        return nowMs - record.lastLossAtMs() >= retentionMs;
+        long ageMs = nowMs - record.lastLossAtMs();
+        return ageMs >= Quarantine.REPORT_RETENTION_MS
+                || ageMs >= SUSPICION_MS && record.activeLossCount() < Quarantine.QUARANTINE_THRESHOLD;
     }
 }
--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -167,7 +167,7 @@
      */
     public synchronized void endpointLost(List<Fingerprint> requests, String endpoint, long sentAtMs) {
         if (mayHaveEnded(requests, endpoint, sentAtMs)) {
-            mergeReports(lossReports(requests, endpoint), null, true);
+            observe(lossReports(requests, endpoint));
         }
     }
 
@@ -177,7 +177,7 @@
         if (mayHaveEnded(requests, endpoint, sentAtMs)) {
             List<CrashReport> reports = new ArrayList<>(lossReports(requests, endpoint));
             reports.addAll(suspects.blame(request, parts, endpoint, sentAtMs, clock.nowMs()));
-            mergeReports(reports, null, true);
+            observe(reports);
         }
     }
 
@@ -231,12 +231,10 @@
     private synchronized void answered(Fingerprint request, String endpoint, long sentAtMs, boolean success) {
         List<CrashReport> cleared = new ArrayList<>();
         if (success) {
-            clearingReport(request).ifPresent(cleared::add);
+            crashRecords.clearingReport(request, clock.nowMs()).ifPresent(cleared::add);
         }
         cleared.addAll(refutedLosses(endpoint, sentAtMs));
-        if (!cleared.isEmpty()) {
-            mergeReports(cleared, null, true);
-        }
+        observe(cleared);
     }
 
     /**
@@ -250,26 +248,13 @@
     }
 
     private synchronized void withdrawRefutedLosses(String endpoint, long sentAtMs) {
-        List<CrashReport> refuted = refutedLosses(endpoint, sentAtMs);
-        if (!refuted.isEmpty()) {
-            mergeReports(refuted, null, true);
-        }
+        observe(refutedLosses(endpoint, sentAtMs));
     }
 
     /** Returns reports that withdraw the losses of an endpoint if a response shows that it did not end with them. */
     private List<CrashReport> refutedLosses(String endpoint, long sentAtMs) {
-        if (!lostEndpoints.recordAnswer(endpoint, sentAtMs)) {
-            return List.of();
-        }
-        return crashRecords.requestsLostWith(endpoint).stream()
-                .map(request -> find(request).withdrawalReport(request, endpoint))
-                .toList();
-    }
-
-    /** Returns a report that withdraws all losses of a request, if any of them is still active. */
-    private Optional<CrashReport> clearingReport(Fingerprint request) {
-        CrashRecord record = find(request);
-        return record.activeLossCount() == 0 ? Optional.empty() : Optional.of(record.clearingReport(request));
+        boolean refuted = lostEndpoints.recordAnswer(endpoint, sentAtMs);
+        return refuted ? crashRecords.withdrawalReports(endpoint, clock.nowMs()) : List.of();
     }
 
     /**
@@ -277,8 +262,8 @@
      * active losses.
      */
     public synchronized boolean lift(Fingerprint request) {
-        Optional<CrashReport> lifted = clearingReport(request);
-        lifted.ifPresent(report -> mergeReports(List.of(report), null, true));
+        Optional<CrashReport> lifted = crashRecords.clearingReport(request, clock.nowMs());
+        observe(lifted.stream().toList());
         return lifted.isPresent();
     }
 
@@ -324,6 +309,12 @@
         }
     }
 
+    private void observe(List<CrashReport> reports) {
+        if (!reports.isEmpty()) {
+            mergeReports(reports, null, true);
+        }
+    }
+
     private void mergeReports(List<CrashReport> reports, String fromBox, boolean observedHere) {
         long nowMs = clock.nowMs();
         removeExpiredPeriodically(nowMs);
@@ -375,8 +366,9 @@
 
     /** Returns all current reports, as shown to operators. */
     public synchronized List<CrashReport> reports() {
-        removeExpired(clock.nowMs());
-        return crashRecords.reports(clock.nowMs());
+        long nowMs = clock.nowMs();
+        removeExpiredPeriodically(nowMs);
+        return crashRecords.reports(nowMs);
     }
 
     /** Returns how many requests are quarantined. */
