Send crash reports in batches and not to boxes that told them

Cause: Each loss was forwarded at once, in a frame per report and link, and a box that got it from one hub forwarded it to all others. When a link opened, both sides sent all their reports. Change: ReportOutbox decides what waits for which link. Own losses go to the hubs, and what hubs forward goes to other boxes, at once, but at most one frame per link in 50 ms. All else waits up to 50 ms, and is not sent to a box from which as much arrives. Trials are sent at once as before, with the pending report of their suspect. The box that dialed a link sends all its reports; the other one waits 50 ms and sends what they lack. Gauges count the reports sent and those that need not be sent.

--- a/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.schema.peer.CrashNews;
@@ -57,6 +58,11 @@
         /** Sends a message to all linked boxes except the one that it came from, which may be null. */
         void broadcast(CrashNews news, String exceptBox);
 
+        /** Sends reports of what this box has observed to all linked boxes. */
+        default void broadcastObserved(CrashNews news) {
+            broadcast(news, null);
+        }
+
         /** Writes a report to the store, where it survives restarts of all boxes and reaches boxes without a link. */
         void persist(CrashReport report);
 
@@ -342,7 +348,9 @@
         }
         idle = crashRecords.isEmpty() && trials.isEmpty();
         String exceptBox = senderIsUpToDate ? fromBox : null;
-        CrashMessages.ofReports(merged).forEach(message -> listener.broadcast(message, exceptBox));
+        Consumer<CrashNews> sender =
+                observedHere ? listener::broadcastObserved : one -> listener.broadcast(one, exceptBox);
+        CrashMessages.ofReports(merged).forEach(sender);
     }
 
     private void removeExpiredPeriodically(long nowMs) {
--- a/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
+++ b/gateway/src/main/java/org/wingstall/gateway/crash/CrashReports.java
@@ -1,13 +1,16 @@
 package org.wingstall.gateway.crash;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.limit.TokenBucket;
 import org.wingstall.core.quarantine.Quarantine;
+import org.wingstall.core.quarantine.ReportOutbox;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.peer.NewsHost;
@@ -36,6 +39,10 @@
     private final Consumer<CrashReport> keeper;
     private final TokenBucket lines;
     private final Quarantine quarantine;
+    private final ReportOutbox outbox;
+    private final AtomicLong sentReports = new AtomicLong();
+    private final AtomicLong settledReports = new AtomicLong();
+    private ScheduledFuture<?> timer;
     private volatile Consumer<String> lossListener = endpoint -> {};
     private final AtomicLong lossesAfterEnd = new AtomicLong();
 
@@ -50,6 +57,7 @@
         this.keeper = keeper;
         this.lines = new TokenBucket(clock);
         this.quarantine = new Quarantine(boxId, clock, this);
+        this.outbox = new ReportOutbox(boxId, clock, links::isHub, quarantine::reports);
     }
 
     /**
@@ -84,11 +92,48 @@
 
     @Override
     public void broadcast(CrashNews news, String exceptBox) {
+        onLoop(() -> send(news, exceptBox, false));
+    }
+
+    @Override
+    public void broadcastObserved(CrashNews news) {
+        onLoop(() -> send(news, null, true));
+    }
+
+    private void onLoop(Runnable sending) {
         if (loop.inEventLoop()) {
-            links.tell(news, exceptBox);
+            sending.run();
         } else {
-            loop.execute(() -> links.tell(news, exceptBox));
+            loop.execute(sending);
+        }
+    }
+
+    /** Trials are sent at once: two boxes must not send the same suspect. */
+    private void send(CrashNews news, String exceptBox, boolean observedHere) {
+        if (!news.getTrials().isEmpty()) {
+            links.tell(outbox.withPendingReports(news, exceptBox, links.linkedBoxes()), exceptBox);
+            return;
+        }
+        outbox.add(news.getReports(), exceptBox, observedHere);
+        sendDue();
+    }
+
+    private void sendDue() {
+        for (ReportOutbox.Batch batch : outbox.takeDue(links.linkedBoxes())) {
+            links.send(batch.news(), batch.boxIds());
+            sentReports.addAndGet(
+                    (long) batch.news().getReports().size() * batch.boxIds().size());
         }
+        scheduleNext();
+    }
+
+    /** Keeps one timer, for what is due first. */
+    private void scheduleNext() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        outbox.dueInMs().ifPresent(dueInMs -> timer = loop.schedule(this::sendDue, dueInMs, TimeUnit.MILLISECONDS));
     }
 
     @Override
@@ -134,6 +179,8 @@
 
     @Override
     public void heard(String boxId, CrashNews news) {
+        outbox.arrived(boxId, news.getReports());
+        settledReports.set(outbox.settledReports());
         quarantine.receive(boxId, news);
     }
 
@@ -141,4 +188,22 @@
     public List<CrashNews> known() {
         return quarantine.snapshot();
     }
+
+    @Override
+    public List<CrashNews> linked(String boxId, boolean dialedHere) {
+        List<CrashNews> first = outbox.linked(boxId, dialedHere);
+        first.forEach(news -> sentReports.addAndGet(news.getReports().size()));
+        scheduleNext();
+        return first;
+    }
+
+    /** Returns the number of reports sent to other boxes; a report to several boxes counts for each. */
+    public long sentReports() {
+        return sentReports.get();
+    }
+
+    /** Returns the number of reports that were not sent to a box because it had sent as much itself. */
+    public long settledReports() {
+        return settledReports.get();
+    }
 }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -64,5 +64,7 @@
         metrics.gauge(
                 "wingstall.prompt.parts.held.back", () -> crashes.quarantine().quarantinedParts());
         metrics.gauge("wingstall.losses.after.end", crashes::lossesAfterEnd);
+        metrics.gauge("wingstall.crash.reports.sent", crashes::sentReports);
+        metrics.gauge("wingstall.crash.reports.settled", crashes::settledReports);
     }
 }
--- a/peer/src/main/java/org/wingstall/peer/NewsHost.java
+++ b/peer/src/main/java/org/wingstall/peer/NewsHost.java
@@ -16,4 +16,14 @@
 
     /** Returns all that a peer which has just been linked needs. */
     List<N> known();
+
+    /**
+     * Returns what is sent at once to a peer that has just been linked.
+     *
+     * @param boxId the peer
+     * @param dialedHere whether this box opened the connection
+     */
+    default List<N> linked(String boxId, boolean dialedHere) {
+        return known();
+    }
 }
--- a/peer/src/main/java/org/wingstall/peer/NewsLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/NewsLinks.java
@@ -1,7 +1,11 @@
 package org.wingstall.peer;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.wingstall.schema.peer.PeerFrame;
 
 /**
@@ -16,9 +20,15 @@
     private final Map<String, PeerLink> links;
     private final Function<N, PeerFrame> encoder;
     private final Function<PeerFrame, N> decoder;
+    private final Predicate<String> hubs;
     private NewsHost<N> host;
 
-    NewsLinks(Map<String, PeerLink> links, Function<N, PeerFrame> encoder, Function<PeerFrame, N> decoder) {
+    NewsLinks(
+            Map<String, PeerLink> links,
+            Function<N, PeerFrame> encoder,
+            Function<PeerFrame, N> decoder,
+            Predicate<String> hubs) {
+        this.hubs = hubs;
         this.links = links;
         this.encoder = encoder;
         this.decoder = decoder;
@@ -44,10 +54,31 @@
         });
     }
 
+    /**
+     * Tells some peers; those without a link are left out.
+     *
+     * @param news what is told
+     * @param boxIds the peers
+     */
+    public void send(N news, Collection<String> boxIds) {
+        PeerFrame frame = encoder.apply(news);
+        boxIds.forEach(boxId -> PeerLink.send(links, boxId, frame));
+    }
+
+    /** Returns the peers with a link, in a view that changes with the links. */
+    public Set<String> linkedBoxes() {
+        return Collections.unmodifiableSet(links.keySet());
+    }
+
+    /** Returns whether a box, which may be this one, is a hub, to which every box has a link. */
+    public boolean isHub(String boxId) {
+        return hubs.test(boxId);
+    }
+
     /** A new link may end a cut, or lead to a box that has just started. */
     void linked(PeerLink link) {
         if (host != null) {
-            host.known().forEach(news -> link.send(encoder.apply(news)));
+            host.linked(link.peer().getBoxId(), link.dialled()).forEach(news -> link.send(encoder.apply(news)));
         }
     }
 
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -93,9 +93,9 @@
         this.replies = new PromptReplies(clock);
         this.pieces = new PieceLinks(links, replies);
         this.engines = new MeshEngineLinks(links, replies);
-        this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews);
-        this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews);
-        this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews);
+        this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews, this::carries);
+        this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews, this::carries);
+        this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews, this::carries);
         this.streamOrigins = new MeshStreamOriginLinks(links);
         this.rows = new RowLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
