Forward each trial once when two of a suspect start together

Cause: A trial that starts replaces another one of the same suspect. Two that started at once made each box forget the other one and take each arrival as new, so that their starts were forwarded over and over. Change: TrialTable remembers the trials that have started, as those that have ended, for a minute.

--- a/core/src/main/java/org/wingstall/core/quarantine/TrialTable.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/TrialTable.java
@@ -15,10 +15,11 @@
      */
     private static final long TRIAL_TIMEOUT_MS = 5000;
 
-    /** Time for which the end of a trial is remembered, in ms: far longer than a message takes to reach all boxes. */
+    /** Time for which the start and the end of a trial are remembered, in ms: far longer than a message takes to reach all boxes. */
     private static final long ENDED_TRIAL_RETENTION_MS = 60_000;
 
     private final Map<Fingerprint, Trial> trials = new HashMap<>();
+    private final Map<String, Long> startedAtMs = new HashMap<>();
     private final Map<String, Long> endedAtMs = new HashMap<>();
 
     /** A suspected request that a box has sent to an endpoint. */
@@ -48,6 +49,7 @@
     }
 
     void start(Fingerprint request, String trialId, String endpoint, long nowMs) {
+        startedAtMs.put(trialId, nowMs);
         trials.put(request, new Trial(trialId, endpoint, nowMs + TRIAL_TIMEOUT_MS));
     }
 
@@ -65,7 +67,9 @@
             }
             return endedAtMs.put(received.getTrialId(), nowMs) == null;
         }
-        if (sameTrial || endedAtMs.containsKey(received.getTrialId())) {
+        // Of two trials that start at once, each replaces the other one here, so the current trial alone does not tell.
+        boolean started = startedAtMs.put(received.getTrialId(), nowMs) != null;
+        if (started || sameTrial || endedAtMs.containsKey(received.getTrialId())) {
             return false;
         }
         start(request, received.getTrialId(), received.getEndpoint(), nowMs);
@@ -74,6 +78,7 @@
 
     void removeExpired(long nowMs) {
         trials.values().removeIf(trial -> trial.untilMs() <= nowMs);
+        startedAtMs.values().removeIf(atMs -> nowMs - atMs >= ENDED_TRIAL_RETENTION_MS);
         endedAtMs.values().removeIf(atMs -> nowMs - atMs >= ENDED_TRIAL_RETENTION_MS);
     }
 }
--- a/core/src/test/java/org/wingstall/core/quarantine/CrashBurstTest.java
+++ b/core/src/test/java/org/wingstall/core/quarantine/CrashBurstTest.java
@@ -209,4 +209,24 @@
             lose(box, CULPRIT, "e" + number, sentAtMs);
         }
     }
+
+    /**
+     * Guards against two trials of a suspect that start at once and make each box forget the other one, so that their
+     * starts are forwarded over and over.
+     */
+    @Test(dataProvider = "seeds")
+    public void trialsThatStartTogetherAreForwardedOnce(int seed) {
+        SimulatedCrashFleet fleet = fleet(seed);
+        lose(fleet.box(40), CULPRIT, "e1", fleet.nowMs());
+        lose(fleet.box(41), CULPRIT, "e2", fleet.nowMs());
+        fleet.advance(TWO_HOPS_MS);
+        int before = fleet.frames();
+        fleet.box(50).quarantine.sent(() -> CULPRIT, "e3");
+        fleet.box(60).quarantine.sent(() -> CULPRIT, "e4");
+        int mostFrames = 2 * 2 * BOXES * HUBS;
+        for (int i = 0; i < 100 && fleet.frames() - before <= mostFrames; i++) {
+            fleet.advance(1);
+        }
+        assertTrue(fleet.frames() - before <= mostFrames, "frames: " + (fleet.frames() - before));
+    }
 }
