Encode crash reports for several links once

Cause: the batches that leave for several boxes were encoded for each of them. Change: NewsLinks encodes a message once for all its receivers, as heartbeats are.

--- a/peer/src/main/java/org/wingstall/peer/NewsLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/NewsLinks.java
@@ -1,5 +1,6 @@
 package org.wingstall.peer;
 
+import io.netty.buffer.ByteBuf;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Map;
@@ -46,12 +47,13 @@
      * @param exceptBox peer that it was heard from; null for none
      */
     public void tell(N news, String exceptBox) {
-        PeerFrame frame = encoder.apply(news);
+        ByteBuf encoded = PeerLink.encode(encoder.apply(news));
         links.forEach((boxId, link) -> {
             if (!boxId.equals(exceptBox) && link.active()) {
-                link.send(frame);
+                link.send(encoded);
             }
         });
+        encoded.release();
     }
 
     /**
@@ -61,8 +63,14 @@
      * @param boxIds the peers
      */
     public void send(N news, Collection<String> boxIds) {
-        PeerFrame frame = encoder.apply(news);
-        boxIds.forEach(boxId -> PeerLink.send(links, boxId, frame));
+        ByteBuf encoded = PeerLink.encode(encoder.apply(news));
+        for (String boxId : boxIds) {
+            PeerLink link = links.get(boxId);
+            if (link != null && link.active()) {
+                link.send(encoded);
+            }
+        }
+        encoded.release();
     }
 
     /** Returns the peers with a link, in a view that changes with the links. */
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -81,8 +81,8 @@
 
     void start() {
         routed.call()
-                .onDisconnect(() -> outcome.callerGone(
-                        mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING));
+                .onDisconnect(() ->
+                        outcome.callerGone(mayHaveRun() ? Reason.CALLER_GONE_RUNNING : Reason.CALLER_GONE_WAITING));
         context.retryBudgets().of(service.name()).recordCall();
         timer = context.loop().schedule(this::onTimeout, Math.max(1, times.remainingMs()), TimeUnit.MILLISECONDS);
         if (regions.allowsNone()) {
@@ -382,7 +382,8 @@
         if (response.started()) {
             outcome.abort(Reason.ENDPOINT_LOST, detail);
         } else {
-            outcome.refuse(reason, detail, mayHaveRun() ? 0 : context.retryAfter().hintMs(time.atLeast(MIN_RETRY_MS)));
+            outcome.refuse(
+                    reason, detail, mayHaveRun() ? 0 : context.retryAfter().hintMs(time.atLeast(MIN_RETRY_MS)));
         }
     }
 
