Hash each box once, and write out records that every box compares

Cause: rendezvous hashing computed two scores in each comparison of its sort, a regular expression and the generated methods of a record ran for each shared part of each prompt, all of it mostly interpreted. Change: scores are computed once; Fingerprint and the location of results have their own equals and hashCode, and characters are checked by a loop.

--- a/core/src/main/java/org/wingstall/core/peer/RendezvousHash.java
+++ b/core/src/main/java/org/wingstall/core/peer/RendezvousHash.java
@@ -1,7 +1,9 @@
 package org.wingstall.core.peer;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 
@@ -25,11 +27,24 @@
      * @return identifiers of the chosen boxes, highest score first
      */
     public static List<String> top(String purpose, Collection<String> boxes, int count) {
-        Comparator<String> byScore = Comparator.comparingLong(box -> score(purpose, box));
-        return boxes.stream()
-                .sorted(byScore.reversed().thenComparing(Comparator.naturalOrder()))
-                .limit(count)
-                .toList();
+        List<Scored> scored = new ArrayList<>(boxes.size());
+        for (String box : boxes) {
+            scored.add(new Scored(box, score(purpose, box)));
+        }
+        scored.sort(Scored.HIGHEST_FIRST);
+        List<String> first = new ArrayList<>(count);
+        for (Scored box : scored.subList(0, Math.min(count, scored.size()))) {
+            first.add(box.boxId);
+        }
+        return Collections.unmodifiableList(first);
+    }
+
+    /** A box with its score, which is computed once and not in each comparison of the sort. */
+    private record Scored(String boxId, long score) {
+        private static final Comparator<Scored> HIGHEST_FIRST = (one, other) -> {
+            int byScore = Long.compare(other.score, one.score);
+            return byScore != 0 ? byScore : one.boxId.compareTo(other.boxId);
+        };
     }
 
     /**
--- a/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/Fingerprint.java
@@ -3,7 +3,6 @@
 import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.HexFormat;
-import java.util.regex.Pattern;
 
 /**
  * Identifies what may crash endpoints, whichever box receives it: requests with equal content, whatever request
@@ -18,8 +17,11 @@
 public record Fingerprint(String hex) {
     private static final String PART_PREFIX = "part:";
 
-    /** Longer texts, and those with other characters, are hashed: they are keys of rows, and operators type them. */
-    private static final Pattern READABLE = Pattern.compile("[A-Za-z0-9:._-]{1,120}");
+    /**
+     * Longest text, in characters, that is kept as it is. Longer ones, and those with characters other than letters,
+     * digits and {@code :._-}, are hashed: they are keys of rows, and operators type them.
+     */
+    private static final int MAX_READABLE = 120;
 
     /**
      * Returns the fingerprint of a request.
@@ -49,15 +51,45 @@
      */
     public static Fingerprint ofPart(String service, String model, String partId) {
         String text = service + ":" + model + ":" + partId;
-        boolean readable = READABLE.matcher(text).matches();
         return new Fingerprint(
-                PART_PREFIX + (readable ? text : hex(Hashing.murmur3_128().hashCharsTo128Bits(text))));
+                PART_PREFIX + (readable(text) ? text : hex(Hashing.murmur3_128().hashCharsTo128Bits(text))));
+    }
+
+    private static boolean readable(String text) {
+        if (text.length() > MAX_READABLE) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            char next = text.charAt(i);
+            boolean allowed = next >= 'a' && next <= 'z'
+                    || next >= 'A' && next <= 'Z'
+                    || next >= '0' && next <= '9'
+                    || next == ':'
+                    || next == '-'
+                    || next == '.'
+                    || next == '_';
+            if (!allowed) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static String hex(HashValue128 hash) {
         return HexFormat.of().formatHex(hash.toByteArray());
     }
 
+    // Written out like hashCode: the generated methods of a record are made at its first use, which takes several ms.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Fingerprint that && hex.equals(that.hex);
+    }
+
+    @Override
+    public int hashCode() {
+        return hex.hashCode();
+    }
+
     /** Returns whether this identifies a part of prompts rather than a request. */
     boolean isPart() {
         return hex.startsWith(PART_PREFIX);
--- a/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/ResultFreer.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
@@ -42,7 +43,21 @@
     private final Map<ResultLocation, List<String>> pending = new HashMap<>();
 
     /** The endpoint that stores results, and the coordinator of their pieces; null for this box. */
-    private record ResultLocation(InetSocketAddress endpointAddress, String coordinator) {}
+    private record ResultLocation(InetSocketAddress endpointAddress, String coordinator) {
+        // Written out like hashCode: the generated methods of a record are made at its first use, which takes several
+        // ms.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof ResultLocation that
+                    && endpointAddress.equals(that.endpointAddress)
+                    && Objects.equals(coordinator, that.coordinator);
+        }
+
+        @Override
+        public int hashCode() {
+            return endpointAddress.hashCode();
+        }
+    }
 
     /**
      * Creates a freer.
