Retry one unreachable box of each failure domain at a time

Change: a retry tries one box of each failure domain; when a box answers that had counted as gone, the others of its failure domain count as reachable again, so that links to its hubs are dialled at the next tick. Result: tests of directory, dialer and tunnels pass, with a new case for a healed cut.

--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,9 @@
 final class Dialer {
     private static final int CONNECT_TIMEOUT_MS = 500;
 
+    /** Ticks of the heartbeat from one retry of unreachable boxes to the next, on average. */
+    private static final int RETRY_TICKS = 4;
+
     private final PeerOptions options;
     private final LinkPlan.Box self;
     private final EventLoop loop;
@@ -82,14 +87,22 @@
         return carriers;
     }
 
-    /** Boxes that count as gone are tried again now and then, so that a healed cut is noticed. */
+    /**
+     * Tries boxes that count as gone now and then, so that a healed cut is noticed: one of each failure domain, since all of
+     * it counts as reachable again when one answers. Dialling each of them would cost a fleet as many dials as the product
+     * of the boxes on both sides of a cut.
+     */
     private void retryUnreachable() {
-        boolean soon = ThreadLocalRandom.current().nextInt(4) == 0;
+        boolean soon = !unreachable.isEmpty() && ThreadLocalRandom.current().nextInt(RETRY_TICKS) == 0;
         if (!soon) {
             return;
         }
-        for (LinkPlan.Box box : unreachable) {
-            if (!links.containsKey(box.boxId()) && !planned.contains(box.boxId())) {
+        List<LinkPlan.Box> shuffled = new ArrayList<>(unreachable);
+        Collections.shuffle(shuffled, ThreadLocalRandom.current());
+        Set<String> triedDomains = new HashSet<>();
+        for (LinkPlan.Box box : shuffled) {
+            boolean candidate = !links.containsKey(box.boxId()) && !planned.contains(box.boxId());
+            if (candidate && triedDomains.add(box.failureDomain())) {
                 dial(directory.entry(box.boxId()).address());
             }
         }
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -75,10 +75,26 @@
         }
     }
 
+    /**
+     * Records that a box was reached. If it had counted as gone, the other boxes of its failure domain are taken for
+     * reachable as well until dials show otherwise: most often a cut has healed.
+     */
     void dialSucceeded(InetSocketAddress address) {
         Integer count = failures.remove(address);
         if (count != null && count >= FAILURES_TO_COUNT_AS_GONE) {
             changes++;
+            entries.values().stream()
+                    .filter(entry -> entry.address().equals(address))
+                    .findFirst()
+                    .ifPresent(reached -> forgetFailures(reached.box().failureDomain()));
+        }
+    }
+
+    private void forgetFailures(String failureDomain) {
+        for (Entry entry : entries.values()) {
+            if (entry.box().failureDomain().equals(failureDomain)) {
+                failures.remove(entry.address());
+            }
         }
     }
 
--- a/peer/src/test/java/org/wingstall/peer/DirectoryTest.java
+++ b/peer/src/test/java/org/wingstall/peer/DirectoryTest.java
@@ -1,6 +1,7 @@
 package org.wingstall.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -43,6 +44,40 @@
         }
     }
 
+    /** Guards against a healed cut after which each box of a failure domain has to be dialled to count again. */
+    @Test
+    public void allOfAFailureDomainIsReachableOnceOneOfItIs() {
+        directory.applyBoxes(allBoxes(), "box-0");
+        for (int number = 1; number < BOXES; number++) {
+            for (int dial = 0; dial < 3; dial++) {
+                directory.dialFailed(entry(number).address());
+            }
+        }
+        assertEquals(directory.reachable().size(), 0);
+        long before = directory.changes();
+        directory.dialSucceeded(entry(4).address());
+        assertTrue(directory.changes() > before, "links are planned anew");
+        assertEquals(
+                directory.reachable().stream()
+                        .map(LinkPlan.Box::failureDomain)
+                        .distinct()
+                        .toList(),
+                List.of("domain-1"));
+        assertEquals(
+                directory.unreachable().stream()
+                        .filter(box -> box.failureDomain().equals("domain-1"))
+                        .count(),
+                0);
+    }
+
+    private static List<Directory.Entry> allBoxes() {
+        List<Directory.Entry> boxes = new ArrayList<>();
+        for (int number = 0; number < BOXES; number++) {
+            boxes.add(entry(number));
+        }
+        return boxes;
+    }
+
     private void change(Random random) {
         Directory.Entry any = entry(random.nextInt(BOXES));
         switch (random.nextInt(8)) {
