Compile early in first lives only

Change: thresholds times 0.5 at the first start of the system, times 3 after restarts, when callers wait at once; the scripts that start gateways like the deploy file fill in the first.

--- a/scripts/fleet-cost.sh
+++ b/scripts/fleet-cost.sh
@@ -5,9 +5,10 @@
 #   scripts/fleet-cost.sh [BOXES [ENGINES [CALLERS_A_SECOND [SECONDS [JVM OPTION...]]]]]      80, 40, 60 and 30 when left out
 set -eu
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 numbers=(80 40 60 30)
 for ((i = 0; i < 4 && $# > 0; i++)); do numbers[i]=$1; shift; done
 parts=standin/target/classes:net/target/classes:core/target/classes:schema/target/classes
-read -r -a command <<<"$(sed -n 's/^run = "java \(.*\) -jar .*/\1/p' deploy/system.toml)"
+read -r -a command <<<"$(deployed_options)"
 exec java -Xmx512m -cp "$parts:target/lib/*" org.wingstall.standin.fleet.FleetCost "${numbers[@]}" \
   java "${command[@]}" "$@" -jar target/wingstall-relay.jar
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -92,3 +92,9 @@
 wait_ready() { # operator address
   wait_for "readiness of $1" curl -sf "http://$1/readyz"
 }
+
+# Prints the options of the deployed command of a gateway, as they are at the first start of a fleet.
+deployed_options() {
+  sed -n -e 's/{{#bootstrap}}\([^{]*\){{\/bootstrap}}{{^bootstrap}}[^{]*{{\/bootstrap}}/\1/' \
+    -e 's/^run = "java \(.*\) -jar .*/\1/p' "$home/deploy/system.toml"
+}
