--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -191,7 +191,7 @@
                         state::config,
                         budgets,
                         crashes.quarantine(),
-                        PoolPolicies.STANDARD),
+                        PoolPolicies.UNIFORM),
                 random,
                 mesh,
                 gathering);
--- a/relay/src/main/java/org/wingstall/relay/pool/CallTimeEstimator.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/CallTimeEstimator.java
@@ -12,7 +12,20 @@
     private PoolSpec configured;
     private OnlineLinearRegression trend;
 
-    private final EndpointSlowdowns slowdowns = new EndpointSlowdowns();
+    private final EndpointSlowdowns slowdowns;
+
+    CallTimeEstimator() {
+        this(true);
+    }
+
+    /**
+     * Creates an estimator.
+     *
+     * @param byEndpoint whether the speed of each endpoint counts
+     */
+    CallTimeEstimator(boolean byEndpoint) {
+        this.slowdowns = new EndpointSlowdowns(byEndpoint);
+    }
 
     /** Returns the slowdown factors of the service's endpoints. */
     EndpointSlowdowns slowdowns() {
--- a/relay/src/main/java/org/wingstall/relay/pool/EndpointCallTimes.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/EndpointCallTimes.java
@@ -15,10 +15,11 @@
     private static final double LOGGED_SLOWDOWN = 2;
 
     private final MonotonicClock clock;
-    private final CallTimeEstimator estimator = new CallTimeEstimator();
+    private final CallTimeEstimator estimator;
     private final CallTimeouts timeouts = new CallTimeouts();
 
-    EndpointCallTimes(MonotonicClock clock) {
+    EndpointCallTimes(MonotonicClock clock, boolean byEndpoint) {
+        this.estimator = new CallTimeEstimator(byEndpoint);
         this.clock = clock;
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/EndpointSlowdowns.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/EndpointSlowdowns.java
@@ -15,9 +15,23 @@
     /** Ratio to the median up to which endpoints count as alike; call times of equal endpoints vary by about 20 %. */
     private static final double ALIKE_RATIO = 1.25;
 
+    private final boolean used;
     private final Map<String, SlowdownEstimate> estimates = new HashMap<>();
     private double median = 1;
 
+    EndpointSlowdowns() {
+        this(true);
+    }
+
+    /**
+     * Creates estimates.
+     *
+     * @param used whether the estimates apply; otherwise all endpoints count as alike
+     */
+    EndpointSlowdowns(boolean used) {
+        this.used = used;
+    }
+
     /** Records the duration of a call, or a lower bound of it, and the duration that the service's estimate gives. */
     void recordCall(String endpointKey, double tookMs, double expectedMs, long nowMs) {
         estimates.values().removeIf(estimate -> !estimate.validAt(nowMs));
@@ -40,6 +54,9 @@
      * @param nowMs monotonic clock, in ms
      */
     double of(String endpointKey, OptionalDouble stated, long nowMs) {
+        if (!used) {
+            return 1;
+        }
         SlowdownEstimate estimate = estimates.get(endpointKey);
         double measured = estimate == null || !estimate.validAt(nowMs) ? 1 : estimate.factor() / median;
         double factor = SlowdownEstimate.applied(measured, stated);
--- a/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StageGraph.java
@@ -233,7 +233,8 @@
      */
     private Urgency urgencyOf(StageProgress stage) {
         long usualMs = successorsMs(stage, false);
-        long laterMs = predecessors(stage).isEmpty() ? successorsMs(stage, true) : usualMs;
+        boolean withQueues = pools.countsLaterQueues() && predecessors(stage).isEmpty();
+        long laterMs = withQueues ? successorsMs(stage, true) : usualMs;
         return urgency.beforeStages(laterMs, laterMs - usualMs);
     }
 
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePool.java
@@ -75,7 +75,8 @@
         this.roomReports = roomReports;
         this.random = random;
         this.pieceQuarantine = new PieceQuarantine(service, context.quarantine());
-        this.callTimes = new EndpointCallTimes(context.clock());
+        this.callTimes =
+                new EndpointCallTimes(context.clock(), context.policies().adaptive());
         this.load = new PoolLoad(context.clock());
         this.retryTimes = context.policies().newRetryTimes().get();
         this.waits = new PoolWaits(context.clock());
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -90,6 +90,11 @@
         delegated.boxes().stream().filter(box -> !mesh.peers().heard(box)).forEach(delegated::boxLost);
     }
 
+    /** Returns whether the queues of later stages count in the admission of first ones. */
+    boolean countsLaterQueues() {
+        return context.policies().adaptive();
+    }
+
     /**
      * Creates the stage graph of a request.
      *
