--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
@@ -121,7 +121,7 @@
         this.limits = limits;
         this.suspects = suspects;
         this.metrics = metrics;
-        this.loadBalancer = new EngineLoadBalancer(clock, rateLimited);
+        this.loadBalancer = new EngineLoadBalancer(clock, rateLimited, mean -> new PredictionRatio());
         this.unreachableReports = new UnreachableReports(clock);
     }
 
