--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -31,6 +31,8 @@
         try (Record record = new Record(Path.of(args[1]))) {
             record.note("case " + args[0] + (trouble ? "" : ", without the disruption"));
             try (Fleet fleet = new Fleet(files, record)) {
+                // A case that is ended from outside leaves no processes behind.
+                Runtime.getRuntime().addShutdownHook(new Thread(fleet::endProcesses));
                 fleet.start();
                 plan.play(fleet, record, trouble);
                 code = record.broken() == 0 ? 0 : 1;
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -62,6 +62,12 @@
         Thread.sleep(LEAD_MS);
     }
 
+    /** Ends the processes of the boxes. */
+    void endProcesses() {
+        first.close();
+        second.close();
+    }
+
     @Override
     public void close() throws Exception {
         for (AutoCloseable part : opened) {
