--- a/review/standins/SurplusAnswer.java
+++ b/review/standins/SurplusAnswer.java
@@ -20,9 +20,10 @@
 
     @Override
     public void play(Fleet fleet, Record record, boolean trouble) throws IOException, InterruptedException {
+        Window window = new Window();
         if (trouble) {
             for (Worker.OfStage ledger : fleet.ledgers.subList(0, FAULTY)) {
-                ledger.spoil(new Doubler(ledger, record, ONE_IN));
+                ledger.spoil(new Doubler(ledger, record, ONE_IN, window));
             }
         }
         Clients clients = new Clients(fleet.first, fleet.second, record);
@@ -44,17 +45,22 @@
         private final Worker worker;
         private final Record record;
         private final int oneIn;
+        private final Window window;
         private int answers;
         private int doubled;
 
-        Doubler(Worker worker, Record record, int oneIn) {
+        Doubler(Worker worker, Record record, int oneIn, Window window) {
             this.worker = worker;
             this.oneIn = oneIn;
+            this.window = window;
             this.record = record;
         }
 
         @Override
         public synchronized void answered(Http.Link link, byte[] answer) {
+            if (!window.open()) {
+                return;
+            }
             answers++;
             boolean due = answers > FIRST + doubled * oneIn;
             if (due && answer.length > 0) {
--- a/review/standins/SurplusRefusal.java
+++ b/review/standins/SurplusRefusal.java
@@ -24,12 +24,13 @@
 
     @Override
     public void play(Fleet fleet, Record record, boolean trouble) throws IOException, InterruptedException {
+        Window window = new Window();
         if (trouble) {
             Worker.OfModel faulty = fleet.models.get(0);
             AtomicInteger asked = new AtomicInteger();
-            BooleanSupplier sheds = () -> asked.incrementAndGet() * SHED % 1 < SHED;
+            BooleanSupplier sheds = () -> window.open() && asked.incrementAndGet() * SHED % 1 < SHED;
             faulty.shed(sheds);
-            faulty.spoil(new SurplusAnswer.Doubler(faulty, record, ONE_IN));
+            faulty.spoil(new SurplusAnswer.Doubler(faulty, record, ONE_IN, window));
         }
         Clients clients = new Clients(fleet.first, fleet.second, record);
         record.note("traffic starts");
