--- a/it/src/test/java/org/wingstall/it/harness/TestProcess.java
+++ b/it/src/test/java/org/wingstall/it/harness/TestProcess.java
@@ -25,15 +25,19 @@
     }
 
     public static TestProcess start(Path folder, String name, Class<?> main, String... args) {
+        return startWith(List.of(), folder, name, main, args);
+    }
+
+    /** Starts a program with further options of its runtime. */
+    public static TestProcess startWith(List<String> options, Path folder, String name, Class<?> main, String... args) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx128m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Dwingstall.logLevel=" + System.getProperty("it.logLevel", "info"),
-                "-cp",
-                System.getProperty("java.class.path"),
-                main.getName()));
+                "-Dwingstall.logLevel=" + System.getProperty("it.logLevel", "info")));
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
         command.addAll(Arrays.asList(args));
         TestProcess started = new TestProcess(name, command, folder);
         started.restart();
--- /dev/null
+++ b/it/src/test/java/org/wingstall/it/relay/RelayNewConnectionFloodTest.java
@@ -0,0 +1,122 @@
+package org.wingstall.it.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.awaitility.Awaitility;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wingstall.gateway.relay.RelayMain;
+import org.wingstall.it.harness.TestProcess;
+import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.NewConnectionCallers;
+import org.wingstall.standin.fleet.NewConnectionCallers.Call;
+import org.wingstall.standin.fleet.NewConnectionCallers.Counts;
+import org.wingstall.standin.fleet.NewConnectionCallers.Plan;
+import org.wingstall.standin.fleet.WorkerStandin;
+
+/** A box that got most new connections read all their requests and served few of them in time. */
+public class RelayNewConnectionFloodTest {
+    private static final long DEADLINE_MS = 1500;
+    private static final int USUAL_PER_SECOND = 10;
+    private static final long USUAL_FOR_MS = 3000;
+
+    /** Time from which first tries count after the flood has begun, in ms. */
+    private static final long CONTACT_MS = 3000;
+
+    private static final long COUNTED_MS = 3000;
+
+    /** Least share of the tries that a box has read and that are served, relative to the time before the flood. */
+    private static final double SERVED_SHARE = 0.75;
+
+    /** Least share of all requests that are served at one of their tries. */
+    private static final double SERVED_AT_LAST = 0.9;
+
+    /** Makes each request as costly as on a box with a small share of a processor whose code is not compiled yet. */
+    private static final List<String> SLOW = List.of("-Xint");
+
+    private final List<TestProcess> boxes = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final List<String> readinessAddresses = new ArrayList<>();
+    private FleetStandin fleet;
+    private NewConnectionCallers callers;
+    private Path folder;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        folder = Files.createTempDirectory("flood");
+        fleet = new FleetStandin();
+        fleet.configure(1, DEADLINE_MS);
+        for (int i = 0; i < 3; i++) {
+            fleet.add("engine", "east", "e" + i, new WorkerStandin("e" + i, 5, 0));
+            fleet.add("plain", "east", "p" + i, new WorkerStandin("p" + i, 0, 0));
+        }
+        callers = new NewConnectionCallers("flood");
+        startBox("flooded", SLOW);
+        startBox("other", List.of());
+        for (String readiness : readinessAddresses) {
+            Awaitility.await().ignoreExceptions().until(() -> status(readiness) == 200);
+        }
+    }
+
+    private static int status(String address) throws IOException {
+        return ((HttpURLConnection)
+                        URI.create("http://" + address + "/v1/readyz").toURL().openConnection())
+                .getResponseCode();
+    }
+
+    private void startBox(String boxId, List<String> options) throws IOException {
+        String settings = fleet.settings(boxId, "east");
+        Path file = folder.resolve(boxId + ".yaml");
+        Files.writeString(file, settings);
+        addresses.add(FleetStandin.valueOf(settings, "callerAddress"));
+        readinessAddresses.add(FleetStandin.valueOf(settings, "readinessAddress"));
+        boxes.add(TestProcess.startWith(options, folder, boxId, RelayMain.class, "--settings", file.toString()));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        callers.close();
+        boxes.forEach(TestProcess::close);
+        boxes.clear();
+        addresses.clear();
+        readinessAddresses.clear();
+        fleet.close();
+    }
+
+    @DataProvider
+    Object[][] floods() {
+        return new Object[][] {
+            {List.of("repeatable"), 600},
+            {List.of("once"), 600},
+            {List.of("stream", "once", "repeatable"), 1200},
+        };
+    }
+
+    @Test(dataProvider = "floods")
+    public void firstTriesThatABoxHasReadAreServedWhileItGetsMostNewConnections(List<String> routes, int perSecond) {
+        Plan plan = new Plan(addresses.get(0), addresses.get(1), routes, DEADLINE_MS);
+        callers.send(plan, USUAL_PER_SECOND, USUAL_FOR_MS);
+        Counts before = Counts.of(callers.send(plan, USUAL_PER_SECOND, USUAL_FOR_MS));
+        List<Call> flood = callers.send(plan, perSecond, CONTACT_MS + COUNTED_MS);
+        long countedFromMs = flood.get(0).sentMs() + CONTACT_MS;
+        Counts during = Counts.of(
+                flood.stream().filter(call -> call.sentMs() >= countedFromMs).toList());
+        Counts after = Counts.of(callers.send(plan, USUAL_PER_SECOND, USUAL_FOR_MS));
+        String counts = "before " + before + ", during " + during + ", after " + after;
+        assertEquals(before.read(), before.sent(), "unread while the box was merely in use: " + counts);
+        assertTrue(during.servedOfRead() >= SERVED_SHARE * before.servedOfRead(), counts);
+        assertTrue(during.servedFirst() >= before.servedFirst() * COUNTED_MS / USUAL_FOR_MS, counts);
+        assertTrue(during.served() >= SERVED_AT_LAST * during.sent(), counts);
+        assertEquals(after.read(), after.sent(), "unread after the flood: " + counts);
+    }
+}
--- a/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/CallerRequests.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpRequest;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 
 /**
@@ -30,14 +31,31 @@
      * @param body the body
      */
     public static HttpRequest.Builder post(String address, String path, String id, long deadlineMs, String body) {
-        return HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .header(ID, id)
-                .header("X-Wingstall-Deadline-Ms", Long.toString(deadlineMs))
-                .header("X-Wingstall-Prefix-Hash", "5c1e:800,91bd:410,e440:250")
-                .header("X-Wingstall-Pieces", "1,3")
-                .header("X-Wingstall-Piece-Key", "7c1e")
-                .header("X-Api-Key", FleetStandin.KEY)
-                .POST(HttpRequest.BodyPublishers.ofString(body));
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path));
+        headers(id, deadlineMs).forEach(request::header);
+        return request.POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    /**
+     * Returns the headers of a request with a prompt of three parts and one piece of the first stage and three of the second.
+     *
+     * @param id identifier of the request
+     * @param deadlineMs time that the caller waits, in ms
+     */
+    static Map<String, String> headers(String id, long deadlineMs) {
+        return Map.of(
+                ID,
+                id,
+                "X-Wingstall-Deadline-Ms",
+                Long.toString(deadlineMs),
+                "X-Wingstall-Prefix-Hash",
+                "5c1e:800,91bd:410,e440:250",
+                "X-Wingstall-Pieces",
+                "1,3",
+                "X-Wingstall-Piece-Key",
+                "7c1e",
+                "X-Api-Key",
+                FleetStandin.KEY);
     }
 
     /** Gives a request a prompt that has no part in common with others, so that such requests are spread over all engines. */
