Bound answers of endpoints that have no end

What callers would see: an endpoint whose answer goes on without end filled the memory of a box (160 MB) before the request's time was over, a stream whose event has no end went on for as long as its caller stayed, and an interim answer counted as the answer.

Cause: bodies were collected without a limit, held events had none either, and after a whole answer a connection was kept whatever came on it. Heads, chunk sizes, extensions and trailers were bounded by the codec before.

Change: a body that is held has 4 MiB at most, all of them together 32 MiB (gauge answers.held.bytes); an event of a stream has 1 MiB at most; eight interim answers may precede an answer, and count as none; bytes on a connection where no answer is due close it. The request fails as one that may have run. A slow trickle ends with the request's time, as before.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -13,6 +13,7 @@
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
+import org.wingstall.net.http.AnswerLimits;
 import org.wingstall.net.http.Connector;
 import org.wingstall.net.http.DirectConnector;
 import org.wingstall.net.http.HttpClient;
@@ -36,6 +37,9 @@
  * services this box reaches. Confined to the request loop.
  */
 final class EndpointAccess {
+    /** As large as the largest request; all together a fifth of the heap. */
+    private static final AnswerLimits ANSWERS = new AnswerLimits(4 << 20, 32 << 20);
+
     /** Interval between two counts of the endpoints that are reached, in ms; short compared with a heartbeat. */
     private static final long REACH_INTERVAL_MS = 100;
 
@@ -78,7 +82,7 @@
             directPathLost(endpoint);
             onPathLost.accept(endpoint);
         });
-        this.client = new HttpClient(new PathConnector(clock, endpoints, paths, direct, detours));
+        this.client = new HttpClient(new PathConnector(clock, endpoints, paths, direct, detours), ANSWERS);
         this.reach = new EndpointReach(endpoints, endpoint -> endpoint.responding() && !paths.lost(endpoint), clock);
         mesh.tunnels().attach(this::tunnelTarget);
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -32,6 +32,7 @@
 
     /** Shows which endpoints it reaches. */
     void ofReach(EndpointAccess access) {
+        metrics.gauge("wingstall.answers.held.bytes", access.client()::bytesHeld);
         metrics.gauge("wingstall.endpoints.paths.lost", access::lostPaths);
         metrics.gauge("wingstall.endpoints.reached", access.reach()::reachedEndpoints);
         metrics.gauge(
--- a/net/src/main/java/org/wingstall/net/http/DirectConnector.java
+++ b/net/src/main/java/org/wingstall/net/http/DirectConnector.java
@@ -14,7 +14,7 @@
 /**
  * Opens connections straight to their address.
  *
- * <p>{@code HttpClient client = new HttpClient(new DirectConnector());}
+ * <p>{@code HttpClient client = new HttpClient(new DirectConnector(), AnswerLimits.DEFAULT);}
  *
  * @since 0.15
  */
--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,7 +16,12 @@
     /** Text of the system's error for a connection that timed out. */
     private static final String TIMED_OUT = "Connection timed out";
 
+    /** Interim answers that may come before an answer; endpoints of the platform send none. */
+    private static final int MAX_INTERIM_ANSWERS = 8;
+
     private HttpExchange current;
+    private int interimAnswers;
+    private boolean interim;
     private InetSocketAddress address;
     private HttpClient client;
     private long keptAtNs;
@@ -27,10 +33,16 @@
         return TimeUnit.NANOSECONDS.toMillis(idleNs) < Math.min(idleMs, keptIdleMs);
     }
 
+    /** Returns whether no answer is due on the connection. */
+    boolean idle() {
+        return current == null;
+    }
+
     void begin(HttpExchange exchange, InetSocketAddress to, HttpClient owner) {
         current = exchange;
         address = to;
         client = owner;
+        interimAnswers = 0;
     }
 
     @Override
@@ -44,6 +56,13 @@
             ctx.close();
             return;
         }
+        if (message instanceof HttpResponse head) {
+            interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        }
+        if (interim) {
+            readInterim(ctx, message);
+            return;
+        }
         if (message instanceof HttpResponse head) {
             current.head(head);
         }
@@ -55,6 +74,16 @@
         }
     }
 
+    /** An interim answer tells nothing of the request; the answer follows. */
+    private void readInterim(ChannelHandlerContext ctx, HttpObject message) {
+        if (message instanceof LastHttpContent) {
+            interim = false;
+        } else if (message instanceof HttpResponse && ++interimAnswers > MAX_INTERIM_ANSWERS) {
+            fail(TransportException.Kind.PROTOCOL, "more than " + MAX_INTERIM_ANSWERS + " interim answers");
+            ctx.close();
+        }
+    }
+
     private void finish(ChannelHandlerContext ctx) {
         HttpExchange done = current;
         current = null;
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -27,19 +27,31 @@
     private final Map<EventLoop, Map<InetSocketAddress, ArrayDeque<Channel>>> kept = new ConcurrentHashMap<>();
     private final Map<EventLoop, Map<InetSocketAddress, Set<HttpExchange>>> active = new ConcurrentHashMap<>();
     private final Connector connector;
+    private final HeldBytes heldBytes;
 
     /** Creates a client that connects straight to each address. */
     public HttpClient() {
-        this(new DirectConnector());
+        this(new DirectConnector(), AnswerLimits.DEFAULT);
     }
 
     /**
      * Creates a client.
      *
      * @param connector opens its connections
+     * @param limits bounds on the answers
      */
-    public HttpClient(Connector connector) {
+    public HttpClient(Connector connector, AnswerLimits limits) {
         this.connector = connector;
+        this.heldBytes = new HeldBytes(limits);
+    }
+
+    HeldBytes heldBytes() {
+        return heldBytes;
+    }
+
+    /** Returns the bytes of answers that are not whole yet; of any thread. */
+    public long bytesHeld() {
+        return heldBytes.bytes();
     }
 
     /**
@@ -103,7 +115,11 @@
         connector.connect(loop, address, connectTimeoutMs, new Connector.Listener() {
             @Override
             public void connected(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec()).addLast(new ExchangeHandler());
+                ExchangeHandler handler = new ExchangeHandler();
+                channel.pipeline()
+                        .addLast(new UnaskedBytes(handler))
+                        .addLast(new HttpClientCodec())
+                        .addLast(handler);
                 exchange.start(channel);
             }
 
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -27,6 +27,8 @@
     private boolean sentWhole;
     private boolean ended;
     private boolean keepAlive = true;
+    private boolean holdsBody = true;
+    private long heldBytes;
     private BodyEnd bodyEnd = BodyEnd.LENGTH;
     private long keptIdleMs = OutgoingRequest.ANY_IDLE_MS;
 
@@ -77,15 +79,28 @@
         keptIdleMs = KeepAlive.idleMs(response.headers());
         if (!ended) {
             listener.head(response.status().code(), response.headers());
+            holdsBody = listener.holdsBody();
         }
     }
 
     void content(HttpContent part) {
-        if (!ended) {
+        if (ended) {
+            return;
+        }
+        String excess = holdsBody ? hold(part.content().readableBytes()) : null;
+        if (excess == null) {
             listener.content(part.content());
+        } else {
+            failed(TransportException.Kind.PROTOCOL, excess);
         }
     }
 
+    private String hold(int bytes) {
+        String excess = client.heldBytes().hold(heldBytes, bytes);
+        heldBytes += bytes;
+        return excess;
+    }
+
     /** Stops or goes on reading the answer, so that a slow reader of it holds its sender up. */
     public void reading(boolean goesOn) {
         if (channel != null && !ended) {
@@ -136,6 +151,8 @@
 
     private void end() {
         ended = true;
+        client.heldBytes().release(heldBytes);
+        heldBytes = 0;
         if (channel != null) {
             client.ended(this, channel.eventLoop(), request.address());
         }
--- a/net/src/main/java/org/wingstall/net/http/ResponseListener.java
+++ b/net/src/main/java/org/wingstall/net/http/ResponseListener.java
@@ -16,6 +16,11 @@
     /** The head of the answer came. */
     void head(int status, io.netty.handler.codec.http.HttpHeaders headers);
 
+    /** Returns whether the body that follows the head is held until it is whole, which bounds its length. */
+    default boolean holdsBody() {
+        return true;
+    }
+
     /** Some of the body came; the buffer is the caller's only during the call. */
     void content(ByteBuf part);
 
--- a/relay/src/main/java/org/wingstall/relay/path/PathConnector.java
+++ b/relay/src/main/java/org/wingstall/relay/path/PathConnector.java
@@ -12,7 +12,7 @@
  * Opens connections to endpoints directly, and through another box when the direct path is lost or a direct connection
  * does not come up at once. Confined to the request loop.
  *
- * <p>{@code HttpClient client = new HttpClient(new PathConnector(clock, endpoints, paths, direct, detours));}
+ * <p>{@code HttpClient client = new HttpClient(new PathConnector(clock, endpoints, paths, direct, detours), limits);}
  *
  * @since 0.15
  */
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -22,6 +22,9 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** Largest event of a stream, in bytes; events hold a few tokens. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private final RelayContext context;
     private final RelayRequest request;
     private final EndpointCall endpointCall;
@@ -147,6 +150,11 @@
         }
     }
 
+    @Override
+    public boolean holdsBody() {
+        return !streaming;
+    }
+
     @Override
     public void content(ByteBuf part) {
         if (ended) {
@@ -157,6 +165,11 @@
             if (!owner.response().forwardPart(part)) {
                 exchange.reading(false);
             }
+            if (owner.response().progress().unfinishedBytes() > MAX_EVENT_BYTES) {
+                exchange.cancel();
+                failed(exchange.brokenOff(
+                        BodyEnd.CHUNKS, "an event of the stream has more than " + MAX_EVENT_BYTES + " bytes"));
+            }
             return;
         }
         byte[] bytes = new byte[part.readableBytes()];
