Compare the identifier of every answer with that of its request

Cause: only successes were compared, and in the place that reads successes.

Change: the exchange compares the identifier of each answer, whatever its status, before anyone reads it. Another one, or none, closes the connection and is a failure of its own kind; it counts neither as refusal nor as statement of the endpoint. A connection carries an identifier once only, so that a refusal which comes again can't answer the next try of the same request.

Evidence: RelayAnswerTest with refusals (503, 421) of another request failed in both cases before, with 503 instead of 502 for a request that had run, and the 421 took the endpoint away for five further tests. Why it was missed: the stand-ins answered for another request with successes only.

--- a/it/src/test/java/org/wingstall/it/relay/RelayAnswerTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayAnswerTest.java
@@ -56,6 +56,8 @@
             {Behaviour.FAILS, 500, 1},
             {Behaviour.CUTS_ANSWER, 502, 1},
             {Behaviour.OTHER_ID, 502, 1},
+            {Behaviour.OTHER_REFUSAL, 502, 1},
+            {Behaviour.OTHER_MISDIRECTED, 502, 1},
             {Behaviour.UNSIGNED, 502, 1},
             {Behaviour.CLOSES, 502, 1},
             {Behaviour.SILENT, 504, 1},
--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Passes the answer on a connection to the exchange that the connection carries at the moment. */
@@ -19,6 +21,10 @@
     /** Interim answers that may come before an answer; endpoints of the platform send none. */
     private static final int MAX_INTERIM_ANSWERS = 8;
 
+    /** Requests after which a connection is not kept, so that it has few identifiers to remember. */
+    private static final int MAX_REQUESTS = 256;
+
+    private final Set<String> identifiers = new HashSet<>();
     private HttpExchange current;
     private int interimAnswers;
     private boolean interim;
@@ -33,6 +39,11 @@
         return TimeUnit.NANOSECONDS.toMillis(idleNs) < Math.min(idleMs, keptIdleMs);
     }
 
+    /** Returns whether an answer that comes late can't be taken for that to a request with this identifier. */
+    boolean tellsApart(String identifier) {
+        return identifier == null || identifiers.size() < MAX_REQUESTS && !identifiers.contains(identifier);
+    }
+
     /** Returns whether no answer is due on the connection. */
     boolean idle() {
         return current == null;
@@ -43,6 +54,9 @@
         address = to;
         client = owner;
         interimAnswers = 0;
+        if (exchange.identifier() != null) {
+            identifiers.add(exchange.identifier());
+        }
     }
 
     @Override
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -94,17 +95,19 @@
 
     private Channel takeKept(EventLoop loop, OutgoingRequest request) {
         ArrayDeque<Channel> channels = keptOf(loop, request.address());
-        Channel channel = channels.pollLast();
-        while (channel != null && !usable(channel, request.reuseIdleMs())) {
-            channel.close();
-            channel = channels.pollLast();
+        Iterator<Channel> newestFirst = channels.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Channel channel = newestFirst.next();
+            ExchangeHandler handler = channel.pipeline().get(ExchangeHandler.class);
+            if (!channel.isActive() || !handler.idleWithin(request.reuseIdleMs())) {
+                newestFirst.remove();
+                channel.close();
+            } else if (handler.tellsApart(request.identifier())) {
+                newestFirst.remove();
+                return channel;
+            }
         }
-        return channel;
-    }
-
-    private static boolean usable(Channel channel, long reuseIdleMs) {
-        return channel.isActive()
-                && channel.pipeline().get(ExchangeHandler.class).idleWithin(reuseIdleMs);
+        return null;
     }
 
     private ArrayDeque<Channel> keptOf(EventLoop loop, InetSocketAddress address) {
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -77,6 +77,9 @@
         keepAlive = HttpUtil.isKeepAlive(response);
         bodyEnd = BodyEnd.of(response);
         keptIdleMs = KeepAlive.idleMs(response.headers());
+        if (!request.answeredBy(response.headers())) {
+            failed(TransportException.Kind.FOREIGN, "an answer to another request");
+        }
         if (!ended) {
             listener.head(response.status().code(), response.headers());
             holdsBody = listener.holdsBody();
@@ -108,6 +111,11 @@
         }
     }
 
+    /** Returns the identifier that the answer carries back; null when it carries none. */
+    String identifier() {
+        return request.identifier();
+    }
+
     /** Returns the longest time that the other side said it keeps an idle connection, in ms. */
     long keptIdleMs() {
         return keptIdleMs;
@@ -119,7 +127,10 @@
             end();
             listener.complete(bodyEnd);
         }
-        return keepAlive && sentWhole && channel.config().isAutoRead();
+        return keepAlive
+                && sentWhole
+                && request.keepsConnection()
+                && channel.config().isAutoRead();
     }
 
     void failed(TransportException.Kind kind, String detail) {
--- a/net/src/main/java/org/wingstall/net/http/TransportException.java
+++ b/net/src/main/java/org/wingstall/net/http/TransportException.java
@@ -21,7 +21,9 @@
         /** The answer was not whole in time. */
         TIMEOUT("timeout"),
         /** The answer was no HTTP, or not the document that was expected. */
-        PROTOCOL("protocol");
+        PROTOCOL("protocol"),
+        /** The answer belongs to another request. */
+        FOREIGN("foreign");
 
         private final String code;
 
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -133,11 +133,9 @@
         if (head.notExecuted()) {
             return;
         }
-        boolean forCaller = request.id().equals(head.requestId());
-        boolean whole = !head.success() || head.signed();
-        if (!forCaller || !whole) {
+        if (head.success() && !head.signed()) {
             context.metrics().recordDroppedResponse();
-            abandon(forCaller ? "a success without signature" : "an answer to another request");
+            abandon("a success without signature");
             return;
         }
         owner.firstByte();
@@ -248,7 +246,10 @@
             return;
         }
         endpoint.recordTransportFailure(failure);
-        if (failure.requestWritten()) {
+        if (failure.kind() == TransportException.Kind.FOREIGN) {
+            context.metrics().recordDroppedResponse();
+            owner.lost(this, failure.getMessage());
+        } else if (failure.requestWritten()) {
             quarantine.endpointLost(loss(failure), startedAtMs);
             owner.lost(this, failure.getMessage());
         } else {
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -78,6 +78,10 @@
         ENDS_INSIDE_EVENT,
         /** It answers with the identifier of another request. */
         OTHER_ID,
+        /** It runs requests and refuses with the identifier of another one, as with a refusal that came late. */
+        OTHER_REFUSAL,
+        /** The same, as if another endpoint were at its address. */
+        OTHER_MISDIRECTED,
         /** It answers without a signature. */
         UNSIGNED,
         /** It runs requests and closes their connections. */
@@ -281,6 +285,10 @@
         switch (behaviour) {
             case FAILS -> respond(call, FAILED, signed, "failed");
             case OTHER_ID -> respond(call, OK, signed.set(ID, "of-another"), "of another");
+            case OTHER_REFUSAL ->
+                respond(call, FULL, headers(call).set(ID, "of-another").set("X-Wingstall-Not-Executed", "1"), "");
+            case OTHER_MISDIRECTED ->
+                respond(call, OTHER_INCARNATION, headers(call).set(ID, "of-another"), "");
             case UNSIGNED -> respond(call, OK, headers(call), "unsigned");
             case CLOSES -> call.abort();
             case SILENT, DARK -> {
--- a/table/src/main/java/org/wingstall/table/HttpPlatform.java
+++ b/table/src/main/java/org/wingstall/table/HttpPlatform.java
@@ -112,7 +112,9 @@
                 "/v1/objects/" + encode(name),
                 EmptyHttpHeaders.INSTANCE,
                 content,
-                OutgoingRequest.ANY_IDLE_MS);
+                OutgoingRequest.ANY_IDLE_MS,
+                true,
+                null);
         return exchange(request).thenApply(reply -> null);
     }
 
