Use a connection of its own for each call for pieces

Cause: a call for pieces names no request that its answer would carry back, and its connection was used again.

Change: these calls open a connection that is closed after the answer. Queries of an endpoint's state and results to give up keep connections that carry nothing else: a surplus answer there can tell a state that is one query old, and the answer that follows it closes the connection.

Evidence: PlatformEndpointWireTest (the same use of connections for all three before) and ForeignAnswerTest.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -26,6 +26,7 @@
 
     private final Set<String> identifiers = new HashSet<>();
     private HttpExchange current;
+    private String group = "";
     private int interimAnswers;
     private boolean interim;
     private InetSocketAddress address;
@@ -39,9 +40,12 @@
         return TimeUnit.NANOSECONDS.toMillis(idleNs) < Math.min(idleMs, keptIdleMs);
     }
 
-    /** Returns whether an answer that comes late can't be taken for that to a request with this identifier. */
-    boolean tellsApart(String identifier) {
-        return identifier == null || identifiers.size() < MAX_REQUESTS && !identifiers.contains(identifier);
+    /** Returns whether nothing that was sent before on this connection can be answered as if it were a request. */
+    boolean canCarry(OutgoingRequest request) {
+        String identifier = request.identifier();
+        boolean tellsApart =
+                identifier == null || identifiers.size() < MAX_REQUESTS && !identifiers.contains(identifier);
+        return tellsApart && group.equals(request.connection().group());
     }
 
     /** Returns whether no answer is due on the connection. */
@@ -53,6 +57,7 @@
         current = exchange;
         address = to;
         client = owner;
+        group = exchange.group();
         interimAnswers = 0;
         if (exchange.identifier() != null) {
             identifiers.add(exchange.identifier());
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -66,7 +66,7 @@
      */
     public HttpExchange send(EventLoop loop, OutgoingRequest request, int connectTimeoutMs, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(request, listener, this);
-        Channel channel = request.reuseIdleMs() == 0 ? null : takeKept(loop, request);
+        Channel channel = request.connection().maxIdleMs() == 0 ? null : takeKept(loop, request);
         if (channel != null) {
             exchange.start(channel);
         } else {
@@ -99,10 +99,10 @@
         while (newestFirst.hasNext()) {
             Channel channel = newestFirst.next();
             ExchangeHandler handler = channel.pipeline().get(ExchangeHandler.class);
-            if (!channel.isActive() || !handler.idleWithin(request.reuseIdleMs())) {
+            if (!channel.isActive() || !handler.idleWithin(request.connection().maxIdleMs())) {
                 newestFirst.remove();
                 channel.close();
-            } else if (handler.tellsApart(request.identifier())) {
+            } else if (handler.canCarry(request)) {
                 newestFirst.remove();
                 return channel;
             }
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -30,7 +30,7 @@
     private boolean holdsBody = true;
     private long heldBytes;
     private BodyEnd bodyEnd = BodyEnd.LENGTH;
-    private long keptIdleMs = OutgoingRequest.ANY_IDLE_MS;
+    private long keptIdleMs = ConnectionUse.ANY_IDLE_MS;
 
     HttpExchange(OutgoingRequest request, ResponseListener listener, HttpClient client) {
         this.request = request;
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Returns the group of requests that may use the connection. */
+    String group() {
+        return request.connection().group();
+    }
+
     /** Returns the identifier that the answer carries back; null when it carries none. */
     String identifier() {
         return request.identifier();
@@ -129,7 +134,7 @@
         }
         return keepAlive
                 && sentWhole
-                && request.keepsConnection()
+                && request.connection().kept()
                 && channel.config().isAutoRead();
     }
 
--- a/net/src/main/java/org/wingstall/net/http/KeepAlive.java
+++ b/net/src/main/java/org/wingstall/net/http/KeepAlive.java
@@ -18,11 +18,11 @@
     static long idleMs(HttpHeaders headers) {
         String value = headers.get("keep-alive");
         if (value == null) {
-            return OutgoingRequest.ANY_IDLE_MS;
+            return ConnectionUse.ANY_IDLE_MS;
         }
         Matcher matcher = SECONDS.matcher(value);
         if (!matcher.find()) {
-            return OutgoingRequest.ANY_IDLE_MS;
+            return ConnectionUse.ANY_IDLE_MS;
         }
         return Math.max(0, TimeUnit.SECONDS.toMillis(Long.parseLong(matcher.group(1))) - MARGIN_MS);
     }
--- a/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
+++ b/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
@@ -15,9 +15,7 @@
  * @param path path and query
  * @param headers headers besides the length; the address stands in for a missing host
  * @param body the body; empty for none
- * @param reuseIdleMs a kept connection that has been idle for longer is not used, in ms; 0 opens a connection of its own,
- *     so that a kept one closed meanwhile can't leave open whether the request arrived
- * @param keepsConnection whether other requests may use the connection after the answer
+ * @param connection which connection it uses
  * @param identifyingHeader header of the request that its answer carries back; null when answers carry none
  * @since 0.1
  */
@@ -27,52 +25,40 @@
         String path,
         HttpHeaders headers,
         byte[] body,
-        long reuseIdleMs,
-        boolean keepsConnection,
+        ConnectionUse connection,
         CharSequence identifyingHeader) {
-    /** Any kept connection will do. */
-    public static final long ANY_IDLE_MS = Long.MAX_VALUE;
-
     private static final byte[] NO_BODY = {};
 
     /** Returns a POST of a JSON body over a kept connection. */
     public static OutgoingRequest post(InetSocketAddress address, String path, byte[] body) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
-        return new OutgoingRequest(address, "POST", path, headers, body, ANY_IDLE_MS, true, null);
+        return new OutgoingRequest(address, "POST", path, headers, body, ConnectionUse.KEPT, null);
     }
 
     /** Returns a GET over a kept connection. */
     public static OutgoingRequest get(InetSocketAddress address, String path) {
-        return new OutgoingRequest(address, "GET", path, new DefaultHttpHeaders(), NO_BODY, ANY_IDLE_MS, true, null);
+        return new OutgoingRequest(address, "GET", path, new DefaultHttpHeaders(), NO_BODY, ConnectionUse.KEPT, null);
     }
 
-    /** Returns the same request over a connection of its own. */
+    /** Returns the same request over a new connection. */
     public OutgoingRequest fresh() {
-        return reusing(0);
-    }
-
-    /** Returns the same request over a connection that was idle for this long at most, in ms, or over a new one. */
-    public OutgoingRequest reusing(long idleMs) {
-        return new OutgoingRequest(address, method, path, headers, body, idleMs, keepsConnection, identifyingHeader);
+        return over(ConnectionUse.NEW);
     }
 
-    /**
-     * Returns the same request over a connection that no other request uses, before or after. So nothing else that the
-     * other side sends, now or late, can be taken for the answer, although the answer does not name its request.
-     */
-    public OutgoingRequest onOwnConnection() {
-        return new OutgoingRequest(address, method, path, headers, body, 0, false, identifyingHeader);
+    /** Returns the same request with another use of connections. */
+    public OutgoingRequest over(ConnectionUse use) {
+        return new OutgoingRequest(address, method, path, headers, body, use, identifyingHeader);
     }
 
     /** Returns the same request, whose answer carries back the value of a header. */
     public OutgoingRequest identifiedBy(CharSequence header) {
-        return new OutgoingRequest(address, method, path, headers, body, reuseIdleMs, keepsConnection, header);
+        return new OutgoingRequest(address, method, path, headers, body, connection, header);
     }
 
     /** Returns the same request with one more header. */
     public OutgoingRequest with(CharSequence name, String value) {
         HttpHeaders more = headers.copy().set(name, value);
-        return new OutgoingRequest(address, method, path, more, body, reuseIdleMs, keepsConnection, identifyingHeader);
+        return new OutgoingRequest(address, method, path, more, body, connection, identifyingHeader);
     }
 
     /** Returns the identifier that the answer carries back; null when it carries none. */
--- a/net/src/test/java/org/wingstall/net/http/ForeignAnswerTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ForeignAnswerTest.java
@@ -71,7 +71,9 @@
 
     private EmbeddedChannel send(String id) {
         OutgoingRequest request = OutgoingRequest.post(ADDRESS, "/", new byte[0]);
-        request = id == null ? request.onOwnConnection() : request.with(ID, id).identifiedBy(ID);
+        request = id == null
+                ? request.over(ConnectionUse.OWN)
+                : request.with(ID, id).identifiedBy(ID);
         EmbeddedChannel loopOf = opened.isEmpty() ? new EmbeddedChannel() : opened.get(0);
         client.send(loopOf.eventLoop(), request, 100, new Recorder());
         return opened.get(opened.size() - 1);
@@ -128,6 +130,15 @@
         assertNotSame(send(null), channel);
     }
 
+    @Test
+    public void requestsOfTwoGroupsShareNoConnection() {
+        EmbeddedChannel channel = send("own");
+        answer(channel, 200, "own");
+        OutgoingRequest other = OutgoingRequest.get(ADDRESS, "/").over(ConnectionUse.KEPT.within("reports"));
+        client.send(channel.eventLoop(), other, 100, new Recorder());
+        assertEquals(opened.size(), 2);
+    }
+
     @Test
     public void interimAnswersCountAsNone() {
         EmbeddedChannel channel = send("own");
--- a/table/src/main/java/org/wingstall/table/HttpPlatform.java
+++ b/table/src/main/java/org/wingstall/table/HttpPlatform.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.wingstall.core.member.MemberSnapshot;
 import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.http.ConnectionUse;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.net.http.HttpReply;
 import org.wingstall.net.http.OutgoingRequest;
@@ -112,8 +113,7 @@
                 "/v1/objects/" + encode(name),
                 EmptyHttpHeaders.INSTANCE,
                 content,
-                OutgoingRequest.ANY_IDLE_MS,
-                true,
+                ConnectionUse.KEPT,
                 null);
         return exchange(request).thenApply(reply -> null);
     }
