Tell the lives of a box apart in what it asks of others

Cause: work was known by the name of the box and a number that begins at 1 in each life, and a call that went on when the work had been withdrawn delivered its results to whatever work had the number by then. A link of a new life that replaced that of the former one did not even withdraw the former life's work.

Change: numbers begin at random in each life, for pieces, choices of engines, origins of streams and claims, so that no answer to a former life fits; the gathering box compares the work itself, which also holds for boxes of earlier builds that begin at 1; a result names its request, and the box that asked compares it where it is named; a link of another life ends the former life's work, and frames on the older of the two links are dropped.

--- a/peer/src/main/java/org/wingstall/peer/ForwardedClaims.java
+++ b/peer/src/main/java/org/wingstall/peer/ForwardedClaims.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.wingstall.core.peer.CorrelationSequence;
 import org.wingstall.schema.peer.ClaimReply;
 
 /** Changes of claims that peers are asked to commit, until their answer comes or their time is up. */
 final class ForwardedClaims {
     private final EventLoop loop;
     private final Map<Long, CompletableFuture<ClaimReply>> waiting = new HashMap<>();
-    private long lastCorrelation;
+    private final CorrelationSequence correlations = new CorrelationSequence();
 
     ForwardedClaims(EventLoop loop) {
         this.loop = loop;
@@ -23,7 +24,7 @@
     }
 
     long expect(CompletableFuture<ClaimReply> reply, long timeoutMs) {
-        long correlation = ++lastCorrelation;
+        long correlation = correlations.next();
         waiting.put(correlation, reply);
         loop.schedule(() -> expire(correlation), timeoutMs, TimeUnit.MILLISECONDS);
         return correlation;
--- a/peer/src/main/java/org/wingstall/peer/PeerLink.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -48,6 +48,18 @@
         return dialled() ? self.getBoxId() : peer.getBoxId();
     }
 
+    /** Returns whether two links lead to the same life of a box. */
+    boolean sameLife(PeerLink other) {
+        return peer.getIncarnation() == other.peer.getIncarnation();
+    }
+
+    /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
+    boolean preferredTo(PeerLink newer) {
+        return sameLife(newer)
+                ? initiator().compareTo(newer.initiator()) < 0
+                : peer.getIncarnation() > newer.peer.getIncarnation();
+    }
+
     boolean dialled() {
         return dialledAddress != null;
     }
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -314,11 +314,14 @@
             directory.answered(link.dialledAddress(), boxId);
         }
         PeerLink other = links.get(boxId);
-        if (other != null && other.active() && keeps(other, link)) {
+        if (other != null && other.active() && other.preferredTo(link)) {
             link.close();
             return;
         }
         links.put(boxId, link);
+        if (other != null && !other.sameLife(link)) {
+            lifeEnded(boxId);
+        }
         learn(link);
         knownBoxes = directory.size() + 1;
         if (other != null) {
@@ -334,14 +337,6 @@
         streamOrigins.linked(boxId);
     }
 
-    /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
-    private static boolean keeps(PeerLink older, PeerLink newer) {
-        if (older.peer().getIncarnation() != newer.peer().getIncarnation()) {
-            return older.peer().getIncarnation() > newer.peer().getIncarnation();
-        }
-        return older.initiator().compareTo(newer.initiator()) < 0;
-    }
-
     private static LinkPlan.Box boxOf(Hello hello) {
         return new LinkPlan.Box(hello.getBoxId(), hello.getFailureDomain(), hello.getCapacity());
     }
@@ -354,13 +349,23 @@
     public void closed(PeerLink link) {
         if (links.remove(link.peer().getBoxId(), link)) {
             LogEvent.info("peer-unlinked").with("peer", link.peer().getBoxId()).to(LOG);
-            replies.forget(link.peer().getBoxId());
-            pieces.unlinked(link.peer().getBoxId());
+            lifeEnded(link.peer().getBoxId());
         }
     }
 
+    /** Nothing that was asked over the link to a process is answered after its end. */
+    private void lifeEnded(String boxId) {
+        replies.forget(boxId);
+        pieces.unlinked(boxId);
+    }
+
     @Override
     public void frame(PeerLink link, PeerFrame frame) {
+        PeerLink current = links.get(link.peer().getBoxId());
+        if (current != null && !current.sameLife(link)) {
+            // Another life of the box has a link of its own, so what comes on this one is out of date.
+            return;
+        }
         replies.heard(link.peer().getBoxId());
         if (frame.getHeartbeat() != null) {
             heartbeat(link, frame.getHeartbeat());
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -66,8 +66,8 @@
                     new StagePiece("r", 0, 1, "key", null, 101, 900, 0, 3_000_000, "", 0, "key", 6000, 900),
                     new StagePiece("r", 2, 300, null, List.of("h1", "h2"), 1, 1, 70_000, 8, null, 5, null, 0, 0)));
     private static final List<StageResult> STAGE_RESULTS = List.of(
-            new StageResult(0, "handle", "10.1.0.9:80", null, 0, 700, false),
-            new StageResult(1, null, null, "NO_ROOM", 0, 0, false));
+            new StageResult(0, "handle", "10.1.0.9:80", null, 0, 700, false, "9c41"),
+            new StageResult(1, null, null, "NO_ROOM", 0, 0, false, null));
     private static final CrashNews CRASH_NEWS = new CrashNews(
             List.of(new CrashReport(
                     "f4a7", List.of("e1@0", "e2@5"), List.of("e2@5"), LARGE, LARGE, List.of("f4a8"), 3)),
@@ -89,9 +89,9 @@
             {"claimRequest", frame(5, 9, new ClaimRequest("canteen/1", 0, null))},
             {"memberNews", frame(7, 0, new MemberNews("a", "b", List.of(member), List.of("e2"), 77, 3))},
             {"stageWork", frame(8, LARGE, STAGE_WORK)},
-            {"stageResult", frame(9, 1, new StageResult(2, "handle", "10.1.0.9:80", null, 0, 700, false))},
+            {"stageResult", frame(9, 1, new StageResult(2, "handle", "10.1.0.9:80", null, 0, 700, false, "9c41"))},
             {"stageResults", frame(23, LARGE, STAGE_RESULTS)},
-            {"failed stageResult", frame(9, 1, new StageResult(2, null, null, "NOT_IN_TIME", 2400, 0, true))},
+            {"failed stageResult", frame(9, 1, new StageResult(2, null, null, "NOT_IN_TIME", 2400, 0, true, "9c41"))},
             {"stageFreed", frame(11, 0, new StageFreed("10.1.0.9:80", List.of("h1", "h2")))},
             {
                 "engineAsk",
--- a/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
+++ b/relay/src/main/java/org/wingstall/relay/engine/EngineSelector.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.CorrelationSequence;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.EngineHost;
 import org.wingstall.peer.EngineLinks;
@@ -57,7 +58,7 @@
     private final UnreachableReports unreachableReports;
     private final Map<String, FirstAnswerTimes> firstAnswers = new HashMap<>();
     private final Map<Long, PendingSelection> pending = new HashMap<>();
-    private long nextCorrelation = 1;
+    private final CorrelationSequence correlations = new CorrelationSequence();
 
     /**
      * Describes the prompt for which an engine is wanted.
@@ -195,7 +196,7 @@
     }
 
     private boolean askCoordinator(String coordinator, SelectionRequest request, SelectionListener listener) {
-        long correlation = nextCorrelation++;
+        long correlation = correlations.next();
         if (!links.ask(coordinator, correlation, encode(request))) {
             return false;
         }
--- a/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/DelegatedPieces.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.member.Addresses;
+import org.wingstall.core.peer.CorrelationSequence;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.PieceLinks;
 import org.wingstall.relay.wire.Piece;
@@ -19,12 +20,12 @@
  * so a piece may run twice. Confined to the request loop.
  */
 final class DelegatedPieces {
-    private final PieceLinks links;
+    private final WorkLinks links;
     private final MonotonicClock clock;
     private final Resubmitter resubmitter;
     private final PoolWaitTable waits;
     private final Map<Long, Delegation> delegations = new HashMap<>();
-    private long nextCorrelation = 1;
+    private final CorrelationSequence correlations = new CorrelationSequence();
 
     /** Submits pieces again whose coordinator was lost. */
     @FunctionalInterface
@@ -32,6 +33,30 @@
         void resubmit(String service, List<PieceTask> tasks);
     }
 
+    /** Sends work to other boxes. */
+    interface WorkLinks {
+        /** Sends pieces to a box; returns whether there is a link to it. */
+        boolean askFor(String boxId, long correlation, StageWork work);
+
+        /** Tells a box that pieces are not wanted any more. */
+        void withdraw(String boxId, long correlation);
+
+        /** Sends work over the links of a mesh. */
+        static WorkLinks over(PieceLinks links) {
+            return new WorkLinks() {
+                @Override
+                public boolean askFor(String boxId, long correlation, StageWork work) {
+                    return links.askFor(boxId, correlation, work);
+                }
+
+                @Override
+                public void withdraw(String boxId, long correlation) {
+                    links.withdraw(boxId, correlation);
+                }
+            };
+        }
+    }
+
     private static final class Delegation {
         private final String boxId;
         private final String service;
@@ -65,7 +90,7 @@
         }
     }
 
-    DelegatedPieces(PieceLinks links, MonotonicClock clock, Resubmitter resubmit, PoolWaitTable waits) {
+    DelegatedPieces(WorkLinks links, MonotonicClock clock, Resubmitter resubmit, PoolWaitTable waits) {
         this.links = links;
         this.clock = clock;
         this.resubmitter = resubmit;
@@ -74,7 +99,7 @@
 
     /** Delegates pieces to a coordinator; returns whether there is a link to it. */
     boolean delegate(String boxId, String service, List<PieceTask> tasks) {
-        long correlation = nextCorrelation++;
+        long correlation = correlations.next();
         List<StagePiece> pieces = tasks.stream().map(this::encode).toList();
         if (!links.askFor(boxId, correlation, new StageWork(service, pieces))) {
             return false;
@@ -110,6 +135,9 @@
             return;
         }
         PieceTask task = work.tasks[result.getPlace()];
+        if (!madeFor(task, result)) {
+            return;
+        }
         work.tasks[result.getPlace()] = null;
         work.remaining--;
         if (work.remaining == 0) {
@@ -119,6 +147,12 @@
         task.complete(decode(result, boxId));
     }
 
+    /** Boxes of earlier builds don't name the request. */
+    private static boolean madeFor(PieceTask task, StageResult result) {
+        return result.getRequestId() == null
+                || result.getRequestId().equals(task.piece().requestId());
+    }
+
     private static PieceOutcome decode(StageResult result, String coordinator) {
         if (result.getHandle() == null) {
             return PieceOutcome.failed(
--- a/relay/src/main/java/org/wingstall/relay/pool/PeerPieces.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/PeerPieces.java
@@ -8,7 +8,6 @@
 import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.time.MonotonicClock;
-import org.wingstall.peer.PieceLinks;
 import org.wingstall.relay.wire.Piece;
 import org.wingstall.schema.peer.StagePiece;
 import org.wingstall.schema.peer.StageResult;
@@ -19,30 +18,64 @@
  */
 final class PeerPieces {
     private final Executor loop;
-    private final PieceLinks links;
+    private final ResultSender sender;
     private final MonotonicClock clock;
-    private final StagePools pools;
-    private final Map<String, Map<Long, List<PieceTask>>> byBox = new HashMap<>();
+    private final Pools pools;
+    private final Map<String, Map<Long, Work>> byBox = new HashMap<>();
     private final ResultBatches results = new ResultBatches();
 
-    PeerPieces(Executor loop, PieceLinks links, MonotonicClock clock, StagePools pools) {
+    /** Pieces that a box delegated at once; those that are done are null. */
+    private static final class Work {
+        private final String boxId;
+        private final long correlation;
+        private final List<PieceTask> tasks = new ArrayList<>();
+
+        Work(String boxId, long correlation) {
+            this.boxId = boxId;
+            this.correlation = correlation;
+        }
+    }
+
+    /** Sends results to the box that delegated their pieces. */
+    @FunctionalInterface
+    interface ResultSender {
+        /** Sends results of one work; returns whether there is a link to the box. */
+        boolean send(String boxId, long correlation, List<StageResult> results);
+    }
+
+    /** The pools in which the pieces run. */
+    interface Pools {
+        /** Runs pieces of a service. */
+        void submit(String service, List<PieceTask> tasks);
+
+        /** Returns the wait of a group of the rank that arrives at a service now, in ms. */
+        long waitMs(String service, int rank);
+
+        /** Frees a result that nothing reads. */
+        void free(PieceOutcome outcome);
+    }
+
+    PeerPieces(Executor loop, ResultSender sender, MonotonicClock clock, Pools pools) {
         this.loop = loop;
-        this.links = links;
+        this.sender = sender;
         this.clock = clock;
         this.pools = pools;
     }
 
-    void workReceived(String boxId, long correlation, StageWork work) {
-        List<PieceTask> tasks = new ArrayList<>();
-        for (StagePiece piece : work.getPieces()) {
-            int place = tasks.size();
-            tasks.add(decode(
+    void workReceived(String boxId, long correlation, StageWork message) {
+        Work work = new Work(boxId, correlation);
+        for (StagePiece piece : message.getPieces()) {
+            int place = work.tasks.size();
+            work.tasks.add(decode(
                     piece,
                     (task, outcome) -> completed(
-                            boxId, correlation, encode(place, outcome, waitMs(work.getService(), task)), outcome)));
+                            work,
+                            encode(place, piece.getRequestId(), outcome, waitMs(message.getService(), task)),
+                            outcome)));
         }
-        byBox.computeIfAbsent(boxId, box -> new HashMap<>()).put(correlation, tasks);
-        pools.pool(work.getService()).submit(tasks);
+        // Boxes of earlier builds use the same numbers in each life.
+        withdraw(byBox.computeIfAbsent(boxId, box -> new HashMap<>()).put(correlation, work));
+        pools.submit(message.getService(), List.copyOf(work.tasks));
     }
 
     private PieceTask decode(StagePiece piece, PieceTask.CompletionListener listener) {
@@ -66,38 +99,40 @@
     }
 
     private long waitMs(String service, PieceTask task) {
-        return pools.pool(service).waitMs(task.urgency().rank());
+        return pools.waitMs(service, task.urgency().rank());
     }
 
-    private void completed(String boxId, long correlation, StageResult result, PieceOutcome outcome) {
-        List<PieceTask> tasks = byBox.getOrDefault(boxId, Map.of()).get(correlation);
-        if (tasks == null) {
-            pools.freer().free(outcome);
+    /** Compares the work itself: another one may have its number by now. */
+    private void completed(Work work, StageResult result, PieceOutcome outcome) {
+        Map<Long, Work> ofBox = byBox.getOrDefault(work.boxId, Map.of());
+        if (ofBox.get(work.correlation) != work) {
+            pools.free(outcome);
             return;
         }
-        if (results.add(boxId, correlation, result, outcome)) {
+        if (results.add(work.boxId, work.correlation, result, outcome)) {
             loop.execute(() -> results.drain(this::send));
         }
-        tasks.set(result.getPlace(), null);
-        if (tasks.stream().allMatch(task -> task == null)) {
-            byBox.get(boxId).remove(correlation);
+        work.tasks.set(result.getPlace(), null);
+        if (work.tasks.stream().allMatch(task -> task == null)) {
+            ofBox.remove(work.correlation);
         }
     }
 
     private void send(ResultBatches.Batch batch) {
-        if (!links.tellResults(batch.boxId(), batch.correlation(), batch.results())) {
-            batch.outcomes().forEach(pools.freer()::free);
+        if (!sender.send(batch.boxId(), batch.correlation(), batch.results())) {
+            batch.outcomes().forEach(pools::free);
         }
     }
 
-    private static StageResult encode(int place, PieceOutcome outcome, long waitMs) {
+    private static StageResult encode(int place, String requestId, PieceOutcome outcome, long waitMs) {
         if (!outcome.result().success()) {
             RetryTime retryTime = outcome.retryTime();
             String failure = outcome.result().failure().name();
-            return new StageResult(place, null, null, failure, retryTime.afterMs(), waitMs, retryTime.scheduled());
+            return new StageResult(
+                    place, null, null, failure, retryTime.afterMs(), waitMs, retryTime.scheduled(), requestId);
         }
         String endpoint = Addresses.format(outcome.endpointAddress());
-        return new StageResult(place, outcome.result().handle(), endpoint, null, 0, waitMs, false);
+        return new StageResult(place, outcome.result().handle(), endpoint, null, 0, waitMs, false, requestId);
     }
 
     void withdrawn(String boxId, long correlation) {
@@ -105,17 +140,17 @@
     }
 
     void unlinked(String boxId) {
-        Map<Long, List<PieceTask>> lost = byBox.remove(boxId);
+        Map<Long, Work> lost = byBox.remove(boxId);
         if (lost != null) {
             lost.values().forEach(PeerPieces::withdraw);
         }
     }
 
-    private static void withdraw(List<PieceTask> tasks) {
-        if (tasks == null) {
+    private static void withdraw(Work work) {
+        if (work == null) {
             return;
         }
-        for (PieceTask task : tasks) {
+        for (PieceTask task : work.tasks) {
             if (task != null) {
                 task.withdraw();
             }
--- a/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
+++ b/relay/src/main/java/org/wingstall/relay/pool/StagePools.java
@@ -69,8 +69,27 @@
                 capacity,
                 this::rateLimited);
         this.reportedWaits = new PoolWaitTable(context.clock());
-        this.delegated = new DelegatedPieces(mesh.pieces(), context.clock(), this::submit, reportedWaits);
-        this.peerPieces = new PeerPieces(context.loop(), mesh.pieces(), context.clock(), this);
+        this.delegated = new DelegatedPieces(
+                DelegatedPieces.WorkLinks.over(mesh.pieces()), context.clock(), this::submit, reportedWaits);
+        this.peerPieces = new PeerPieces(context.loop(), mesh.pieces()::tellResults, context.clock(), new OwnPools());
+    }
+
+    /** Runs the pieces of other boxes in these pools. */
+    private final class OwnPools implements PeerPieces.Pools {
+        @Override
+        public void submit(String service, List<PieceTask> tasks) {
+            pool(service).submit(tasks);
+        }
+
+        @Override
+        public long waitMs(String service, int rank) {
+            return pool(service).waitMs(rank);
+        }
+
+        @Override
+        public void free(PieceOutcome outcome) {
+            freer.free(outcome);
+        }
     }
 
     private boolean rateLimited(InetSocketAddress endpointAddress) {
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.wingstall.core.peer.CorrelationSequence;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.peer.StreamOriginHost;
 import org.wingstall.peer.StreamOriginLinks;
@@ -42,7 +43,7 @@
     private final RelayMetrics metrics;
     private final StreamOriginTable table;
     private final Map<Long, Search> searches = new HashMap<>();
-    private long nextCorrelation = 1;
+    private final CorrelationSequence correlations = new CorrelationSequence();
 
     /**
      * Describes the stream that a caller resumes.
@@ -157,7 +158,7 @@
     }
 
     private boolean askOthers(Search search) {
-        long correlation = nextCorrelation++;
+        long correlation = correlations.next();
         for (String box : holders.reachable()) {
             if (links.ask(box, correlation, search.query.streamId())) {
                 search.awaited.add(box);
--- a/relay/src/test/java/org/wingstall/relay/pool/ResultBatchesTest.java
+++ b/relay/src/test/java/org/wingstall/relay/pool/ResultBatchesTest.java
@@ -14,7 +14,7 @@
     private final ResultBatches batches = new ResultBatches();
 
     private static StageResult result(int place) {
-        return new StageResult(place, "handle-" + place, "10.1.0.9:80", null, 0, 0, false);
+        return new StageResult(place, "handle-" + place, "10.1.0.9:80", null, 0, 0, false, null);
     }
 
     private static PieceOutcome outcome() {
