Send the second and third loss of a request at once

Cause: a link carries one undelayed frame in 50 ms, so the second loss of a request waited behind the first one, and a box that knew of one loss sent the request as if it were harmless instead of as a trial.

Change: a report that takes a request to its second or third loss is not held up by earlier frames, at the observer and at hubs. First losses, of which a burst has many, and parts of prompts, which may be known later, are batched as before.

--- a/core/src/main/java/org/wingstall/core/quarantine/ReportOutbox.java
+++ b/core/src/main/java/org/wingstall/core/quarantine/ReportOutbox.java
@@ -23,7 +23,8 @@
  *
  * <p>Reports of a box's own losses go to the hubs, and reports that a hub forwards to other boxes, without delay, but on
  * each link at most one frame per {@link #FORWARDING_MS}. All other reports wait for that time, in which most of them
- * arrive over the same link and need not be sent. Confined to the links' event loop.
+ * arrive over the same link and need not be sent. The second and third loss of a request are not held up by earlier frames: a
+ * box that has not heard of them would send it as if it were harmless. Confined to the links' event loop.
  *
  * <p>{@code outbox.add(reports, "kgn-a-1", false); outbox.takeDue(linkedBoxes).forEach(batch -> links.send(batch));}
  *
@@ -58,6 +59,7 @@
         private final boolean observedHere;
         private final Set<String> informedBoxes = new HashSet<>();
         private boolean undelayed;
+        private boolean urgent;
 
         Pending(Fingerprint suspect, CrashRecord record, boolean observedHere, boolean undelayed) {
             this.suspect = suspect;
@@ -105,6 +107,7 @@
             CrashRecord record = (earlier == null ? CrashRecord.EMPTY : earlier.record).merge(report, nowMs);
             boolean observed = observedHere || earlier != null && earlier.observedHere && earlier.undelayed;
             Pending added = new Pending(suspect, record, observed, observed || hub);
+            added.urgent = added.undelayed && isUrgent(suspect, record);
             if (exceptBox != null) {
                 added.informedBoxes.add(exceptBox);
             }
@@ -112,6 +115,14 @@
         }
     }
 
+    /** From the loss after which a request is sent as a trial only to the one that quarantines it. */
+    private static boolean isUrgent(Fingerprint suspect, CrashRecord record) {
+        int losses = record.activeLossCount();
+        return !suspect.isPart()
+                && losses >= Quarantine.QUARANTINE_THRESHOLD - 1
+                && losses <= Quarantine.QUARANTINE_THRESHOLD;
+    }
+
     /** Records reports that arrived from a box, which need not be told what they contain. */
     public void arrived(String fromBox, List<CrashReport> reports) {
         Opening opening = openings.get(fromBox);
@@ -168,7 +179,8 @@
         long nowMs = clock.nowMs();
         long dueAtMs = Long.MAX_VALUE;
         if (!pending.isEmpty()) {
-            dueAtMs = undelayedWait() ? Math.min(forwardAtMs, undelayedFromMs) : forwardAtMs;
+            dueAtMs = anyWaits(waiting -> waiting.undelayed) ? Math.min(forwardAtMs, undelayedFromMs) : forwardAtMs;
+            dueAtMs = anyWaits(waiting -> waiting.urgent) ? nowMs : dueAtMs;
         }
         for (Opening opening : openings.values()) {
             dueAtMs = Math.min(dueAtMs, opening.answerAtMs());
@@ -176,9 +188,9 @@
         return dueAtMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(Math.max(0, dueAtMs - nowMs));
     }
 
-    private boolean undelayedWait() {
+    private boolean anyWaits(Predicate<Pending> kind) {
         for (Pending waiting : pending.values()) {
-            if (waiting.undelayed) {
+            if (kind.test(waiting)) {
                 return true;
             }
         }
@@ -190,17 +202,21 @@
         long nowMs = clock.nowMs();
         List<Batch> due = new ArrayList<>();
         if (!pending.isEmpty()) {
-            boolean undelayed = undelayedWait();
+            boolean undelayed = anyWaits(waiting -> waiting.undelayed);
+            boolean noHubs = !hubs.test(boxId) && linkedBoxes.stream().noneMatch(hubs);
             if (nowMs >= forwardAtMs) {
                 addBatches(due, linkedBoxes, (waiting, box) -> true, nowMs);
                 pending.clear();
                 undelayedFromMs = undelayed ? nowMs + FORWARDING_MS : undelayedFromMs;
             } else if (undelayed && nowMs >= undelayedFromMs) {
-                boolean noHubs = !hubs.test(boxId) && linkedBoxes.stream().noneMatch(hubs);
                 addBatches(due, linkedBoxes, (waiting, box) -> isUndelayed(waiting, box, noHubs), nowMs);
                 pending.values().forEach(waiting -> waiting.undelayed = false);
                 undelayedFromMs = nowMs + FORWARDING_MS;
+            } else {
+                addBatches(
+                        due, linkedBoxes, (waiting, box) -> waiting.urgent && isUndelayed(waiting, box, noHubs), nowMs);
             }
+            pending.values().forEach(waiting -> waiting.urgent = false);
         }
         answerOpenings(due, nowMs);
         return due;
