Show how long new connections wait and how late the request loop is

A flood could be told from a slow box by request lines only. Now a histogram has the waits of connections that were not read at once, another how late the request loop's periodic task ran (100 ms, no further wake-up), and a line tells when connections begin and cease to be closed unread, with counts by cause. An overload now also ends when no further connection comes, and kept ones are no longer ended then.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -138,9 +138,9 @@
     }
 
     /** Starts to follow and to tell. */
-    void start() {
+    void start(RelayMetrics metrics) {
         paths.start();
-        PeriodicTask.startAligned(loop, "endpoint-reach", REACH_INTERVAL_MS, this::update);
+        PeriodicTask.startAligned(loop, "endpoint-reach", REACH_INTERVAL_MS, this::update, metrics::recordLoopDelay);
     }
 
     /** Tells the other boxes of a change at once, since this box may coordinate a service for them. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -302,7 +302,7 @@
     public void start() throws BindException {
         mesh.start();
         pools.start();
-        access.start();
+        access.start(metrics);
         store.start();
         long patientUntilMs = clock.nowMs() + START_PATIENCE_MS;
         control.execute(() -> acceptWhenKnown(patientUntilMs));
--- a/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
+++ b/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
@@ -35,7 +35,13 @@
     private double turnNs;
     private volatile boolean overloaded;
 
-    private record Waiting<C>(C connection, long sinceNs) {}
+    /**
+     * A connection that waits.
+     *
+     * @param connection the connection
+     * @param sinceNs when it was offered, in ns
+     */
+    record Waiting<C>(C connection, long sinceNs) {}
 
     /** Returns whether connections are closed unread. */
     boolean overloaded() {
@@ -70,7 +76,8 @@
         return (int) Math.max(1, TARGET_NS / Math.max(1, turnNs));
     }
 
-    private void endOverloadIfIdle(long nowNs) {
+    /** Ends the overload when no connection has waited for an interval. */
+    void endOverloadIfIdle(long nowNs) {
         if (overloaded && emptySinceNs != NEVER && nowNs - emptySinceNs >= INTERVAL_NS) {
             overloaded = false;
             lateSinceNs = NEVER;
@@ -83,7 +90,7 @@
      * @param late receives connections that have waited too long, which are to be closed
      * @return the connection; empty when none waits
      */
-    Optional<C> next(long nowNs, Consumer<C> late) {
+    Optional<Waiting<C>> next(long nowNs, Consumer<C> late) {
         noteTurn(nowNs);
         Waiting<C> first = waiting.poll();
         while (first != null && isLate(nowNs - first.sinceNs(), nowNs)) {
@@ -94,7 +101,7 @@
             emptySinceNs = nowNs;
             lastTurnNs = NEVER;
         }
-        return Optional.ofNullable(first).map(Waiting::connection);
+        return Optional.ofNullable(first);
     }
 
     private void noteTurn(long nowNs) {
--- a/net/src/main/java/org/wingstall/net/PeriodicTask.java
+++ b/net/src/main/java/org/wingstall/net/PeriodicTask.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.EventExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -25,13 +26,15 @@
     private final String name;
     private final LongSupplier delayMs;
     private final Runnable work;
+    private final LongConsumer lateness;
     private long dueAtNs;
 
-    private PeriodicTask(EventExecutor loop, String name, LongSupplier delayMs, Runnable work) {
+    private PeriodicTask(EventExecutor loop, String name, LongSupplier delayMs, Runnable work, LongConsumer lateness) {
         this.loop = loop;
         this.name = name;
         this.delayMs = delayMs;
         this.work = work;
+        this.lateness = lateness;
     }
 
     /**
@@ -43,7 +46,7 @@
      * @param work the work
      */
     public static void start(EventExecutor loop, String name, LongSupplier delayMs, Runnable work) {
-        loop.execute(new PeriodicTask(loop, name, delayMs, work)::begin);
+        loop.execute(new PeriodicTask(loop, name, delayMs, work, lateMs -> {})::begin);
     }
 
     /**
@@ -59,6 +62,21 @@
         start(loop, name, () -> untilMultipleMs(System.nanoTime(), intervalMs), work);
     }
 
+    /**
+     * Does the work at multiples of an interval, and tells how late each run is.
+     *
+     * @param loop event loop that does the work
+     * @param name name in the log when a run fails
+     * @param intervalMs time between two runs, in ms
+     * @param work the work
+     * @param lateness receives the lateness of each run, in ms
+     */
+    public static void startAligned(
+            EventExecutor loop, String name, long intervalMs, Runnable work, LongConsumer lateness) {
+        LongSupplier delayMs = () -> untilMultipleMs(System.nanoTime(), intervalMs);
+        loop.execute(new PeriodicTask(loop, name, delayMs, work, lateness)::begin);
+    }
+
     /** Returns the time until the next multiple of an interval, in ms; at least half of the interval. */
     static long untilMultipleMs(long nowNs, long intervalMs) {
         long nowMs = TimeUnit.NANOSECONDS.toMillis(nowNs);
@@ -85,7 +103,8 @@
     }
 
     private void logIfLate() {
-        long lateMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueAtNs);
+        long lateMs = Math.max(0, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueAtNs));
+        lateness.accept(lateMs);
         if (lateMs >= LATE_MS) {
             LogEvent.warn("event-loop-late")
                     .with("task", name)
--- a/net/src/main/java/org/wingstall/net/SheddingGate.java
+++ b/net/src/main/java/org/wingstall/net/SheddingGate.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.wingstall.net.NewConnectionQueue.Waiting;
 
 /**
  * Lets one new connection in for each turn of the event loop, so that work under way goes first, and closes those that
@@ -19,6 +20,7 @@
     private final Observer observer;
     private final NewConnectionQueue<Channel> queue = new NewConnectionQueue<>();
     private boolean turnUsed;
+    private boolean overloadTold;
 
     /** Why a connection was closed unread. */
     public enum Cause {
@@ -41,11 +43,14 @@
 
     /** Told of each decision. */
     public interface Observer {
-        /** A connection was let in. */
-        void admitted();
+        /** A connection was let in after a wait in ms; 0 for one that did not wait. */
+        void admitted(long waitedMs);
 
         /** A connection was closed with its request unread. */
         void closedUnread(Cause cause);
+
+        /** From now on connections are closed unread, or are not any more. */
+        void overloadChanged(boolean overloaded);
     }
 
     /**
@@ -74,7 +79,7 @@
         if (!turnUsed && queue.isEmpty()) {
             turnUsed = true;
             loop.execute(this::endTurn);
-            observer.admitted();
+            observer.admitted(0);
             return true;
         }
         boolean mayWait = queue.offer(connection, System.nanoTime());
@@ -88,21 +93,46 @@
 
     private void endTurn() {
         turnUsed = false;
-        Optional<Channel> next = nextOpen();
+        long nowNs = System.nanoTime();
+        Optional<Waiting<Channel>> next = nextOpen(nowNs);
         if (next.isPresent()) {
             turnUsed = true;
-            next.get().config().setAutoRead(true);
-            observer.admitted();
+            next.get().connection().config().setAutoRead(true);
+            observer.admitted(TimeUnit.NANOSECONDS.toMillis(nowNs - next.get().sinceNs()));
             // A task that is due now runs after the next look at all connections.
             loop.schedule(this::endTurn, 0, TimeUnit.NANOSECONDS);
         }
+        tellOverload();
+    }
+
+    private void tellOverload() {
+        if (queue.overloaded() != overloadTold) {
+            overloadTold = queue.overloaded();
+            observer.overloadChanged(overloadTold);
+            if (overloadTold) {
+                scheduleEndOfOverload();
+            }
+        }
+    }
+
+    /** Also ends an overload after which no connection comes. */
+    private void scheduleEndOfOverload() {
+        loop.schedule(this::endOverload, NewConnectionQueue.INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void endOverload() {
+        queue.endOverloadIfIdle(System.nanoTime());
+        if (queue.overloaded()) {
+            scheduleEndOfOverload();
+        }
+        tellOverload();
     }
 
     /** Callers that have left meanwhile need no turn. */
-    private Optional<Channel> nextOpen() {
-        Optional<Channel> next = queue.next(System.nanoTime(), this::closeLate);
-        while (next.isPresent() && !next.get().isActive()) {
-            next = queue.next(System.nanoTime(), this::closeLate);
+    private Optional<Waiting<Channel>> nextOpen(long nowNs) {
+        Optional<Waiting<Channel>> next = queue.next(nowNs, this::closeLate);
+        while (next.isPresent() && !next.get().connection().isActive()) {
+            next = queue.next(nowNs, this::closeLate);
         }
         return next;
     }
--- a/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
+++ b/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
@@ -50,7 +50,8 @@
 
             @Override
             public Optional<Long> next(long nowMs, List<Long> closed) {
-                return queue.next(TimeUnit.MILLISECONDS.toNanos(nowMs), closed::add);
+                return queue.next(TimeUnit.MILLISECONDS.toNanos(nowMs), closed::add)
+                        .map(NewConnectionQueue.Waiting::connection);
             }
         };
     }
--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -37,6 +37,8 @@
     private final Counter droppedLogLines = registry.counter("wingstall.log.lines.dropped");
     private final Timer successTime =
             Timer.builder("wingstall.request.time").publishPercentileHistogram().register(registry);
+    private final Timer loopDelay =
+            Timer.builder("wingstall.loop.delay").publishPercentileHistogram().register(registry);
     private final Timer failureTime = Timer.builder("wingstall.request.failed.time")
             .publishPercentileHistogram()
             .register(registry);
@@ -56,19 +58,12 @@
 
     /** Returns an observer that counts the connections of callers by what becomes of them. */
     public SheddingGate.Observer connections() {
-        Counter admitted = registry.counter("wingstall.caller.connections.admitted");
-        return new SheddingGate.Observer() {
-            @Override
-            public void admitted() {
-                admitted.increment();
-            }
-
-            @Override
-            public void closedUnread(SheddingGate.Cause cause) {
-                registry.counter("wingstall.caller.connections.closed.unread", "cause", cause.code())
-                        .increment();
-            }
-        };
+        return new ConnectionMetrics(registry);
+    }
+
+    /** Records how late a periodic task of the request loop ran, in ms. */
+    public void recordLoopDelay(long lateMs) {
+        loopDelay.record(lateMs, TimeUnit.MILLISECONDS);
     }
 
     /** Registers a gauge whose value is read at each scrape. */
