--- a/soak/src/main/java/org/wingstall/soak/BoxProcess.java
+++ b/soak/src/main/java/org/wingstall/soak/BoxProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -22,9 +23,12 @@
     private final Path log;
     private Process process;
     private int life;
+    private final List<String> options;
     private boolean expectedToEnd;
 
-    BoxProcess(String boxId, Path settings, Path log) {
+    /** Creates a process that is started with further options of its runtime. */
+    BoxProcess(String boxId, Path settings, Path log, List<String> options) {
+        this.options = List.copyOf(options);
         this.boxId = boxId;
         this.settings = settings;
         this.log = log;
@@ -43,17 +47,16 @@
 
     private List<String> command() {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return List.of(
-                java,
-                "-Xmx128m",
-                "-Xss256k",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
+        List<String> command =
+                new ArrayList<>(List.of(java, "-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(options);
+        command.addAll(List.of(
                 "-cp",
                 System.getProperty("java.class.path"),
                 RelayMain.class.getName(),
                 "--settings",
-                settings.toString());
+                settings.toString()));
+        return command;
     }
 
     /** Returns how often the box was started. */
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -58,6 +58,7 @@
     private final Map<String, Box> boxes = new TreeMap<>();
     private final Map<String, Endpoint> endpoints = new ConcurrentSkipListMap<>();
     private final AtomicLong version = new AtomicLong();
+    private Box slowBox;
 
     /** A gateway, its addresses, its way to the store and its links to endpoints. */
     record Box(
@@ -101,11 +102,18 @@
         }
         configureNext();
         for (int i = 0; i < options.boxes(); i++) {
-            startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()));
+            Box box = startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()), List.of());
+            boxes.put(box.id(), box);
         }
     }
 
-    private void startBox(String boxId, String domain) throws BindException, IOException {
+    /** Starts a box whose code is never compiled; it takes part in the fleet, but gets no faults and no usual callers. */
+    Box startSlowBox() throws BindException, IOException {
+        slowBox = startBox("slow-1", DOMAINS.get(0), List.of("-Xint"));
+        return slowBox;
+    }
+
+    private Box startBox(String boxId, String domain, List<String> options) throws BindException, IOException {
         EndpointLinks links = standin.linksOfOneBox();
         Route store = Route.open(group, anyPort(), Addresses.parse(links.storeAddress()));
         String text = standin.settings(boxId, domain)
@@ -113,23 +121,22 @@
                         standin.storeAddress(), LOOPBACK + ":" + store.address().getPort())
                 .replaceAll("retryBudgetRatio: .*", "retryBudgetRatio: " + RETRY_RATIO)
                 .replaceAll("retryBudgetExtra: .*", "retryBudgetExtra: " + RETRY_EXTRA);
-        Path settings = options.folder().resolve(boxId + ".yaml");
+        Path settings = this.options.folder().resolve(boxId + ".yaml");
         Files.writeString(settings, text);
-        BoxProcess process = new BoxProcess(boxId, settings, options.folder().resolve(boxId + ".log"));
+        BoxProcess process =
+                new BoxProcess(boxId, settings, this.options.folder().resolve(boxId + ".log"), options);
         process.start();
         // As after every later start, bounds in time hold from some time after it on: callers who connect meanwhile
         // wait.
         long startedMs = observations.nowMs();
         observations.disturbed(new Disturbance(boxId, "BOX_START", false, startedMs, startedMs));
-        boxes.put(
+        return new Box(
                 boxId,
-                new Box(
-                        boxId,
-                        process,
-                        FleetStandin.valueOf(text, "callerAddress"),
-                        FleetStandin.valueOf(text, "readinessAddress"),
-                        store,
-                        links));
+                process,
+                FleetStandin.valueOf(text, "callerAddress"),
+                FleetStandin.valueOf(text, "readinessAddress"),
+                store,
+                links);
     }
 
     private static InetSocketAddress anyPort() {
@@ -257,6 +264,9 @@
         for (Box box : boxes.values()) {
             box.process().kill();
         }
+        if (slowBox != null) {
+            slowBox.process().kill();
+        }
         standin.close();
         group.shutdownGracefully();
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -70,8 +71,12 @@
             CrashingCaller crashing = new CrashingCaller(options.seed(), fleet, observations, end);
             playFaults(fleet, crashing);
             fleet.heal();
+            ConnectionFlood flood = ConnectionFlood.start(fleet, options.seed());
             awaitServing(fleet, probe).forEach(detail -> broken.add(new Violation("recovery", detail)));
+            awaitServing(List.of(flood.slowBox()), probe).forEach(detail -> broken.add(new Violation("start", detail)));
+            CompletableFuture<Optional<Violation>> flooded = CompletableFuture.supplyAsync(flood::play);
             playCalm(fleet, crashing);
+            flooded.join().ifPresent(broken::add);
             noteEnds(fleet);
             fleet.endpoints().forEach(endpoint -> endpoint.worker()
                     .wrongInputs()
@@ -176,9 +181,13 @@
 
     /** Waits until every box serves every route; returns those that it did not serve within the time. */
     private List<String> awaitServing(SoakFleet fleet, Caller probe) throws InterruptedException {
+        return awaitServing(fleet.boxes(), probe);
+    }
+
+    private List<String> awaitServing(List<SoakFleet.Box> boxes, Caller probe) throws InterruptedException {
         long untilMs = observations.nowMs() + RECOVERY_MS + options.slackMs();
         List<String> missing = new ArrayList<>();
-        for (SoakFleet.Box box : fleet.boxes()) {
+        for (SoakFleet.Box box : boxes) {
             for (Route route : Route.values()) {
                 awaitServing(box, route, probe, untilMs)
                         .ifPresent(last -> missing.add(box.id() + " does not serve " + route.path() + ": " + last));
