--- a/net/src/main/java/org/wingstall/net/http/HeldBytes.java
+++ b/net/src/main/java/org/wingstall/net/http/HeldBytes.java
@@ -24,15 +24,15 @@
      *
      * @param before bytes of the body so far
      * @param more bytes that came
-     * @return why they can't be held; null if they can
+     * @throws BodyTooLongException if they can't be held
      */
-    String hold(long before, int more) {
+    void hold(long before, int more) throws BodyTooLongException {
         long all = bytes.addAndGet(more);
         if (before + more > limits.maxBodyBytes()) {
-            return "the body has more than " + limits.maxBodyBytes() + " bytes";
+            throw new BodyTooLongException("the body has", limits.maxBodyBytes());
+        }
+        if (all > limits.maxHeldBytes()) {
+            throw new BodyTooLongException("the bodies that are being read have", limits.maxHeldBytes());
         }
-        return all > limits.maxHeldBytes()
-                ? "the bodies that are being read have more than " + limits.maxHeldBytes() + " bytes"
-                : null;
     }
 }
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -90,18 +90,20 @@
         if (ended) {
             return;
         }
-        String excess = holdsBody ? hold(part.content().readableBytes()) : null;
-        if (excess == null) {
+        try {
+            hold(part.content().readableBytes());
             listener.content(part.content());
-        } else {
-            failed(TransportException.Kind.PROTOCOL, excess);
+        } catch (BodyTooLongException e) {
+            failed(TransportException.Kind.PROTOCOL, e.getMessage());
         }
     }
 
-    private String hold(int bytes) {
-        String excess = client.heldBytes().hold(heldBytes, bytes);
-        heldBytes += bytes;
-        return excess;
+    private void hold(int bytes) throws BodyTooLongException {
+        if (holdsBody) {
+            long before = heldBytes;
+            heldBytes += bytes;
+            client.heldBytes().hold(before, bytes);
+        }
     }
 
     /** Stops or goes on reading the answer, so that a slow reader of it holds its sender up. */
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -164,9 +164,7 @@
                 exchange.reading(false);
             }
             if (owner.response().progress().unfinishedBytes() > MAX_EVENT_BYTES) {
-                exchange.cancel();
-                failed(exchange.brokenOff(
-                        BodyEnd.CHUNKS, "an event of the stream has more than " + MAX_EVENT_BYTES + " bytes"));
+                endWithoutEventEnd();
             }
             return;
         }
@@ -175,6 +173,12 @@
         body.writeBytes(bytes);
     }
 
+    private void endWithoutEventEnd() {
+        exchange.cancel();
+        failed(exchange.brokenOff(
+                BodyEnd.CHUNKS, "an event of the stream has more than " + MAX_EVENT_BYTES + " bytes"));
+    }
+
     @Override
     public void complete(BodyEnd end) {
         if (ended || head == null) {
