End an overload although new connections keep coming one by one

Kept connections of a box went on ending with each answer after a flood, as long as callers opened connections more often than every 200 ms: each turn in which none waited began the time anew from which the overload ends. It begins with the first such turn now. Found by reading; NewConnectionQueueTest.connectionsAreReadAgainAfterAFlood asks for it right after the time and failed before.

--- a/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
+++ b/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
@@ -98,7 +98,7 @@
             first = waiting.poll();
         }
         if (waiting.isEmpty()) {
-            emptySinceNs = nowNs;
+            emptySinceNs = emptySinceNs == NEVER ? nowNs : emptySinceNs;
             lastTurnNs = NEVER;
         }
         return Optional.ofNullable(first);
--- a/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
+++ b/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
@@ -144,13 +144,14 @@
         List<Long> closed = new ArrayList<>();
         LongStream.range(0, 2000).forEach(ms -> step(queue, ms, ms % 6 == 0, closed));
         assertTrue(queue.overloaded());
-        for (long ms = 2000; ms < 2000 + 2 * NewConnectionQueue.INTERVAL_MS; ms++) {
+        long untilMs = 2000 + 2 * NewConnectionQueue.INTERVAL_MS;
+        for (long ms = 2000; ms < untilMs; ms++) {
             queue.next(TimeUnit.MILLISECONDS.toNanos(ms), closed::add);
         }
         closed.clear();
-        assertTrue(queue.offer(0L, TimeUnit.SECONDS.toNanos(3)));
-        assertTrue(queue.offer(0L, TimeUnit.SECONDS.toNanos(3)));
+        assertTrue(queue.offer(0L, TimeUnit.MILLISECONDS.toNanos(untilMs)));
         assertEquals(queue.overloaded(), false);
+        assertTrue(queue.offer(0L, TimeUnit.MILLISECONDS.toNanos(untilMs)));
         assertEquals(closed, List.of());
     }
 
