--- a/net/src/main/java/org/wingstall/net/SheddingGate.java
+++ b/net/src/main/java/org/wingstall/net/SheddingGate.java
@@ -20,7 +20,7 @@
     private final Observer observer;
     private final NewConnectionQueue<Channel> queue = new NewConnectionQueue<>();
     private boolean turnUsed;
-    private boolean overloadTold;
+    private boolean reportedOverload;
 
     /** Why a connection was closed unread. */
     public enum Cause {
@@ -102,14 +102,14 @@
             // A task that is due now runs after the next look at all connections.
             loop.schedule(this::endTurn, 0, TimeUnit.NANOSECONDS);
         }
-        tellOverload();
+        reportOverloadChange();
     }
 
-    private void tellOverload() {
-        if (queue.overloaded() != overloadTold) {
-            overloadTold = queue.overloaded();
-            observer.overloadChanged(overloadTold);
-            if (overloadTold) {
+    private void reportOverloadChange() {
+        if (queue.overloaded() != reportedOverload) {
+            reportedOverload = queue.overloaded();
+            observer.overloadChanged(reportedOverload);
+            if (reportedOverload) {
                 scheduleEndOfOverload();
             }
         }
@@ -125,7 +125,7 @@
         if (queue.overloaded()) {
             scheduleEndOfOverload();
         }
-        tellOverload();
+        reportOverloadChange();
     }
 
     /** Callers that have left meanwhile need no turn. */
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -120,7 +120,7 @@
             public void connected(Channel channel) {
                 ExchangeHandler handler = new ExchangeHandler();
                 channel.pipeline()
-                        .addLast(new UnaskedBytes(handler))
+                        .addLast(new UnsolicitedBytes(handler))
                         .addLast(new HttpClientCodec())
                         .addLast(handler);
                 exchange.start(channel);
--- a/net/src/main/java/org/wingstall/net/http/UnaskedBytes.java
+++ b/net/src/main/java/org/wingstall/net/http/UnsolicitedBytes.java
@@ -5,10 +5,10 @@
 import io.netty.util.ReferenceCountUtil;
 
 /** Closes a connection on which bytes come while no answer is due: they would be read as part of the next one. */
-final class UnaskedBytes extends ChannelInboundHandlerAdapter {
+final class UnsolicitedBytes extends ChannelInboundHandlerAdapter {
     private final ExchangeHandler exchanges;
 
-    UnaskedBytes(ExchangeHandler exchanges) {
+    UnsolicitedBytes(ExchangeHandler exchanges) {
         this.exchanges = exchanges;
     }
 
