Tell when each attempt of a request was sent and ended, and why answers are dropped

Change: each attempt in a request's line says after how many ms it was sent and ended; wingstall_answers_dropped_total tells by its reason why an answer was not taken.

--- a/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RelayMetrics.java
@@ -33,7 +33,7 @@
     private final Map<String, Counter> streamEnds = new ConcurrentHashMap<>();
     private final Map<String, Counter> resumedStreams = new ConcurrentHashMap<>();
     private final Counter droppedStreamOrigins = registry.counter("wingstall.stream.origins.dropped");
-    private final Counter droppedResponses = registry.counter("wingstall.answers.dropped");
+    private final Map<String, Counter> droppedResponses = new ConcurrentHashMap<>();
     private final Counter droppedLogLines = registry.counter("wingstall.log.lines.dropped");
     private final Timer successTime =
             Timer.builder("wingstall.request.time").publishPercentileHistogram().register(registry);
@@ -160,9 +160,11 @@
         droppedStreamOrigins.increment();
     }
 
-    /** Counts a response that was dropped because it is unsigned or belongs to another request. */
-    public void recordDroppedResponse() {
-        droppedResponses.increment();
+    /** Counts a response that was dropped, by why it is not the response to its request. */
+    public void recordDroppedResponse(String reason) {
+        droppedResponses
+                .computeIfAbsent(reason, name -> registry.counter("wingstall.answers.dropped", "reason", name))
+                .increment();
     }
 
     /** Counts a log line that the rate limit dropped. */
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -134,7 +134,7 @@
             return;
         }
         if (head.success() && !head.signed()) {
-            context.metrics().recordDroppedResponse();
+            context.metrics().recordDroppedResponse("unsigned");
             abandon("a success without signature");
             return;
         }
@@ -251,7 +251,7 @@
         }
         endpoint.recordTransportFailure(failure);
         if (failure.kind() == TransportException.Kind.FOREIGN) {
-            context.metrics().recordDroppedResponse();
+            context.metrics().recordDroppedResponse(failure.kind().code());
             owner.lost(this, failure.getMessage());
         } else if (failure.requestWritten()) {
             quarantine.endpointLost(loss(failure), startedAtMs);
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -150,7 +150,7 @@
 
     @Override
     public void stagesRestarted(String detail) {
-        record.attemptEnded("stages-again", detail);
+        record.attemptEnded("stages-again", detail, times.nowMs());
     }
 
     @Override
@@ -259,7 +259,7 @@
         long remainingMs = times.remainingMs();
         EndpointCall endpointCall = new EndpointCall(
                 endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
-        record.attempt(endpoint, context.endpoints().ageMs());
+        record.attempt(endpoint, context.endpoints().ageMs(), times.nowMs());
         if (routed.beginsResumableStream() && !response.started()) {
             sends++;
             context.streamOrigins().sent(request.id(), sends, workspace.name(), endpoint, request.deadlineMs());
@@ -305,7 +305,7 @@
     @Override
     public void notSent(EndpointAttempt ended, String detail) {
         attempts--;
-        record.attemptEnded("not-sent", detail);
+        record.attemptEnded("not-sent", detail, times.nowMs());
         if (engineAssignment != null) {
             engineAssignment.unreachable();
         }
@@ -316,7 +316,7 @@
     @Override
     public void notRun(EndpointAttempt ended, String detail) {
         possibleRuns--;
-        record.attemptEnded("not-run", detail);
+        record.attemptEnded("not-run", detail, times.nowMs());
         if (retries.tryRetry(attempts, "not-run")) {
             callEndpoint(ended.inputs());
         } else {
@@ -333,7 +333,7 @@
 
     @Override
     public void lost(EndpointAttempt ended, String detail) {
-        record.attemptEnded("lost", detail);
+        record.attemptEnded("lost", detail, times.nowMs());
         boolean retry = route.retryable() && response.resumable() && retries.tryRetry(attempts, "lost");
         if (retry) {
             callEndpoint(ended.inputs());
@@ -358,7 +358,7 @@
 
     @Override
     public void failedAtEndpoint(EndpointAttempt ended, int status) {
-        record.attemptEnded("failed", "status " + status);
+        record.attemptEnded("failed", "status " + status, times.nowMs());
         callEndpoint(ended.inputs());
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -15,7 +15,7 @@
 /**
  * Collects the log fields of one request: what decided, and how old that information was. Confined to the request loop.
  *
- * <p>{@code record.attempt(endpoint, listAgeMs); record.attemptEnded("lost", detail);}
+ * <p>{@code record.attempt(endpoint, listAgeMs, nowMs); record.attemptEnded("lost", detail, nowMs);}
  *
  * @since 0.2
  */
@@ -51,9 +51,14 @@
         firstByteMs = nowMs - arrivedMs;
     }
 
-    void attempt(RelayEndpoint endpoint, long listAgeMs) {
+    void attempt(RelayEndpoint endpoint, long listAgeMs, long nowMs) {
         attempts.add(endpoint.id() + " version " + endpoint.softwareVersion() + " load "
-                + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs + " ms old");
+                + Math.round(endpoint.state().estimatedLoad()) + " list " + listAgeMs + " ms old, sent"
+                + describeTime(nowMs));
+    }
+
+    private String describeTime(long nowMs) {
+        return " after " + (nowMs - arrivedMs) + " ms";
     }
 
     void engineChosen(EngineAssignment chosen, InputLocation inputs) {
@@ -82,8 +87,8 @@
                 + stream.source().code() + " " + stream.ageMs() + " ms old");
     }
 
-    void attemptEnded(String how, String detail) {
-        attempts.add(how + ": " + detail);
+    void attemptEnded(String how, String detail, long nowMs) {
+        attempts.add(how + describeTime(nowMs) + ": " + detail);
     }
 
     /** Returns the request's identifier. */
--- a/relay/src/main/java/org/wingstall/relay/run/TargetWait.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetWait.java
@@ -27,7 +27,7 @@
     boolean tryWait(long waitMs, String detail, Runnable action) {
         boolean inTime = waitMs < times.untilTargetMs() - service.expectedResponseMs();
         if (inTime) {
-            record.attemptEnded("waits", detail);
+            record.attemptEnded("waits", detail, times.nowMs());
             context.loop().schedule(action, Math.max(1, waitMs), TimeUnit.MILLISECONDS);
         }
         return inTime;
