Skip an answer that comes once more instead of sending the request elsewhere

What callers saw (review/2, TWICE): a request went on at a second endpoint while the first one worked on it. Idempotent requests whose retries were used up got 502 endpoint-lost, although their own answer was on its way.

Cause: an answer that belonged to an earlier request of the connection closed it, and the request was sent to another endpoint at once. The close and the second sending race: the first endpoint may begin to run the request after the second one did, and which of them went on at which is then decided by a millisecond. Nothing was wrong with the connection; the answer was still due on it.

Change: a connection remembers the requests that it carried. An answer that carries the identifier of one of them, whole by its framing and on a connection that goes on, is skipped, once for each earlier request, and the request's own answer is awaited within its time. Any other foreign answer closes the connection as before. So nothing is sent twice, and there is no race.

Ruled out: waiting a moment between the close and the second sending. It makes the other order rarer, costs a caller the moment, and throws away the work of the first endpoint all the same.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Passes the answer on a connection to the exchange that the connection carries at the moment. */
@@ -21,14 +19,13 @@
     /** Interim answers that may come before an answer; endpoints of the platform send none. */
     private static final int MAX_INTERIM_ANSWERS = 8;
 
-    /** Requests after which a connection is not kept, so that it has few identifiers to remember. */
-    private static final int MAX_REQUESTS = 256;
-
-    private final Set<String> identifiers = new HashSet<>();
+    private final AnsweredRequests requests = new AnsweredRequests();
     private HttpExchange current;
     private String group = "";
     private int interimAnswers;
     private boolean interim;
+    private boolean surplus;
+    private long surplusBytes;
     private InetSocketAddress address;
     private HttpClient client;
     private long keptAtNs;
@@ -42,10 +39,8 @@
 
     /** Returns whether nothing that was sent before on this connection can be answered as if it were a request. */
     boolean canCarry(OutgoingRequest request) {
-        String identifier = request.identifier();
-        boolean tellsApart =
-                identifier == null || identifiers.size() < MAX_REQUESTS && !identifiers.contains(identifier);
-        return tellsApart && group.equals(request.connection().group());
+        return requests.tellsApart(request.identifier())
+                && group.equals(request.connection().group());
     }
 
     /** Returns whether no answer is due on the connection. */
@@ -59,9 +54,7 @@
         client = owner;
         group = exchange.group();
         interimAnswers = 0;
-        if (exchange.identifier() != null) {
-            identifiers.add(exchange.identifier());
-        }
+        requests.add(exchange.identifier(), exchange.method());
     }
 
     @Override
@@ -82,6 +75,13 @@
             readInterim(ctx, message);
             return;
         }
+        if (message instanceof HttpResponse head) {
+            surplus = !current.answeredBy(head) && requests.tryRepeat(current.identifierOf(head), head);
+        }
+        if (surplus) {
+            skipSurplus(ctx, message);
+            return;
+        }
         if (message instanceof HttpResponse head) {
             current.head(head);
         }
@@ -103,6 +103,24 @@
         }
     }
 
+    /** The answer to an earlier request came once more; the one to the current request is still due. */
+    private void skipSurplus(ChannelHandlerContext ctx, HttpObject message) {
+        if (message instanceof HttpResponse head) {
+            surplusBytes = 0;
+            current.surplusAnswer(head.status().code());
+        }
+        if (message instanceof HttpContent part) {
+            surplusBytes += part.content().readableBytes();
+        }
+        try {
+            client.heldBytes().checkLength("a surplus answer", surplusBytes);
+            surplus = !(message instanceof LastHttpContent);
+        } catch (BodyTooLongException e) {
+            fail(TransportException.Kind.PROTOCOL, e.getMessage());
+            ctx.close();
+        }
+    }
+
     private void finish(ChannelHandlerContext ctx) {
         HttpExchange done = current;
         current = null;
--- a/net/src/main/java/org/wingstall/net/http/HeldBytes.java
+++ b/net/src/main/java/org/wingstall/net/http/HeldBytes.java
@@ -28,11 +28,22 @@
      */
     void hold(long before, int more) throws BodyTooLongException {
         long all = bytes.addAndGet(more);
-        if (before + more > limits.maxBodyBytes()) {
-            throw new BodyTooLongException("the body has", limits.maxBodyBytes());
-        }
+        checkLength("the body", before + more);
         if (all > limits.maxHeldBytes()) {
             throw new BodyTooLongException("the bodies that are being read have", limits.maxHeldBytes());
         }
     }
+
+    /**
+     * Checks the length of a body, held or not.
+     *
+     * @param body what the body belongs to
+     * @param length its bytes so far
+     * @throws BodyTooLongException if there are too many
+     */
+    void checkLength(String body, long length) throws BodyTooLongException {
+        if (length > limits.maxBodyBytes()) {
+            throw new BodyTooLongException(body + " has", limits.maxBodyBytes());
+        }
+    }
 }
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -73,11 +73,28 @@
         failed(TransportException.Kind.CONNECT, String.valueOf(cause.getMessage()));
     }
 
+    /** Returns whether an answer belongs to this request, as far as its headers can show. */
+    boolean answeredBy(HttpResponse response) {
+        return request.answeredBy(response.headers());
+    }
+
+    /** Returns the identifier that an answer carries back; null when it carries none. */
+    String identifierOf(HttpResponse response) {
+        return request.identifierOf(response.headers());
+    }
+
+    /** Tells the listener that the answer to an earlier request came once more. */
+    void surplusAnswer(int status) {
+        if (!ended) {
+            listener.surplusAnswer(status);
+        }
+    }
+
     void head(HttpResponse response) {
         keepAlive = HttpUtil.isKeepAlive(response);
         bodyEnd = BodyEnd.of(response);
         keptIdleMs = KeepAlive.idleMs(response.headers());
-        if (!request.answeredBy(response.headers())) {
+        if (!answeredBy(response)) {
             failed(TransportException.Kind.FOREIGN, "an answer to another request");
         }
         if (!ended) {
@@ -123,6 +140,11 @@
         return request.identifier();
     }
 
+    /** Returns the method of the request. */
+    String method() {
+        return request.method();
+    }
+
     /** Returns the longest time that the other side said it keeps an idle connection, in ms. */
     long keptIdleMs() {
         return keptIdleMs;
--- a/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
+++ b/net/src/main/java/org/wingstall/net/http/OutgoingRequest.java
@@ -69,6 +69,11 @@
     /** Returns whether an answer belongs to this request, as far as its headers can show. */
     boolean answeredBy(HttpHeaders answer) {
         String identifier = identifier();
-        return identifier == null || identifier.equals(answer.get(identifyingHeader));
+        return identifier == null || identifier.equals(identifierOf(answer));
+    }
+
+    /** Returns the identifier that an answer carries back; null when it carries none. */
+    String identifierOf(HttpHeaders answer) {
+        return identifyingHeader == null ? null : answer.get(identifyingHeader);
     }
 }
--- a/net/src/main/java/org/wingstall/net/http/ResponseListener.java
+++ b/net/src/main/java/org/wingstall/net/http/ResponseListener.java
@@ -13,6 +13,9 @@
     /** The request is about to be handed to the connection; from here on it may run. */
     default void requestWritten() {}
 
+    /** The answer to an earlier request on the connection came once more and is skipped; the answer is still due. */
+    default void surplusAnswer(int status) {}
+
     /** The head of the answer came. */
     void head(int status, io.netty.handler.codec.http.HttpHeaders headers);
 
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -31,6 +31,7 @@
     private final RelayEndpoint endpoint;
     private final List<String> inputs;
     private final RunQuarantine quarantine;
+    private final RequestLogEntry record;
     private final Owner owner;
     private final long startedAtMs;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -86,6 +87,7 @@
             RelayEndpoint endpoint,
             List<String> inputs,
             RunQuarantine quarantine,
+            RequestLogEntry record,
             Owner owner) {
         this.context = context;
         this.request = request;
@@ -93,6 +95,7 @@
         this.endpoint = endpoint;
         this.inputs = inputs;
         this.quarantine = quarantine;
+        this.record = record;
         this.owner = owner;
         this.startedAtMs = context.clock().nowMs();
     }
@@ -102,6 +105,7 @@
     }
 
     void start() {
+        record.attempt(endpoint, context.endpoints().ageMs(), startedAtMs);
         endpoint.state().tryAcquire(Integer.MAX_VALUE);
         exchange = context.client()
                 .send(context.loop(), context.endpointProtocol().call(request, endpointCall), CONNECT_TIMEOUT_MS, this);
@@ -122,6 +126,13 @@
         owner.requestSent();
     }
 
+    /** Tells nothing of this request, and of the endpoint only what it stated before. */
+    @Override
+    public void surplusAnswer(int status) {
+        context.metrics().recordDroppedResponse("surplus");
+        record.surplusAnswer(status, context.clock().nowMs());
+    }
+
     @Override
     public void head(int status, HttpHeaders headers) {
         head = context.endpointProtocol().responseHead(status, headers);
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -259,12 +259,11 @@
         long remainingMs = times.remainingMs();
         EndpointCall endpointCall = new EndpointCall(
                 endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
-        record.attempt(endpoint, context.endpoints().ageMs(), times.nowMs());
         if (routed.beginsResumableStream() && !response.started()) {
             sends++;
             context.streamOrigins().sent(request.id(), sends, workspace.name(), endpoint, request.deadlineMs());
         }
-        attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, this);
+        attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, record, this);
         attempt.start();
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -76,6 +76,11 @@
                 + (inputs.bytes() == 0 ? "" : ", " + inputs.bytes() + " bytes to fetch from " + inputs.failureDomain());
     }
 
+    /** Records that an answer to an earlier request came in the place of the one to this request. */
+    void surplusAnswer(int status, long nowMs) {
+        attempts.add("surplus answer with status " + status + describeTime(nowMs));
+    }
+
     /** Records how the stream of an attempt ended. */
     public void streamEnded(String end, int events, int unfinishedBytes) {
         attempts.add(
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.wingstall.net.BindException;
+import org.wingstall.net.ConnectionGate;
 import org.wingstall.net.EventLoops;
+import org.wingstall.net.Listener;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.net.http.HttpLimits;
 import org.wingstall.net.http.HttpServer;
@@ -85,8 +87,14 @@
 
     /** Starts a server at a port; 0 for any free one. */
     HttpServer serve(HttpHandler handler, int port) throws BindException {
-        InetSocketAddress address = new InetSocketAddress(LOOPBACK, port);
-        return HttpServer.start(group, address, LIMITS, handler, rejection -> new byte[0]);
+        return serve(handler, port, ConnectionGate.OPEN);
+    }
+
+    private HttpServer serve(HttpHandler handler, int port, ConnectionGate gate) throws BindException {
+        Listener listener = Listener.bind(group, new InetSocketAddress(LOOPBACK, port));
+        HttpServer server = new HttpServer(listener, () -> LIMITS, handler, rejection -> new byte[0], gate);
+        server.accept();
+        return server;
     }
 
     /** Returns the store. */
@@ -142,7 +150,7 @@
      * @return its address
      */
     public String start(WorkerStandin worker) throws BindException {
-        return addressOf(serve(worker));
+        return addressOf(serve(worker, 0, worker.surplusAnswers()));
     }
 
     static String addressOf(HttpServer server) {
--- a/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/WorkerStandin.java
@@ -12,8 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpHandler;
 import org.wingstall.schema.check.InvalidDocumentException;
@@ -48,6 +46,7 @@
     private final List<Integer> batches = new CopyOnWriteArrayList<>();
     private final List<String> freed = new CopyOnWriteArrayList<>();
     private final InputChecks inputs = new InputChecks();
+    private final SurplusAnswers surplusAnswers = new SurplusAnswers();
     private final AtomicInteger results = new AtomicInteger();
     private final AtomicInteger inputsToLose = new AtomicInteger();
     private final AtomicInteger cancelled = new AtomicInteger();
@@ -113,6 +112,11 @@
         behaviour = next;
     }
 
+    /** Returns what decides on the answers that it sends once more. */
+    public SurplusAnswers surplusAnswers() {
+        return surplusAnswers;
+    }
+
     /** Tells of each request for this endpoint; on its event loop, before it is answered. */
     public void observe(Consumer<Arrival> next) {
         observer = next;
@@ -177,17 +181,7 @@
 
     /** Returns the whole stream that answers a request. */
     public static String streamOf(String id, int events) {
-        return IntStream.rangeClosed(1, events)
-                .mapToObj(number -> eventOf(id, number))
-                .collect(Collectors.joining());
-    }
-
-    private static String eventOf(String id, int number) {
-        return eventOf(id, number, "");
-    }
-
-    private static String eventOf(String id, int number, String version) {
-        return "id: " + number + "\ndata: token " + number + " of " + id + version + "\n\n";
+        return StreamText.stream(id, events);
     }
 
     /** Returns the pieces and requests that came with inputs of another request, or without some of their own. */
@@ -346,7 +340,7 @@
         } else if (number > events) {
             call.end();
         } else {
-            part(call, eventOf(call.header(ID), number, version));
+            part(call, StreamText.event(call.header(ID), number, version));
             call.eventLoop().schedule(() -> event(call, number + 1, begun), 5, TimeUnit.MILLISECONDS);
         }
     }
