Apply rejections of a box that started again with its clock set back

Cause: numbers of rejections begin at the time of day and were compared with the largest one heard. After a clock step back and a restart the other boxes ignored what the box told of brittle endpoints until its numbers passed those of its former life, so that all boxes together could reject more than such an endpoint bears. A rejection that one path brought after a later one was ignored as well.

The frame is as before.

--- a/relay/src/main/java/org/wingstall/relay/endpoint/RejectionGuard.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RejectionGuard.java
@@ -44,7 +44,7 @@
     private final RandomGenerator random;
     private final Listener listener;
     private final Map<String, Deque<Long>> rejectedAtMs = new HashMap<>();
-    private final Map<String, Long> lastNumbers = new HashMap<>();
+    private final HeardRejections heard = new HeardRejections();
     private long nextNumber;
 
     /** Receives the rejections to tell other boxes. */
@@ -75,7 +75,7 @@
         this.clock = clock;
         this.random = random;
         this.listener = listener;
-        // Numbers of a restarted box have to exceed those of its former life.
+        // Boxes of earlier builds ignore numbers that don't exceed those of the former life.
         this.nextNumber = System.currentTimeMillis();
     }
 
@@ -99,11 +99,9 @@
 
     /** Applies a rejection that another box tells, and passes it on once. */
     public void receive(String box, RejectionNews news) {
-        long lastNumber = lastNumbers.getOrDefault(news.getBox(), -1L);
-        if (news.getBox().equals(boxId) || news.getNumber() <= lastNumber) {
+        if (news.getBox().equals(boxId) || !heard.add(news, clock.nowMs())) {
             return;
         }
-        lastNumbers.put(news.getBox(), news.getNumber());
         endpoints
                 .find(news.getEndpoint())
                 .filter(endpoint -> endpoint.identity().incarnation() == news.getIncarnation())
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RejectionGuardTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RejectionGuardTest.java
@@ -83,6 +83,17 @@
         assertEquals(told.size(), 1);
     }
 
+    /** Rejections of a box that had started again with its clock set back were ignored. */
+    @Test
+    public void lowerNumbersOfABoxThatStartedAgainCount() {
+        guard.receive("box-2", news("box-2", 5000));
+        guard.receive("box-2", news("box-2", 3000));
+        guard.receive("box-3", news("box-2", 5000));
+        guard.receive("box-2", news("box-2", 3001));
+        assertEquals(told.stream().map(RejectionNews::getNumber).toList(), List.of(5000L, 3000L, 3001L));
+        assertTrue(endpoint.closedForMs() >= 700, "closed for " + endpoint.closedForMs());
+    }
+
     @DataProvider
     Object[][] harmless() {
         return new Object[][] {{SERVED, OptionalInt.of(MAX_REJECTIONS)}, {REJECTED, OptionalInt.empty()}};
