--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -97,6 +97,7 @@
                 new LinkCutPromise(slackMs),
                 new BrittlePromise(),
                 new StreamPromise(),
+                new SingleRunPromise(),
                 new ResumePromise(),
                 new Named("no process ends by itself", seen -> List.copyOf(seen.unplannedEnds())));
     }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -48,7 +48,9 @@
     /** Endpoints that a part of a prompt can crash. */
     private static final int PROMPTED = 6;
 
-    private static final long CALL_MS = 30;
+    /** Time of a call for pieces, in ms; as on the platform's pages. */
+    private static final long CALL_MS = 150;
+
     private static final long ROUTE_TIMEOUT_MS = 4000;
 
     private final SoakOptions options;
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -138,7 +138,7 @@
                 return null;
             }));
         }
-        for (Actor actor : actors(fleet)) {
+        for (Actor actor : actors(fleet, injector)) {
             faults.add(threads.submit(() -> {
                 actor.play(end);
                 return null;
@@ -155,7 +155,7 @@
         void play(RunEnd runEnd) throws Exception;
     }
 
-    private List<Actor> actors(SoakFleet fleet) {
+    private List<Actor> actors(SoakFleet fleet, FaultInjector injector) {
         long seed = options.seed();
         return List.of(
                 new EvacuatingOperator(seed, fleet, observations)::play,
@@ -166,7 +166,9 @@
                 new RestoredStore(seed, fleet, observations)::play,
                 new LinkCutter(seed, fleet, observations)::play,
                 new BrittleService(seed, fleet, observations)::play,
-                new BreakingEngines(seed, fleet, observations)::play);
+                new BreakingEngines(seed, fleet, observations)::play,
+                new RepeatingEndpoints(seed, fleet)::play,
+                new PausedCoordinator(seed, fleet, observations, injector)::play);
     }
 
     private static void awaitAll(List<Future<?>> faults) throws InterruptedException, FaultFailedException {
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -68,6 +68,11 @@
                 seen.arrived(run());
                 seen.arrived(run());
             }),
+            breach("one run where nothing is at fault", seen -> {
+                seen.called(call(Route.REPEATABLE, 200, "seal-of-plain-1", "answer to a", 0, 5));
+                seen.arrived(run());
+                seen.arrived(run());
+            }),
             breach("true refusal", seen -> {
                 seen.called(call(Route.ONCE, 503, null, "", 0, 5));
                 seen.arrived(run());
