Keep closing new connections while a late loop has not looked for them

Cause: an overload ended when a connection came 200 ms after the queue was last seen empty. A loop that was busy for longer, with closing connections, had not looked at what came meanwhile. So the overload ended within the flood, the next 256 connections were all taken to wait, and were closed late and one by one.

Evidence: new-connections-read-again at 57.484 and 59.414 of the flood, 0.4 s after it had begun to close and with 207 and 1,209 closed at once, each followed by turns of 0.5 to 1.8 s (event-loop-late).

Change: a new connection ends an overload only if the queue was empty for 200 ms up to the last look; the task that looks each 200 ms still ends it by the time, since it runs after all connections that have come are offered.

--- a/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
+++ b/net/src/main/java/org/wingstall/net/NewConnectionQueue.java
@@ -32,6 +32,7 @@
     private long lateSinceNs = NEVER;
     private long emptySinceNs = NEVER;
     private long lastTurnNs = NEVER;
+    private long lastLookNs = NEVER;
     private double turnNs;
     private volatile boolean overloaded;
 
@@ -62,7 +63,8 @@
      * @return false if it would wait too long and is not added
      */
     boolean offer(C connection, long nowNs) {
-        endOverloadIfIdle(nowNs);
+        // Since the last look the loop may have been late, and connections may have come all the time.
+        endOverloadIfIdle(lastLookNs);
         if (overloaded && waiting.size() >= mostWaiting()) {
             return false;
         }
@@ -76,9 +78,13 @@
         return (int) Math.max(1, TARGET_NS / Math.max(1, turnNs));
     }
 
-    /** Ends the overload when no connection has waited for an interval. */
-    void endOverloadIfIdle(long nowNs) {
-        if (overloaded && emptySinceNs != NEVER && nowNs - emptySinceNs >= INTERVAL_NS) {
+    /**
+     * Ends the overload when no connection has waited for an interval.
+     *
+     * @param lookedNs when all connections that had come by then were offered, in ns
+     */
+    void endOverloadIfIdle(long lookedNs) {
+        if (overloaded && emptySinceNs != NEVER && lookedNs - emptySinceNs >= INTERVAL_NS) {
             overloaded = false;
             lateSinceNs = NEVER;
         }
@@ -92,6 +98,7 @@
      */
     Optional<Waiting<C>> next(long nowNs, Consumer<C> late) {
         noteTurn(nowNs);
+        lastLookNs = nowNs;
         Waiting<C> first = waiting.poll();
         while (first != null && isLate(nowNs - first.sinceNs(), nowNs)) {
             late.accept(first.connection());
--- a/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
+++ b/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
@@ -155,6 +155,25 @@
         assertEquals(closed, List.of());
     }
 
+    /** An overload ended while the loop was late, and the next connections were let in by the hundred. */
+    @Test
+    public void aLateLoopDoesNotEndAnOverload() {
+        NewConnectionQueue<Long> queue = new NewConnectionQueue<>();
+        List<Long> closed = new ArrayList<>();
+        long turnMs = 6;
+        LongStream.range(0, 2000).forEach(ms -> step(queue, ms, ms % turnMs == 0, closed));
+        long nowMs = 2000;
+        while (queue.next(TimeUnit.MILLISECONDS.toNanos(nowMs), closed::add).isPresent()) {
+            nowMs += turnMs;
+        }
+        long lateNs = TimeUnit.MILLISECONDS.toNanos(nowMs + 5 * NewConnectionQueue.INTERVAL_MS);
+        long taken = LongStream.range(0, 300)
+                .filter(connection -> queue.offer(connection, lateNs))
+                .count();
+        assertTrue(queue.overloaded());
+        assertTrue(taken <= NewConnectionQueue.TARGET_MS / turnMs + 1, taken + " of 300 were taken");
+    }
+
     private static void step(NewConnectionQueue<Long> queue, long ms, boolean turn, List<Long> closed) {
         long nowNs = TimeUnit.MILLISECONDS.toNanos(ms);
         if (!queue.offer(ms, nowNs)) {
