Name the field of AnsweredRequests after what it tells

Cause: 'bodyOfAnyAnswer' did not say that it holds whether answers have bodies, so that their ends are found. Change: answersHaveBodies, a private field, nothing else. Measured: ForeignAnswerTest, SheddingGateTest and NewConnectionQueueTest pass.

--- a/net/src/main/java/org/wingstall/net/http/AnsweredRequests.java
+++ b/net/src/main/java/org/wingstall/net/http/AnsweredRequests.java
@@ -19,7 +19,7 @@
     private final Set<String> sent = new HashSet<>();
     private final Set<String> repeated = new HashSet<>();
     private String last;
-    private boolean bodyOfAnyAnswer = true;
+    private boolean answersHaveBodies = true;
 
     /** Returns whether answers to a request with this identifier can be told from those to all earlier ones. */
     boolean tellsApart(String identifier) {
@@ -38,7 +38,7 @@
         }
         // The codec takes the method of the oldest unanswered request to decide whether an answer has a body.
         if (HttpMethod.HEAD.name().equals(method) || HttpMethod.CONNECT.name().equals(method)) {
-            bodyOfAnyAnswer = false;
+            answersHaveBodies = false;
         }
     }
 
@@ -51,7 +51,7 @@
      * @return whether the answer is such a repetition, and the answer to the last request is still due
      */
     boolean tryRepeat(String identifier, HttpResponse head) {
-        return bodyOfAnyAnswer
+        return answersHaveBodies
                 && identifier != null
                 && !identifier.equals(last)
                 && sent.contains(identifier)
