Call an engine again that rejected a request before running it

Cause, by the text of the answer: at least one call had been made, and each engine that serves was excluded for this request. An endpoint that states that it rejected a call before running it was excluded for the rest of the request, though an engine that loads is ready again 0.3 s later and most of the 8 s to the deadline were left.

Evidence: with two engines that reject one call each and answer from then on, the request ended after 13 ms of calls with the same reason and detail (OwnAnswerTest.aRequestThatEveryEngineRejectedUnrunIsSentAgain, fails before).

Change: when no endpoint is left, the one whose rejection is the oldest is called again after an exponential delay (100 ms, doubled), if that fits into the deadline. The limits of four attempts and of the retry budget hold as before, and what may have run is not sent again.

--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -2,10 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wingstall.core.admit.StageTimes;
@@ -31,7 +30,7 @@
     private final EndpointJudge judge;
     private final RetryBudget budget;
     private final RetryBudget hedgeBudget;
-    private final Set<String> excluded = new HashSet<>();
+    private final StageExclusions excluded = new StageExclusions();
     private final StageTokens tokens = new StageTokens();
     private final StageAccount account;
     private final StageCrashes crashes;
@@ -83,6 +82,12 @@
         }
     }
 
+    private void askAgain() {
+        if (!ended) {
+            ask();
+        }
+    }
+
     private boolean heldBack() {
         Optional<QuarantineRefusal> hold = crashes.hold();
         hold.ifPresent(held -> {
@@ -236,6 +241,11 @@
     }
 
     private void noEndpointHere() {
+        OptionalLong delayMs = excluded.readmitOldest();
+        if (delayMs.isPresent() && delayMs.getAsLong() + leftMs() < remainingMs()) {
+            context.loop().schedule(this::askAgain, delayMs.getAsLong(), TimeUnit.MILLISECONDS);
+            return;
+        }
         StageEnd end = called() ? StageEnd.EXHAUSTED : StageEnd.NO_ENDPOINT;
         noOutput(end, "no further endpoint of service '" + stage.getService() + "' takes work");
     }
@@ -302,7 +312,7 @@
         boolean wasted = !work.isEngine() || tokens.count() == 0;
         settle(from, wasted);
         judge.ended(from, end);
-        excluded.add(from.endpoint().identity().memberId());
+        excluded.add(from.endpoint().identity().memberId(), end);
         if (end == AttemptOutcome.REFUSED_UNRUN) {
             listener.provedUnrun();
         }
--- a/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
+++ b/it/src/test/java/org/wingstall/it/OwnAnswerTest.java
@@ -135,6 +135,16 @@
         assertEquals(Calls.outcomes(done), Map.of("complete", 4), Calls.withoutAnswer(done));
     }
 
+    /** Engines that load a model one after the other may reject a request at each of them. */
+    @Test
+    public void aRequestThatEveryEngineRejectedUnrunIsSentAgain() {
+        fleet.endpoints("briza").forEach(engine -> fleet.endpointFaults(engine, "{\"refuseFirst\": 1}"));
+        Calls calls = new Calls();
+        calls.send(fleet.boxes().get(0), "plan", "rejected by all", null, false);
+        List<Calls.Call> done = calls.await();
+        assertEquals(Calls.outcomes(done), Map.of("complete", 1), Calls.withoutAnswer(done));
+    }
+
     /** Lets a gateway learn that engines answer fast, so that it allows little time from then on. */
     private void warmUp(TestFleet.Box box) {
         Calls calls = new Calls();
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointFaults.java
@@ -8,6 +8,7 @@
  * @param slowFactor by which its work takes longer
  * @param hang calls are taken and never answered
  * @param refuse calls are refused with the statement that they did not run
+ * @param refuseFirst number of calls refused in this way after the faults are set
  * @param fail calls run and fail
  * @param wrongId answers and tokens are those of another request, with its identifier
  * @param twice tokens come twice
@@ -19,19 +20,21 @@
         double slowFactor,
         boolean hang,
         boolean refuse,
+        int refuseFirst,
         boolean fail,
         boolean wrongId,
         boolean twice,
         int dieAfterTokens,
         String endsOn,
         boolean leaving) {
-    static final EndpointFaults NONE = new EndpointFaults(1, false, false, false, false, false, 0, "", false);
+    static final EndpointFaults NONE = new EndpointFaults(1, false, false, 0, false, false, false, 0, "", false);
 
     static EndpointFaults read(JsonNode tree) {
         return new EndpointFaults(
                 tree.path("slowFactor").asDouble(1),
                 tree.path("hang").asBoolean(),
                 tree.path("refuse").asBoolean(),
+                tree.path("refuseFirst").asInt(),
                 tree.path("fail").asBoolean(),
                 tree.path("wrongId").asBoolean(),
                 tree.path("twice").asBoolean(),
--- a/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/endpoint/EndpointStandin.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.wingstall.core.route.PromptBlocks;
 import org.wingstall.net.BindException;
@@ -31,6 +32,7 @@
     private final Worker worker;
     private final RunLog log = new RunLog();
     private final EngineOrderBook orders;
+    private final AtomicInteger callsSinceFaults = new AtomicInteger();
     private volatile EndpointFaults faults = EndpointFaults.NONE;
 
     private EndpointStandin(EndpointOptions options, EventLoopGroup group) {
@@ -74,6 +76,7 @@
                 case "/healthz" -> call.respond(200, "text/plain", "ok\n".getBytes());
                 case "/admin/faults" -> {
                     faults = EndpointFaults.read(Json.readTree(call.body()));
+                    callsSinceFaults.set(0);
                     call.respondJson(200, faults);
                 }
                 case "/v1/engine" -> orders.show(call);
@@ -92,7 +95,8 @@
         StageCall stageCall = Json.read(call.body(), StageCall.class);
         EndpointFaults now = faults;
         log.arrived(stageCall);
-        if (now.refuse() || orders.loading()) {
+        boolean early = callsSinceFaults.getAndIncrement() < now.refuseFirst();
+        if (now.refuse() || early || orders.loading()) {
             call.respond(UNAVAILABLE, HttpCall.JSON, new byte[0], java.util.Map.of("wingstall-not-run", "true"));
             return;
         }
