Lock a port before looking whether it is free

Cause: a stand-in that refuses connections for a time closes its listener and opens it again at the same port. Meanwhile another process that needs a port bound the same one to see whether it was free, and asked for its lock only after that.

Change: the lock is taken first; a port that another process has locked is never bound.

--- a/standin/src/main/java/org/wingstall/standin/LoopbackPorts.java
+++ b/standin/src/main/java/org/wingstall/standin/LoopbackPorts.java
@@ -43,13 +43,24 @@
         int begin = ThreadLocalRandom.current().nextInt(FIRST, BEYOND);
         for (int i = 0; i < BEYOND - FIRST; i++) {
             int port = FIRST + (begin - FIRST + i) % (BEYOND - FIRST);
-            if (!GIVEN.containsKey(port) && free(ip, port) && lock(port)) {
+            if (take(ip, port)) {
                 return port;
             }
         }
         throw new IOException("no port from " + FIRST + " to " + BEYOND + " is free on " + ip);
     }
 
+    /**
+     * Takes a port for this process. A port that is locked by another process is not bound to see whether it is free: that
+     * process may be about to listen on it again.
+     *
+     * @return false if this process or another one has it
+     * @throws IOException if the file of the lock cannot be had
+     */
+    public static synchronized boolean take(String ip, int port) throws IOException {
+        return !GIVEN.containsKey(port) && lock(port) && free(ip, port);
+    }
+
     /**
      * Locks a port against other processes of tests.
      *
