Run the dependent tests of engine orders in their order, failed or not

Callers saw nothing.

Change: the dependencies are back, with alwaysRun: the order within the class is kept, and a failed test does not skip the others.

--- a/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
+++ b/gateway/src/main/java/org/wingstall/gateway/run/StageRun.java
@@ -30,7 +30,7 @@
     private final EndpointJudge judge;
     private final RetryBudget budget;
     private final RetryBudget hedgeBudget;
-    private final StageExclusions excluded = new StageExclusions();
+    private final StageExclusions exclusions = new StageExclusions();
     private final StageTokens tokens = new StageTokens();
     private final StageAccount account;
     private final StageCrashes crashes;
@@ -175,7 +175,7 @@
             return;
         }
         if (!alive) {
-            excluded.add(endpoint.identity().memberId());
+            exclusions.add(endpoint.identity().memberId());
             giveBack(endpoint);
             ask();
             return;
@@ -241,7 +241,7 @@
     }
 
     private void noEndpointHere() {
-        OptionalLong delayMs = excluded.readmitOldest();
+        OptionalLong delayMs = exclusions.readmitOldest();
         if (delayMs.isPresent() && delayMs.getAsLong() + leftMs() < remainingMs()) {
             context.loop().schedule(this::askAgain, delayMs.getAsLong(), TimeUnit.MILLISECONDS);
             return;
@@ -312,7 +312,7 @@
         boolean wasted = !work.isEngine() || tokens.count() == 0;
         settle(from, wasted);
         judge.ended(from, end);
-        excluded.add(from.endpoint().identity().memberId(), end);
+        exclusions.add(from.endpoint().identity().memberId(), end);
         if (end == AttemptOutcome.REFUSED_UNRUN) {
             listener.provedUnrun();
         }
@@ -374,7 +374,7 @@
 
     @Override
     public boolean excludes(EndpointState endpoint) {
-        return calls(endpoint) || excluded.contains(endpoint.identity().memberId());
+        return calls(endpoint) || exclusions.contains(endpoint.identity().memberId());
     }
 
     /** Asked for every candidate of every call; a loop over nothing costs nothing. */
--- a/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
+++ b/it/src/test/java/org/wingstall/it/EngineOrdersTest.java
@@ -107,7 +107,7 @@
         return new Object[][] {{"killed", 31L}, {"stopped", 32L}};
     }
 
-    @Test(dataProvider = "ends", priority = 1)
+    @Test(dataProvider = "ends", dependsOnMethods = "anEditReachesEveryEngineOneAtATimeAndCutsNoCall", alwaysRun = true)
     public void aSuccessorGoesOnWithAHigherToken(String end, long version) throws Exception {
         TestFleet.Box holder = awaitHolder(null);
         long before = status(holder).path("token").asLong();
@@ -124,7 +124,7 @@
     }
 
     /** The order of the old holder is on its way when the holder is frozen; it comes after the successor's. */
-    @Test(priority = 2)
+    @Test(dependsOnMethods = "aSuccessorGoesOnWithAHigherToken", alwaysRun = true)
     public void aLateOrderOfAPausedHolderChangesNothingForGood() throws Exception {
         want(1, "lumina");
         awaitLoaded("lumina", 1);
