--- a/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
+++ b/net/src/test/java/org/wingstall/net/NewConnectionQueueTest.java
@@ -155,7 +155,7 @@
         assertEquals(closed, List.of());
     }
 
-    /** An overload ended while the loop was late, and the next connections were let in by the hundred. */
+    /** An overload ended while the loop was late, and hundreds of connections were let in at once. */
     @Test
     public void aLateLoopDoesNotEndAnOverload() {
         NewConnectionQueue<Long> queue = new NewConnectionQueue<>();
--- a/relay/src/main/java/org/wingstall/relay/endpoint/HeardRejections.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/HeardRejections.java
@@ -11,7 +11,7 @@
  * <p>Numbers are not compared: those of a box that starts again with its clock set back are lower than before.
  */
 final class HeardRejections {
-    /** Time for which a rejection is remembered, in ms; its news take far less to reach every box. */
+    /** Time for which a rejection is remembered, in ms; it reaches every box in far less time. */
     private static final long KEPT_MS = 10_000;
 
     private final Map<Key, Long> heardAtMs = new LinkedHashMap<>();
--- a/soak/src/main/java/org/wingstall/soak/PausedCoordinator.java
+++ b/soak/src/main/java/org/wingstall/soak/PausedCoordinator.java
@@ -15,7 +15,7 @@
 
 /**
  * Pauses one box of a seed, and kills another one that gets requests with stages before and after: what the paused box still
- * does for the killed one meets the next life of that one.
+ * does for the killed process must not reach the one that is started in its place.
  *
  * <p>{@code new PausedCoordinator(7, fleet, observations, injector).play(end)} returns when both are up again.
  *
