Let the fault proxy silence open connections for good

Cause: the proxy's faults end with their time, so no test met a connection that stays silent while new ones work: a half-open connection after a store's machine is lost, or a proxy whose process hangs.

Change: Faults.withSilentOpen(), and "silentOpen" over HTTP. Connections that are open when it is set pass nothing on, in both directions, not even the end of a side, until each side closes; also after the fault is taken back. New connections work.

--- a/standin/src/main/java/org/wingstall/standin/proxy/Faults.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/Faults.java
@@ -16,6 +16,7 @@
  * @param resetAfterBytes the connection breaks after this many bytes of answers; 0 for never
  * @param cutFrom IP addresses whose connections are refused and closed
  * @param freezeAnswers requests are passed on, answers are not
+ * @param silentOpen connections that are open when this is set pass nothing on until they are closed; new ones work
  * @since 0.1
  */
 public record Faults(
@@ -25,33 +26,39 @@
         boolean dropAnswers,
         long resetAfterBytes,
         Set<String> cutFrom,
-        boolean freezeAnswers) {
+        boolean freezeAnswers,
+        boolean silentOpen) {
     /** No fault at all. */
-    public static final Faults NONE = new Faults(false, false, 0, false, 0, Set.of(), false);
+    public static final Faults NONE = new Faults(false, false, 0, false, 0, Set.of(), false, false);
 
     /** Returns these faults with connections refused and closed. */
     public Faults withCut() {
-        return new Faults(true, freeze, delayMs, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers);
+        return new Faults(true, freeze, delayMs, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers, silentOpen);
     }
 
     /** Returns these faults with nothing passed on. */
     public Faults withFreeze() {
-        return new Faults(cut, true, delayMs, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers);
+        return new Faults(cut, true, delayMs, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers, silentOpen);
     }
 
     /** Returns these faults with answers held up. */
     public Faults withFreezeAnswers() {
-        return new Faults(cut, freeze, delayMs, dropAnswers, resetAfterBytes, cutFrom, true);
+        return new Faults(cut, freeze, delayMs, dropAnswers, resetAfterBytes, cutFrom, true, silentOpen);
     }
 
     /** Returns these faults with everything passed on later. */
     public Faults withDelayMs(long ms) {
-        return new Faults(cut, freeze, ms, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers);
+        return new Faults(cut, freeze, ms, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers, silentOpen);
     }
 
     /** Returns these faults with connections broken at the first byte of an answer. */
     public Faults withDropAnswers() {
-        return new Faults(cut, freeze, delayMs, true, resetAfterBytes, cutFrom, freezeAnswers);
+        return new Faults(cut, freeze, delayMs, true, resetAfterBytes, cutFrom, freezeAnswers, silentOpen);
+    }
+
+    /** Returns these faults with nothing passed on any more by connections that are open when they are set. */
+    public Faults withSilentOpen() {
+        return new Faults(cut, freeze, delayMs, dropAnswers, resetAfterBytes, cutFrom, freezeAnswers, true);
     }
 
     boolean cuts(String clientIp) {
@@ -68,6 +75,7 @@
                 tree.path("dropAnswers").asBoolean(),
                 tree.path("resetAfterBytes").asLong(),
                 cutFrom,
-                tree.path("freezeAnswers").asBoolean());
+                tree.path("freezeAnswers").asBoolean(),
+                tree.path("silentOpen").asBoolean());
     }
 }
--- a/standin/src/main/java/org/wingstall/standin/proxy/Relay.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/Relay.java
@@ -8,12 +8,16 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.wingstall.net.EventLoops;
 
 /** Passes bytes of one connection to the other side, with the faults of its route. */
 final class Relay extends ChannelInboundHandlerAdapter {
     private final Route route;
     private final boolean answers;
+    /** Shared by both sides. */
+    private final AtomicBoolean silent;
+
     private Channel other;
     private String clientIp = "";
     private long passedBytes;
@@ -22,15 +26,22 @@
     Relay(Route route) {
         this.route = route;
         this.answers = false;
+        this.silent = new AtomicBoolean();
     }
 
     /** Creates the side that is connected to the target. */
-    private Relay(Route route, Channel client) {
+    private Relay(Route route, Channel client, AtomicBoolean silent) {
         this.route = route;
         this.answers = true;
+        this.silent = silent;
         this.other = client;
     }
 
+    /** Passes nothing on any more, in both directions, not even the end of a side. */
+    void silence() {
+        silent.set(true);
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         if (answers) {
@@ -49,7 +60,7 @@
                 .channel(EventLoops.clientChannel())
                 .option(ChannelOption.AUTO_READ, false)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new Relay(route, client))
+                .handler(new Relay(route, client, silent))
                 .connect(route.target())
                 .addListener((ChannelFutureListener) connected -> {
                     if (connected.isSuccess()) {
@@ -65,6 +76,10 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         Faults now = route.faults();
         ByteBuf part = (ByteBuf) message;
+        if (silent.get()) {
+            forward(ctx, part);
+            return;
+        }
         boolean broken = answers
                 && (now.dropAnswers()
                         || now.resetAfterBytes() > 0 && passedBytes + part.readableBytes() > now.resetAfterBytes());
@@ -91,6 +106,11 @@
     }
 
     private void forward(ChannelHandlerContext ctx, ByteBuf part) {
+        if (silent.get()) {
+            part.release();
+            ctx.read();
+            return;
+        }
         other.writeAndFlush(part).addListener(sent -> {
             if (sent.isSuccess()) {
                 ctx.channel().read();
@@ -102,7 +122,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (other != null) {
+        if (other != null && !silent.get()) {
             other.close();
         }
     }
--- a/standin/src/main/java/org/wingstall/standin/proxy/Route.java
+++ b/standin/src/main/java/org/wingstall/standin/proxy/Route.java
@@ -130,6 +130,9 @@
     /** Sets the faults from now on; what they cut is closed. */
     public void set(Faults next) {
         faults = next;
+        if (next.silentOpen()) {
+            open.forEach(channel -> channel.pipeline().get(Relay.class).silence());
+        }
         open.close(channel -> next.cuts(clientIp(channel)));
     }
 
