--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -328,6 +328,7 @@
         LogEvent.info("started")
                 .with("box", settings.getBoxId())
                 .with("failureDomain", settings.getFailureDomain())
+                .with("transport", EventLoops.transport())
                 .to(LOG);
     }
 
--- a/net/src/main/java/org/wingstall/net/EventLoops.java
+++ b/net/src/main/java/org/wingstall/net/EventLoops.java
@@ -11,9 +11,11 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import jdk.net.ExtendedSocketOptions;
 
 /**
  * Makes event loops and names the channel classes that fit them: epoll where it is to be had, NIO elsewhere.
@@ -58,9 +60,19 @@
             options.set(EpollChannelOption.TCP_KEEPIDLE, PROBE_AFTER_S);
             options.set(EpollChannelOption.TCP_KEEPINTVL, PROBE_EVERY_S);
             options.set(EpollChannelOption.TCP_KEEPCNT, PROBES);
+        } else {
+            // NIO knows no limit for unacknowledged data; only connections without any are probed.
+            options.set(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S);
+            options.set(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_S);
+            options.set(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
         }
     }
 
+    /** Returns the name of the transport in use, for the log: epoll, or nio where its native library is missing. */
+    public static String transport() {
+        return Epoll.isAvailable() ? "epoll" : "nio";
+    }
+
     /** Takes the options of a connection. */
     @FunctionalInterface
     public interface SocketOptions {
