Tell whose answer a request got, with which status and on which connection

The line of a request named the endpoints that it was sent to, but not the answer that was read: neither a mixed-up connection, nor a second answer to the same try, nor a failure that was passed over could be told from it.

Each head that is read for a request now stands in its attempts: status, the start of the signature, the local port of the connection and how many requests that has carried, and the box that it goes by.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -22,6 +22,7 @@
     private final AnsweredRequests requests = new AnsweredRequests();
     private HttpExchange current;
     private String group = "";
+    private int requestsCarried;
     private int interimAnswers;
     private boolean interim;
     private boolean surplus;
@@ -43,6 +44,11 @@
                 && group.equals(request.connection().group());
     }
 
+    /** Returns the number of requests that the connection has carried so far. */
+    int requestsCarried() {
+        return requestsCarried;
+    }
+
     /** Returns whether no answer is due on the connection. */
     boolean idle() {
         return current == null;
@@ -54,6 +60,7 @@
         client = owner;
         group = exchange.group();
         interimAnswers = 0;
+        requestsCarried++;
         requests.add(exchange.identifier(), exchange.method());
     }
 
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -73,6 +73,16 @@
         failed(TransportException.Kind.CONNECT, String.valueOf(cause.getMessage()));
     }
 
+    /** Returns the local address of the connection and how many requests it has carried; empty before it is open. */
+    public String describeConnection() {
+        if (channel == null) {
+            return "";
+        }
+        int requests = channel.pipeline().get(ExchangeHandler.class).requestsCarried();
+        return "request " + requests + " of connection " + channel.localAddress()
+                + Connector.viaBox(channel).map(box -> " by way of " + box).orElse("");
+    }
+
     /** Returns whether an answer belongs to this request, as far as its headers can show. */
     boolean answeredBy(HttpResponse response) {
         return request.answeredBy(response.headers());
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -137,6 +137,7 @@
     public void head(int status, HttpHeaders headers) {
         head = context.endpointProtocol().responseHead(status, headers);
         headAtMs = context.clock().nowMs();
+        record.answered(head, exchange.describeConnection(), headAtMs);
         context.statementReader().read(endpoint, head, startedAtMs, Carrier.REQUEST);
         if (!head.otherIncarnation()) {
             quarantine.endpointAnswered(endpoint, startedAtMs);
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -11,6 +11,7 @@
 import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.RelayRequest;
 import org.wingstall.relay.wire.RelayRequest.PromptPart;
+import org.wingstall.relay.wire.ResponseHead;
 
 /**
  * Collects the log fields of one request: what decided, and how old that information was. Confined to the request loop.
@@ -20,6 +21,9 @@
  * @since 0.2
  */
 public final class RequestLogEntry {
+    /** Characters of a signature that are logged; enough to find the endpoint's record of it. */
+    private static final int SIGNATURE_CHARS = 24;
+
     private final RelayRequest request;
     private final Route route;
     private final String workspace;
@@ -76,6 +80,21 @@
                 + (inputs.bytes() == 0 ? "" : ", " + inputs.bytes() + " bytes to fetch from " + inputs.failureDomain());
     }
 
+    /** Records the head of a response, so that it can be compared with what the endpoint and the caller recorded. */
+    void answered(ResponseHead head, String connection, long nowMs) {
+        String signature = head.signed()
+                ? "signature "
+                        + head.signature()
+                                .substring(
+                                        0,
+                                        Math.min(
+                                                SIGNATURE_CHARS,
+                                                head.signature().length()))
+                : "no signature";
+        attempts.add("answered" + describeTime(nowMs) + " with status " + head.status() + " and " + signature + " on "
+                + connection);
+    }
+
     /** Records that an answer to an earlier request came in the place of the one to this request. */
     void surplusAnswer(int status, long nowMs) {
         attempts.add("surplus answer with status " + status + describeTime(nowMs));
--- a/relay/src/main/java/org/wingstall/relay/wire/ResponseHead.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/ResponseHead.java
@@ -9,7 +9,7 @@
  *
  * @param status HTTP status
  * @param requestId request that the response belongs to, or null when it does not say
- * @param signed whether the endpoint signed the response; an unsigned success is not accepted as one
+ * @param signature the endpoint's signature of the response, or null without a valid one
  * @param notExecuted whether the endpoint states that it has not run the request and never will
  * @param otherIncarnation whether another endpoint process is at the address now
  * @param streamed whether the body is an event stream
@@ -20,12 +20,17 @@
 public record ResponseHead(
         int status,
         String requestId,
-        boolean signed,
+        String signature,
         boolean notExecuted,
         boolean otherIncarnation,
         boolean streamed,
         EndpointStatement statement,
         HttpHeaders callerHeaders) {
+    /** Returns whether the endpoint signed the response; an unsigned success is not accepted as one. */
+    public boolean signed() {
+        return signature != null;
+    }
+
     /** Returns whether the endpoint ran the request successfully. */
     public boolean success() {
         return status >= 200 && status < 300;
--- a/relay/src/test/java/org/wingstall/relay/endpoint/RejectionGuardTest.java
+++ b/relay/src/test/java/org/wingstall/relay/endpoint/RejectionGuardTest.java
@@ -51,7 +51,7 @@
         guard.record(
                 endpoint,
                 new ResponseHead(
-                        status, "r", true, status == REJECTED, false, false, statement, new DefaultHttpHeaders()));
+                        status, "r", "seal", status == REJECTED, false, false, statement, new DefaultHttpHeaders()));
     }
 
     private static RejectionNews news(String box, long number) {
