Read no answer that begins with the rest of an earlier one

What callers saw: a success where the record has a failure of the endpoint.

Cause: on a connection that is kept, the start of a late second answer to an earlier request could stay before the answer that is due: in the decoder, when it came in the same read as the end of the earlier answer, or from the next read on. If that start ends in its status line or in the value of a header, the status line of the due answer becomes the end of that line. The identifier, signature and body that follow are those of the due answer, so it passed every check, with the status of the earlier one. Only requests that may be repeated use connections that carried others, as both requests of the record do. Class: bytes of one message decide how the next is read.

Evidence: JoinedAnswersTest cuts a surplus answer at each byte, in three times of arrival, two orders of status and four forms.

Change: a connection is not kept when bytes are left behind the last part of its answer (AnswerDecoder tells; it takes the method from the request that waits, instead of the codec's queue). A head or trailer with the status line of another answer inside is foreign (JoinedAnswers): the connection closes, and the request goes on elsewhere if it may.

--- a/net/src/main/java/org/wingstall/net/http/AnsweredRequests.java
+++ b/net/src/main/java/org/wingstall/net/http/AnsweredRequests.java
@@ -36,7 +36,7 @@
         if (identifier != null) {
             sent.add(identifier);
         }
-        // The codec takes the method of the oldest unanswered request to decide whether an answer has a body.
+        // The decoder takes the method of the last request to decide whether an answer has a body.
         if (HttpMethod.HEAD.name().equals(method) || HttpMethod.CONNECT.name().equals(method)) {
             answersHaveBodies = false;
         }
--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -1,9 +1,11 @@
 package org.wingstall.net.http;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -20,6 +22,7 @@
     private static final int MAX_INTERIM_ANSWERS = 8;
 
     private final AnsweredRequests requests = new AnsweredRequests();
+    private final AnswerDecoder decoder;
     private HttpExchange current;
     private String group = "";
     private int requestsCarried;
@@ -32,6 +35,20 @@
     private long keptAtNs;
     private long keptIdleMs;
 
+    private ExchangeHandler(AnswerDecoder decoder) {
+        this.decoder = decoder;
+    }
+
+    /** Adds the handlers of a connection to its pipeline, this one last. */
+    static void addTo(ChannelPipeline pipeline) {
+        AnswerDecoder decoder = new AnswerDecoder();
+        ExchangeHandler handler = new ExchangeHandler(decoder);
+        pipeline.addLast(new UnsolicitedBytes(handler))
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(handler);
+    }
+
     /** Returns whether the connection has been idle for less than this and less than the other side keeps it, in ms. */
     boolean idleWithin(long idleMs) {
         long idleNs = System.nanoTime() - keptAtNs;
@@ -61,6 +78,7 @@
         group = exchange.group();
         interimAnswers = 0;
         requestsCarried++;
+        decoder.expectAnswerTo(exchange.method());
         requests.add(exchange.identifier(), exchange.method());
     }
 
@@ -75,6 +93,11 @@
             ctx.close();
             return;
         }
+        if (JoinedAnswers.in(message)) {
+            fail(TransportException.Kind.FOREIGN, "an answer that begins with another one");
+            ctx.close();
+            return;
+        }
         if (message instanceof HttpResponse head) {
             interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         }
@@ -133,7 +156,9 @@
         current = null;
         keptAtNs = System.nanoTime();
         keptIdleMs = done.keptIdleMs();
-        if (done.complete() && ctx.channel().isActive()) {
+        // Bytes that are left belong to no request, and would be read as the start of the next answer.
+        boolean keep = !decoder.hasUnreadBytes();
+        if (done.complete() && keep && ctx.channel().isActive()) {
             client.keep(ctx.channel(), address);
         } else {
             ctx.close();
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -118,11 +117,7 @@
         connector.connect(loop, address, connectTimeoutMs, new Connector.Listener() {
             @Override
             public void connected(Channel channel) {
-                ExchangeHandler handler = new ExchangeHandler();
-                channel.pipeline()
-                        .addLast(new UnsolicitedBytes(handler))
-                        .addLast(new HttpClientCodec())
-                        .addLast(handler);
+                ExchangeHandler.addTo(channel.pipeline());
                 exchange.start(channel);
             }
 
--- a/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ExchangeHandlerTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -32,7 +31,8 @@
     @Test(dataProvider = "causes")
     public void aConnectionThatTimedOutWasNotClosedByItsEndpoint(String message, TransportException.Kind expected) {
         List<TransportException> failures = new ArrayList<>();
-        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), new ExchangeHandler());
+        EmbeddedChannel channel = new EmbeddedChannel();
+        ExchangeHandler.addTo(channel.pipeline());
         HttpExchange exchange =
                 new HttpExchange(OutgoingRequest.post(ADDRESS, "/", new byte[0]), listener(failures), new HttpClient());
         exchange.start(channel);
@@ -47,7 +47,8 @@
     @Test
     public void aConnectionWhoseWayWasLookedUpStaysDirect() {
         List<TransportException> failures = new ArrayList<>();
-        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), new ExchangeHandler());
+        EmbeddedChannel channel = new EmbeddedChannel();
+        ExchangeHandler.addTo(channel.pipeline());
         assertFalse(Connector.viaBox(channel).isPresent());
         HttpExchange exchange =
                 new HttpExchange(OutgoingRequest.post(ADDRESS, "/", new byte[0]), listener(failures), new HttpClient());
