Break a stream off when an endpoint would go on with a whole text

What callers saw, in our own test: nothing more after the events of the first endpoint, on a connection that stayed open.

Cause: a stream whose endpoint broke off goes on at a second endpoint. A success of that one without an event stream was forwarded as a whole answer although a response had begun; the codec refused to write it, the request counted as complete and the caller waited.

Evidence: RelayBrokenStreamTest.aStreamThatIsToGoOnWithAWholeTextIsBrokenOff on: RelayBrokenStreamTest.aStreamThatIsToGoOnWithAWholeTextIsBrokenOff:115 » Timeout (java.util.concurrent.TimeoutException after 5,000 ms)

Change: the attempt is abandoned, so that the request goes on elsewhere or the response is broken off. Measured: the test holds.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBrokenStreamTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBrokenStreamTest.java
@@ -1,10 +1,15 @@
 package org.wingstall.it.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import java.net.http.HttpRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -13,10 +18,16 @@
 import org.wingstall.standin.fleet.BreakingEndpoint;
 import org.wingstall.standin.fleet.BreakingEndpoint.Ending;
 import org.wingstall.standin.fleet.BreakingEndpoint.Framing;
+import org.wingstall.standin.fleet.CallerRequests;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.PartialAnswer;
+import org.wingstall.standin.fleet.WorkerStandin;
 
 /** Callers got a stream that its endpoint broke off inside an event as a complete answer. */
 public class RelayBrokenStreamTest {
+    private static final int EVENTS = 6;
+    private static final int REQUESTS = 10;
+    private static final long CALLER_WAITS_MS = 5000;
     private static final String EVENT = "id: 1\ndata: token 1\n\n";
 
     private final AtomicInteger names = new AtomicInteger();
@@ -88,6 +99,43 @@
         }
     }
 
+    /** The box began a second answer inside the stream, and left the caller waiting for the rest of the first. */
+    @Test
+    public void aStreamThatIsToGoOnWithAWholeTextIsBrokenOff() throws Exception {
+        WorkerStandin breaking = new WorkerStandin("breaking", EVENTS, 0);
+        WorkerStandin other = new WorkerStandin("other", 0, 0);
+        breaking.behave(WorkerStandin.Behaviour.CUTS_ANSWER);
+        fleet.add("engine", "east", "breaking", breaking);
+        fleet.add("engine", "east", "other", other);
+        try (RelayBox box = new RelayBox(fleet, "box-other").awaitReady()) {
+            int resumed = 0;
+            for (int i = 0; i < REQUESTS; i++) {
+                HttpRequest request = CallerRequests.withOwnPrompt(box.request("resumable", "text-" + i), "text-" + i)
+                        .build();
+                PartialAnswer answer = sendPartially(request).get(CALLER_WAITS_MS, TimeUnit.MILLISECONDS);
+                if (answer.body().startsWith("id: 1")) {
+                    resumed++;
+                    assertFalse(answer.whole(), answer.toString());
+                    assertEquals(answer.events(), List.of(1, 2));
+                }
+            }
+            assertTrue(resumed > 0);
+        } finally {
+            fleet.store().remove("servers", "breaking");
+            fleet.store().remove("servers", "other");
+        }
+    }
+
+    private static CompletableFuture<PartialAnswer> sendPartially(HttpRequest request) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return RelayBox.sendPartially(request);
+            } catch (InterruptedException e) {
+                throw new CompletionException(e);
+            }
+        });
+    }
+
     private static boolean looksComplete(RelayBox box, String route, String id) {
         try {
             return box.post(route, id).status() == 200;
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -150,8 +150,12 @@
             abandon("a success without signature");
             return;
         }
-        owner.firstByte();
         streaming = head.success() && head.streamed();
+        if (head.success() && !streaming && owner.response().started()) {
+            abandon("an answer that does not go on with the stream");
+            return;
+        }
+        owner.firstByte();
         if (streaming) {
             endpoint.recordAnswer(context.clock().nowMs() - startedAtMs);
             owner.streamBegan(endpoint);
