Let open connections fall silent for good in each seed of the soak

Callers saw: requests met a configuration older than the one in force, in the users' record. Cause of its passing unseen here: the soak's silent ways end after 3 s at most and take new connections with them, and its gateways run with configWaitMs 300 and endpointIntervalMs 100 where the shipped defaults are 4000 and 700.

Change: after the other faults, in every seed, open connections of one, some or all boxes to the store, and of all boxes to one, some or all endpoints, fall silent for good while new ones work (STORE_WAY_SILENT_OPEN, ENDPOINT_WAY_SILENT_OPEN). An operator writes a version shortly before and one after. FaultPlan.Kind stays as it is, so older seeds give the same plan. Even seeds run with the shipped intervals. The check of versions in force no longer excuses a box because of the silence: a version is due 2 s after it was written or 3 s after the silence, whichever is later.

Not covered: connections between boxes, which no proxy carries.

--- a/soak/src/main/java/org/wingstall/soak/Disturbance.java
+++ b/soak/src/main/java/org/wingstall/soak/Disturbance.java
@@ -13,6 +13,11 @@
 record Disturbance(String target, String kind, boolean planned, long fromMs, long untilMs) {
     static final String STORE = "store";
 
+    /** Returns whether open connections of a box fell silent. */
+    boolean silencesBox() {
+        return kind.equals(SilentConnections.STORE_WAY);
+    }
+
     boolean touches(String who, long beginMs, long endMs) {
         return target.equals(who) && fromMs <= endMs && untilMs >= beginMs;
     }
--- a/soak/src/main/java/org/wingstall/soak/Observations.java
+++ b/soak/src/main/java/org/wingstall/soak/Observations.java
@@ -23,7 +23,7 @@
  */
 final class Observations {
     /** Time without disturbance after which a box has to keep bounds in time, in ms; the platform's own figure. */
-    private static final long CONTACT_MS = 3000;
+    static final long CONTACT_MS = 3000;
 
     /** Sender of what is no caller's request. */
     private static final String NO_SENDER = "";
@@ -241,6 +241,25 @@
         return calm(box, fromMs, untilMs, true) && calm(Disturbance.STORE, fromMs, untilMs, true);
     }
 
+    /** Returns the same as {@link #inTouch}, but with connections that fell silent left out. */
+    boolean inTouchBesideSilence(String box, long fromMs, long untilMs) {
+        return calm(Disturbance.STORE, fromMs, untilMs, true)
+                && disturbances.stream()
+                        .filter(disturbance -> !disturbance.silencesBox())
+                        .noneMatch(disturbance -> disturbance.touches(box, fromMs - CONTACT_MS, untilMs));
+    }
+
+    /** Returns when connections of a box last fell silent before a time, in ms; far in the past if they never did. */
+    long silencedMs(String box, long beforeMs) {
+        return disturbances.stream()
+                .filter(disturbance -> disturbance.silencesBox()
+                        && disturbance.target().equals(box)
+                        && disturbance.untilMs() <= beforeMs)
+                .mapToLong(Disturbance::untilMs)
+                .max()
+                .orElse(Long.MIN_VALUE / 2);
+    }
+
     /** Returns whether a box had its links to endpoints from some time before a span until its end. */
     boolean linked(String box, long fromMs, long untilMs) {
         return linkCuts.stream()
--- a/soak/src/main/java/org/wingstall/soak/Promises.java
+++ b/soak/src/main/java/org/wingstall/soak/Promises.java
@@ -31,7 +31,7 @@
  */
 final class Promises {
     /** Time after which an endpoint that leaves gets no request, in ms; the platform's own figure. */
-    private static final long DRAIN_MS = 2000;
+    static final long DRAIN_MS = 2000;
 
     /** Time after which a version is in force, in ms; the platform's own figure. */
     private static final long CONFIG_MS = 2000;
@@ -232,10 +232,13 @@
         List<String> broken = new ArrayList<>();
         for (CallRecord call : versioned(seen)) {
             for (Map.Entry<Long, Long> version : seen.versionSinceMs().entrySet()) {
-                boolean due = call.sentMs() > version.getValue() + CONFIG_MS + slackMs;
+                long inForceMs = Math.max(
+                        version.getValue() + CONFIG_MS,
+                        seen.silencedMs(call.box(), call.endedMs()) + Observations.CONTACT_MS);
+                boolean due = call.sentMs() > inForceMs + slackMs;
                 if (due
                         && versionOf(call) < version.getKey()
-                        && seen.inTouch(call.box(), version.getValue(), call.endedMs())) {
+                        && seen.inTouchBesideSilence(call.box(), version.getValue(), call.endedMs())) {
                     broken.add(call + " although version " + version.getKey() + " came "
                             + (call.sentMs() - version.getValue()) + " ms before");
                 }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -51,6 +51,9 @@
     /** Time of a call for pieces, in ms; as on the platform's pages. */
     private static final long CALL_MS = 150;
 
+    /** The setting that the shipped template takes from the platform's bound. */
+    private static final String LEAVING_WITHIN = "leavingWithinMs: " + Promises.DRAIN_MS + "\n";
+
     private static final long ROUTE_TIMEOUT_MS = 4000;
 
     private final SoakOptions options;
@@ -123,6 +126,9 @@
                         standin.storeAddress(), LOOPBACK + ":" + store.address().getPort())
                 .replaceAll("retryBudgetRatio: .*", "retryBudgetRatio: " + RETRY_RATIO)
                 .replaceAll("retryBudgetExtra: .*", "retryBudgetExtra: " + RETRY_EXTRA);
+        if (this.options.shippedIntervals()) {
+            text = text.replaceAll("(configWaitMs|endpointIntervalMs): .*\n", "") + LEAVING_WITHIN;
+        }
         Path settings = this.options.folder().resolve(boxId + ".yaml");
         Files.writeString(settings, text);
         BoxProcess process =
--- a/soak/src/main/java/org/wingstall/soak/SoakOptions.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakOptions.java
@@ -15,4 +15,9 @@
  * @param folder takes settings and logs of the processes
  * @since 0.3
  */
-public record SoakOptions(long seed, int boxes, int callers, long faultsMs, long slackMs, Path folder) {}
+public record SoakOptions(long seed, int boxes, int callers, long faultsMs, long slackMs, Path folder) {
+    /** Returns whether the gateways read the store as often as with the shipped settings, not as the stand-ins' tests. */
+    boolean shippedIntervals() {
+        return seed % 2 == 0;
+    }
+}
--- a/soak/src/main/java/org/wingstall/soak/SoakRun.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakRun.java
@@ -77,6 +77,7 @@
             CompletableFuture<Optional<Violation>> flooded = CompletableFuture.supplyAsync(flood::play);
             playCalm(fleet, crashing);
             flooded.join().ifPresent(broken::add);
+            new SilentConnections(options.seed(), fleet, observations).play();
             noteEnds(fleet);
             fleet.endpoints().forEach(endpoint -> endpoint.worker()
                     .wrongInputs()
--- a/soak/src/test/java/org/wingstall/soak/PromisesTest.java
+++ b/soak/src/test/java/org/wingstall/soak/PromisesTest.java
@@ -292,6 +292,50 @@
         assertEquals(broken, counts ? List.of("no more than one that turned cold bears") : List.of());
     }
 
+    /** When connections fell silent, when the next version came, when a request met the old one, and whether it counts. */
+    @DataProvider
+    Object[][] silences() {
+        return new Object[][] {
+            {10_000, 9000, 12_999, false},
+            {10_000, 9000, 13_001, true},
+            {10_000, 10_500, 13_000, false},
+            {10_000, 10_500, 13_001, true},
+            {10_000, 12_000, 14_000, false},
+            {10_000, 12_000, 14_001, true},
+            {10_000, 14_000, 16_000, false},
+            {10_000, 14_000, 16_001, true},
+            {15_000, 10_000, 12_001, true},
+        };
+    }
+
+    /** A box whose waiting call had fallen silent kept an old configuration, which counted as excused by the silence. */
+    @Test(dataProvider = "silences")
+    public void aVersionIsInForceSoonAfterConnectionsFellSilent(
+            long silentMs, long versionMs, long sentMs, boolean counts) {
+        Observations seen = new Observations();
+        seen.disturbed(new Disturbance("box-1", SilentConnections.STORE_WAY, false, silentMs, silentMs));
+        seen.versionSinceMs().put(1L, 0L);
+        seen.versionSinceMs().put(2L, versionMs);
+        seen.called(versioned("v", 1, sentMs));
+        List<String> broken = Promises.all(0).stream()
+                .filter(one -> !one.broken(seen).isEmpty())
+                .map(Promise::name)
+                .toList();
+        assertEquals(broken, counts ? List.of("configuration in force") : List.of());
+    }
+
+    /** Any other fault excuses the box as before. */
+    @Test
+    public void silenceBesideAnotherFaultExcusesABox() {
+        Observations seen = new Observations();
+        seen.disturbed(new Disturbance("box-1", SilentConnections.STORE_WAY, false, 10_000, 10_000));
+        seen.disturbed(new Disturbance("box-1", "BOX_PAUSE", false, 8000, 8500));
+        seen.versionSinceMs().put(1L, 0L);
+        seen.versionSinceMs().put(2L, 10_500L);
+        seen.called(versioned("v", 1, 14_000));
+        Promises.all(0).forEach(one -> assertEquals(one.broken(seen), List.of(), one.name()));
+    }
+
     /** Which boxes are cut off, until when, and whether a request that breaks off at 8000 ms counts. */
     @DataProvider
     Object[][] linkCuts() {
