Wait for links before calling a stream unknown

Callers who took up streams at a box that had just started were refused with 503 and no Retry-After, as if no box knew the stream, though a box of another failure domain did and served the same stream a moment later.

Cause: a box knows of others by their heartbeats. One that has heard none yet took that for a fleet without others, so nobody was asked and nobody counted as missing.

Change: the mesh tells whether all planned links are open, which is false until the boxes of the fleet have been read. A search that found nothing asks again while that is false, at most 1 s and a quarter of the caller's time; a refusal after that names a time to come back.

--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -82,6 +82,13 @@
         unreachable = directory.unreachable();
     }
 
+    /** Returns whether all planned links are open, to whatever boxes are known and don't count as gone. */
+    boolean complete() {
+        return directory.listed()
+                && plannedAtChange == directory.changes()
+                && planned.stream().map(links::get).allMatch(link -> link != null && link.active());
+    }
+
     /** Returns the boxes that do work for others, as of the last look; read on any thread. */
     Set<String> carriers() {
         return carriers;
--- a/peer/src/main/java/org/wingstall/peer/Directory.java
+++ b/peer/src/main/java/org/wingstall/peer/Directory.java
@@ -17,6 +17,7 @@
     private final Map<InetSocketAddress, Integer> failures = new HashMap<>();
     private final Map<InetSocketAddress, String> boxesBehind = new HashMap<>();
     private long changes;
+    private boolean listed;
 
     /** A box and where it takes links. */
     record Entry(LinkPlan.Box box, InetSocketAddress address) {}
@@ -38,6 +39,7 @@
         boxes.stream()
                 .filter(entry -> !entry.box().boxId().equals(selfId))
                 .forEach(entry -> next.put(entry.box().boxId(), entry));
+        listed = true;
         if (!next.equals(entries)) {
             entries.clear();
             entries.putAll(next);
@@ -53,6 +55,11 @@
         dialSucceeded(address);
     }
 
+    /** Returns whether the boxes of the fleet have been read, so that those without a hello are known as well. */
+    boolean listed() {
+        return listed;
+    }
+
     /** Returns a number that grows whenever other boxes are known, or other ones can be reached, than before. */
     long changes() {
         return changes;
--- a/peer/src/main/java/org/wingstall/peer/MeshStreamOriginLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/MeshStreamOriginLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.wingstall.schema.peer.PeerFrame;
 import org.wingstall.schema.peer.StreamOrigin;
 import org.wingstall.schema.peer.StreamOriginAsk;
@@ -9,10 +10,12 @@
 /** Carries what gateways say about the origins of streams over the links of a mesh. Confined to the mesh's event loop. */
 final class MeshStreamOriginLinks implements StreamOriginLinks {
     private final Map<String, PeerLink> links;
+    private final BooleanSupplier complete;
     private StreamOriginHost host;
 
-    MeshStreamOriginLinks(Map<String, PeerLink> links) {
+    MeshStreamOriginLinks(Map<String, PeerLink> links, BooleanSupplier complete) {
         this.links = links;
+        this.complete = complete;
     }
 
     void attach(StreamOriginHost originHost) {
@@ -29,6 +32,11 @@
         return PeerLink.send(links, boxId, Frames.streamOriginAsk(correlation, new StreamOriginAsk(streamId)));
     }
 
+    @Override
+    public boolean complete() {
+        return complete.getAsBoolean();
+    }
+
     void linked(String boxId) {
         if (host != null) {
             host.linked(boxId);
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -97,10 +97,10 @@
         this.crashes = new NewsLinks<>(links, Frames::crashNews, PeerFrame::getCrashNews, this::carries);
         this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews, this::carries);
         this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews, this::carries);
-        this.streamOrigins = new MeshStreamOriginLinks(links);
         this.rows = new RowLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
         this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
+        this.streamOrigins = new MeshStreamOriginLinks(links, dialer::complete);
         this.peers =
                 new PeerTable(self, options.silentAfterMs(), this::beatsSeldom, rows::tableUnheard, replies, clock);
         this.domains = new DomainTable(self.failureDomain(), options.silentAfterMs(), clock);
--- a/peer/src/main/java/org/wingstall/peer/StreamOriginLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/StreamOriginLinks.java
@@ -15,4 +15,10 @@
 
     /** Asks a peer for the origin of a stream; returns whether there is a link to it. */
     boolean ask(String boxId, long correlation, String streamId);
+
+    /**
+     * Returns whether there are links to all boxes that may be asked, but for those that count as gone. A box that has just
+     * started has none to boxes that it has not read of or not reached yet.
+     */
+    boolean complete();
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -120,7 +120,8 @@
         }
         if (!stream.known()) {
             long retryAfterMs = stream.othersMayKnow() ? context.retryAfter().jitteredMs(MIN_RETRY_MS) : 0;
-            String detail = "no box knows which version began the stream '" + request.resumes() + "'";
+            String detail = (stream.othersMayKnow() ? "no box that could be asked" : "no box")
+                    + " knows which version began the stream '" + request.resumes() + "'";
             outcome.refuse(Reason.STREAM_VERSION_UNKNOWN, detail, retryAfterMs);
         } else if (service.versionGone()) {
             refuseWithoutEndpoint();
--- a/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
@@ -27,6 +27,12 @@
     /** A caller's tries together may take longer than one request may. */
     private static final int TRIES = 3;
 
+    /** Longest wait for links to boxes that may know a stream, in ms; a box that starts has them within that time. */
+    private static final long MAX_PATIENCE_MS = 1000;
+
+    /** Parts of the caller's time of which the wait takes one at most. */
+    private static final int PATIENCE_PARTS = 4;
+
     /** Returns whether the caller resumes a stream of which it has some events. */
     boolean resumesStream() {
         return route.streamed() && request.lastEventId() != null;
@@ -42,7 +48,8 @@
         Set<String> services =
                 route.serviceShares().stream().map(ServiceShare::service).collect(Collectors.toSet());
         long lifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, TRIES * route.timeoutMs());
-        return new StreamOrigins.Query(request.resumes(), workspace.name(), services, lifetimeMs);
+        long patienceMs = Math.min(MAX_PATIENCE_MS, times.remainingMs() / PATIENCE_PARTS);
+        return new StreamOrigins.Query(request.resumes(), workspace.name(), services, lifetimeMs, patienceMs);
     }
 
     /** Returns whether the route leads to a service. */
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -32,11 +32,15 @@
     /** Longest wait for the replies of other boxes, in ms; a way there and back takes a few ms. */
     private static final long REPLY_TIMEOUT_MS = 60;
 
+    /** Pause until boxes are asked again while links are being opened, in ms; a few of the mesh's round trips. */
+    private static final long ASK_AGAIN_MS = 50;
+
     /** Time after its deadline within which a caller's last try may still arrive, in ms. */
     private static final long LATE_TRY_MS = 1000;
 
     private final String self;
     private final EventLoop loop;
+    private final MonotonicClock clock;
     private final OriginHolders holders;
     private final StreamOriginLinks links;
     private final RelayEndpoints endpoints;
@@ -52,19 +56,22 @@
      * @param workspace workspace of the caller
      * @param services services that its route leads to
      * @param lifetimeMs longest time since the stream can have begun, in ms
+     * @param patienceMs longest wait for links to boxes that can't be asked yet, in ms
      */
-    public record Query(String streamId, String workspace, Set<String> services, long lifetimeMs) {}
+    public record Query(String streamId, String workspace, Set<String> services, long lifetimeMs, long patienceMs) {}
 
-    /** A question to other boxes whose replies are outstanding. */
+    /** A question to other boxes, asked again while links are being opened. */
     private static final class Search {
         private final Query query;
+        private final long patientUntilMs;
         private final Consumer<StreamVersion> listener;
         private final Set<String> awaited = new HashSet<>();
         private Optional<StreamOrigin> found;
         private ScheduledFuture<?> timeout;
 
-        Search(Query query, Optional<StreamOrigin> found, Consumer<StreamVersion> listener) {
+        Search(Query query, long nowMs, Optional<StreamOrigin> found, Consumer<StreamVersion> listener) {
             this.query = query;
+            this.patientUntilMs = nowMs + query.patienceMs();
             this.found = found;
             this.listener = listener;
         }
@@ -97,6 +104,7 @@
             RelayMetrics metrics) {
         this.self = self;
         this.loop = loop;
+        this.clock = clock;
         this.holders = holders;
         this.links = links;
         this.endpoints = endpoints;
@@ -140,12 +148,14 @@
      */
     public void find(Query query, Consumer<StreamVersion> listener) {
         Optional<StreamOrigin> known = query.streamId() == null ? Optional.empty() : lookUp(query);
-        Search search = new Search(query, known, listener);
+        Search search = new Search(query, clock.nowMs(), known, listener);
         boolean certain = known.filter(origin -> origin.getBox().equals(self)).isPresent();
         if (certain) {
             decide(search, Source.OWN_RECORD);
-        } else if (query.streamId() == null || !askOthers(search)) {
+        } else if (query.streamId() == null) {
             decide(search, Source.PEER_RECORD);
+        } else {
+            askOthers(search);
         }
     }
 
@@ -157,19 +167,36 @@
         return origin.getWorkspace().equals(query.workspace());
     }
 
-    private boolean askOthers(Search search) {
+    private void askOthers(Search search) {
         long correlation = correlations.next();
+        search.awaited.clear();
         for (String box : holders.reachable()) {
             if (links.ask(box, correlation, search.query.streamId())) {
                 search.awaited.add(box);
             }
         }
         if (search.awaited.isEmpty()) {
-            return false;
+            conclude(search);
+            return;
         }
         searches.put(correlation, search);
         search.timeout = loop.schedule(() -> finish(correlation), REPLY_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        return true;
+    }
+
+    /** Asks once more while a box that may know the stream can't be asked yet, as after the start of this one. */
+    private void conclude(Search search) {
+        boolean wait = search.found.isEmpty() && !links.complete() && clock.nowMs() < search.patientUntilMs;
+        if (wait) {
+            loop.schedule(() -> askAgain(search), ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            decide(search, Source.PEER_RECORD);
+        }
+    }
+
+    /** Boxes that were linked meanwhile have told this one of the streams that it holds for them. */
+    private void askAgain(Search search) {
+        lookUp(search.query).ifPresent(search::offer);
+        askOthers(search);
     }
 
     @Override
@@ -190,7 +217,7 @@
         Search search = searches.remove(correlation);
         if (search != null) {
             search.timeout.cancel(false);
-            decide(search, Source.PEER_RECORD);
+            conclude(search);
         }
     }
 
@@ -207,7 +234,7 @@
 
     private StreamVersion withoutRecord(Search search) {
         Query query = search.query;
-        boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable();
+        boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable() || !links.complete();
         return endpoints
                 .onlyVersion(query.services(), query.lifetimeMs())
                 .map(version -> new StreamVersion(Source.SINGLE_VERSION, "", version, 0, false))
--- a/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,7 @@
 public class StreamOriginsTest implements StreamOriginLinks, OriginHolders {
     private static final long LIFETIME_MS = 30_000;
     private static final long DEADLINE_MS = 8000;
+    private static final long PATIENCE_MS = 1000;
 
     private final Map<String, List<StreamOrigin>> told = new ConcurrentHashMap<>();
     private final Map<String, Long> asked = new ConcurrentHashMap<>();
@@ -43,6 +45,7 @@
     private RelayEndpoints endpoints;
     private StreamOrigins origins;
     private List<String> linked;
+    private volatile boolean complete;
 
     @BeforeMethod
     public void create() {
@@ -51,6 +54,7 @@
         results.clear();
         nowMs.set(1_000_000);
         linked = new ArrayList<>(List.of("b", "c"));
+        complete = true;
         loop = new DefaultEventLoop();
         MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMs.get());
         endpoints = new RelayEndpoints(clock);
@@ -83,6 +87,11 @@
         return linked.contains(boxId);
     }
 
+    @Override
+    public boolean complete() {
+        return complete;
+    }
+
     @Override
     public List<String> holdersOf(String streamId) {
         return List.of("b");
@@ -99,7 +108,8 @@
     }
 
     private void find(String streamId, String workspace) {
-        origins.find(new StreamOrigins.Query(streamId, workspace, Set.of("llm"), LIFETIME_MS), results::add);
+        origins.find(
+                new StreamOrigins.Query(streamId, workspace, Set.of("llm"), LIFETIME_MS, PATIENCE_MS), results::add);
     }
 
     private static Optional<StreamOrigin> origin(String box, int number, String workspace, String version) {
@@ -171,6 +181,39 @@
         assertEquals(result().othersMayKnow(), silent);
     }
 
+    /** A box that had just started took boxes that it had not heard of for boxes that don't exist. */
+    @Test
+    public void aBoxWaitsForLinksBeforeItCallsAStreamUnknown() {
+        linked.clear();
+        complete = false;
+        loop.submit(() -> find("s", "canteen")).syncUninterruptibly();
+        assertTrue(results.isEmpty());
+        loop.execute(() -> linked.add("b"));
+        Awaitility.await().pollInterval(Duration.ofMillis(10)).until(() -> {
+            loop.submit(() -> replyIfAsked("b")).syncUninterruptibly();
+            return results.size() == 1;
+        });
+        assertEquals(result().version(), "v1");
+        assertEquals(result().source(), Source.PEER_RECORD);
+    }
+
+    private void replyIfAsked(String box) {
+        if (asked.containsKey(box)) {
+            reply(box, origin("gone", 1, "canteen", "v1"));
+        }
+    }
+
+    @Test
+    public void aStreamThatABoxWithoutALinkMayKnowIsRefusedForNow() {
+        linked.clear();
+        complete = false;
+        loop.submit(() -> find("s", "canteen")).syncUninterruptibly();
+        nowMs.addAndGet(PATIENCE_MS);
+        Awaitility.await().until(() -> results.size() == 1);
+        assertFalse(result().known());
+        assertTrue(result().othersMayKnow());
+    }
+
     @Test
     public void withoutARecordTheOnlyVersionOfLateIsTaken() {
         linked.clear();
