Show how old the configuration of a box is, and what confirmed it

Nothing in their logs said what those boxes knew of the configuration and as of when, how a held call ended, or what peers had told. Lines of refused requests shared one token bucket with all others.

Heartbeats carry the time since the store confirmed the sender's revision (`configAgeMs`, appended; boxes of earlier builds send none, which reads as unknown). Only confirmations of the store are passed on, so that boxes can't confirm each other. The gauge `wingstall_config_age_ms`, `config-unconfirmed` and `config-confirmed` at the bound `configWithinMs` (filled from bounds.config_apply_ms), `config-wait-ended`, `config-version-heard` and `configAgeMs` in `turned-away` tell the hypotheses of the postmortem apart.

RequestLog: each kind of line has a share of its own.

--- a/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
+++ b/gateway/src/main/java/org/wingstall/gateway/control/ControlHost.java
@@ -116,7 +116,8 @@
                 null,
                 0,
                 0,
-                null);
+                null,
+                0);
     }
 
     private void updateLimits() {
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -29,6 +29,7 @@
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.config.Regions;
 import org.wingstall.relay.config.ServiceSpec;
+import org.wingstall.relay.control.ConfigFreshness;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.RelayPeerHost;
@@ -88,6 +89,7 @@
     private final EventLoopGroup requests;
     private final HttpClient client = new HttpClient();
     private final RelayState state = new RelayState();
+    private final ConfigFreshness configFreshness;
     private final EvacuationState evacuations = new EvacuationState(clock, this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
     private final EndpointAccess access;
@@ -125,6 +127,7 @@
         this.settings = settings;
         this.requests = requests;
         EventLoop loop = requests.next();
+        this.configFreshness = new ConfigFreshness(clock, settings.getConfigWithinMs());
         EndpointProtocol wire = new PlatformEndpointWire();
         this.budgets = new ServiceRetryBudgets(budgetPart(settings, LEAST_BOXES));
         this.mesh = new PeerMesh(
@@ -135,7 +138,8 @@
                         () -> stopping,
                         this::newerConfigHeard,
                         this::listFollower,
-                        () -> access().reach().poorlyReached()),
+                        () -> access().reach().poorlyReached(),
+                        configFreshness),
                 loop,
                 clock);
         this.access = new EndpointAccess(settings, loop, clock, mesh, endpoints, this::moveWork);
@@ -168,6 +172,7 @@
                 client,
                 clock,
                 state,
+                configFreshness,
                 evacuations,
                 endpoints,
                 mesh,
@@ -243,7 +248,7 @@
                 crashes.quarantine(),
                 new RetryAfter(random::nextDouble),
                 metrics,
-                new RequestLog(clock, metrics));
+                new RequestLog(clock, metrics, configFreshness::ageMs));
     }
 
     /** Engines and endpoints that do the work of stages tell their state; plain services have nothing to ask. */
@@ -313,7 +318,7 @@
                 () -> known() && !stopping,
                 new OperatorHandler(metrics::scrape, crashes.quarantine(), limits.stated()));
         RelayGauges gauges = new RelayGauges(metrics);
-        gauges.ofKnowledge(state, evacuations, endpoints);
+        gauges.ofKnowledge(state, configFreshness, evacuations, endpoints);
         gauges.ofReach(access);
         gauges.ofStore(store);
         gauges.ofWork(handler, pools, callers, gate);
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -5,6 +5,7 @@
 import org.wingstall.net.SheddingGate;
 import org.wingstall.net.http.HttpServer;
 import org.wingstall.peer.PeerMesh;
+import org.wingstall.relay.control.ConfigFreshness;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -22,8 +23,10 @@
     }
 
     /** Shows what it goes by. */
-    void ofKnowledge(RelayState state, EvacuationState evacuations, RelayEndpoints endpoints) {
+    void ofKnowledge(
+            RelayState state, ConfigFreshness freshness, EvacuationState evacuations, RelayEndpoints endpoints) {
         metrics.gauge("wingstall.config.version", () -> state.config().version());
+        metrics.gauge("wingstall.config.age.ms", freshness::ageMs);
         metrics.gauge("wingstall.endpoints.age.ms", endpoints::ageMs);
         metrics.gauge(
                 "wingstall.domains.evacuated",
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -20,6 +20,7 @@
 import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.control.BoxFollower;
+import org.wingstall.relay.control.ConfigFreshness;
 import org.wingstall.relay.control.CrashReportFollower;
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
@@ -72,6 +73,7 @@
      * @param client carries the calls to the store
      * @param clock monotonic clock
      * @param state takes the configuration
+     * @param freshness takes when the configuration was confirmed
      * @param evacuations takes the operators' evacuations
      * @param endpoints takes the list
      * @param mesh links to the other boxes
@@ -86,6 +88,7 @@
             HttpClient client,
             MonotonicClock clock,
             RelayState state,
+            ConfigFreshness freshness,
             EvacuationState evacuations,
             RelayEndpoints endpoints,
             PeerMesh mesh,
@@ -102,7 +105,7 @@
                 Addresses.parse(settings.getStoreAddress()),
                 () -> state.config().known() && endpoints.listLoaded() ? ANSWER_MS : FIRST_ANSWER_MS);
         this.configFollower = new RelayConfigFollower(
-                control, new PlatformConfigSource(store, this::configWaitMs), state, evacuations);
+                control, new PlatformConfigSource(store, this::configWaitMs), state, evacuations, freshness, clock);
         this.duty = new OneReaderPerDomainPolicy(settings.getBoxId(), this::heardPeers, mesh::carries);
         this.listFollower = new ListFollower(
                 control,
--- a/load/src/main/java/org/wingstall/load/Slopes.java
+++ b/load/src/main/java/org/wingstall/load/Slopes.java
@@ -169,7 +169,7 @@
                 domains.add(new DomainSummary("domain-" + i, 123_456, 21, 900, demand));
             }
             byte[] frame = MessagePack.write(Frames.heartbeat(
-                    new Heartbeat(123_456, false, List.of(), demand, domains, false, 0, 0, 0, null, 0, 0, null)));
+                    new Heartbeat(123_456, false, List.of(), demand, domains, false, 0, 0, 0, null, 0, 0, null, 0)));
             byte[] bytes = frame;
             double micros = meanMicros(ROUNDS * 10, () -> {
                 try {
--- a/peer/src/main/java/org/wingstall/peer/Heartbeats.java
+++ b/peer/src/main/java/org/wingstall/peer/Heartbeats.java
@@ -102,7 +102,8 @@
                 own.getEvacuated(),
                 own.getListEra(),
                 own.getEvacuatedEra(),
-                own.getPoorlyReached());
+                own.getPoorlyReached(),
+                own.getConfigAgeMs());
     }
 
     /**
--- a/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
+++ b/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
@@ -44,7 +44,7 @@
         replies.heard(boxId);
         peers.heard(
                 new Hello(boxId, domain, "10.0.0.1:1", 1, 100, true),
-                new Heartbeat(1, false, List.of(), List.of(), List.of(), false, 0, 0, 0, null, 0, 0, null));
+                new Heartbeat(1, false, List.of(), List.of(), List.of(), false, 0, 0, 0, null, 0, 0, null, 0));
     }
 
     @Test
--- a/peer/src/test/java/org/wingstall/peer/TunnelsTest.java
+++ b/peer/src/test/java/org/wingstall/peer/TunnelsTest.java
@@ -89,7 +89,7 @@
 
         @Override
         public Heartbeat heartbeat() {
-            return new Heartbeat(0, false, List.of(), List.of(), List.of(), false, 0, 0, 0, null, 0, 0, null);
+            return new Heartbeat(0, false, List.of(), List.of(), List.of(), false, 0, 0, 0, null, 0, 0, null, 0);
         }
 
         @Override
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -58,7 +58,8 @@
             List.of("kgn-a", "spt-c"),
             3,
             LARGE,
-            List.of("pay-ledger"));
+            List.of("pay-ledger"),
+            LARGE);
 
     private static final StageWork STAGE_WORK = new StageWork(
             "pay-ledger",
@@ -81,7 +82,10 @@
             {"hello", frame(1, 0, new Hello("kgn-a-1", "kgn-a", "10.1.0.1:7741", LARGE, 36, true))},
             {
                 "heartbeat",
-                frame(2, 0, new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE, 0, null, 0, 0, null))
+                frame(
+                        2,
+                        0,
+                        new Heartbeat(3, false, List.of(), null, null, false, -5, LARGE, 0, null, 0, 0, null, LARGE))
             },
             {"whole heartbeat", frame(2, 0, WHOLE_HEARTBEAT)},
             {"configRequest", frame(3, 9, new ConfigRequest(12))},
--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -3,6 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.wingstall.core.time.MonotonicClock;
+import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.wire.ConfigSource;
 import org.wingstall.relay.wire.OperatorState;
 
@@ -10,15 +14,22 @@
  * Keeps the configuration and the evacuations up to date; keeps the last ones while the source fails. Runs on the
  * control loop.
  *
- * <p>{@code new RelayConfigFollower(loop, source, state, evacuations).start();}
+ * <p>{@code new RelayConfigFollower(loop, source, state, evacuations, freshness, clock).start();}
  *
  * @since 0.2
  */
 public final class RelayConfigFollower {
+    private static final Logger LOG = LogManager.getLogger(RelayConfigFollower.class);
+
+    /** Interval between checks of the age of the configuration, in ms; a tenth of the shortest bound in use. */
+    private static final long AGE_CHECK_INTERVAL_MS = 200;
+
     private final EventLoop loop;
     private final ConfigSource source;
     private final RelayState state;
     private final EvacuationState evacuations;
+    private final ConfigFreshness freshness;
+    private final MonotonicClock clock;
     private final SourceHealth health = new SourceHealth("config");
     private boolean fullReadDue = true;
     private boolean catchUpInProgress;
@@ -30,8 +41,18 @@
      * @param source source of the configuration
      * @param state receives the configuration
      * @param evacuations receives the evacuations
+     * @param freshness receives the times at which the source confirmed the configuration
+     * @param clock monotonic clock
      */
-    public RelayConfigFollower(EventLoop loop, ConfigSource source, RelayState state, EvacuationState evacuations) {
+    public RelayConfigFollower(
+            EventLoop loop,
+            ConfigSource source,
+            RelayState state,
+            EvacuationState evacuations,
+            ConfigFreshness freshness,
+            MonotonicClock clock) {
+        this.freshness = freshness;
+        this.clock = clock;
         this.evacuations = evacuations;
         this.loop = loop;
         this.source = source;
@@ -41,15 +62,23 @@
     /** Starts polling. */
     public void start() {
         loop.execute(this::poll);
+        loop.scheduleWithFixedDelay(
+                freshness::logChange, AGE_CHECK_INTERVAL_MS, AGE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void poll() {
+        boolean held = !fullReadDue;
+        long beganMs = clock.nowMs();
         nextRead()
                 .whenCompleteAsync(
                         (news, failure) -> {
+                            if (held) {
+                                logEnd(clock.nowMs() - beganMs, news, failure);
+                            }
                             if (failure == null) {
                                 fullReadDue = false;
                                 apply(news, "store");
+                                freshness.confirmedByStore(held ? clock.nowMs() : beganMs);
                             } else {
                                 fullReadDue = true;
                             }
@@ -60,6 +89,18 @@
                         loop);
     }
 
+    /** A call that ends without a change is the usual case, and not logged. */
+    private static void logEnd(long heldMs, OperatorState news, Throwable failure) {
+        if (failure != null || news.config().isPresent()) {
+            LogEvent.info("config-wait-ended")
+                    .with("heldMs", heldMs)
+                    .with(
+                            "why",
+                            failure == null ? "version " + news.config().get().version() : failure.getMessage())
+                    .to(LOG);
+        }
+    }
+
     private void apply(OperatorState news, String from) {
         news.config().ifPresent(version -> state.updateIfNewer(version, from));
         evacuations.updateIfNewer(news.evacuations(), from);
@@ -86,11 +127,17 @@
             return;
         }
         catchUpInProgress = true;
+        LogEvent.info("config-version-heard")
+                .with("version", version)
+                .with("inForce", state.config().version())
+                .to(LOG);
+        long beganMs = clock.nowMs();
         source.next(true)
                 .whenCompleteAsync(
                         (news, failure) -> {
                             if (failure == null) {
                                 apply(news, "store, after a peer");
+                                freshness.confirmedByStore(beganMs);
                             }
                             health.recordResult(failure);
                             allowCatchUpAfter(failure == null ? 0 : retryDelayMs());
--- a/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayPeerHost.java
@@ -15,7 +15,7 @@
  * Connects a box to its peer links: sends its versions, evacuations, list and stopping state, and applies those of
  * peers.
  *
- * <p>{@code new RelayPeerHost(state, evacuations, stopping, follower::onNewerVersion, () -> list, reach::poorlyReached)}
+ * <p>{@code new RelayPeerHost(state, evacuations, stopping, follower::onNewerVersion, () -> list, reach::poorlyReached, freshness)}
  *
  * @since 0.2
  */
@@ -26,6 +26,7 @@
     private final LongConsumer newerVersionListener;
     private final Supplier<ListFollower> listFollower;
     private final Supplier<Set<String>> poorlyReached;
+    private final ConfigFreshness freshness;
 
     /**
      * Creates the host.
@@ -36,6 +37,7 @@
      * @param newerVersionListener receives versions of the configuration that peers have and this box lacks
      * @param listFollower follower of the endpoint list
      * @param poorlyReached services of which this box reaches fewer than half of the endpoints
+     * @param freshness when the configuration was confirmed
      */
     public RelayPeerHost(
             RelayState state,
@@ -43,7 +45,9 @@
             BooleanSupplier stopping,
             LongConsumer newerVersionListener,
             Supplier<ListFollower> listFollower,
-            Supplier<Set<String>> poorlyReached) {
+            Supplier<Set<String>> poorlyReached,
+            ConfigFreshness freshness) {
+        this.freshness = freshness;
         this.state = state;
         this.evacuations = evacuations;
         this.stopping = stopping;
@@ -76,13 +80,16 @@
                 domains.isEmpty() ? null : List.copyOf(domains),
                 follower.listVersion().era(),
                 evacuated.asOfVersion().era(),
-                poor.isEmpty() ? null : List.copyOf(poor));
+                poor.isEmpty() ? null : List.copyOf(poor),
+                freshness.storeAgeMs());
     }
 
     @Override
     public boolean heard(Heartbeat heartbeat) {
         if (heartbeat.getRevision() > revision()) {
             newerVersionListener.accept(heartbeat.getRevision());
+        } else if (heartbeat.getRevision() == revision() && heartbeat.getConfigAgeMs() > 0) {
+            freshness.confirmedByPeer(heartbeat.getConfigAgeMs());
         }
         List<String> evacuated = heartbeat.getEvacuated() == null ? List.of() : heartbeat.getEvacuated();
         StoreVersion asOf = new StoreVersion(heartbeat.getEvacuatedEra(), heartbeat.getEvacuatedAsOf());
--- a/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
+++ b/relay/src/main/java/org/wingstall/relay/log/RequestLog.java
@@ -1,5 +1,8 @@
 package org.wingstall.relay.log;
 
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.answer.RefusedException;
@@ -19,26 +22,42 @@
 public final class RequestLog {
     private static final Logger LOG = LogManager.getLogger(RequestLog.class);
 
-    /** Maximum lines a second; several times a box's requests in a burst, and about a hundredth of a core. */
-    private static final double LINES_PER_SECOND = 100;
-
-    private final TokenBucket bucket;
+    private final Map<Kind, TokenBucket> buckets = new EnumMap<>(Kind.class);
     private final RelayMetrics metrics;
+    private final LongSupplier configAgeMs;
+
+    /** Kinds of lines, each with a share of its own, so that a flood of one kind hides no line of another. */
+    private enum Kind {
+        /** Several times a box's requests in a burst; all kinds cost about a hundredth of a core. */
+        REQUEST(60),
+        ENDPOINT_LOST(20),
+        TURNED_AWAY(20);
+
+        private final double linesPerSecond;
+
+        Kind(double linesPerSecond) {
+            this.linesPerSecond = linesPerSecond;
+        }
+    }
 
     /**
      * Creates a log.
      *
      * @param clock monotonic clock
      * @param metrics counts dropped lines
+     * @param configAgeMs time since the configuration was confirmed, in ms
      */
-    public RequestLog(MonotonicClock clock, RelayMetrics metrics) {
-        this.bucket = new TokenBucket(clock);
+    public RequestLog(MonotonicClock clock, RelayMetrics metrics, LongSupplier configAgeMs) {
+        for (Kind kind : Kind.values()) {
+            buckets.put(kind, new TokenBucket(clock));
+        }
         this.metrics = metrics;
+        this.configAgeMs = configAgeMs;
     }
 
     /** Logs the end of a request that had a route. */
     public void logRequest(RequestLogEntry record, String outcome, int status, String detail, long nowMs) {
-        if (!tryAcquireLine()) {
+        if (!tryAcquireLine(Kind.REQUEST)) {
             return;
         }
         LogEvent.info("request")
@@ -62,7 +81,7 @@
     /** Logs an attempt whose connection ended before the response was complete. */
     public void logEndpointLoss(RequestLogEntry record, EndpointLoss loss) {
         metrics.recordEndpointLoss(loss.failure().kind().code());
-        if (!tryAcquireLine()) {
+        if (!tryAcquireLine(Kind.ENDPOINT_LOST)) {
             return;
         }
         LogEvent.warn("endpoint-lost")
@@ -87,7 +106,7 @@
 
     /** Logs a request that was refused before its run started. */
     public void logRejected(String requestId, String target, RefusedException refusal, long configVersion) {
-        if (!tryAcquireLine()) {
+        if (!tryAcquireLine(Kind.TURNED_AWAY)) {
             return;
         }
         LogEvent.info("turned-away")
@@ -96,11 +115,12 @@
                 .with("reason", refusal.reason().code())
                 .with("detail", refusal.getMessage())
                 .with("configVersion", configVersion)
+                .with("configAgeMs", configAgeMs.getAsLong())
                 .to(LOG);
     }
 
-    private boolean tryAcquireLine() {
-        boolean allowed = bucket.tryTake(LINES_PER_SECOND);
+    private boolean tryAcquireLine(Kind kind) {
+        boolean allowed = buckets.get(kind).tryTake(kind.linesPerSecond);
         if (!allowed) {
             metrics.recordDroppedLogLine();
         }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -35,7 +35,7 @@
         state = new RelayState();
         stored = 1;
         away = false;
-        follower = new RelayConfigFollower(loop, this::read, state, evacuations);
+        follower = follower(state);
         follower.start();
         settle();
         assertEquals(state.config().version(), 1);
@@ -46,6 +46,11 @@
         loop.shutdownGracefully();
     }
 
+    private RelayConfigFollower follower(RelayState into) {
+        return new RelayConfigFollower(
+                loop, this::read, into, evacuations, new ConfigFreshness(System::nanoTime, 2000), System::nanoTime);
+    }
+
     private CompletableFuture<OperatorState> read(boolean whole) {
         if (!whole) {
             return new CompletableFuture<>();
@@ -124,7 +129,7 @@
     public void aStoreWithoutConfigurationIsReadOnceAndThenWaitedFor() throws Exception {
         stored = 0;
         wholeReads.set(0);
-        new RelayConfigFollower(loop, this::read, new RelayState(), evacuations).start();
+        follower(new RelayState()).start();
         settle();
         assertEquals(wholeReads.get(), 1);
     }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
@@ -41,7 +41,14 @@
                         @Override
                         public void announce(MemberNews news) {}
                     });
-            peers = new RelayPeerHost(new RelayState(), evacuations, () -> false, version -> {}, () -> list, Set::of);
+            peers = new RelayPeerHost(
+                    new RelayState(),
+                    evacuations,
+                    () -> false,
+                    version -> {},
+                    () -> list,
+                    Set::of,
+                    new ConfigFreshness(System::nanoTime, 2000));
         }
 
         Set<String> evacuated() {
