Close links on which nothing comes any more, and dial them anew

A link between two boxes that goes silent without a reset, while something on the way acknowledges, left both deaf to each other for good: heartbeats, versions, evacuations, news.

Cause: whether a link works was left to TCP. A peer that was not heard stayed in the map of links, so it was never dialled; when one side did dial, the other kept the old link if the lesser box had opened it.

Evidence: SilentPeerLinkTest on, 6 of 6 cases: aLinkThatGoesSilentIsReplaced[0, [TO_TARGET, TO_CLIENT]](1) <<< FAILURE! ConditionTimeoutException: Condition with Lambda expression in org.wingstall.peer.SilentPeerLinkTest was not fulfilled within 2 seconds.

Change: SilentLinks closes, counts and logs a link that is silent for longer than heartbeats allow; time in which the loop stood still does not count. A link that opens long after another one to the same life replaces it. The accepting side has keep-alive too; a peer that took a connection and said no hello is not dialled with every tick. LinkChannels was taken out of PeerMesh unchanged.

Result: SilentPeerLinkTest 6 of 6, SilentLinksTest, DialerTest, TunnelsTest and DirectoryTest pass. Integration tests and soak were not run on this commit.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -67,6 +67,7 @@
         metrics.gauge("wingstall.endpoints.limited", () -> limits.activeLimits().size());
         metrics.gauge("wingstall.tunnels.carried", mesh.tunnels()::carried);
         metrics.gauge("wingstall.peers.heard", () -> mesh.peers().serving().size());
+        metrics.gauge("wingstall.peer.links.silent", mesh::silentLinks);
         metrics.gauge("wingstall.requests.held.back", () -> crashes.quarantine().quarantinedRequests());
         metrics.gauge(
                 "wingstall.prompt.parts.held.back", () -> crashes.quarantine().quarantinedParts());
--- a/peer/src/main/java/org/wingstall/peer/Dialer.java
+++ b/peer/src/main/java/org/wingstall/peer/Dialer.java
@@ -138,12 +138,18 @@
                 .localAddress(new InetSocketAddress(options.listenAddress().getAddress(), 0));
         EventLoops.noticeSilence(bootstrap::option);
         bootstrap.connect(address).addListener((ChannelFuture connected) -> {
-            dialling.remove(address);
             if (connected.isSuccess()) {
                 directory.dialSucceeded(address);
+                connected.channel().closeFuture().addListener(closed -> dialling.remove(address));
             } else {
+                dialling.remove(address);
                 directory.dialFailed(address);
             }
         });
     }
+
+    /** Ends the attempt to reach an address; until then a box that is slow to say hello is not dialled again. */
+    void answered(InetSocketAddress address) {
+        dialling.remove(address);
+    }
 }
--- a/peer/src/main/java/org/wingstall/peer/Heartbeats.java
+++ b/peer/src/main/java/org/wingstall/peer/Heartbeats.java
@@ -24,6 +24,7 @@
     private final HeartbeatPacer pacer;
     private final HeartbeatThrottle turns = new HeartbeatThrottle();
     private volatile HeartbeatPacer.Plan plan;
+    private int plainBytes;
     private int sinceFull;
 
     Heartbeats(PeerOptions options, PeerHost host, Map<String, PeerLink> links, DomainTable domains, PeerTable peers) {
@@ -41,6 +42,11 @@
         return plan.intervalMs();
     }
 
+    /** Returns the time between two turns of a box that is linked to all of so many boxes, in ms. */
+    long longestIntervalMs(int boxes) {
+        return pacer.plan(boxes, plainBytes, plainBytes).intervalMs();
+    }
+
     /** Returns the time between two heartbeats that tell demand, in ms; on any thread. */
     long fullIntervalMs() {
         return plan.fullIntervalMs();
@@ -69,8 +75,8 @@
         ByteBuf inside = encode(inside(own));
         ByteBuf across = encode(across(own));
         int fullBytes = Math.max(inside.readableBytes(), across.readableBytes());
-        plan = pacer.plan(
-                links.size(), plain.readableBytes() + FrameCodec.LENGTH_BYTES, fullBytes + FrameCodec.LENGTH_BYTES);
+        plainBytes = plain.readableBytes() + FrameCodec.LENGTH_BYTES;
+        plan = pacer.plan(links.size(), plainBytes, fullBytes + FrameCodec.LENGTH_BYTES);
         for (PeerLink link : List.copyOf(links.values())) {
             ByteBuf whole = isLocal(link) ? inside : across;
             link.send(full ? whole : plain);
--- a/peer/src/main/java/org/wingstall/peer/PeerLink.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerLink.java
@@ -19,6 +19,7 @@
     private final InetSocketAddress dialledAddress;
     private Channel channel;
     private Hello peer;
+    private long openedAtMs;
 
     /** Told of what happens on a link. */
     interface LinkEvents {
@@ -29,7 +30,7 @@
         void frame(PeerLink link, PeerFrame frame);
 
         /** Another box wants the connection to lead on to an endpoint, instead of a link. */
-        void tunnelRequested(Channel channel, TunnelRequest request);
+        void tunnelRequested(PeerLink link, Channel channel, TunnelRequest request);
     }
 
     /** Creates a link; the dialled address is null when the peer opened it. */
@@ -53,13 +54,30 @@
         return peer.getIncarnation() == other.peer.getIncarnation();
     }
 
-    /** Of two links between the same incarnations both sides keep the one that the lesser box opened. */
-    boolean preferredTo(PeerLink newer) {
+    /** Records when the link was opened, by the clock of the mesh. */
+    void openedAt(long nowMs) {
+        openedAtMs = nowMs;
+    }
+
+    /**
+     * Returns whether this link is kept when another one to the same box opens. Of two links that boxes open to each other
+     * at the same time, both keep the one that the lesser box opened. Boxes dial only peers that they have no link to, so a
+     * link that opens later shows that the peer has given up this one.
+     *
+     * @param newer the other link, just opened
+     * @param sameTimeMs longest time between links that were opened at the same time, in ms
+     */
+    boolean preferredTo(PeerLink newer, long sameTimeMs) {
         return sameLife(newer)
-                ? initiator().compareTo(newer.initiator()) < 0
+                ? !givenUpFor(newer, sameTimeMs) && initiator().compareTo(newer.initiator()) < 0
                 : peer.getIncarnation() > newer.peer.getIncarnation();
     }
 
+    /** Returns whether a newer link to the same life of a box shows that the peer has given up this one. */
+    boolean givenUpFor(PeerLink newer, long sameTimeMs) {
+        return sameLife(newer) && newer.openedAtMs - openedAtMs > sameTimeMs;
+    }
+
     boolean dialled() {
         return dialledAddress != null;
     }
@@ -115,7 +133,7 @@
             return;
         }
         if (frame.getTunnelRequest() != null && !dialled()) {
-            events.tunnelRequested(ctx.channel(), frame.getTunnelRequest());
+            events.tunnelRequested(this, ctx.channel(), frame.getTunnelRequest());
             return;
         }
         boolean stranger =
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -1,14 +1,8 @@
 package org.wingstall.peer;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,11 +18,8 @@
 import org.wingstall.core.time.Jitter;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.BindException;
-import org.wingstall.net.EventLoops;
 import org.wingstall.net.PeriodicTask;
-import org.wingstall.net.frame.FrameCodec;
 import org.wingstall.net.log.LogEvent;
-import org.wingstall.peer.format.PeerFrameFormat;
 import org.wingstall.schema.peer.CrashNews;
 import org.wingstall.schema.peer.DomainSummary;
 import org.wingstall.schema.peer.Heartbeat;
@@ -50,9 +41,6 @@
 public final class PeerMesh implements PeerLink.LinkEvents {
     private static final Logger LOG = LogManager.getLogger(PeerMesh.class);
 
-    /** Frames that may leave in one write; more than most calls have results. */
-    private static final int FRAMES_A_WRITE = 64;
-
     private final PeerOptions options;
     private final PeerHost host;
     private final EventLoop loop;
@@ -70,6 +58,8 @@
     private final MeshStreamOriginLinks streamOrigins;
     private final Tunnels tunnels;
     private final Dialer dialer;
+    private final SilentLinks silence;
+    private final LinkChannels channels;
     private final RowLinks rows;
     private final DomainTable domains;
     private final PeerTable peers;
@@ -99,7 +89,9 @@
         this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews, this::carries);
         this.rows = new RowLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
-        this.dialer = new Dialer(options, self, loop, directory, links, this::initializer);
+        this.silence = new SilentLinks(options.silentAfterMs(), this::beatsSeldom, this::longestIntervalMs, clock);
+        this.channels = new LinkChannels(options, this, bytes, silence);
+        this.dialer = new Dialer(options, self, loop, directory, links, channels::initializer);
         this.streamOrigins = new MeshStreamOriginLinks(links, dialer::complete);
         this.peers =
                 new PeerTable(self, options.silentAfterMs(), this::beatsSeldom, rows::tableUnheard, replies, clock);
@@ -113,17 +105,7 @@
      * @throws BindException if the address can't be had
      */
     public void start() throws BindException {
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loop)
-                .channel(EventLoops.serverChannel())
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer(null));
-        ChannelFuture bound = bootstrap.bind(options.listenAddress()).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new BindException(options.listenAddress(), bound.cause());
-        }
-        listener = bound.channel();
+        listener = channels.listen(loop);
         PeriodicTask.start(loop, "heartbeat", this::delayMs, this::tick);
     }
 
@@ -243,6 +225,11 @@
         return heartbeats.fullIntervalMs();
     }
 
+    /** Returns the links that were closed since nothing had come on them for long; can be read on any thread. */
+    public long silentLinks() {
+        return silence.closed();
+    }
+
     /** Returns bytes sent over all links, without headers of IP and TCP. */
     public long sentBytes() {
         return bytes.sentBytes();
@@ -281,10 +268,22 @@
     }
 
     private void tick() {
+        silence.check(heartbeats.intervalMs()).forEach(this::giveUp);
         dialer.dialMissing();
         heartbeats.turn(!beatsSeldom(self.boxId()));
     }
 
+    private void giveUp(PeerLink link) {
+        if (link.peer() != null) {
+            closed(link);
+        }
+        link.close();
+    }
+
+    private long longestIntervalMs() {
+        return heartbeats.longestIntervalMs(knownBoxes);
+    }
+
     private long delayMs() {
         return Jitter.around(
                 heartbeats.intervalMs(), ThreadLocalRandom.current().nextDouble());
@@ -294,33 +293,22 @@
         return link.peer().getFailureDomain().equals(self.failureDomain());
     }
 
-    private ChannelInitializer<SocketChannel> initializer(InetSocketAddress dialledAddress) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                // The frames that one event gives rise to, such as the results of a call, leave in one write.
-                channel.pipeline().addLast(new FlushConsolidationHandler(FRAMES_A_WRITE, true));
-                channel.pipeline().addLast(bytes);
-                FrameCodec.addTo(channel.pipeline(), PeerFrame.class, PeerFrameFormat.INSTANCE);
-                channel.pipeline().addLast(new PeerLink(PeerMesh.this, options.hello(), dialledAddress));
-            }
-        };
-    }
-
     @Override
     public void opened(PeerLink link) {
         String boxId = link.peer().getBoxId();
+        link.openedAt(clock.nowMs());
         if (link.dialled()) {
+            dialer.answered(link.dialledAddress());
             directory.answered(link.dialledAddress(), boxId);
         }
         PeerLink other = links.get(boxId);
-        if (other != null && other.active() && other.preferredTo(link)) {
+        if (other != null && other.active() && other.preferredTo(link, options.silentAfterMs())) {
             link.close();
             return;
         }
         links.put(boxId, link);
-        if (other != null && !other.sameLife(link)) {
-            lifeEnded(boxId);
+        if (other != null && (!other.sameLife(link) || other.givenUpFor(link, options.silentAfterMs()))) {
+            linkLost(boxId);
         }
         learn(link);
         knownBoxes = directory.size() + 1;
@@ -349,12 +337,12 @@
     public void closed(PeerLink link) {
         if (links.remove(link.peer().getBoxId(), link)) {
             LogEvent.info("peer-unlinked").with("peer", link.peer().getBoxId()).to(LOG);
-            lifeEnded(link.peer().getBoxId());
+            linkLost(link.peer().getBoxId());
         }
     }
 
-    /** Nothing that was asked over the link to a process is answered after its end. */
-    private void lifeEnded(String boxId) {
+    /** Nothing that was asked over a link is answered after its end. */
+    private void linkLost(String boxId) {
         replies.forget(boxId);
         pieces.unlinked(boxId);
     }
@@ -382,11 +370,13 @@
     }
 
     @Override
-    public void tunnelRequested(Channel channel, TunnelRequest request) {
+    public void tunnelRequested(PeerLink link, Channel channel, TunnelRequest request) {
+        silence.unwatch(link);
         tunnels.accept(channel, request);
     }
 
     private void heartbeat(PeerLink link, Heartbeat heartbeat) {
+        silence.heartbeat(link);
         peers.heard(link.peer(), heartbeat);
         domains.heard(heartbeat.getDomains(), !isLocal(link));
         rows.heardRevision(link, heartbeat.getRevision());
