Refuse a body whose rest is the start of another answer

What callers saw, in our own test: a success, or a failure, whose body ended with the first bytes of another answer, such as 'body of p1.HTT' or 'bodyHTTP/1.1 5'. Not in the users' record, but the same cause: an endpoint that cuts its answer and answers once more on the open connection. The length of the first body took the start of the second answer as its rest.

Evidence: StutteringEndpoint cuts one in six first answers before a whole second one now.

Change: when bytes come behind a body, and body and bytes together hold a status line that begins inside the body, the answer counts as broken off. Bytes behind a whole body are no reason to refuse it.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -157,8 +157,8 @@
         keptAtNs = System.nanoTime();
         keptIdleMs = done.keptIdleMs();
         // Bytes that are left belong to no request, and would be read as the start of the next answer.
-        boolean keep = !decoder.hasUnreadBytes();
-        if (done.complete() && keep && ctx.channel().isActive()) {
+        String following = decoder.unreadBytes();
+        if (done.complete(following) && following.isEmpty() && ctx.channel().isActive()) {
             client.keep(ctx.channel(), address);
         } else {
             ctx.close();
--- a/net/src/main/java/org/wingstall/net/http/HttpExchange.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.Supplier;
 
 /**
  * One request on its way, and its answer.
@@ -30,6 +31,7 @@
     private boolean holdsBody = true;
     private long heldBytes;
     private BodyEnd bodyEnd = BodyEnd.LENGTH;
+    private String following = "";
     private long keptIdleMs = ConnectionUse.ANY_IDLE_MS;
 
     HttpExchange(OutgoingRequest request, ResponseListener listener, HttpClient client) {
@@ -73,6 +75,16 @@
         failed(TransportException.Kind.CONNECT, String.valueOf(cause.getMessage()));
     }
 
+    /**
+     * Returns whether a whole body, as its length has it, ends with the start of another answer: it was cut short, and the
+     * connection went on.
+     *
+     * @param body gives the body
+     */
+    public boolean cutShort(Supplier<byte[]> body) {
+        return !following.isEmpty() && JoinedAnswers.in(body.get(), following);
+    }
+
     /** Returns the local address of the connection and how many requests it has carried; empty before it is open. */
     public String describeConnection() {
         if (channel == null) {
@@ -161,7 +173,8 @@
     }
 
     /** Returns whether the connection may be kept; one on which a rest of the request is still due may not. */
-    boolean complete() {
+    boolean complete(String followingBytes) {
+        following = followingBytes;
         if (!ended) {
             end();
             listener.complete(bodyEnd);
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -204,6 +204,8 @@
             rejected();
         } else if (streaming) {
             endStream(end);
+        } else if (exchange.cutShort(body::toByteArray)) {
+            failed(exchange.brokenOff(end, "a body that ends with the start of another answer"));
         } else if (head.success()) {
             markEnded();
             endpoint.recordAnswer(context.clock().nowMs() - startedAtMs);
--- a/standin/src/main/java/org/wingstall/standin/fleet/StutteringEndpoint.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StutteringEndpoint.java
@@ -25,7 +25,7 @@
 
 /**
  * Stands in for an endpoint that fails some requests and answers some twice, the second time late, with another status or cut
- * off anywhere; on plain sockets. Keeps what it answered.
+ * off anywhere, and some first answers cut off; on plain sockets. Keeps what it answered.
  *
  * <p>{@code new StutteringEndpoint("p1", StutteringEndpoint.Body.TEXT, seed).start();}
  *
@@ -41,6 +41,9 @@
     /** Times from the first answer to the second one, in ms; 0 in the same write. */
     private static final int[] DELAYS_MS = {0, 0, 1, 3, 10, 30};
 
+    /** One in so many first answers is cut before a whole second one. */
+    private static final int FIRST_CUT_ONE_IN = 6;
+
     private final String name;
     private final Body body;
     private final Random random;
@@ -194,7 +197,11 @@
             delayMs = DELAYS_MS[random.nextInt(DELAYS_MS.length)];
             first = answer(id, 1, fails ? FAILURES[random.nextInt(FAILURES.length)] : 200);
             second = twice ? answer(id, 2, fails ? 200 : 500) : "";
-            second = random.nextBoolean() ? second : second.substring(0, random.nextInt(second.length() + 1));
+            if (twice && random.nextInt(FIRST_CUT_ONE_IN) == 0) {
+                first = first.substring(0, 1 + random.nextInt(endOfFirstEvent(first) - 1));
+            } else if (random.nextBoolean()) {
+                second = second.substring(0, random.nextInt(second.length() + 1));
+            }
         }
         if (!second.isEmpty()) {
             surplus.incrementAndGet();
@@ -230,6 +237,12 @@
                 framed);
     }
 
+    /** A stream that is cut later goes on at another endpoint, by its rules. */
+    private static int endOfFirstEvent(String answer) {
+        int end = answer.indexOf("\n\n");
+        return end < 0 ? answer.length() : end;
+    }
+
     private static void write(OutputStream out, String text) throws IOException {
         synchronized (out) {
             out.write(text.getBytes(StandardCharsets.US_ASCII));
