--- a/standin/src/main/java/org/wingstall/standin/fleet/StutteringEndpoint.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StutteringEndpoint.java
@@ -36,7 +36,8 @@
     private static final String LINE_END = "\r\n";
     private static final String ID = "x-wingstall-attempt-id";
     private static final String LENGTH = "content-length";
-    private static final int[] FAILURES = {500, 422, 404, 504};
+    private static final int NOT_RUN = 503;
+    private static final int[] FAILURES = {500, 422, 404, 504, NOT_RUN};
 
     /** Times from the first answer to the second one, in ms; 0 in the same write. */
     private static final int[] DELAYS_MS = {0, 0, 1, 3, 10, 30};
@@ -189,11 +190,13 @@
         boolean fails;
         boolean twice;
         int delayMs;
+        String interim;
         String first;
         String second;
         synchronized (random) {
             fails = random.nextInt(2) == 0;
             twice = random.nextInt(3) > 0;
+            interim = random.nextInt(4) == 0 ? "HTTP/1.1 103 Early Hints" + LINE_END + LINE_END : "";
             delayMs = DELAYS_MS[random.nextInt(DELAYS_MS.length)];
             first = answer(id, 1, fails ? FAILURES[random.nextInt(FAILURES.length)] : 200);
             second = twice ? answer(id, 2, fails ? 200 : 500) : "";
@@ -206,6 +209,7 @@
         if (!second.isEmpty()) {
             surplus.incrementAndGet();
         }
+        write(out, interim);
         if (delayMs == 0) {
             write(out, first + second);
         } else {
@@ -232,7 +236,7 @@
                 "Content-Type: " + type,
                 "X-Wingstall-Attempt-Id: " + id,
                 "X-Wingstall-Response-Seal: " + signature,
-                framing,
+                status == NOT_RUN ? framing + LINE_END + "X-Wingstall-Not-Executed: full" : framing,
                 "",
                 framed);
     }
