Record the endpoint that began a stream, not those that may begin it

Cause: boxes told others which endpoint a request was about to be sent to. When that endpoint lost the request before its first event, and an endpoint of another version began the stream, a box that missed the second record went on by the first one: its link had fallen silent, or its own reply came within the 60 ms and that of a box that knew better did not. When the box that began the stream ended, the wrong record was the only one. It takes a second endpoint of another version before the first event, so it comes in releases.

Change: the record is told when the stream begins, before its head is passed on, so that there is one for each stream and it is always right. A box that misses it refuses. Attempts that begin no stream cost no frames any more.

--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -65,6 +65,11 @@
         return this;
     }
 
+    /** Returns where the box takes links of other boxes. */
+    InetSocketAddress peerAddress() {
+        return Addresses.parse(settings.getPeerAddress());
+    }
+
     int readiness() {
         return send(request(settings.getReadinessAddress(), "/v1/readyz", "probe")
                         .GET()
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -55,7 +55,6 @@
     private EngineAssignment engineAssignment;
     private ScheduledFuture<?> timer;
     private int attempts;
-    private int sends;
     private int possibleRuns;
 
     RelayRun(RelayContext context, RoutedRequest routed, StreamVersion stream, Runnable onFinished) {
@@ -260,10 +259,6 @@
         long remainingMs = times.remainingMs();
         EndpointCall endpointCall = new EndpointCall(
                 endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
-        if (routed.beginsResumableStream() && !response.started()) {
-            sends++;
-            context.streamOrigins().sent(request.id(), sends, workspace.name(), endpoint, request.deadlineMs());
-        }
         attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, record, this);
         attempt.start();
     }
@@ -294,6 +289,9 @@
     /** Events of two versions don't fit together. */
     @Override
     public void streamBegan(RelayEndpoint endpoint) {
+        if (routed.beginsResumableStream() && !response.started()) {
+            context.streamOrigins().began(request.id(), workspace.name(), endpoint, request.deadlineMs());
+        }
         service.requireVersion(endpoint.softwareVersion());
     }
 
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -21,7 +21,7 @@
 
 /**
  * Tells which software version began a stream that a caller resumes, at whatever box. Each box tells a few others of the
- * streams that it begins, before the endpoint can have written an event, and asks all of them about a stream that it did
+ * streams that it begins, before their callers have an event, and asks all of them about a stream that it did
  * not begin itself. Nothing is written to the platform. Confined to the request loop.
  *
  * <p>{@code origins.find(new StreamOrigins.Query("c287ed77", "canteen", Set.of("llm"), 30_000), this::resume);}
@@ -35,6 +35,9 @@
     /** Pause until boxes are asked again while links are being opened, in ms; a few of the mesh's round trips. */
     private static final long ASK_AGAIN_MS = 50;
 
+    /** Number of the only endpoint of a stream that is recorded; releases before 0.20 number all that may begin it. */
+    private static final int ONLY_ENDPOINT = 1;
+
     /** Time after its deadline within which a caller's last try may still arrive, in ms. */
     private static final long LATE_TRY_MS = 1000;
 
@@ -118,19 +121,19 @@
     }
 
     /**
-     * Records that a request is about to be sent to an endpoint which may begin its stream.
+     * Records which endpoint began a stream, before anything of it is passed on. An endpoint that may begin one is not
+     * recorded: boxes that missed a later endpoint of the attempt would name the wrong one.
      *
      * @param streamId identifier of the caller's attempt
-     * @param number number of the endpoint among those of the attempt
      * @param workspace workspace of the caller
      * @param endpoint the endpoint
      * @param remainingMs time that the caller waits, in ms
      */
-    public void sent(String streamId, int number, String workspace, RelayEndpoint endpoint, long remainingMs) {
+    public void began(String streamId, String workspace, RelayEndpoint endpoint, long remainingMs) {
         StreamOrigin origin = new StreamOrigin(
                 streamId,
                 self,
-                number,
+                ONLY_ENDPOINT,
                 workspace,
                 endpoint.identity().service(),
                 endpoint.softwareVersion(),
