Look back over routes as well as versions for streams without a record

A caller took a stream up again whose box had ended, and got the rest from the engine of another service: 200 and a whole end.

Cause: without a record a box goes by the only version that it has seen for as long as the stream can be old. It asked that of the services that the route leads to now. If the route was moved meanwhile, these may have had one version all along while the stream was begun at another service and version.

Change: the state of a box tells how long it has had its configuration in force. A route counts as having led to its services only if that is as long as the stream can be old. Versions of the configuration may be skipped by a reader, so each change counts, whatever it is about.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -88,7 +88,7 @@
     private final EventLoop control = EventLoops.group("control", 1).next();
     private final EventLoopGroup requests;
     private final HttpClient client = new HttpClient();
-    private final RelayState state = new RelayState();
+    private final RelayState state = new RelayState(clock);
     private final ConfigFreshness configFreshness;
     private final EvacuationState evacuations = new EvacuationState(clock, this::evacuate);
     private final RelayEndpoints endpoints = new RelayEndpoints(clock);
@@ -234,6 +234,7 @@
                 new PlatformCallerWire(),
                 wire,
                 state::config,
+                state::configAgeMs,
                 endpoints,
                 pools,
                 engines,
--- a/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayStreamVersionTest.java
@@ -4,12 +4,14 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpRequest;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -26,6 +28,9 @@
     private static final int EVENTS = 5;
     private static final int TRIES = 8;
 
+    /** Time after which a box goes by the only version that it has seen, in ms. */
+    private static final long ONLY_VERSION_MS = 30_000;
+
     private final Map<String, WorkerStandin> engines = new HashMap<>();
     private final List<RelayBox> boxes = new ArrayList<>();
     private FleetStandin fleet;
@@ -169,6 +174,28 @@
         assertEquals(engines.get("new").runs().size(), 0);
     }
 
+    /** The services of today had one version only, while the stream was begun at another service. */
+    @Test
+    public void aStreamThatNoBoxKnowsDoesNotGoOnAfterItsRouteWasMoved() throws Exception {
+        startFleet(1);
+        addEngine("old", "v1", Behaviour.ANSWERS);
+        WorkerStandin moved = new WorkerStandin("moved", EVENTS, 0).writeAs("v2");
+        engines.put("moved", moved);
+        fleet.listVersion("prompted", "east", "moved", fleet.start(moved), "ready", "v2");
+        awaitEngines();
+        AtomicInteger tries = new AtomicInteger();
+        Awaitility.await()
+                .atMost(Duration.ofMillis(2 * ONLY_VERSION_MS))
+                .pollInterval(Duration.ofSeconds(1))
+                .until(() -> send(boxes.get(0), "try-" + tries.incrementAndGet(), "never-begun", 2)
+                                .status()
+                        == 200);
+        fleet.moveStreams(2, "resumable", "prompted");
+        Awaitility.await().until(() -> boxes.get(0).metrics().contains("wingstall_config_version 2.0"));
+        assertEquals(send(boxes.get(0), "next", "begun-elsewhere", 2).status(), 503);
+        assertEquals(moved.runs().size(), 0);
+    }
+
     @Test
     public void aStreamThatNoBoxKnowsIsNotResumedAtOneOfSeveralVersions() throws Exception {
         startFleet(2);
--- a/relay/src/main/java/org/wingstall/relay/control/RelayState.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayState.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.log.LogEvent;
 import org.wingstall.relay.config.RelayConfig;
 
@@ -16,11 +17,29 @@
 public final class RelayState {
     private static final Logger LOG = LogManager.getLogger(RelayState.class);
 
-    private final AtomicReference<RelayConfig> config = new AtomicReference<>(RelayConfig.NONE);
+    private final MonotonicClock clock;
+    private final AtomicReference<InForce> inForce = new AtomicReference<>(new InForce(RelayConfig.NONE, 0));
+
+    private record InForce(RelayConfig config, long sinceMs) {}
+
+    /**
+     * Creates a state without a configuration.
+     *
+     * @param clock monotonic clock
+     */
+    public RelayState(MonotonicClock clock) {
+        this.clock = clock;
+    }
 
     /** Returns the configuration in force. */
     public RelayConfig config() {
-        return config.get();
+        return inForce.get().config();
+    }
+
+    /** Returns the time for which this box has had the configuration in force, in ms; 0 before the first one. */
+    public long configAgeMs() {
+        InForce now = inForce.get();
+        return now.config().known() ? clock.nowMs() - now.sinceMs() : 0;
     }
 
     /**
@@ -31,7 +50,10 @@
      * @return whether it was newer
      */
     public boolean updateIfNewer(RelayConfig offered, String from) {
-        RelayConfig before = config.getAndUpdate(now -> offered.version() > now.version() ? offered : now);
+        InForce next = new InForce(offered, clock.nowMs());
+        RelayConfig before = inForce.getAndUpdate(
+                        now -> offered.version() > now.config().version() ? next : now)
+                .config();
         boolean newer = offered.version() > before.version();
         if (newer) {
             LogEvent.info("config-in-force")
--- a/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.wingstall.core.answer.RetryAfter;
@@ -35,6 +36,7 @@
  * @param callerProtocol decodes requests of callers and encodes refusals
  * @param endpointProtocol encodes calls to endpoints and decodes their responses
  * @param config the configuration in force
+ * @param configAgeMs time for which this box has had the configuration in force, in ms
  * @param endpoints the endpoints
  * @param stagePools endpoint pools that run stages
  * @param engineSelector selects model engines
@@ -60,6 +62,7 @@
         CallerProtocol callerProtocol,
         EndpointProtocol endpointProtocol,
         Supplier<RelayConfig> config,
+        LongSupplier configAgeMs,
         RelayEndpoints endpoints,
         StagePools stagePools,
         EngineSelector engineSelector,
--- a/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
@@ -70,7 +70,8 @@
         }
         Workspace workspace = workspaceOf(request, route.get(), config);
         RequestTimes times = new RequestTimes(context.clock(), route.get(), request);
-        begin(new RoutedRequest(call, request, route.get(), workspace, config.version(), times));
+        long configAgeMs = context.configAgeMs().getAsLong();
+        begin(new RoutedRequest(call, request, route.get(), workspace, config.version(), configAgeMs, times));
     }
 
     private void begin(RoutedRequest routed) {
--- a/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
@@ -17,10 +17,17 @@
  * @param route its route
  * @param workspace workspace of the caller's key
  * @param configVersion version of the configuration that was used
+ * @param configAgeMs time for which this box has had it in force, in ms
  * @param times when it arrived and is due
  */
 record RoutedRequest(
-        HttpCall call, RelayRequest request, Route route, Workspace workspace, long configVersion, RequestTimes times) {
+        HttpCall call,
+        RelayRequest request,
+        Route route,
+        Workspace workspace,
+        long configVersion,
+        long configAgeMs,
+        RequestTimes times) {
     /** Shortest time for which a stream is taken to be resumable, in ms. */
     private static final long MIN_STREAM_LIFETIME_MS = 30_000;
 
@@ -43,11 +50,12 @@
         return route.streamed() && route.resumable() && request.lastEventId() == null;
     }
 
-    /** Returns the stream that the caller resumes. */
+    /** Returns the stream that the caller resumes; a route may have led to other services under an older configuration. */
     StreamOrigins.Query resumedStream() {
-        Set<String> services =
-                route.serviceShares().stream().map(ServiceShare::service).collect(Collectors.toSet());
         long lifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, TRIES * route.timeoutMs());
+        Set<String> services = configAgeMs < lifetimeMs
+                ? Set.of()
+                : route.serviceShares().stream().map(ServiceShare::service).collect(Collectors.toSet());
         long patienceMs = Math.min(MAX_PATIENCE_MS, times.remainingMs() / PATIENCE_PARTS);
         return new StreamOrigins.Query(request.resumes(), workspace.name(), services, lifetimeMs, patienceMs);
     }
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -57,7 +57,7 @@
      *
      * @param streamId identifier of the attempt that brought its first event, or null if the caller names none
      * @param workspace workspace of the caller
-     * @param services services that its route leads to
+     * @param services services that its route has led to since the stream can have begun; empty if that is not known
      * @param lifetimeMs longest time since the stream can have begun, in ms
      * @param patienceMs longest wait for links to boxes that can't be asked yet, in ms
      */
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -32,7 +32,7 @@
     @BeforeMethod
     public void start() throws Exception {
         loop = new DefaultEventLoop();
-        state = new RelayState();
+        state = new RelayState(System::nanoTime);
         stored = 1;
         away = false;
         follower = follower(state);
@@ -129,7 +129,7 @@
     public void aStoreWithoutConfigurationIsReadOnceAndThenWaitedFor() throws Exception {
         stored = 0;
         wholeReads.set(0);
-        follower(new RelayState()).start();
+        follower(new RelayState(System::nanoTime)).start();
         settle();
         assertEquals(wholeReads.get(), 1);
     }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayPeerHostTest.java
@@ -42,7 +42,7 @@
                         public void announce(MemberNews news) {}
                     });
             peers = new RelayPeerHost(
-                    new RelayState(),
+                    new RelayState(System::nanoTime),
                     evacuations,
                     () -> false,
                     version -> {},
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -118,6 +118,15 @@
         store.put("op", "config", document(version, timeoutMs).replace(target + TARGET_MS, target + targetMs));
     }
 
+    /** Writes a version of the configuration in which a route for streams leads to another service than the engines. */
+    public void moveStreams(long version, String route, String service) {
+        String leads = "\"path_prefix\":\"/" + route + "/\",\"route_type\":\"streaming\",\"service\":\"";
+        store.put(
+                "op",
+                "config",
+                document(version, ROUTE_TIMEOUT_MS).replace(leads + "engine\"", leads + service + "\""));
+    }
+
     /**
      * Starts an endpoint and lists it.
      *
