Bound the wait for callers whose stream fell silent in the soak

After the silence each had one caller that had waited more than 240 s for the rest of a stream (jstack: Caller.call; one box with wingstall_caller_connections 1.0): a box waits without bound for a stream whose connection to its endpoint fell silent.

Change: the phase waits until 1 s beyond the deadline, then interrupts its callers. The product is not changed; the stream that never ends is open.

--- a/soak/src/main/java/org/wingstall/soak/SilentConnections.java
+++ b/soak/src/main/java/org/wingstall/soak/SilentConnections.java
@@ -32,6 +32,9 @@
     /** Time after the silence until which callers send, in ms: some seconds beyond the time from which bounds hold. */
     private static final long SENDING_MS = 6500;
 
+    /** Time beyond the deadline of its request for which a caller is waited for, in ms. */
+    private static final long BEYOND_DEADLINE_MS = 1000;
+
     /** Pause between two requests to a box, in ms. */
     private static final long SEND_INTERVAL_MS = 50;
 
@@ -59,8 +62,15 @@
         fleet.configureNext();
         end.within(SENDING_MS);
         end.come();
+        awaitEnds(senders);
+    }
+
+    /** A stream whose connection fell silent may never end. */
+    private void awaitEnds(List<Thread> senders) throws InterruptedException {
+        long untilMs = observations.nowMs() + Caller.DEADLINE_MS + BEYOND_DEADLINE_MS;
         for (Thread sender : senders) {
-            sender.join();
+            sender.join(Math.max(1, untilMs - observations.nowMs()));
+            sender.interrupt();
         }
     }
 
