Tell silenced boxes from others in the soak, and silence sooner after a change

Seen: the line of faults did not tell which boxes had been silenced. The silence came 0.3 to 1 s after a version; a waiting call that began with that version is found dead up to 1 s sooner then.

Change: SILENT_OPEN_ELSEWHERE for boxes that only count as reset; 0.2 to 0.7 s.

--- a/soak/src/main/java/org/wingstall/soak/Disturbance.java
+++ b/soak/src/main/java/org/wingstall/soak/Disturbance.java
@@ -13,9 +13,9 @@
 record Disturbance(String target, String kind, boolean planned, long fromMs, long untilMs) {
     static final String STORE = "store";
 
-    /** Returns whether open connections of a box fell silent. */
+    /** Returns whether open connections fell silent, which counts as a reset of the connections of all boxes. */
     boolean silencesBox() {
-        return kind.equals(SilentConnections.STORE_WAY);
+        return kind.equals(SilentConnections.STORE_WAY) || kind.equals(SilentConnections.ELSEWHERE);
     }
 
     boolean touches(String who, long beginMs, long endMs) {
--- a/soak/src/main/java/org/wingstall/soak/SilentConnections.java
+++ b/soak/src/main/java/org/wingstall/soak/SilentConnections.java
@@ -20,14 +20,17 @@
     /** What the connections of a box suffer. */
     static final String STORE_WAY = "STORE_WAY_SILENT_OPEN";
 
+    /** What it means to a box that only connections of others suffer. */
+    static final String ELSEWHERE = "SILENT_OPEN_ELSEWHERE";
+
     /** What the connections to an endpoint suffer. */
     static final String ENDPOINT_WAY = "ENDPOINT_WAY_SILENT_OPEN";
 
     /** Shortest time between a change and the silence, in ms: the boxes have read it and wait for the next one. */
-    private static final int MIN_BETWEEN_MS = 300;
+    private static final int MIN_BETWEEN_MS = 200;
 
     /** Longest further time between two steps, in ms. */
-    private static final int MAX_FURTHER_MS = 700;
+    private static final int MAX_FURTHER_MS = 500;
 
     /** Time after the silence until which callers send, in ms: some seconds beyond the time from which bounds hold. */
     private static final long SENDING_MS = 6500;
@@ -99,16 +102,16 @@
 
     private void silence() {
         long atMs = observations.nowMs();
-        for (SoakFleet.Box box : some(fleet.boxes())) {
-            silence(box.store());
-        }
+        List<SoakFleet.Box> silenced = some(fleet.boxes());
+        silenced.forEach(box -> silence(box.store()));
         for (SoakFleet.Endpoint endpoint : some(fleet.endpoints())) {
             silence(endpoint.route());
             observations.disturbed(new Disturbance(endpoint.id(), ENDPOINT_WAY, false, atMs, observations.nowMs()));
         }
         // For the promises in time, silence counts as a reset of the connections of all boxes.
         for (SoakFleet.Box box : fleet.boxes()) {
-            observations.disturbed(new Disturbance(box.id(), STORE_WAY, false, atMs, atMs));
+            String kind = silenced.contains(box) ? STORE_WAY : ELSEWHERE;
+            observations.disturbed(new Disturbance(box.id(), kind, false, atMs, atMs));
         }
     }
 
