Reject a request only after the answers to earlier ones on its connection

What callers saw, in our own test: on a connection on which a proper request was still running, the rejection of what followed (400 for bytes that are no HTTP, 413 for a body that is too long, 408 for a request that did not arrive whole) came at once, as the answer to the first request, and the connection ended without that answer. The request ran on.

Cause: RequestGuard.reject wrote to the connection whatever else was due on it.

Evidence: RejectionBeforeEarlierAnswerTest on, 12 of 18 cases (all those with an earlier request; 400, 413, 408): earlierRequestsGetTheirAnswersBefore[no HTTP, BAD_HTTP, 1, false] HTTP/1.1 400 Bad Request ... lists don't have the same size expected [2] but found [1]

Change: a rejection is held until the answers to all earlier requests are written. Nothing more is read from that client meanwhile, as before.

Measured: 18 of 18 hold; RequestGuardTest, ConnectionGateTest, EarlierHttpCallerTest, SheddingGateTest and NewConnectionQueueTest pass.

--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -29,6 +29,7 @@
     private ScheduledFuture<?> timer;
     private int unanswered;
     private boolean rejected;
+    private FullHttpResponse heldRejection;
     private boolean reading;
 
     RequestGuard(Supplier<HttpLimits> limits, Rejection.Body rejections, AtomicInteger connections) {
@@ -38,7 +39,8 @@
     }
 
     /**
-     * Answers, then reads and drops what the client still sends for a while: closing with unread bytes would reset the
+     * Answers once all earlier requests of the connection have their answers, since the client takes answers in the order of
+     * its requests. Then reads and drops what the client still sends for a while: closing with unread bytes would reset the
      * connection and could take the answer with it.
      */
     static void reject(ChannelHandlerContext ctx, Rejection rejection, Rejection.Body rejections) {
@@ -54,7 +56,15 @@
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpCall.JSON);
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         HttpUtil.setContentLength(response, body.length);
-        ctx.writeAndFlush(response).addListener(written -> {
+        if (guard.unanswered > 1) {
+            guard.heldRejection = response;
+        } else {
+            send(ctx, response);
+        }
+    }
+
+    private static void send(ChannelHandlerContext ctx, FullHttpResponse rejection) {
+        ctx.writeAndFlush(rejection).addListener(written -> {
             ((SocketChannel) ctx.channel()).shutdownOutput();
             ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         });
@@ -74,6 +84,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.decrementAndGet();
         disarm();
+        ReferenceCountUtil.release(heldRejection);
+        heldRejection = null;
         ctx.fireChannelInactive();
     }
 
@@ -113,6 +125,11 @@
             }
         }
         ctx.write(message, promise);
+        if (heldRejection != null && unanswered <= 1) {
+            FullHttpResponse rejection = heldRejection;
+            heldRejection = null;
+            send(ctx, rejection);
+        }
     }
 
     private void arm(ChannelHandlerContext ctx, long afterMs, Rejection rejection) {
