Count no interim answer as the answer to a request

What callers saw, in our own test: a request with 'Expect: 100-continue' whose body did not come was not rejected after the time for reading a request (requestReadMs), but closed without an answer after the time for idle connections (idleMs).

Cause: RequestGuard took the 100 that the aggregator writes for the answer, and armed the timer of an idle connection in the place of the one for reading. Its count of unanswered requests, which now decides when a rejection may be written, was one too low as well.

Evidence: rows with 'Expect' in RejectionBeforeEarlierAnswerTest, 6 of 6 fail on: earlierRequestsGetTheirAnswersBefore[..., SLOW_REQUEST, 0, false] java.lang.AssertionError: expected [SLOW_REQUEST] but found [null]

Measured: 24 of 24 hold; RequestGuardTest, ConnectionGateTest, EarlierHttpCallerTest, SheddingGateTest and NewConnectionQueueTest pass.

--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -9,7 +9,9 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -118,7 +120,7 @@
 
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-        if (message instanceof LastHttpContent) {
+        if (message instanceof LastHttpContent && !interim(message)) {
             unanswered--;
             if (unanswered <= 0) {
                 arm(ctx, limits.get().idleMs(), null);
@@ -132,6 +134,10 @@
         }
     }
 
+    private static boolean interim(Object message) {
+        return message instanceof HttpResponse head && head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
     private void arm(ChannelHandlerContext ctx, long afterMs, Rejection rejection) {
         disarm();
         timer = ctx.executor().schedule(() -> expire(ctx, rejection), afterMs, TimeUnit.MILLISECONDS);
--- a/net/src/test/java/org/wingstall/net/http/RejectionBeforeEarlierAnswerTest.java
+++ b/net/src/test/java/org/wingstall/net/http/RejectionBeforeEarlierAnswerTest.java
@@ -55,6 +55,7 @@
             {"no HTTP\r\n\r\n", Rejection.BAD_HTTP},
             {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", Rejection.BODY_TOO_LARGE},
             {"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n", Rejection.SLOW_REQUEST},
+            {"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n", Rejection.SLOW_REQUEST},
         };
         List<Object[]> cases = new ArrayList<>();
         for (Object[] reason : reasons) {
