Ask the store anew when a connection to it is silent for good

Cause, as reproduced: a box waits for changes in one held call, 4 s where it reads the list and 20 s elsewhere, and nothing doubted a call whose connection had fallen silent without a reset. Reads after a peer's newer version took idle connections that were silent too, 700 ms each.

Change: a late read is sent once more over a new connection; if that one has the answer, or none, idle connections to the store are closed and held calls ask anew. The wait of boxes that read for others follows from configWithinMs; other boxes doubt their call when neither the store nor a peer has confirmed the configuration for 0.65 of it.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -46,6 +46,7 @@
     /** Shows what it knows of the platform's store. */
     void ofStore(StoreFollowers store) {
         metrics.gauge("wingstall.store.era", store::storeEra);
+        metrics.gauge("wingstall.store.calls.repeated", store::repeatedCalls);
     }
 
     /** Shows what is under way. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -43,6 +43,21 @@
     /** Longest wait of a call for the configuration at a box that others tell of new versions, in ms; the store allows 30 s. */
     private static final long CONFIG_WAIT_TOLD_MS = 20_000;
 
+    /** Longest wait of a call for crash reports, in ms: a box must know one within 4 s, also if the call is lost. */
+    private static final long CRASH_REPORT_WAIT_MS = 3000;
+
+    /**
+     * Part of configWithinMs that a call for the configuration waits at a box that reads the store for others: leaves time to
+     * notice a silent connection, and for a heartbeat and a read at the others.
+     */
+    private static final double READER_WAIT_PART = 0.35;
+
+    /**
+     * Part of configWithinMs after which a box that was not told that its configuration is current asks itself; longer than
+     * a reader's wait and a heartbeat.
+     */
+    private static final double DOUBT_PART = 0.65;
+
     /** Time that a lost read of the list takes until it is noticed, in ms; the store client's limit is 700. */
     private static final long READ_AGAIN_MS = 600;
 
@@ -56,6 +71,7 @@
     private static final long FIRST_ANSWER_MS = 2500;
 
     private final RelaySettings settings;
+    private final ConfigFreshness freshness;
     private final StoreClient store;
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
@@ -97,15 +113,24 @@
             Supplier<List<CrashReport>> crashReportsNow,
             IntConsumer boxesKnown) {
         this.settings = settings;
+        this.freshness = freshness;
         this.mesh = mesh;
         this.boxesKnown = boxesKnown;
         this.store = new StoreClient(
                 client,
                 control,
                 Addresses.parse(settings.getStoreAddress()),
-                () -> state.config().known() && endpoints.listLoaded() ? ANSWER_MS : FIRST_ANSWER_MS);
+                () -> known(state, endpoints) ? ANSWER_MS : FIRST_ANSWER_MS,
+                () -> known(state, endpoints));
         this.configFollower = new RelayConfigFollower(
-                control, new PlatformConfigSource(store, this::configWaitMs), state, evacuations, freshness, clock);
+                control,
+                new PlatformConfigSource(store, this::configWaitMs),
+                state,
+                evacuations,
+                freshness,
+                clock,
+                doubtAfterMs(),
+                () -> !told());
         this.duty = new OneReaderPerDomainPolicy(settings.getBoxId(), this::heardPeers, mesh::carries);
         this.listFollower = new ListFollower(
                 control,
@@ -126,7 +151,7 @@
                     }
                 });
         this.crashReports = new CrashReportFollower(
-                control, new PlatformCrashReports(store, clock, this::configWaitMs), crashReportRead, this::told);
+                control, new PlatformCrashReports(store, clock, this::crashReportWaitMs), crashReportRead, this::told);
         BoxDirectory.Box self = new BoxDirectory.Box(
                 settings.getBoxId(),
                 settings.getFailureDomain(),
@@ -155,6 +180,11 @@
         return store.era();
     }
 
+    /** Returns how many reads of the store were sent once more. */
+    long repeatedCalls() {
+        return store.repeatedCalls();
+    }
+
     /** Returns whether this box has had time to learn of all others. */
     boolean boxesSettled() {
         return boxes.initialReadsDone();
@@ -186,9 +216,24 @@
         return settings.getLeavingWithinMs() == 0 ? settings.getEndpointIntervalMs() : shortestMs;
     }
 
+    /** The first reads take connections that are new, and are hedged by their followers. */
+    private static boolean known(RelayState state, RelayEndpoints endpoints) {
+        return state.config().known() && endpoints.listLoaded();
+    }
+
     /** A box that hears readers learns of a version by their heartbeats, should its own call miss it. */
     private long configWaitMs() {
-        return told() ? CONFIG_WAIT_TOLD_MS : settings.getConfigWaitMs();
+        long readerWaitMs =
+                Math.min(settings.getConfigWaitMs(), Math.round(READER_WAIT_PART * settings.getConfigWithinMs()));
+        return told() && freshness.ageMs() < doubtAfterMs() ? CONFIG_WAIT_TOLD_MS : readerWaitMs;
+    }
+
+    private long crashReportWaitMs() {
+        return Math.min(settings.getConfigWaitMs(), CRASH_REPORT_WAIT_MS);
+    }
+
+    private long doubtAfterMs() {
+        return Math.round(DOUBT_PART * settings.getConfigWithinMs());
     }
 
     /** Returns whether this box is told what the boxes know that read the store for its failure domain and others. */
--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -54,7 +54,8 @@
         this(fleet.settings(boxId, "east", links));
     }
 
-    private RelayBox(String settingsText) throws InvalidDocumentException, BindException {
+    /** Starts a gateway with settings in YAML. */
+    RelayBox(String settingsText) throws InvalidDocumentException, BindException {
         settings = SchemaCheck.of(RelaySettings.class).read(Json.readYaml(settingsText));
         gateway = RelayGateway.listening(settings);
         gateway.start();
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -80,7 +80,7 @@
      * @param loop event loop of the call; any thread may call
      * @param request the request
      * @param timeoutMs longest wait for the whole answer, in ms
-     * @return the answer, or a {@link TransportException}
+     * @return the answer, or a {@link TransportException}; cancelling it abandons the call and closes its connection
      */
     public CompletableFuture<HttpReply> call(EventLoop loop, OutgoingRequest request, long timeoutMs) {
         ReplyCollector collector = new ReplyCollector(loop, timeoutMs);
@@ -89,7 +89,13 @@
         } else {
             loop.execute(() -> collector.begin(this, request));
         }
-        return collector.reply();
+        CompletableFuture<HttpReply> reply = collector.reply();
+        reply.whenComplete((answer, failure) -> {
+            if (reply.isCancelled()) {
+                loop.execute(collector::abandon);
+            }
+        });
+        return reply;
     }
 
     private Channel takeKept(EventLoop loop, OutgoingRequest request) {
--- a/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
+++ b/net/src/main/java/org/wingstall/net/http/ReplyCollector.java
@@ -42,6 +42,14 @@
         exchange = client.send(loop, request, (int) Math.min(Integer.MAX_VALUE, timeoutMs), this);
     }
 
+    /** Ends a call whose answer nobody waits for any more. */
+    void abandon() {
+        timer.cancel(false);
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
     private void expect(long ms) {
         dueAtNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
         timer = loop.schedule(this::expire, ms, TimeUnit.MILLISECONDS);
--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.wingstall.core.time.MonotonicClock;
@@ -14,15 +15,15 @@
  * Keeps the configuration and the evacuations up to date; keeps the last ones while the source fails. Runs on the
  * control loop.
  *
- * <p>{@code new RelayConfigFollower(loop, source, state, evacuations, freshness, clock).start();}
+ * <p>{@code new RelayConfigFollower(loop, source, state, evacuations, freshness, clock, 1300, () -> true).start();}
  *
  * @since 0.2
  */
 public final class RelayConfigFollower {
     private static final Logger LOG = LogManager.getLogger(RelayConfigFollower.class);
 
-    /** Interval between checks of the age of the configuration, in ms; a tenth of the shortest bound in use. */
-    private static final long AGE_CHECK_INTERVAL_MS = 200;
+    /** Interval between checks of the age of the configuration, in ms. */
+    private static final long AGE_CHECK_INTERVAL_MS = 100;
 
     private final EventLoop loop;
     private final ConfigSource source;
@@ -30,9 +31,12 @@
     private final EvacuationState evacuations;
     private final ConfigFreshness freshness;
     private final MonotonicClock clock;
+    private final long doubtAfterMs;
+    private final BooleanSupplier readsForOthers;
     private final SourceHealth health = new SourceHealth("config");
     private boolean fullReadDue = true;
     private boolean catchUpInProgress;
+    private boolean mayDoubt;
 
     /**
      * Creates a follower.
@@ -43,6 +47,8 @@
      * @param evacuations receives the evacuations
      * @param freshness receives the times at which the source confirmed the configuration
      * @param clock monotonic clock
+     * @param doubtAfterMs age of the configuration from which the call that waits for changes is in doubt, in ms
+     * @param readsForOthers whether peers rely on this box to ask the source
      */
     public RelayConfigFollower(
             EventLoop loop,
@@ -50,7 +56,11 @@
             RelayState state,
             EvacuationState evacuations,
             ConfigFreshness freshness,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            long doubtAfterMs,
+            BooleanSupplier readsForOthers) {
+        this.readsForOthers = readsForOthers;
+        this.doubtAfterMs = doubtAfterMs;
         this.freshness = freshness;
         this.clock = clock;
         this.evacuations = evacuations;
@@ -63,15 +73,32 @@
     public void start() {
         loop.execute(this::poll);
         loop.scheduleWithFixedDelay(
-                freshness::logChange, AGE_CHECK_INTERVAL_MS, AGE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                this::checkAge, AGE_CHECK_INTERVAL_MS, AGE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Neither the store nor a peer may have confirmed the configuration because connections are silent. */
+    private void checkAge() {
+        freshness.logChange();
+        if (mayDoubt && tooOld()) {
+            mayDoubt = false;
+            source.doubtWait();
+        }
+    }
+
+    /** Confirmations by peers do not count at a box on which its peers rely, which may have become one just now. */
+    private boolean tooOld() {
+        return freshness.ageMs() > doubtAfterMs
+                || freshness.storeAgeMs() > doubtAfterMs && readsForOthers.getAsBoolean();
     }
 
     private void poll() {
         boolean held = !fullReadDue;
+        mayDoubt = held;
         long beganMs = clock.nowMs();
         nextRead()
                 .whenCompleteAsync(
                         (news, failure) -> {
+                            mayDoubt = false;
                             if (held) {
                                 logEnd(clock.nowMs() - beganMs, news, failure);
                             }
--- a/relay/src/main/java/org/wingstall/relay/wire/ConfigSource.java
+++ b/relay/src/main/java/org/wingstall/relay/wire/ConfigSource.java
@@ -18,4 +18,7 @@
      *     {@link org.wingstall.relay.wire.SourceException}
      */
     CompletableFuture<OperatorState> next(boolean whole);
+
+    /** Makes a call that waits for a change ask at once over a new connection, since its own may be silent. */
+    default void doubtWait() {}
 }
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -4,18 +4,22 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.relay.config.ClientLimits;
 import org.wingstall.relay.config.Evacuations;
 import org.wingstall.relay.config.RelayConfig;
+import org.wingstall.relay.wire.ConfigSource;
 import org.wingstall.relay.wire.OperatorState;
 import org.wingstall.relay.wire.SourceException;
 
@@ -48,7 +52,14 @@
 
     private RelayConfigFollower follower(RelayState into) {
         return new RelayConfigFollower(
-                loop, this::read, into, evacuations, new ConfigFreshness(System::nanoTime, 2000), System::nanoTime);
+                loop,
+                this::read,
+                into,
+                evacuations,
+                new ConfigFreshness(System::nanoTime, 2000),
+                System::nanoTime,
+                1300,
+                () -> false);
     }
 
     private CompletableFuture<OperatorState> read(boolean whole) {
@@ -121,6 +132,40 @@
         });
     }
 
+    @DataProvider
+    public Object[][] silentWaits() {
+        return new Object[][] {{"nobody confirms", false, false}, {"peers rely on this box", true, true}};
+    }
+
+    /**
+     * A box waited for as long as its call may be held when its peers fell silent with its own connection, or when it
+     * began to read for them meanwhile.
+     */
+    @Test(dataProvider = "silentWaits")
+    public void aWaitForChangesIsInDoubtWhenTheStoreHasToBeAsked(String why, boolean peersConfirm, boolean reads) {
+        RelayState own = new RelayState();
+        CompletableFuture<OperatorState> wait = new CompletableFuture<>();
+        ConfigSource silent = new ConfigSource() {
+            @Override
+            public CompletableFuture<OperatorState> next(boolean whole) {
+                return whole ? CompletableFuture.completedFuture(news(Optional.of(config(1)))) : wait;
+            }
+
+            @Override
+            public void doubtWait() {
+                wait.complete(news(Optional.of(config(2))));
+            }
+        };
+        ConfigFreshness freshness = new ConfigFreshness(System::nanoTime, 2000);
+        if (peersConfirm) {
+            loop.scheduleAtFixedRate(() -> freshness.confirmedByPeer(1), 0, 20, TimeUnit.MILLISECONDS);
+        }
+        new RelayConfigFollower(loop, silent, own, evacuations, freshness, System::nanoTime, 300, () -> reads).start();
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(2))
+                .until(() -> own.config().version() == 2);
+    }
+
     /**
      * Boxes may start before there is a configuration. A box that repeated full reads until then made 35 calls within
      * its first second; the call that waits for a change returns the first version as well.
