Read the configuration from peers at a box that the store turns away

Callers saw 404s for routes of a confirmed version at single boxes (the users' record; not shown to be this cause). A box that the store turns away with 503, 429, a reset or silence never got a newer configuration, though its peers told its version in each heartbeat; one that started meanwhile got none.

Cause: a box was told that there is something newer and not what; it could get it only from the store. Ruled out: the links (RelayTurnedAwayBoxTest waits until both boxes hear each other).

Change: PeerConfigReader requests the document from a peer that has it, 400 ms after it was told of (1 s at a box without any), one request at a time, the next peer when none comes. platform/ decodes it like one of the store; an invalid one is rejected, logged and counted, and another peer asked. New frames and a flag in the hello, since configRequest and configReply carry rows of the project's own table; older boxes are not asked. The stand-in store can turn away the callers of one address, also those that wait.

propertiesOfANewerBoxArePassedOver gives its hello one more property, as the one that it took for unknown is known now; it still ends with an unknown one.

Soak and the whole suite were not run.

--- a/gateway/src/main/java/org/wingstall/gateway/Gateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/Gateway.java
@@ -224,7 +224,7 @@
         Peering peering = settings.getPeering();
         String advertised = settings.getAdvertisedPeerAddress();
         String told = advertised == null ? settings.getPeerAddress() : advertised;
-        Hello hello = new Hello(settings.getBoxId(), settings.getFailureDomain(), told, incarnation, 0, true);
+        Hello hello = new Hello(settings.getBoxId(), settings.getFailureDomain(), told, incarnation, 0, true, false);
         return new PeerOptions(
                 hello,
                 Addresses.parse(settings.getPeerAddress()),
--- a/gateway/src/main/java/org/wingstall/gateway/relay/PeerSettings.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/PeerSettings.java
@@ -38,6 +38,7 @@
                 settings.getPeerAddress(),
                 System.currentTimeMillis(),
                 capacity(settings),
+                true,
                 true);
         return new PeerOptions(
                 hello,
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGauges.java
@@ -47,6 +47,9 @@
     void ofStore(StoreFollowers store) {
         metrics.gauge("wingstall.store.era", store::storeEra);
         metrics.gauge("wingstall.store.calls.repeated", store::repeatedCalls);
+        metrics.gauge("wingstall.config.peer.taken", store.peerConfig()::taken);
+        metrics.gauge("wingstall.config.peer.rejected", store.peerConfig()::rejected);
+        metrics.gauge("wingstall.config.peer.unanswered", store.peerConfig()::unanswered);
     }
 
     /** Shows what is under way. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -5,14 +5,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.wingstall.core.member.Addresses;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.peer.PeerMesh;
+import org.wingstall.peer.PeerState;
 import org.wingstall.peer.PeerTable;
 import org.wingstall.platform.PlatformBoxDirectory;
 import org.wingstall.platform.PlatformConfigSource;
@@ -25,11 +28,13 @@
 import org.wingstall.relay.control.EvacuationState;
 import org.wingstall.relay.control.ListFollower;
 import org.wingstall.relay.control.OneReaderPerDomainPolicy;
+import org.wingstall.relay.control.PeerConfigReader;
 import org.wingstall.relay.control.ReadPolicy;
 import org.wingstall.relay.control.RelayConfigFollower;
 import org.wingstall.relay.control.RelayState;
 import org.wingstall.relay.endpoint.RelayEndpoints;
 import org.wingstall.relay.wire.BoxDirectory;
+import org.wingstall.relay.wire.ConfigDocuments;
 import org.wingstall.schema.peer.CrashReport;
 import org.wingstall.schema.peer.MemberNews;
 import org.wingstall.schema.settings.RelaySettings;
@@ -76,6 +81,7 @@
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
     private final RelayConfigFollower configFollower;
+    private final PeerConfigReader peerConfig;
     private final ReadPolicy duty;
     private final ListFollower listFollower;
     private final BoxFollower boxes;
@@ -122,15 +128,10 @@
                 Addresses.parse(settings.getStoreAddress()),
                 () -> known(state, endpoints) ? ANSWER_MS : FIRST_ANSWER_MS,
                 () -> known(state, endpoints));
+        PlatformConfigSource config = new PlatformConfigSource(store, this::configWaitMs);
         this.configFollower = new RelayConfigFollower(
-                control,
-                new PlatformConfigSource(store, this::configWaitMs),
-                state,
-                evacuations,
-                freshness,
-                clock,
-                doubtAfterMs(),
-                () -> !told());
+                control, config, state, evacuations, freshness, clock, doubtAfterMs(), () -> !told());
+        this.peerConfig = peerConfigReader(control, config, state);
         this.duty = new OneReaderPerDomainPolicy(settings.getBoxId(), this::heardPeers, mesh::carries);
         this.listFollower = new ListFollower(
                 control,
@@ -208,6 +209,31 @@
     /** Records a version of the configuration that a peer has. */
     void newerConfigHeard(long version) {
         configFollower.onNewerVersion(version);
+        peerConfig.onNewerVersion(version);
+    }
+
+    /** Returns how the configuration is read from peers. */
+    PeerConfigReader peerConfig() {
+        return peerConfig;
+    }
+
+    private PeerConfigReader peerConfigReader(EventLoop control, ConfigDocuments documents, RelayState state) {
+        PeerConfigReader reader = new PeerConfigReader(
+                control,
+                documents,
+                state,
+                this::versionsOfPeers,
+                mesh.configDocuments()::request,
+                new SplittableRandom());
+        mesh.configDocuments().attach(reader);
+        return reader;
+    }
+
+    private Map<String, Long> versionsOfPeers() {
+        PeerTable peers = mesh.peers();
+        return peers.all().stream()
+                .filter(peer -> peers.heard(peer) && peer.hello().isSendsConfigDocuments())
+                .collect(Collectors.toMap(peer -> peer.hello().getBoxId(), PeerState::revision));
     }
 
     /** A read that fails once leaves time for another before the bound. */
--- a/peer/src/main/java/org/wingstall/peer/Frames.java
+++ b/peer/src/main/java/org/wingstall/peer/Frames.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.wingstall.schema.peer.ClaimReply;
 import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.schema.peer.ConfigDocument;
+import org.wingstall.schema.peer.ConfigDocumentRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.ConfigRequest;
 import org.wingstall.schema.peer.CrashNews;
@@ -59,6 +61,8 @@
         private RejectionNews rejectionNews;
         private StreamOrigin streamOrigin;
         private StreamOriginAsk streamOriginAsk;
+        private ConfigDocumentRequest configDocumentRequest;
+        private ConfigDocument configDocument;
 
         Parts(long correlation) {
             this.correlation = correlation;
@@ -89,7 +93,9 @@
                     rejectionNews,
                     streamOrigin,
                     streamOriginAsk,
-                    stageResults);
+                    stageResults,
+                    configDocumentRequest,
+                    configDocument);
         }
     }
 
@@ -226,6 +232,18 @@
         return parts.frame();
     }
 
+    static PeerFrame configDocumentRequest(long correlation, long version) {
+        Parts parts = new Parts(correlation);
+        parts.configDocumentRequest = new ConfigDocumentRequest(version);
+        return parts.frame();
+    }
+
+    static PeerFrame configDocument(long correlation, ConfigDocument document) {
+        Parts parts = new Parts(correlation);
+        parts.configDocument = document;
+        return parts.frame();
+    }
+
     static PeerFrame engineOutcome(EngineOutcome outcome) {
         Parts parts = new Parts(0);
         parts.engineOutcome = outcome;
--- a/peer/src/main/java/org/wingstall/peer/PeerMesh.java
+++ b/peer/src/main/java/org/wingstall/peer/PeerMesh.java
@@ -61,6 +61,7 @@
     private final SilentLinks silence;
     private final LinkChannels channels;
     private final RowLinks rows;
+    private final ConfigDocumentLinks configDocuments;
     private final DomainTable domains;
     private final PeerTable peers;
     private final Heartbeats heartbeats;
@@ -88,6 +89,7 @@
         this.limits = new NewsLinks<>(links, Frames::limitNews, PeerFrame::getLimitNews, this::carries);
         this.rejections = new NewsLinks<>(links, Frames::rejectionNews, PeerFrame::getRejectionNews, this::carries);
         this.rows = new RowLinks(loop, links);
+        this.configDocuments = new ConfigDocumentLinks(loop, links);
         this.tunnels = new Tunnels(loop, options.listenAddress(), links, bytes);
         this.silence = new SilentLinks(options.silentAfterMs(), this::beatsSeldom, this::longestIntervalMs, clock);
         this.channels = new LinkChannels(options, this, bytes, silence);
@@ -159,6 +161,11 @@
         return rows;
     }
 
+    /** Returns how gateways pass documents of the configuration on. */
+    public ConfigDocumentLinks configDocuments() {
+        return configDocuments;
+    }
+
     /** Takes in a membership list. */
     public void applyList(List<Member> members) {
         loop.execute(() -> {
@@ -360,6 +367,7 @@
         } else if (frame.getMemberNews() != null) {
             host.membersChanged(frame.getMemberNews());
         } else if (!rows.frame(link, frame)
+                && !configDocuments.frame(link, frame)
                 && !engines.frame(link.peer().getBoxId(), frame)
                 && !streamOrigins.frame(link.peer().getBoxId(), frame)
                 && !crashes.frame(link.peer().getBoxId(), frame)
--- a/peer/src/test/java/org/wingstall/peer/DialerTest.java
+++ b/peer/src/test/java/org/wingstall/peer/DialerTest.java
@@ -43,7 +43,7 @@
         plans = 0;
         directory = new Directory();
         directory.applyBoxes(listed("a-2", "b-1"), SELF.boxId());
-        Hello hello = new Hello(SELF.boxId(), SELF.failureDomain(), "127.0.0.1:2", 1, SELF.capacity(), true);
+        Hello hello = new Hello(SELF.boxId(), SELF.failureDomain(), "127.0.0.1:2", 1, SELF.capacity(), true, false);
         PeerOptions options = new PeerOptions(hello, ADDRESS, List.of(), 400, 1300, 300_000, new CountedPlans());
         dialer = new Dialer(options, SELF, loop, directory, new HashMap<>(), address -> NO_LINKS);
         dialTenTimes();
--- a/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
+++ b/peer/src/test/java/org/wingstall/peer/PromptRepliesTest.java
@@ -43,7 +43,7 @@
     private void beats(String boxId, String domain) {
         replies.heard(boxId);
         peers.heard(
-                new Hello(boxId, domain, "10.0.0.1:1", 1, 100, true),
+                new Hello(boxId, domain, "10.0.0.1:1", 1, 100, true, false),
                 new Heartbeat(1, false, List.of(), List.of(), List.of(), false, 0, 0, 0, null, 0, 0, null, 0));
     }
 
--- a/peer/src/test/java/org/wingstall/peer/SilentLinksTest.java
+++ b/peer/src/test/java/org/wingstall/peer/SilentLinksTest.java
@@ -58,7 +58,7 @@
     }
 
     private static Hello hello(String boxId) {
-        return new Hello(boxId, "east", "127.0.0.1:1", 1, 0, true);
+        return new Hello(boxId, "east", "127.0.0.1:1", 1, 0, true, false);
     }
 
     private List<PeerLink> tick() {
--- a/peer/src/test/java/org/wingstall/peer/SilentPeerLinkTest.java
+++ b/peer/src/test/java/org/wingstall/peer/SilentPeerLinkTest.java
@@ -62,7 +62,7 @@
             InetSocketAddress listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
             proxy = new SilentProxy(listen.getPort());
             String address = "127.0.0.1:" + proxy.address().getPort();
-            Hello hello = new Hello(id, "east", address, 1, 0, true);
+            Hello hello = new Hello(id, "east", address, 1, 0, true, false);
             PeerOptions options =
                     new PeerOptions(hello, listen, List.of(), HEARTBEAT_MS, SILENT_AFTER_MS, 300_000, new AllLinked());
             mesh = new PeerMesh(options, this, group.next(), System::nanoTime);
--- a/peer/src/test/java/org/wingstall/peer/TunnelsTest.java
+++ b/peer/src/test/java/org/wingstall/peer/TunnelsTest.java
@@ -141,7 +141,7 @@
         }
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         addresses.add(address);
-        Hello hello = new Hello(boxId, "east", "127.0.0.1:" + port, 1, 0, true);
+        Hello hello = new Hello(boxId, "east", "127.0.0.1:" + port, 1, 0, true, false);
         PeerOptions options = new PeerOptions(hello, address, List.of(), 50, 1000, 300_000, new AllLinked());
         return new PeerMesh(options, new EmptyHost(), group.next(), System::nanoTime);
     }
--- a/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
+++ b/peer/src/test/java/org/wingstall/peer/format/PeerFrameFormatTest.java
@@ -13,6 +13,8 @@
 import org.wingstall.schema.check.InvalidDocumentException;
 import org.wingstall.schema.check.Json;
 import org.wingstall.schema.peer.ClaimRequest;
+import org.wingstall.schema.peer.ConfigDocument;
+import org.wingstall.schema.peer.ConfigDocumentRequest;
 import org.wingstall.schema.peer.ConfigReply;
 import org.wingstall.schema.peer.ConfigRequest;
 import org.wingstall.schema.peer.CrashNews;
@@ -79,7 +81,7 @@
         Member member = new Member(
                 "e1", Member.Kind.ENDPOINT, "kgn-a", "10.1.0.1:80", "llm", null, Member.State.LEAVING, LARGE, 64, 2900);
         return new Object[][] {
-            {"hello", frame(1, 0, new Hello("kgn-a-1", "kgn-a", "10.1.0.1:7741", LARGE, 36, true))},
+            {"hello", frame(1, 0, new Hello("kgn-a-1", "kgn-a", "10.1.0.1:7741", LARGE, 36, true, true))},
             {
                 "heartbeat",
                 frame(
@@ -122,19 +124,21 @@
             {"rejectionNews", frame(20, 0, new RejectionNews("e1", LARGE, 4, "kgn-a-1", LARGE))},
             {"streamOrigin", frame(21, 7, new StreamOrigin("c2", "kgn-a-1", 1, "canteen", "llm", "v1", 40, LARGE))},
             {"streamOriginAsk", frame(22, LARGE, new StreamOriginAsk("c2"))},
+            {"configDocumentRequest", frame(24, 5, new ConfigDocumentRequest(LARGE))},
+            {"configDocument", frame(25, 5, new ConfigDocument(LARGE, "eyJ2ZXJzaW9uIjo3fQ=="))},
             {"engineOutcome", frame(14, 0, new EngineOutcome("e1", 65, -1, 0, 250))},
             {
                 "withdrawn",
                 new PeerFrame(
                         4L, null, null, null, null, null, null, null, null, null, true, null, null, null, null, false,
-                        null, null, null, null, null, null, null, null)
+                        null, null, null, null, null, null, null, null, null, null)
             },
         };
     }
 
     /** Makes a frame with one part, given the part's place among the properties. */
     private static PeerFrame frame(int place, long correlation, Object part) {
-        Object[] parts = new Object[24];
+        Object[] parts = new Object[26];
         parts[place] = part;
         return new PeerFrame(
                 correlation,
@@ -163,7 +167,9 @@
                 parts[23] == null
                         ? null
                         : ((List<?>) parts[23])
-                                .stream().map(StageResult.class::cast).toList());
+                                .stream().map(StageResult.class::cast).toList(),
+                (ConfigDocumentRequest) parts[24],
+                (ConfigDocument) parts[25]);
     }
 
     @Test(dataProvider = "frames")
@@ -200,13 +206,14 @@
         try (MessageBufferPacker newer = org.msgpack.core.MessagePack.newDefaultBufferPacker()) {
             newer.packArrayHeader(4)
                     .packLong(7)
-                    .packArrayHeader(7)
+                    .packArrayHeader(8)
                     .packString("b")
                     .packString("d")
                     .packString("a");
             newer.packLong(1)
                     .packInt(2)
                     .packBoolean(true)
+                    .packBoolean(true)
                     .packArrayHeader(1)
                     .packString("new")
                     .packNil();
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -143,7 +143,7 @@
      */
     @Test(dataProvider = "silentWaits")
     public void aWaitForChangesIsInDoubtWhenTheStoreHasToBeAsked(String why, boolean peersConfirm, boolean reads) {
-        RelayState own = new RelayState();
+        RelayState own = new RelayState(System::nanoTime);
         CompletableFuture<OperatorState> wait = new CompletableFuture<>();
         ConfigSource silent = new ConfigSource() {
             @Override
--- a/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/FleetStandin.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 import org.wingstall.net.BindException;
 import org.wingstall.net.ConnectionGate;
 import org.wingstall.net.EventLoops;
@@ -176,6 +177,15 @@
         return links.withStoreAddress(addressOf(serve(store.withEndpointView(links::viewOf))));
     }
 
+    /**
+     * Returns an address of the store at which it turns callers away while the mode says so.
+     *
+     * @throws BindException if no port can be had
+     */
+    public String storeAddressOfOneBox(Supplier<StoreStandin.Mode> mode) throws BindException {
+        return addressOf(serve(store.turningAway(mode)));
+    }
+
     /** Returns the store's address. */
     public String storeAddress() {
         return addressOf(storeServer);
@@ -227,7 +237,12 @@
         return settings(boxId, failureDomain, links.storeAddress());
     }
 
-    private static String settings(String boxId, String failureDomain, String storeAddress) throws IOException {
+    /**
+     * Returns the settings of a gateway that reaches the store by an address of its own.
+     *
+     * @throws IOException if no port can be had
+     */
+    public String settings(String boxId, String failureDomain, String storeAddress) throws IOException {
         return String.join(
                 "\n",
                 "boxId: " + boxId,
--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.net.http.HttpHandler;
@@ -33,6 +34,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
+    private static final int TOO_MANY_CALLS_STATUS = 429;
     private static final int BUSY_STATUS = 503;
 
     private final Map<String, TreeMap<String, Change>> tables = new TreeMap<>();
@@ -57,6 +59,8 @@
         SERVING,
         /** It refuses every call. */
         BUSY,
+        /** It refuses every call as one too many. */
+        TOO_MANY_CALLS,
         /** It answers nothing. */
         SILENT,
         /** It closes the connection of every call. */
@@ -73,7 +77,10 @@
     /** The rows of all tables at a version. */
     private record Copy(Map<String, TreeMap<String, Change>> tables, long version) {}
 
-    private record Waiter(HttpCall call, String table, long after, UnaryOperator<String> endpointView) {}
+    private record Waiter(HttpCall call, String table, long after, View view) {}
+
+    /** How the store shows itself to some callers. */
+    private record View(UnaryOperator<String> endpoints, Supplier<Mode> mode) {}
 
     /** Sets how the store answers from now on. */
     public void mode(Mode next) {
@@ -175,30 +182,46 @@
 
     @Override
     public void handle(HttpCall call) {
-        handle(call, UnaryOperator.identity());
+        handle(call, new View(UnaryOperator.identity(), () -> Mode.SERVING));
     }
 
     /** Returns a handler of the same store that shows entries of endpoints in another way. */
     public HttpHandler withEndpointView(UnaryOperator<String> endpointView) {
-        return call -> handle(call, endpointView);
+        return call -> handle(call, new View(endpointView, () -> Mode.SERVING));
+    }
+
+    /** Returns a handler of the same store that turns its callers away, also those that wait, while the mode says so. */
+    public HttpHandler turningAway(Supplier<Mode> modeOfCallers) {
+        return call -> handle(call, new View(UnaryOperator.identity(), modeOfCallers));
     }
 
-    private void handle(HttpCall call, UnaryOperator<String> endpointView) {
+    private void handle(HttpCall call, View view) {
         calls.incrementAndGet();
-        switch (mode) {
+        Mode ofAll = mode;
+        if (!turnedAway(call, ofAll == Mode.SERVING ? view.mode().get() : ofAll)) {
+            serve(call, view);
+        }
+    }
+
+    private boolean turnedAway(HttpCall call, Mode how) {
+        switch (how) {
             case BUSY -> respond(call, BUSY_STATUS, new byte[0]);
+            case TOO_MANY_CALLS -> respond(call, TOO_MANY_CALLS_STATUS, new byte[0]);
             case SILENT -> {
                 // No answer is the fault.
             }
             case RESET -> call.abort();
-            case SERVING -> serve(call, endpointView);
+            case SERVING -> {
+                return false;
+            }
         }
+        return true;
     }
 
-    private void serve(HttpCall call, UnaryOperator<String> endpointView) {
+    private void serve(HttpCall call, View view) {
         switch (call.path()) {
-            case "/v1/rows-get" -> read(call, endpointView);
-            case "/v1/rows-feed" -> feed(call, endpointView);
+            case "/v1/rows-get" -> read(call, view.endpoints());
+            case "/v1/rows-feed" -> feed(call, view);
             case "/v1/rows-tx" -> write(call);
             default -> respond(call, NOT_FOUND, new byte[0]);
         }
@@ -264,10 +287,10 @@
                 .put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + aheadMs.get());
     }
 
-    private synchronized void feed(HttpCall call, UnaryOperator<String> endpointView) {
+    private synchronized void feed(HttpCall call, View view) {
         String table = call.query("table", "");
         long after = Long.parseLong(call.query("after_revision", "0"));
-        Waiter waiter = new Waiter(call, table, after, endpointView);
+        Waiter waiter = new Waiter(call, table, after, view);
         if (after < historyAfter || after > version) {
             respondGone(call);
         } else if (!changesAfter(waiter).isEmpty()) {
@@ -287,7 +310,10 @@
 
     private synchronized void answerChanges(Waiter waiter) {
         waiters.remove(waiter);
-        respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false, waiter.endpointView())));
+        if (!turnedAway(waiter.call(), waiter.view().mode().get())) {
+            UnaryOperator<String> endpoints = waiter.view().endpoints();
+            respond(waiter.call(), OK, Json.write(document(changesAfter(waiter), false, endpoints)));
+        }
     }
 
     /** Writes a row as a box does; nobody else repeats it after a restore. */
