--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -136,7 +136,7 @@
                         state,
                         evacuations,
                         () -> stopping,
-                        this::newerConfigHeard,
+                        version -> store().newerConfigHeard(version),
                         this::listFollower,
                         () -> access().reach().poorlyReached(),
                         configFreshness),
@@ -292,10 +292,6 @@
         return store.list();
     }
 
-    private void newerConfigHeard(long version) {
-        store.newerConfigHeard(version);
-    }
-
     private boolean known() {
         return state.config().known() && endpoints.listLoaded();
     }
