Break a stream off whose endpoint has fallen silent, after its deadline

Cause: the time-out of a request did nothing once its response had begun, since an endpoint ends its stream at the deadline that it was given. One whose connection passes nothing on never does.

Evidence: RelaySilentStreamTest without the change, 2 of 2 cases: aStreamThatFellSilentIsBrokenOffAfterItsDeadline[stream](1): Timeout aStreamThatFellSilentIsBrokenOffAfterItsDeadline[resumable](2): Timeout

Change: a response that is still open 300 ms after the deadline is broken off and counted as deadline-passed-running.

A resumable stream that falls silent does not go on elsewhere before its deadline; that is open.

--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -67,7 +67,8 @@
         this.onFinished = onFinished;
         this.times = routed.times();
         this.regions = route.regionRestriction().intersect(workspace.regionRestriction());
-        this.service = new TargetService(context, serviceName(), route, regions, Prompt.of(request.prompt()));
+        this.service = new TargetService(
+                context, routed.service(stream, context.random()), route, regions, Prompt.of(request.prompt()));
         this.record = new RequestLogEntry(request, route, workspace.name(), routed.configVersion(), times.arrivedMs());
         this.outcome = new RequestOutcome(context, routed.call(), record, times, this::release);
         this.quarantine = new RunQuarantine(context, record, service.name(), request);
@@ -105,12 +106,6 @@
         }
     }
 
-    private String serviceName() {
-        return routed.leadsTo(stream.service())
-                ? stream.service()
-                : route.selectService(context.random().nextDouble());
-    }
-
     /** Refuses to resume a stream for which the version that began it is not known, or has no endpoint. */
     private boolean refuseIfVersionMissing() {
         if (stream.bound()) {
@@ -362,6 +357,7 @@
 
     private void onTimeout() {
         if (response.started()) {
+            timer = context.loop().schedule(this::onStreamOverdue, RequestTimes.STREAM_END_MS, TimeUnit.MILLISECONDS);
             return;
         }
         String detail = "no answer within " + times.elapsedMs() + " ms";
@@ -371,6 +367,11 @@
         refuse(mayHaveRun() ? Reason.DEADLINE_PASSED_RUNNING : Reason.DEADLINE_PASSED_WAITING, detail);
     }
 
+    /** The endpoint was to end the stream by itself; its connection may have fallen silent. */
+    private void onStreamOverdue() {
+        outcome.abort(Reason.DEADLINE_PASSED_RUNNING, "no end of the stream within " + times.elapsedMs() + " ms");
+    }
+
     private void refuse(Reason reason, String detail) {
         refuse(reason, detail, RetryTime.UNKNOWN);
     }
--- a/relay/src/main/java/org/wingstall/relay/run/RequestTimes.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestTimes.java
@@ -6,6 +6,9 @@
 
 /** When one request arrived, and when its response is due. */
 final class RequestTimes {
+    /** Time beyond the deadline within which the end of a stream arrives that its endpoint ends by then, in ms. */
+    static final long STREAM_END_MS = 300;
+
     /** Time before the caller's deadline by which the response is sent, so that it still arrives, in ms. */
     private static final long DEADLINE_MARGIN_MS = 30;
 
--- a/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
@@ -1,12 +1,14 @@
 package org.wingstall.relay.run;
 
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.wingstall.net.http.HttpCall;
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.Route.ServiceShare;
 import org.wingstall.relay.config.Workspace;
 import org.wingstall.relay.stream.StreamOrigins;
+import org.wingstall.relay.stream.StreamVersion;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -60,8 +62,15 @@
         return new StreamOrigins.Query(request.resumes(), workspace.name(), services, lifetimeMs, patienceMs);
     }
 
-    /** Returns whether the route leads to a service. */
-    boolean leadsTo(String service) {
-        return route.serviceShares().stream().anyMatch(share -> share.service().equals(service));
+    /**
+     * Returns the service that the request is sent to: the one that began a resumed stream while the route leads there.
+     *
+     * @param stream what is known of the stream that is resumed
+     * @param random selects among the route's services
+     */
+    String service(StreamVersion stream, RandomGenerator random) {
+        boolean leadsThere =
+                route.serviceShares().stream().anyMatch(share -> share.service().equals(stream.service()));
+        return leadsThere ? stream.service() : route.selectService(random.nextDouble());
     }
 }
