Ask boxes that were linked a moment ago for the origin of a stream

Callers were still refused without Retry-After at a box that had just started, though a box of another failure domain knew the stream.

Cause: two moments that the wait for links left open. A link that opened between the question to other boxes and their replies made the links complete, and its box counted as one that did not know the stream. And a box that is linked was asked only once its first heartbeat had come.

StreamOriginsTest.aBoxThatWasLinkedAfterTheQuestionIsAskedToo, new, fails without the change.

Change: what counts is whether the links were complete when the question was asked; boxes are asked by their links, heard or not.

Result: StreamOriginsTest passes (14).

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -3,13 +3,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.PeriodicTask;
@@ -18,7 +17,6 @@
 import org.wingstall.net.http.DirectConnector;
 import org.wingstall.net.http.HttpClient;
 import org.wingstall.peer.PeerMesh;
-import org.wingstall.peer.PeerState;
 import org.wingstall.relay.endpoint.EndpointReach;
 import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.endpoint.RelayEndpoints;
@@ -120,21 +118,17 @@
         return origins;
     }
 
+    /** Boxes that have been linked but not heard yet can be asked as well. */
     private Collection<LinkPlan.Box> linkedHubs() {
-        List<LinkPlan.Box> hubs = new ArrayList<>();
-        for (PeerState peer : mesh.peers().all()) {
-            String boxId = peer.hello().getBoxId();
-            if (mesh.carries(boxId) && mesh.pieces().linked(boxId)) {
-                hubs.add(new LinkPlan.Box(boxId, peer.hello().getFailureDomain()));
-            }
-        }
-        return hubs;
+        return otherHubs().filter(box -> mesh.pieces().linked(box.boxId())).toList();
     }
 
     private boolean allHubsLinked() {
-        return mesh.peers().all().stream()
-                .map(peer -> peer.hello().getBoxId())
-                .allMatch(boxId -> mesh.pieces().linked(boxId) || !mesh.carries(boxId));
+        return otherHubs().allMatch(box -> mesh.pieces().linked(box.boxId()));
+    }
+
+    private Stream<LinkPlan.Box> otherHubs() {
+        return mesh.boxes().stream().filter(box -> !box.boxId().equals(self) && mesh.carries(box.boxId()));
     }
 
     /** Starts to follow and to tell. */
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -69,6 +69,7 @@
         private final long patientUntilMs;
         private final Consumer<StreamVersion> listener;
         private final Set<String> awaited = new HashSet<>();
+        private boolean linksComplete = true;
         private Optional<StreamOrigin> found;
         private ScheduledFuture<?> timeout;
 
@@ -173,6 +174,8 @@
     private void askOthers(Search search) {
         long correlation = correlations.next();
         search.awaited.clear();
+        // A link that opens before the replies have come leads to a box that was not asked.
+        search.linksComplete = links.complete();
         for (String box : holders.reachable()) {
             if (links.ask(box, correlation, search.query.streamId())) {
                 search.awaited.add(box);
@@ -188,7 +191,7 @@
 
     /** Asks once more while a box that may know the stream can't be asked yet, as after the start of this one. */
     private void conclude(Search search) {
-        boolean wait = search.found.isEmpty() && !links.complete() && clock.nowMs() < search.patientUntilMs;
+        boolean wait = search.found.isEmpty() && !search.linksComplete && clock.nowMs() < search.patientUntilMs;
         if (wait) {
             loop.schedule(() -> askAgain(search), ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
         } else {
@@ -237,7 +240,7 @@
 
     private StreamVersion withoutRecord(Search search) {
         Query query = search.query;
-        boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable() || !links.complete();
+        boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable() || !search.linksComplete;
         return endpoints
                 .onlyVersion(query.services(), query.lifetimeMs())
                 .map(version -> new StreamVersion(Source.SINGLE_VERSION, "", version, 0, false))
--- a/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
@@ -196,6 +196,26 @@
         assertEquals(result().source(), Source.PEER_RECORD);
     }
 
+    /** A link opened between a question to other boxes and their replies, and its box was taken for one without a record. */
+    @Test
+    public void aBoxThatWasLinkedAfterTheQuestionIsAskedToo() {
+        linked.remove("c");
+        complete = false;
+        loop.submit(() -> find("s", "canteen")).syncUninterruptibly();
+        loop.submit(() -> {
+                    linked.add("c");
+                    complete = true;
+                    reply("b", Optional.empty());
+                })
+                .syncUninterruptibly();
+        assertTrue(results.isEmpty());
+        Awaitility.await().pollInterval(Duration.ofMillis(10)).until(() -> {
+            loop.submit(() -> replyIfAsked("c")).syncUninterruptibly();
+            return results.size() == 1;
+        });
+        assertEquals(result().version(), "v1");
+    }
+
     private void replyIfAsked(String box) {
         if (asked.containsKey(box)) {
             reply(box, origin("gone", 1, "canteen", "v1"));
