Count an endpoint that closed inside its answer's head as one that closed

Callers saw: no report is known to come of it. A request whose endpoint crashed within its answer's head did not count towards the losses after which a request is held back, and cast no doubt on the endpoint, unless the connection was reset.

Cause: the codec passes on a head that the end of the connection cut, as a failure with a PrematureChannelClosureException. ExchangeHandler took each failure of the codec for an answer that is no HTTP (kind 'protocol'), which does not count as closed by the peer.

Evidence: CutAnswerHeadTest, asking for the kind, on the commit before: 18 of 36 cases fail, all that close in order, from byte 17 on ("Lists differ at element [0]: reset by the other side != protocol").

Change: such a failure is of kind 'reset'.

Result: CutAnswerHeadTest 36 of 36; with ExchangeHandlerTest and ForeignAnswerTest 78 of 78.

--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -89,7 +90,7 @@
             return;
         }
         if (!message.decoderResult().isSuccess()) {
-            fail(TransportException.Kind.PROTOCOL, "the answer is no HTTP");
+            failUndecoded(message.decoderResult().cause());
             ctx.close();
             return;
         }
@@ -165,6 +166,15 @@
         }
     }
 
+    /** The codec passes on a head that the end of the connection cut, as a failure. */
+    private void failUndecoded(Throwable cause) {
+        if (cause instanceof PrematureChannelClosureException) {
+            fail(TransportException.Kind.RESET, "the connection closed inside the answer's head");
+        } else {
+            fail(TransportException.Kind.PROTOCOL, "the answer is no HTTP");
+        }
+    }
+
     private void fail(TransportException.Kind kind, String detail) {
         HttpExchange broken = current;
         current = null;
--- a/net/src/test/java/org/wingstall/net/http/CutAnswerHeadTest.java
+++ b/net/src/test/java/org/wingstall/net/http/CutAnswerHeadTest.java
@@ -57,7 +57,7 @@
 
         @Override
         public void failed(TransportException failure) {
-            heard.add("failed");
+            heard.add(failure.kind().code() + (failure.closedByPeer() ? " by the other side" : ""));
         }
     }
 
@@ -88,7 +88,7 @@
                 start(before);
                 receive(head.substring(0, cut), bytewise);
                 end(end);
-                assertEquals(heard, List.of("failed"), "after " + cut + " bytes of " + head);
+                assertEquals(heard, List.of("reset by the other side"), "after " + cut + " bytes of " + head);
                 assertFalse(channel.isOpen());
                 channel.finishAndReleaseAll();
             }
