--- a/it/src/test/java/org/wingstall/it/relay/RelayBox.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayBox.java
@@ -99,9 +99,9 @@
         return new Socket(address.getAddress(), address.getPort());
     }
 
-    /** Sends a request over a connection of its own and returns the bytes of the answer until the connection ends. */
-    String postRaw(String route, String id) throws IOException {
-        String head = String.join(
+    /** Returns the bytes of a request without a body. */
+    static String rawHead(String route, String id) {
+        return String.join(
                 "\r\n",
                 "POST /" + route + "/ HTTP/1.1",
                 "Host: " + FleetStandin.HOST,
@@ -112,8 +112,12 @@
                 "Connection: close",
                 "Content-Length: 0",
                 "\r\n");
+    }
+
+    /** Sends a request over a connection of its own and returns the bytes of the answer until the connection ends. */
+    String postRaw(String route, String id) throws IOException {
         try (Socket socket = connect()) {
-            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(rawHead(route, id).getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
