--- a/it/src/test/java/org/wingstall/it/relay/StoreCutAnswerHeadTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/StoreCutAnswerHeadTest.java
@@ -51,7 +51,7 @@
         server.setDaemon(true);
         server.start();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", listener.getLocalPort());
-        StoreClient store = new StoreClient(new HttpClient(), group.next(), address, () -> 5000);
+        StoreClient store = new StoreClient(new HttpClient(), group.next(), address, () -> 5000, () -> false);
         config = new PlatformConfigSource(store, () -> 50);
         list = new PlatformEndpointSource(store);
     }
