Move the repetition of late calls out of the adapter

platform/ translates names, formats and calls; when a read is sent once more and which connections are in doubt is a decision. Both live in net/http now (RepeatingClient, RepeatableRead), and StoreClient makes its calls through it. The line is named call-repeated.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/StoreFollowers.java
@@ -14,6 +14,7 @@
 import org.wingstall.core.peer.LinkPlan;
 import org.wingstall.core.time.MonotonicClock;
 import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.RepeatingClient;
 import org.wingstall.peer.PeerMesh;
 import org.wingstall.peer.PeerState;
 import org.wingstall.peer.PeerTable;
@@ -77,6 +78,7 @@
 
     private final RelaySettings settings;
     private final ConfigFreshness freshness;
+    private final RepeatingClient calls;
     private final StoreClient store;
     private final PeerMesh mesh;
     private final IntConsumer boxesKnown;
@@ -122,12 +124,14 @@
         this.freshness = freshness;
         this.mesh = mesh;
         this.boxesKnown = boxesKnown;
-        this.store = new StoreClient(
+        InetSocketAddress address = Addresses.parse(settings.getStoreAddress());
+        this.calls = new RepeatingClient(
                 client,
                 control,
-                Addresses.parse(settings.getStoreAddress()),
+                address,
                 () -> known(state, endpoints) ? ANSWER_MS : FIRST_ANSWER_MS,
                 () -> known(state, endpoints));
+        this.store = new StoreClient(calls, address);
         PlatformConfigSource config = new PlatformConfigSource(store, this::configWaitMs);
         this.configFollower = new RelayConfigFollower(
                 control, config, state, evacuations, freshness, clock, doubtAfterMs(), () -> !told());
@@ -183,7 +187,7 @@
 
     /** Returns how many reads of the store were sent once more. */
     long repeatedCalls() {
-        return store.repeatedCalls();
+        return calls.repeatedCalls();
     }
 
     /** Returns whether this box has had time to learn of all others. */
--- a/it/src/test/java/org/wingstall/it/relay/RelaySilentStoreConnectionTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelaySilentStoreConnectionTest.java
@@ -23,6 +23,7 @@
 import org.wingstall.it.harness.Pauses;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.RepeatingClient;
 import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.StoreClient;
 import org.wingstall.relay.wire.EndpointSource;
@@ -139,17 +140,19 @@
     public void aReadIsAnsweredThoughSeveralIdleConnectionsAreSilent() throws Exception {
         Route route = Route.open(proxies, new InetSocketAddress("127.0.0.1", 0), Addresses.parse(fleet.storeAddress()));
         EventLoop loop = proxies.next();
-        StoreClient store = new StoreClient(new HttpClient(), loop, route.address(), () -> READ_WITHIN_MS, () -> true);
+        RepeatingClient calls =
+                new RepeatingClient(new HttpClient(), loop, route.address(), () -> READ_WITHIN_MS, () -> true);
+        StoreClient store = new StoreClient(calls, route.address());
         EndpointSource source = new PlatformEndpointSource(store);
         List<CompletableFuture<EndpointSource.Listing>> atOnce = loop.submit(
                         () -> Stream.generate(source::read).limit(IDLE).toList())
                 .get();
         atOnce.forEach(CompletableFuture::join);
-        long before = store.repeatedCalls();
+        long before = calls.repeatedCalls();
         route.set(Faults.NONE.withSilentOpen());
         loop.submit(source::read).get().join();
         loop.submit(source::read).get().join();
-        assertEquals(store.repeatedCalls(), before + 1);
+        assertEquals(calls.repeatedCalls(), before + 1);
     }
 
     private void writeNext(Map<Long, List<Long>> lateMs) {
--- a/it/src/test/java/org/wingstall/it/relay/StoreCutAnswerHeadTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/StoreCutAnswerHeadTest.java
@@ -26,6 +26,7 @@
 import org.wingstall.it.relay.CutHeadEndpoint.Framing;
 import org.wingstall.net.EventLoops;
 import org.wingstall.net.http.HttpClient;
+import org.wingstall.net.http.RepeatingClient;
 import org.wingstall.platform.PlatformConfigSource;
 import org.wingstall.platform.PlatformEndpointSource;
 import org.wingstall.platform.StoreClient;
@@ -51,7 +52,8 @@
         server.setDaemon(true);
         server.start();
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", listener.getLocalPort());
-        StoreClient store = new StoreClient(new HttpClient(), group.next(), address, () -> 5000, () -> false);
+        StoreClient store = new StoreClient(
+                new RepeatingClient(new HttpClient(), group.next(), address, () -> 5000, () -> false), address);
         config = new PlatformConfigSource(store, () -> 50);
         list = new PlatformEndpointSource(store);
     }
--- a/platform/src/main/java/org/wingstall/platform/StoreRead.java
+++ b/net/src/main/java/org/wingstall/net/http/RepeatableRead.java
@@ -1,4 +1,4 @@
-package org.wingstall.platform;
+package org.wingstall.net.http;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
@@ -6,19 +6,16 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.wingstall.net.http.HttpClient;
-import org.wingstall.net.http.HttpReply;
-import org.wingstall.net.http.OutgoingRequest;
 import org.wingstall.net.log.LogEvent;
 
 /**
- * A read of the store. It is sent once more over a new connection if its answer is late or its connection is in doubt,
- * as an open connection may deliver nothing any more; the first answer wins. Confined to one event loop.
+ * A call that may be made twice. It is sent once more over a new connection if its answer is late or its connection is in
+ * doubt, as an open connection may deliver nothing any more; the first answer wins. Confined to one event loop.
  *
- * <p>{@code read.start().thenApply(reply -> ...); ... read.repeat("doubtful");}
+ * <p>{@code read.start(request, request).thenApply(reply -> ...); ... read.repeat("doubtful");}
  */
-final class StoreRead {
-    private static final Logger LOG = LogManager.getLogger(StoreRead.class);
+final class RepeatableRead {
+    private static final Logger LOG = LogManager.getLogger(RepeatableRead.class);
 
     /** Lateness of a timer, in ms, from which this loop has stood still, so that an answer may wait unread. */
     private static final long STOOD_STILL_MS = 30;
@@ -39,7 +36,7 @@
     /**
      * How long a read takes at most.
      *
-     * @param waitMs time for which the store may hold the call, in ms
+     * @param waitMs time for which the other side may hold the call, in ms
      * @param answerMs time beyond the wait within which there has to be an answer, in ms
      * @param repeatsLate whether the call is repeated when its answer is late
      */
@@ -61,7 +58,7 @@
         void connectionLost();
     }
 
-    StoreRead(HttpClient client, EventLoop loop, Times times, Listener listener) {
+    RepeatableRead(HttpClient client, EventLoop loop, Times times, Listener listener) {
         this.client = client;
         this.loop = loop;
         this.times = times;
@@ -105,7 +102,7 @@
         if (repeatedCall != null || result.isDone()) {
             return;
         }
-        LogEvent.info("store-call-repeated")
+        LogEvent.info("call-repeated")
                 .with("path", request.path())
                 .with("heldMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs))
                 .with("why", why)
