Put a version in force that the second answer to a first read has

What callers see: a box that started (or all of them, at once) goes on with an older version until the next change or until a peer tells of it.

Cause: the first read is hedged, and the answer that came second was thrown away after PlatformConfigSource had recorded its version as seen. If both answers are read in one turn of the loop, as after a start with little processor time, and the older one first, the next call waits for changes after the newer one, so that its configuration is passed over.

Evidence, before the change, on: RelayConfigFollowerTest.aVersionInTheSecondAnswerToTheFirstReadIsPutInForce:205 expected [2] but found [1]

Change: the follower applies each answer of the source, also the one that a hedged read does not wait for; versions that are not newer have no effect.

Result: RelayConfigFollowerTest and HedgedReadTest, 13 tests, pass.

--- a/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/RelayConfigFollower.java
@@ -104,7 +104,6 @@
                             }
                             if (failure == null) {
                                 fullReadDue = false;
-                                apply(news, "store");
                                 freshness.confirmedByStore(held ? clock.nowMs() : beganMs);
                             } else {
                                 fullReadDue = true;
@@ -136,7 +135,18 @@
     /** After a full read without configuration it waits for changes, as the first version is reported as one, too. */
     private CompletableFuture<OperatorState> nextRead() {
         boolean first = fullReadDue && !state.config().known();
-        return first ? HedgedRead.start(loop, () -> source.next(true)) : source.next(fullReadDue);
+        return first ? HedgedRead.start(loop, () -> read(true)) : read(fullReadDue);
+    }
+
+    /** Applies each answer, also the second one to a hedged read: the source waits for changes after the newest of them. */
+    private CompletableFuture<OperatorState> read(boolean whole) {
+        return source.next(whole)
+                .thenApplyAsync(
+                        news -> {
+                            apply(news, "store");
+                            return news;
+                        },
+                        loop);
     }
 
     /**
--- a/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/RelayConfigFollowerTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
@@ -178,4 +179,29 @@
         settle();
         assertEquals(wholeReads.get(), 1);
     }
+
+    /**
+     * The source passes over, from then on, what any of its answers had: a version in the second answer to the first read
+     * was missing until the next one, if both answers came at once and the older one was read first.
+     */
+    @Test
+    public void aVersionInTheSecondAnswerToTheFirstReadIsPutInForce() throws Exception {
+        RelayState own = new RelayState(System::nanoTime);
+        List<CompletableFuture<OperatorState>> reads = new CopyOnWriteArrayList<>();
+        ConfigSource source = whole -> {
+            CompletableFuture<OperatorState> answer = new CompletableFuture<>();
+            reads.add(answer);
+            return answer;
+        };
+        ConfigFreshness freshness = new ConfigFreshness(System::nanoTime, 2000);
+        new RelayConfigFollower(loop, source, own, evacuations, freshness, System::nanoTime, 1300, () -> false).start();
+        Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> reads.size() == 2);
+        loop.submit(() -> {
+                    reads.get(0).complete(news(Optional.of(config(1))));
+                    reads.get(1).complete(news(Optional.of(config(2))));
+                })
+                .sync();
+        settle();
+        assertEquals(own.config().version(), 2);
+    }
 }
