Let a refused repetition end no read whose first call may be answered yet

What operators see: with a store that is slow and limits calls, reads fail that the store would have answered, and each of them makes the box repeat its held calls as well, which adds to the calls that the store refuses.

Cause: the first answer to either call of a late read won, also a 429 or 503 to the repetition, and counted as a sign that the connection of the first call was lost.

Evidence, before the change, on: RefusedRepetitionTest, 2 of 4 fail (429 and 503): aReadWhoseRepetitionIsRefusedTakesTheAnswerToItsFirstCall:69 expected [null] but found [org.wingstall.net.http.HttpCall@...] (the call that was held beside the read, repeated)

Change: a read that is not held waits for its first call, for as long as that one has, when its repetition is refused. Held calls end with the refusal as before, so that it stays visible and the box reads from peers in time.

--- a/net/src/main/java/org/wingstall/net/http/RepeatableRead.java
+++ b/net/src/main/java/org/wingstall/net/http/RepeatableRead.java
@@ -20,6 +20,8 @@
     /** Lateness of a timer, in ms, from which this loop has stood still, so that an answer may wait unread. */
     private static final long STOOD_STILL_MS = 30;
 
+    private static final int OK = 200;
+
     private final HttpClient client;
     private final EventLoop loop;
     private final Times times;
@@ -123,6 +125,9 @@
 
     /** A late call has little time left, and may be answered yet; one that is held would keep the failure hidden. */
     private void repetitionEnded(HttpReply reply, Throwable failure) {
+        if (failure == null && refusedBeforeFirstCall(reply)) {
+            return;
+        }
         if (failure == null && !result.isDone()) {
             finish(reply);
             if (late) {
@@ -133,6 +138,11 @@
         }
     }
 
+    /** A store that limits calls refuses at once, while it answers the first call late. */
+    private boolean refusedBeforeFirstCall(HttpReply reply) {
+        return late && times.waitMs() == 0 && reply.status() != OK && !call.isDone();
+    }
+
     private void finish(HttpReply reply) {
         if (result.complete(reply)) {
             end();
