Shorten the record of an answer's signature, and name the server of a call

Found on reading the change: a nested call over eight lines, and a comment in net/http that spoke of a store. No change of behaviour; the build's checks pass.

--- a/net/src/main/java/org/wingstall/net/http/RepeatableRead.java
+++ b/net/src/main/java/org/wingstall/net/http/RepeatableRead.java
@@ -138,7 +138,7 @@
         }
     }
 
-    /** A store that limits calls refuses at once, while it answers the first call late. */
+    /** A server that limits calls refuses the repetition at once, and answers the first call late. */
     private boolean refusedBeforeFirstCall(HttpReply reply) {
         return late && times.waitMs() == 0 && reply.status() != OK && !call.isDone();
     }
--- a/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestLogEntry.java
@@ -82,19 +82,15 @@
 
     /** Records the head of a response, so that it can be compared with what the endpoint and the caller recorded. */
     void answered(ResponseHead head, String connection, long nowMs) {
-        String signature = head.signed()
-                ? "signature "
-                        + head.signature()
-                                .substring(
-                                        0,
-                                        Math.min(
-                                                SIGNATURE_CHARS,
-                                                head.signature().length()))
-                : "no signature";
+        String signature = head.signed() ? "signature " + abbreviate(head.signature()) : "no signature";
         attempts.add("answered" + describeTime(nowMs) + " with status " + head.status() + " and " + signature + " on "
                 + connection);
     }
 
+    private static String abbreviate(String signature) {
+        return signature.substring(0, Math.min(SIGNATURE_CHARS, signature.length()));
+    }
+
     /** Records that an answer to an earlier request came in the place of the one to this request. */
     void surplusAnswer(int status, long nowMs) {
         attempts.add("surplus answer with status " + status + describeTime(nowMs));
