Wait for the way by another box before comparing its answers

What was seen: in a whole run on beside load 10 to 36 one case of RelaySuccessAfterFailureTest ([repeatable, TEXT, 1, BY_OTHER_BOX, 61]) ended within 0.5 s with no surplus answer at any endpoint: 300 requests had been refused before the box had found the way by the other one, so that nothing was compared.

Cause: the test cut the box's links and sent at once. Change: it waits until a request has met an endpoint; its checks are as they were.

--- a/it/src/test/java/org/wingstall/it/relay/RelaySuccessAfterFailureTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelaySuccessAfterFailureTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.awaitility.Awaitility;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.standin.fleet.EndpointLinks;
@@ -61,6 +62,7 @@
                     RelayBox box = new RelayBox(fleet, "box", links).awaitReady()) {
                 if (way == Way.BY_OTHER_BOX) {
                     links.cut(EndpointLinks.Cut.RESET);
+                    Awaitility.await().until(() -> reachesAnEndpoint(box, route));
                 }
                 check(send(way == Way.DIRECT ? other : box, route, endpoints), endpoints);
             }
@@ -71,6 +73,15 @@
         }
     }
 
+    /** Until the box has found the way by the other one, requests end without having met an endpoint. */
+    private static boolean reachesAnEndpoint(RelayBox box, String route) {
+        try {
+            return box.post(route, "probe-" + System.nanoTime()).header(SIGNATURE) != null;
+        } catch (CompletionException e) {
+            return false;
+        }
+    }
+
     private static void check(List<String> wrong, List<StutteringEndpoint> endpoints) {
         assertEquals(String.join("\n", wrong), "");
         assertTrue(
