--- a/peer/src/main/java/org/wingstall/peer/SilentLinks.java
+++ b/peer/src/main/java/org/wingstall/peer/SilentLinks.java
@@ -22,7 +22,7 @@
  *
  * <p>Time during which the event loop stood still does not count, since what came meanwhile has not been read.
  *
- * <p>{@code silence.check().forEach(PeerLink::close);}
+ * <p>{@code silence.check(400).forEach(PeerLink::close);}
  */
 final class SilentLinks {
     private static final Logger LOG = LogManager.getLogger(SilentLinks.class);
