--- a/review/standins-2/Config.java
+++ b/review/standins-2/Config.java
@@ -1,7 +1,7 @@
 /** Configurations of a small deployment, as the operator writes them under op/config. */
 final class Config {
-    static final String HOST = "pule25.example";
-    static final String KEY = "9dnn2ctnfzs989anu6ws";
+    static final String HOST = "menu.example";
+    static final String KEY = "key-of-the-first-workspace";
     static final int MAX_BODY_BYTES = 4_194_304;
 
     private Config() {}
@@ -21,7 +21,7 @@
     static String document(long version, String services, String... routes) {
         return "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":[" + services
                 + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":" + MAX_BODY_BYTES
-                + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"bozi300\",\"api_keys\":[\""
+                + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"first\",\"api_keys\":[\""
                 + KEY + "\"],\"priority\":1}]}";
     }
 
