--- a/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
+++ b/standin/src/main/java/org/wingstall/standin/fleet/StoreStandin.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,6 +32,9 @@
  */
 public final class StoreStandin implements HttpHandler {
     private static final String ENDPOINTS = "servers";
+    /** Rows of one answer at most. */
+    private static final int MOST_ROWS = 500;
+
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -44,6 +49,7 @@
     private final Map<String, Long> readDelaysMs = new ConcurrentHashMap<>();
     private final AtomicLong aheadMs = new AtomicLong();
     private final AtomicInteger calls = new AtomicInteger();
+    private final AtomicInteger badRequests = new AtomicInteger();
     private volatile Mode mode = Mode.SERVING;
     private final AtomicInteger historyGone = new AtomicInteger();
     private long version;
@@ -72,6 +78,12 @@
         aheadMs.addAndGet(ms);
     }
 
+    /** Returns an empty table; its keys rise by their bytes. */
+    private static TreeMap<String, Change> newTable() {
+        return new TreeMap<>(
+                Comparator.comparing(key -> key.getBytes(StandardCharsets.UTF_8), Arrays::compareUnsigned));
+    }
+
     private record Change(String table, String key, String value, long version) {}
 
     /** The rows of all tables at a version. */
@@ -135,6 +147,11 @@
         return calls.get();
     }
 
+    /** Returns the calls that were refused since their targets were malformed. */
+    public int badRequests() {
+        return badRequests.get();
+    }
+
     /** Writes a row, as operators and endpoints do. */
     public synchronized void put(String table, String key, String value) {
         writeOfPlatform(table, key, value);
@@ -166,7 +183,7 @@
     }
 
     private void change(Change change) {
-        TreeMap<String, Change> table = tables.computeIfAbsent(change.table(), name -> new TreeMap<>());
+        TreeMap<String, Change> table = tables.computeIfAbsent(change.table(), name -> newTable());
         if (change.value() == null) {
             table.remove(change.key());
         } else {
@@ -219,19 +236,29 @@
     }
 
     private void serve(HttpCall call, View view) {
-        switch (call.path()) {
-            case "/v1/rows-get" -> read(call, view.endpoints());
-            case "/v1/rows-feed" -> feed(call, view);
-            case "/v1/rows-tx" -> write(call);
-            default -> respond(call, NOT_FOUND, new byte[0]);
+        try {
+            StoreQuery query = StoreQuery.parse(call.target());
+            switch (query.path()) {
+                case "/v1/rows-get" -> read(call, query, view.endpoints());
+                case "/v1/rows-feed" -> feed(call, query, view);
+                case "/v1/rows-tx" -> write(call);
+                default -> respond(call, NOT_FOUND, new byte[0]);
+            }
+        } catch (InvalidDocumentException e) {
+            badRequests.incrementAndGet();
+            respond(call, BAD_REQUEST, String.valueOf(e.getMessage()).getBytes(StandardCharsets.UTF_8));
         }
     }
 
-    private void read(HttpCall call, UnaryOperator<String> endpointView) {
-        long delayMs = readDelaysMs.getOrDefault(call.query("table", ""), 0L);
+    private void read(HttpCall call, StoreQuery query, UnaryOperator<String> endpointView)
+            throws InvalidDocumentException {
+        int limit = (int) Math.min(MOST_ROWS, query.whole("limit", MOST_ROWS));
+        long delayMs = readDelaysMs.getOrDefault(query.text("table"), 0L);
         call.eventLoop()
                 .schedule(
-                        () -> respond(call, OK, Json.write(rows(call, endpointView))), delayMs, TimeUnit.MILLISECONDS);
+                        () -> respond(call, OK, Json.write(rows(query, limit, endpointView))),
+                        delayMs,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void respondGone(HttpCall call) {
@@ -253,12 +280,10 @@
         hidden.add(table);
     }
 
-    private synchronized ObjectNode rows(HttpCall call, UnaryOperator<String> endpointView) {
-        String name = call.query("table", "");
-        TreeMap<String, Change> table =
-                hidden.contains(name) ? new TreeMap<>() : tables.getOrDefault(name, new TreeMap<>());
-        int limit = Integer.parseInt(call.query("limit", "500"));
-        List<Change> found = table.tailMap(call.query("source", "")).values().stream()
+    private synchronized ObjectNode rows(StoreQuery query, int limit, UnaryOperator<String> endpointView) {
+        String name = query.text("table");
+        TreeMap<String, Change> table = hidden.contains(name) ? newTable() : tables.getOrDefault(name, newTable());
+        List<Change> found = table.tailMap(query.text("source")).values().stream()
                 .limit(limit + 1L)
                 .toList();
         return document(found.stream().limit(limit).toList(), found.size() > limit, endpointView);
@@ -287,9 +312,10 @@
                 .put("now_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + aheadMs.get());
     }
 
-    private synchronized void feed(HttpCall call, View view) {
-        String table = call.query("table", "");
-        long after = Long.parseLong(call.query("after_revision", "0"));
+    private synchronized void feed(HttpCall call, StoreQuery query, View view) throws InvalidDocumentException {
+        String table = query.text("table");
+        long after = query.whole("after_revision", 0);
+        long waitMs = query.whole("wait_ms", 0);
         Waiter waiter = new Waiter(call, table, after, view);
         if (after < historyAfter || after > version) {
             respondGone(call);
@@ -297,7 +323,6 @@
             answerChanges(waiter);
         } else {
             waiters.add(waiter);
-            long waitMs = Long.parseLong(call.query("wait_ms", "0"));
             call.eventLoop().schedule(() -> answerChanges(waiter), waitMs, TimeUnit.MILLISECONDS);
         }
     }
