--- a/it/src/test/java/org/wingstall/it/relay/RelayForeignEntriesTest.java
+++ b/it/src/test/java/org/wingstall/it/relay/RelayForeignEntriesTest.java
@@ -5,12 +5,14 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import org.awaitility.Awaitility;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.wingstall.standin.fleet.FleetStandin;
+import org.wingstall.standin.fleet.WorkerStandin;
 
 /** Boxes that started while a row with a reserved character in its key ended a page of the store served nobody. */
 public class RelayForeignEntriesTest {
@@ -95,9 +97,52 @@
         assertServes();
     }
 
+    private static String boxEntry(String failureDomain, String capacity, String peerAddress) {
+        return "{\"failureDomain\":%s,\"capacity\":%s,\"peerAddress\":%s}"
+                .formatted(failureDomain, capacity, peerAddress);
+    }
+
+    @DataProvider
+    public static Object[][] unusableBoxes() {
+        return new Object[][] {
+            {"no fields", "{}"},
+            {"no document", "of another writer"},
+            {"no address", boxEntry("\"east\"", "1", "\"\"")},
+            {"no port", boxEntry("\"east\"", "1", "\"127.0.0.1\"")},
+            {"a port that can't be", boxEntry("\"east\"", "1", "\"127.0.0.1:80800\"")},
+            {"a host name", boxEntry("\"east\"", "1", "\"box.example:80\"")},
+            {"no failure domain", boxEntry("\"\"", "1", "\"127.0.0.1:9\"")},
+            {"no capacity", boxEntry("\"east\"", "0", "\"127.0.0.1:9\"")},
+            {"a capacity of another type", boxEntry("\"east\"", "\"1\"", "\"127.0.0.1:9\"")},
+        };
+    }
+
+    /** One entry without a valid address ended the polls of the directory for good. */
+    @Test(dataProvider = "unusableBoxes")
+    public void anUnusableEntryOfABoxHidesNoOther(String what, String entry) throws Exception {
+        fleet.store().put("boxes", "a+b", entry);
+        assertFindsOtherBox();
+    }
+
+    @Test
+    public void anEndpointWhoseIdNoHeaderCanNameIsNotUsed() throws Exception {
+        fleet.withAllServices();
+        for (String id : List.of("a\nb", "a\u0000b", "a\u00e9", " a", "a b")) {
+            fleet.add("plain", "east", id, new WorkerStandin(id, 0, 0));
+        }
+        box = new RelayBox(fleet, "starting").awaitReady();
+        for (int i = 0; i < 12; i++) {
+            assertEquals(box.post("once", "request-" + i).status(), 200);
+        }
+    }
+
     @Test
     public void aBoxBehindAPageOfForeignEntriesIsFound() throws Exception {
         fillPage("boxes", "a&b #c");
+        assertFindsOtherBox();
+    }
+
+    private void assertFindsOtherBox() throws Exception {
         fleet.withAllServices();
         try (RelayBox other = new RelayBox(fleet, "other")) {
             other.awaitReady();
