--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -56,6 +56,11 @@
 
     private static final long ROUTE_TIMEOUT_MS = 4000;
 
+    /** Rows of other writers in each table; more than the store gives at once. */
+    private static final int FOREIGN_ROWS = 600;
+
+    private static final List<String> FOREIGN_KEYS = List.of("&limit=1", "+", "#", "%", " ", "%41", "\n", "\u00e9");
+
     private final SoakOptions options;
     private final Observations observations;
     private final EventLoopGroup group = EventLoops.group("soak-proxies", 1);
@@ -105,6 +110,7 @@
             Kind kind = new Kind("prompted", DOMAINS.get(i % DOMAINS.size()), "prompted-" + i, 0);
             new CrashingEndpoint(standin, observations.partCrashes(), kind).start();
         }
+        addForeignRows();
         configureNext();
         for (int i = 0; i < options.boxes(); i++) {
             Box box = startBox("box-" + (i + 1), DOMAINS.get(i % DOMAINS.size()), List.of());
@@ -112,6 +118,14 @@
         }
     }
 
+    /** Writes more than a page of rows of other writers to each table, before all keys of the fleet. */
+    private void addForeignRows() {
+        for (int i = 0; i < FOREIGN_ROWS; i++) {
+            String key = i + FOREIGN_KEYS.get(i % FOREIGN_KEYS.size());
+            List.of("op", "servers", "boxes", "crashes").forEach(table -> store().put(table, key, "of another writer"));
+        }
+    }
+
     /** Starts a box whose code is never compiled; it takes part in the fleet, but gets no faults and no usual callers. */
     Box startSlowBox() throws BindException, IOException {
         slowBox = startBox("slow-1", DOMAINS.get(0), List.of("-Xint"));
