Refuse requests that may outlast a planned stop, and answer what runs at its end

Cause: a stop took every request for stopNoticeMs whatever time it had, and its end gave no answer to what was in flight. Change: from 2.5 s on, a request whose latest end lies beyond the stop is refused as not run (503 stopping, Retry-After, the connection ends); 0.1 s before the end what is in flight is answered (502 stopping-running, or 503 if it can't have run). The stopped line tells what was left. The call to an endpoint is put together in RoutedRequest. The soak plays the shipped notice with the shipped intervals.

--- a/core/src/main/java/org/wingstall/core/answer/Reason.java
+++ b/core/src/main/java/org/wingstall/core/answer/Reason.java
@@ -78,6 +78,8 @@
     STAGE_UNANSWERED("stage-unanswered", Answer.Outcome.UNKNOWN, 504),
     /** The endpoint that the request was sent to did not give a complete response. */
     ENDPOINT_LOST("endpoint-lost", Answer.Outcome.UNKNOWN, 502),
+    /** The planned stop of the gateway ended while the request ran. */
+    STOPPING_RUNNING("stopping-running", Answer.Outcome.UNKNOWN, 502),
     /** An endpoint answered that the stage failed. */
     STAGE_FAILED("stage-failed", Answer.Outcome.FAILED, 502),
     /** No attempt at a repeatable stage gave a response. */
--- a/gateway/src/main/java/org/wingstall/gateway/relay/PlannedStop.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/PlannedStop.java
@@ -23,6 +23,15 @@
     /** Part of the grace that is left unused, for the end of the process itself, in ms. */
     private static final long MARGIN_MS = 500;
 
+    /** Time for the last answers to reach their callers, in ms. */
+    private static final long LAST_ANSWERS_MS = 100;
+
+    /** Longest time for which requests are taken that may outlast the grace, in ms. */
+    private static final long TAKE_ALL_MS = 2500;
+
+    /** Part of the grace after which such requests are refused in any case. */
+    private static final int TAKE_ALL_DIVISOR = 3;
+
     /** Pause between two looks at what is in flight, in ms. */
     private static final long CHECK_MS = 20;
 
@@ -38,21 +47,38 @@
         this.handler = handler;
     }
 
-    /** Returns when the last connection of a caller or through this box has ended, or the grace is nearly over. */
+    /**
+     * Returns when the last connection of a caller or through this box has ended, or the grace is nearly over. What runs
+     * then is ended with an answer.
+     */
     void run(RelaySettings settings) {
         long graceMs = Math.round(settings.getStopGraceSeconds() * TimeUnit.SECONDS.toMillis(1));
-        long untilMs = clock.nowMs() + graceMs - MARGIN_MS;
+        long startedMs = clock.nowMs();
+        long endMs = startedMs + graceMs - MARGIN_MS;
+        long takeAllMs = Math.min(TAKE_ALL_MS, graceMs / TAKE_ALL_DIVISOR);
         LogEvent.info("stopping").with("inFlight", handler.inFlight()).to(LOG);
         mesh.beatNow();
+        handler.stopAt(new RelayHandler.PlannedEnd(startedMs + takeAllMs, endMs - LAST_ANSWERS_MS));
         callers.closeAfterAnswers();
-        waitUntil(clock.nowMs() + settings.getStopNoticeMs(), () -> false);
+        waitUntil(startedMs + settings.getStopNoticeMs(), () -> false);
         callers.close();
         callers.drain();
-        waitUntil(untilMs, () -> callers.connections() == 0 && mesh.tunnels().carried() == 0);
-        LogEvent.info("stopped").with("inFlight", handler.inFlight()).to(LOG);
+        waitUntil(endMs - LAST_ANSWERS_MS, this::ended);
+        int inFlight = handler.inFlight();
+        handler.endAll();
+        waitUntil(endMs, this::ended);
+        LogEvent.info("stopped")
+                .with("inFlight", inFlight)
+                .with("connections", callers.connections())
+                .with("tunnels", mesh.tunnels().carried())
+                .to(LOG);
         mesh.close();
     }
 
+    private boolean ended() {
+        return callers.connections() == 0 && mesh.tunnels().carried() == 0;
+    }
+
     private void waitUntil(long untilMs, BooleanSupplier done) {
         while (clock.nowMs() < untilMs && !done.getAsBoolean()) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MS));
--- a/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayHandler.java
@@ -1,6 +1,9 @@
 package org.wingstall.relay.run;
 
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.wingstall.core.answer.Reason;
@@ -24,9 +27,28 @@
     /** Retry-after time while no configuration is known yet, in ms; a start takes about this long. */
     private static final long STARTUP_RETRY_AFTER_MS = 500;
 
+    /** Retry-after time of a box that stops, in ms; other boxes serve at once. */
+    private static final long STOPPING_RETRY_AFTER_MS = 50;
+
     private final RelayContext context;
     private final BooleanSupplier ready;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final Set<RelayRun> runs = new HashSet<>();
+    private volatile PlannedEnd plannedEnd = PlannedEnd.NONE;
+
+    /**
+     * The end of a planned stop.
+     *
+     * @param takeAllUntilMs time until which requests are taken whatever time they have, in ms of the monotonic clock
+     * @param atMs time at which the requests in flight are ended, in ms of the monotonic clock
+     */
+    public record PlannedEnd(long takeAllUntilMs, long atMs) {
+        private static final PlannedEnd NONE = new PlannedEnd(Long.MAX_VALUE, Long.MAX_VALUE);
+
+        private boolean refuses(RequestTimes times) {
+            return times.arrivedMs() >= takeAllUntilMs && times.latestEndMs() > atMs;
+        }
+    }
 
     /**
      * Creates a handler.
@@ -44,6 +66,16 @@
         return inFlight.get();
     }
 
+    /** Refuses requests that come late in a planned stop and may outlast it. For use on any thread. */
+    public void stopAt(PlannedEnd end) {
+        plannedEnd = end;
+    }
+
+    /** Ends the requests in flight, each with an answer if none has begun. For use on any thread. */
+    public void endAll() {
+        context.loop().execute(() -> List.copyOf(runs).forEach(RelayRun::endForStop));
+    }
+
     @Override
     public void handle(HttpCall call) {
         RelayConfig config = context.config().get();
@@ -70,10 +102,21 @@
         }
         Workspace workspace = workspaceOf(request, route.get(), config);
         RequestTimes times = new RequestTimes(context.clock(), route.get(), request);
+        checkEndsBeforeStop(times);
         long configAgeMs = context.configAgeMs().getAsLong();
         begin(new RoutedRequest(call, request, route.get(), workspace, config.version(), configAgeMs, times));
     }
 
+    private void checkEndsBeforeStop(RequestTimes times) throws RefusedException {
+        PlannedEnd end = plannedEnd;
+        if (end.refuses(times)) {
+            String detail = "the planned stop ends in " + (end.atMs() - times.arrivedMs())
+                    + " ms, and the request may take " + (times.latestEndMs() - times.arrivedMs()) + " ms";
+            throw new RefusedException(
+                    Reason.STOPPING, detail, context.retryAfter().jitteredMs(STOPPING_RETRY_AFTER_MS));
+        }
+    }
+
     private void begin(RoutedRequest routed) {
         inFlight.incrementAndGet();
         if (routed.resumesStream()) {
@@ -93,7 +136,14 @@
     }
 
     private void run(RoutedRequest routed, StreamVersion stream) {
-        new RelayRun(context, routed, stream, inFlight::decrementAndGet).start();
+        RelayRun run = new RelayRun(context, routed, stream, this::finished);
+        runs.add(run);
+        run.start();
+    }
+
+    private void finished(RelayRun run) {
+        runs.remove(run);
+        inFlight.decrementAndGet();
     }
 
     private static Workspace workspaceOf(RelayRequest request, Route route, RelayConfig config)
--- a/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RelayRun.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.wingstall.core.answer.Reason;
 import org.wingstall.core.answer.RetryTime;
 import org.wingstall.core.quarantine.QuarantineRefusal;
@@ -30,16 +31,13 @@
     /** Time after which a request that waits for the end of a trial looks again, in ms. */
     private static final long TRIAL_POLL_MS = 100;
 
-    /** Idle time after which a pooled connection is not reused for retryable requests, in ms. */
-    private static final long MAX_REUSE_IDLE_MS = 3000;
-
     private final RelayContext context;
     private final RoutedRequest routed;
     private final RelayRequest request;
     private final Route route;
     private final Workspace workspace;
     private final StreamVersion stream;
-    private final Runnable onFinished;
+    private final Consumer<RelayRun> onFinished;
     private final RequestLogEntry record;
     private final RequestOutcome outcome;
     private final RunQuarantine quarantine;
@@ -57,7 +55,7 @@
     private int attempts;
     private int possibleRuns;
 
-    RelayRun(RelayContext context, RoutedRequest routed, StreamVersion stream, Runnable onFinished) {
+    RelayRun(RelayContext context, RoutedRequest routed, StreamVersion stream, Consumer<RelayRun> onFinished) {
         this.context = context;
         this.routed = routed;
         this.request = routed.request();
@@ -114,9 +112,7 @@
         }
         if (!stream.known()) {
             long retryAfterMs = stream.othersMayKnow() ? context.retryAfter().jitteredMs(MIN_RETRY_MS) : 0;
-            String detail = (stream.othersMayKnow() ? "no box that could be asked" : "no box")
-                    + " knows which version began the stream '" + request.resumes() + "'";
-            outcome.refuse(Reason.STREAM_VERSION_UNKNOWN, detail, retryAfterMs);
+            outcome.refuse(Reason.STREAM_VERSION_UNKNOWN, stream.unknownDetail(request.resumes()), retryAfterMs);
         } else if (service.versionGone()) {
             refuseWithoutEndpoint();
         }
@@ -211,8 +207,7 @@
         if (outcome.finished()) {
             return;
         }
-        String detail = "endpoints of '" + service.name()
-                + "' are cold, state a limit or asked for a pause, and take no more for " + retryAfterMs + " ms";
+        String detail = service.atCapacityDetail(retryAfterMs);
         if (!wait.tryWait(retryAfterMs, detail, () -> callEndpoint(inputs))) {
             Reason reason = mayHaveRun() ? Reason.ENDPOINT_LOST : Reason.ENDPOINTS_BUSY;
             refuse(reason, detail, RetryTime.estimated(retryAfterMs));
@@ -250,18 +245,11 @@
         quarantine.sent(endpoint);
         service.markTried(endpoint);
         attempts++;
-        long reuseIdleMs = route.retryable() ? MAX_REUSE_IDLE_MS : 0;
-        long remainingMs = times.remainingMs();
-        EndpointCall endpointCall = new EndpointCall(
-                endpoint.identity(), remainingMs, workspace.name(), inputs, resumeAfter(), fetchFrom, reuseIdleMs);
+        EndpointCall endpointCall = routed.callTo(endpoint, inputs, response.lastEventId(), fetchFrom);
         attempt = new EndpointAttempt(context, request, endpointCall, endpoint, inputs, quarantine, record, this);
         attempt.start();
     }
 
-    private String resumeAfter() {
-        return response.lastEventId() == null ? request.lastEventId() : response.lastEventId();
-    }
-
     @Override
     public void requestSent() {
         possibleRuns++;
@@ -361,9 +349,7 @@
             return;
         }
         String detail = "no answer within " + times.elapsedMs() + " ms";
-        if (attempt != null) {
-            attempt.cancel();
-        }
+        cancelAttempt();
         refuse(mayHaveRun() ? Reason.DEADLINE_PASSED_RUNNING : Reason.DEADLINE_PASSED_WAITING, detail);
     }
 
@@ -372,6 +358,12 @@
         outcome.abort(Reason.DEADLINE_PASSED_RUNNING, "no end of the stream within " + times.elapsedMs() + " ms");
     }
 
+    /** Ends the request since its box ends; the caller is told whether it may have run. */
+    void endForStop() {
+        cancelAttempt();
+        refuse(mayHaveRun() ? Reason.STOPPING_RUNNING : Reason.STOPPING, "the planned stop of the box has ended");
+    }
+
     private void refuse(Reason reason, String detail) {
         refuse(reason, detail, RetryTime.UNKNOWN);
     }
@@ -386,14 +378,18 @@
         }
     }
 
-    private void release() {
-        quarantine.endTrial();
-        timer.cancel(false);
+    private void cancelAttempt() {
         if (attempt != null) {
             attempt.cancel();
         }
+    }
+
+    private void release() {
+        quarantine.endTrial();
+        timer.cancel(false);
+        cancelAttempt();
         record.stages(stages.progress());
         stages.close();
-        onFinished.run();
+        onFinished.accept(this);
     }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/RequestTimes.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RequestTimes.java
@@ -36,6 +36,11 @@
         return deadlineAtMs;
     }
 
+    /** Returns the latest time at which the response ends. */
+    long latestEndMs() {
+        return deadlineAtMs + STREAM_END_MS;
+    }
+
     /** Returns the time since the arrival, in ms. */
     long elapsedMs() {
         return nowMs() - arrivedMs;
--- a/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
+++ b/relay/src/main/java/org/wingstall/relay/run/RoutedRequest.java
@@ -1,5 +1,7 @@
 package org.wingstall.relay.run;
 
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -7,8 +9,10 @@
 import org.wingstall.relay.config.Route;
 import org.wingstall.relay.config.Route.ServiceShare;
 import org.wingstall.relay.config.Workspace;
+import org.wingstall.relay.endpoint.RelayEndpoint;
 import org.wingstall.relay.stream.StreamOrigins;
 import org.wingstall.relay.stream.StreamVersion;
+import org.wingstall.relay.wire.EndpointCall;
 import org.wingstall.relay.wire.RelayRequest;
 
 /**
@@ -42,6 +46,9 @@
     /** Parts of the caller's time of which the wait takes one at most. */
     private static final int PATIENCE_PARTS = 4;
 
+    /** Idle time after which a pooled connection is not reused for retryable requests, in ms. */
+    private static final long MAX_REUSE_IDLE_MS = 3000;
+
     /** Returns whether the caller resumes a stream of which it has some events. */
     boolean resumesStream() {
         return route.streamed() && request.lastEventId() != null;
@@ -73,4 +80,22 @@
                 route.serviceShares().stream().anyMatch(share -> share.service().equals(stream.service()));
         return leadsThere ? stream.service() : route.selectService(random.nextDouble());
     }
+
+    /**
+     * Returns the call by which the request is sent to an endpoint.
+     *
+     * @param inputs outputs of the stages before it
+     * @param lastEventId last event that the caller was sent by this box, or null
+     * @param fetchFrom where parts of the prompt are fetched from, or null
+     */
+    EndpointCall callTo(RelayEndpoint endpoint, List<String> inputs, String lastEventId, InetSocketAddress fetchFrom) {
+        return new EndpointCall(
+                endpoint.identity(),
+                times.remainingMs(),
+                workspace.name(),
+                inputs,
+                lastEventId == null ? request.lastEventId() : lastEventId,
+                fetchFrom,
+                route.retryable() ? MAX_REUSE_IDLE_MS : 0);
+    }
 }
--- a/relay/src/main/java/org/wingstall/relay/run/TargetService.java
+++ b/relay/src/main/java/org/wingstall/relay/run/TargetService.java
@@ -179,6 +179,12 @@
                 .orElse(0);
     }
 
+    /** Describes that no endpoint takes requests for some time, in ms. */
+    String atCapacityDetail(long againMs) {
+        return "endpoints of '" + name() + "' are cold, state a limit or asked for a pause, and take no more for "
+                + againMs + " ms";
+    }
+
     /** Returns the detail text for a request without candidates, for the caller and the log. */
     String noEndpointDetail() {
         Set<String> evacuated = context.endpoints().evacuated();
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
@@ -50,4 +50,10 @@
     public boolean bound() {
         return known() && source != Source.NOT_RESUMED;
     }
+
+    /** Describes that nobody knows which version began a stream. */
+    public String unknownDetail(String streamId) {
+        String whom = othersMayKnow ? "no box that could be asked" : "no box";
+        return whom + " knows which version began the stream '" + streamId + "'";
+    }
 }
--- a/soak/src/main/java/org/wingstall/soak/SoakFleet.java
+++ b/soak/src/main/java/org/wingstall/soak/SoakFleet.java
@@ -141,7 +141,7 @@
                 .replaceAll("retryBudgetRatio: .*", "retryBudgetRatio: " + RETRY_RATIO)
                 .replaceAll("retryBudgetExtra: .*", "retryBudgetExtra: " + RETRY_EXTRA);
         if (this.options.shippedIntervals()) {
-            text = text.replaceAll("(configWaitMs|endpointIntervalMs): .*\n", "") + LEAVING_WITHIN;
+            text = text.replaceAll("(configWaitMs|endpointIntervalMs|stopNoticeMs): .*\n", "") + LEAVING_WITHIN;
         }
         Path settings = this.options.folder().resolve(boxId + ".yaml");
         Files.writeString(settings, text);
