--- a/it/src/test/java/org/wingstall/it/relay/CutHeadEndpoint.java
+++ b/it/src/test/java/org/wingstall/it/relay/CutHeadEndpoint.java
@@ -15,12 +15,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.wingstall.it.harness.Pauses;
 
-/** An endpoint on plain sockets, which stops inside the head of some of its answers. */
+/** An endpoint on plain sockets, which stops inside the head of some of its answers, or alters the bytes of whole ones. */
 final class CutHeadEndpoint implements AutoCloseable {
     private static final String LINE_END = "\r\n";
     private static final String EVENT_STREAM = "Content-Type: text/event-stream" + LINE_END;
@@ -39,6 +40,7 @@
     private final Set<String> ids = ConcurrentHashMap.newKeySet();
     private final Set<String> cutIds = ConcurrentHashMap.newKeySet();
     private volatile Cut cut = Cut.none(Which.ANY);
+    private volatile UnaryOperator<String> edit = UnaryOperator.identity();
 
     /** How a head says where its body ends. */
     enum Framing {
@@ -128,6 +130,11 @@
         cut = next;
     }
 
+    /** Sets how whole answers are altered from now on. */
+    void edit(UnaryOperator<String> next) {
+        edit = next;
+    }
+
     /** Returns the requests that came. */
     Set<String> ids() {
         return ids;
@@ -195,11 +202,11 @@
                     .map(piece -> "{\"kv_handle\":\"" + piece.group(1) + "." + piece.start() + "\"}")
                     .collect(Collectors.joining(","));
             String body = "{\"items\":[" + results + "]}";
-            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            write(socket, edit.apply("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body));
         } else if (service.equals("engine")) {
-            write(socket, Framing.EVENTS.head(id) + event(id) + LAST_CHUNK);
+            write(socket, edit.apply(Framing.EVENTS.head(id) + event(id) + LAST_CHUNK));
         } else {
-            write(socket, Framing.LENGTH.head(id) + "an answer");
+            write(socket, edit.apply(Framing.LENGTH.head(id) + "an answer"));
         }
     }
 
--- a/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
+++ b/net/src/main/java/org/wingstall/net/http/ExchangeHandler.java
@@ -171,7 +171,8 @@
         if (cause instanceof PrematureChannelClosureException) {
             fail(TransportException.Kind.RESET, "the connection closed inside the answer's head");
         } else {
-            fail(TransportException.Kind.PROTOCOL, "the answer is no HTTP");
+            String detail = cause instanceof MalformedHeadException ? ": " + cause.getMessage() : "";
+            fail(TransportException.Kind.PROTOCOL, "the answer is no HTTP" + detail);
         }
     }
 
