Count long answers as held until their callers have taken them

What callers saw: while 43 answers of 4 MiB waited for callers who did not read, a box with the shipped heap stood still for 0.5 s at each further answer and reset a harmless request. Cause: the bound on held answers counted each one only until it was whole. Change: HttpCall tells when an answer has left, and HttpClient counts it until then. While too much is held, answers beyond 16 KiB are given up, and shorter ones are served.

--- a/net/src/main/java/org/wingstall/net/http/HeldBytes.java
+++ b/net/src/main/java/org/wingstall/net/http/HeldBytes.java
@@ -2,8 +2,11 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Counts the bytes of bodies that a client holds until they are whole. */
+/** Counts the bytes of bodies that a client holds: until they are whole, and until their readers have taken them. */
 final class HeldBytes {
+    /** Longest body that is always taken, in bytes, so that long ones that nobody reads don't keep short ones out. */
+    private static final int SHORT_BODY_BYTES = 16 << 10;
+
     private final AnswerLimits limits;
     private final AtomicLong bytes = new AtomicLong();
 
@@ -29,11 +32,16 @@
     void hold(long before, int more) throws BodyTooLongException {
         long all = bytes.addAndGet(more);
         checkLength("the body", before + more);
-        if (all > limits.maxHeldBytes()) {
-            throw new BodyTooLongException("the bodies that are being read have", limits.maxHeldBytes());
+        if (all > limits.maxHeldBytes() && before + more > SHORT_BODY_BYTES) {
+            throw new BodyTooLongException("the bodies that are held have", limits.maxHeldBytes());
         }
     }
 
+    /** Counts a whole body that waits for its reader, and has to be released when it was taken. */
+    void holdWhole(long count) {
+        bytes.addAndGet(count);
+    }
+
     /**
      * Checks the length of a body, held or not.
      *
--- a/net/src/main/java/org/wingstall/net/http/HttpCall.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpCall.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -197,7 +198,13 @@
 
     /** Sends a whole answer with the headers given, its length added. */
     public void respond(int status, HttpHeaders answerHeaders, byte[] content) {
+        respond(status, answerHeaders, content, () -> {});
+    }
+
+    /** Sends a whole answer with the headers given, its length added; runs an action when it has left, or never will. */
+    public void respond(int status, HttpHeaders answerHeaders, byte[] content, Runnable whenGone) {
         if (answered) {
+            whenGone.run();
             return;
         }
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -205,7 +212,7 @@
         response.headers().set(answerHeaders);
         HttpUtil.setContentLength(response, content.length);
         setConnection(response);
-        finish(response);
+        finish(response).addListener(written -> whenGone.run());
     }
 
     /** Begins an answer whose body comes in parts. */
@@ -289,12 +296,13 @@
         return keepAlive && !endsWithConnection() && !connectionEnd.required();
     }
 
-    private void finish(Object last) {
+    private ChannelFuture finish(Object last) {
         answered = true;
-        var written = channel.writeAndFlush(last);
+        ChannelFuture written = channel.writeAndFlush(last);
         if (endAnnounced || !keepsConnection()) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
         whenAnswered.run();
+        return written;
     }
 }
--- a/net/src/main/java/org/wingstall/net/http/HttpClient.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpClient.java
@@ -49,7 +49,18 @@
         return heldBytes;
     }
 
-    /** Returns the bytes of answers that are not whole yet; of any thread. */
+    /**
+     * Counts an answer that is whole as held until its reader has taken it. For use on any thread.
+     *
+     * @param bytes length of its body
+     * @return to be run once when it was taken
+     */
+    public Runnable holdUntilTaken(long bytes) {
+        heldBytes.holdWhole(bytes);
+        return () -> heldBytes.release(bytes);
+    }
+
+    /** Returns the bytes of answers that are not whole or not taken yet; of any thread. */
     public long bytesHeld() {
         return heldBytes.bytes();
     }
--- a/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
+++ b/relay/src/main/java/org/wingstall/relay/run/EndpointAttempt.java
@@ -232,7 +232,9 @@
     }
 
     private void deliver() {
-        owner.response().forwardWhole(head.status(), head.callerHeaders(), body.toByteArray());
+        byte[] whole = body.toByteArray();
+        Runnable taken = context.client().holdUntilTaken(whole.length);
+        owner.response().forwardWhole(head.status(), head.callerHeaders(), whole, taken);
         owner.complete(head.status());
     }
 
--- a/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
+++ b/relay/src/main/java/org/wingstall/relay/run/ResponseForwarder.java
@@ -85,9 +85,9 @@
         return !parser.insideEvent() && !withoutEvents;
     }
 
-    /** Forwards a complete response. */
-    void forwardWhole(int status, HttpHeaders headers, byte[] body) {
+    /** Forwards a complete response, and runs an action when the caller has taken it. */
+    void forwardWhole(int status, HttpHeaders headers, byte[] body, Runnable whenTaken) {
         started = true;
-        call.respond(status, headers, body);
+        call.respond(status, headers, body, whenTaken);
     }
 }
