Take the only known version of a stream only if a list read from now on confirms it

Cause: the history of versions counted as followed for 2 s after a list was handled, however old that list was, and whether other boxes could be asked did not matter. Change: ListFollower.readAnew reads the list, a read in progress not counted; StreamOrigins confirms the only version by it, or refuses with a time to come back. A list counts from the time at which it was asked for.

--- a/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/EndpointAccess.java
@@ -110,10 +110,11 @@
     }
 
     /** Connects a directory of the origins of streams with the other boxes. */
-    StreamOrigins streamOrigins(MonotonicClock clock, RelayMetrics metrics) {
+    StreamOrigins streamOrigins(MonotonicClock clock, StreamOrigins.ListRefresh list, RelayMetrics metrics) {
         OriginHolders holders = new DomainOriginHolders(
                 failureDomain, this::linkedHubs, this::allHubsLinked, DomainOriginHolders.Spread.STANDARD);
-        StreamOrigins origins = new StreamOrigins(self, loop, clock, holders, mesh.streamOrigins(), endpoints, metrics);
+        StreamOrigins origins =
+                new StreamOrigins(self, loop, clock, holders, mesh.streamOrigins(), endpoints, list, metrics);
         mesh.attach(origins);
         return origins;
     }
--- a/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
+++ b/gateway/src/main/java/org/wingstall/gateway/relay/RelayGateway.java
@@ -164,7 +164,7 @@
         silence.start();
         this.engines = engineSelector(loop, gathering);
         mesh.attach(engines);
-        this.streamOrigins = access.streamOrigins(clock, metrics);
+        this.streamOrigins = access.streamOrigins(clock, () -> listFollower().readAnew(), metrics);
         this.handler = new RelayHandler(requestParts(loop, wire), this::known);
         this.store = new StoreFollowers(
                 settings,
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -1,6 +1,8 @@
 package org.wingstall.relay.control;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +52,9 @@
     private final ChangeListener listener;
     private final SourceHealth health = new SourceHealth("endpoints");
     private boolean readInProgress;
+    private long readBeganMs;
+    private List<CompletableFuture<Boolean>> awaitRead = List.of();
+    private List<CompletableFuture<Boolean>> awaitNextRead = new ArrayList<>();
     private long recoveredAtMs = Long.MIN_VALUE;
     private StoreVersion asOfVersion = StoreVersion.NONE;
     private volatile VersionedList current = new VersionedList(MemberSnapshot.NONE, StoreVersion.NONE);
@@ -194,9 +199,26 @@
         loop.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Reads the list; a read that is in progress does not count. For use on any thread.
+     *
+     * @return completes with whether the list was read
+     */
+    public CompletableFuture<Boolean> readAnew() {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            awaitNextRead.add(done);
+            startReadIfIdle();
+        });
+        return done;
+    }
+
     private void startReadIfIdle() {
         if (!readInProgress) {
             readInProgress = true;
+            readBeganMs = clock.nowMs();
+            awaitRead = awaitNextRead;
+            awaitNextRead = new ArrayList<>();
             readSource().whenCompleteAsync(this::onRead, loop);
         }
     }
@@ -214,6 +236,10 @@
             recoveredAtMs = Long.MAX_VALUE;
         }
         health.recordResult(failure);
+        awaitRead.forEach(waiting -> waiting.complete(failure == null));
+        if (!awaitNextRead.isEmpty()) {
+            startReadIfIdle();
+        }
     }
 
     private void apply(EndpointSource.Listing listing) {
@@ -236,7 +262,7 @@
         }
         MemberSnapshot before = current.list();
         MemberSnapshot after = MemberSnapshot.withContentTag(listing.members());
-        boolean endpointsDiffer = endpoints.applyList(after.members());
+        boolean endpointsDiffer = endpoints.applyList(after.members(), readBeganMs);
         asOfVersion = listing.version();
         boolean listDiffers = !after.tag().equals(before.tag());
         if (listDiffers) {
--- a/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/RelayEndpoints.java
@@ -164,13 +164,19 @@
         unavailable = true;
     }
 
+    /** Applies a list that has just been made; see {@link #applyList(List, long)}. */
+    public boolean applyList(List<Member> members) {
+        return applyList(members, clock.nowMs());
+    }
+
     /**
      * Applies a list.
      *
      * @param members the complete list
+     * @param asOfMs time since which the list may have changed, in ms of the monotonic clock
      * @return whether endpoints were added, removed or began to leave
      */
-    public synchronized boolean applyList(List<Member> members) {
+    public synchronized boolean applyList(List<Member> members, long asOfMs) {
         long nowMs = clock.nowMs();
         boolean recovered = unavailable;
         if (recovered) {
@@ -194,7 +200,7 @@
             LogEvent.info("endpoints-known").with("count", next.size()).to(LOG);
         }
         readAtMs = nowMs;
-        versions.listRead(versionsByService(next.values()), nowMs);
+        versions.listRead(versionsByService(next.values()), asOfMs, nowMs);
         return first || !servingBefore.equals(serving());
     }
 
@@ -271,7 +277,7 @@
     public void markListCurrent() {
         if (listLoaded()) {
             readAtMs = clock.nowMs();
-            versions.listUnchanged(readAtMs);
+            versions.listUnchanged(readAtMs, readAtMs);
         }
     }
 
--- a/relay/src/main/java/org/wingstall/relay/endpoint/VersionHistory.java
+++ b/relay/src/main/java/org/wingstall/relay/endpoint/VersionHistory.java
@@ -18,11 +18,17 @@
 
     private final Map<String, Map<String, Long>> endsByService = new HashMap<>();
     private long completeSinceMs;
-    private long readAtMs = Long.MIN_VALUE;
+    private long asOfMs = Long.MIN_VALUE;
 
-    /** Records a list: the versions of each service. */
-    synchronized void listRead(Map<String, Set<String>> versionsByService, long nowMs) {
-        listUnchanged(nowMs);
+    /**
+     * Records a list.
+     *
+     * @param versionsByService versions of each service
+     * @param asOfMs time since which it may have changed, in ms of the monotonic clock
+     * @param nowMs now
+     */
+    synchronized void listRead(Map<String, Set<String>> versionsByService, long asOfMs, long nowMs) {
+        listUnchanged(asOfMs, nowMs);
         endsByService.forEach((service, ends) -> {
             Set<String> listed = versionsByService.getOrDefault(service, Set.of());
             ends.replaceAll((version, endMs) -> endMs == LISTED && !listed.contains(version) ? nowMs : endMs);
@@ -31,12 +37,12 @@
                 endsByService.computeIfAbsent(service, key -> new HashMap<>()).put(version, LISTED)));
     }
 
-    /** Records that the list is as it was. */
-    synchronized void listUnchanged(long nowMs) {
-        if (readAtMs == Long.MIN_VALUE || nowMs - readAtMs > MAX_GAP_MS) {
+    /** Records that the list was as before at a time, in ms of the monotonic clock. */
+    synchronized void listUnchanged(long atMs, long nowMs) {
+        if (asOfMs == Long.MIN_VALUE || nowMs - asOfMs > MAX_GAP_MS) {
             completeSinceMs = nowMs;
         }
-        readAtMs = nowMs;
+        asOfMs = Math.max(asOfMs, atMs);
     }
 
     /**
@@ -48,7 +54,7 @@
      */
     synchronized Optional<String> onlyVersion(Set<String> services, long withinMs, long nowMs) {
         boolean followed =
-                readAtMs != Long.MIN_VALUE && nowMs - readAtMs <= MAX_GAP_MS && nowMs - completeSinceMs >= withinMs;
+                asOfMs != Long.MIN_VALUE && nowMs - asOfMs <= MAX_GAP_MS && nowMs - completeSinceMs >= withinMs;
         if (!followed) {
             return Optional.empty();
         }
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamOrigins.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wingstall.core.peer.CorrelationSequence;
@@ -35,6 +36,9 @@
     /** Pause until boxes are asked again while links are being opened, in ms; a few of the mesh's round trips. */
     private static final long ASK_AGAIN_MS = 50;
 
+    /** Shortest wait for the list when a search has no time left, in ms; the store answers within a few ms. */
+    private static final long MIN_CONFIRM_MS = 50;
+
     /** Number of the only endpoint of a stream that is recorded; releases before 0.20 number all that may begin it. */
     private static final int ONLY_ENDPOINT = 1;
 
@@ -47,6 +51,7 @@
     private final OriginHolders holders;
     private final StreamOriginLinks links;
     private final RelayEndpoints endpoints;
+    private final ListRefresh list;
     private final RelayMetrics metrics;
     private final StreamOriginTable table;
     private final Map<Long, Search> searches = new HashMap<>();
@@ -63,6 +68,13 @@
      */
     public record Query(String streamId, String workspace, Set<String> services, long lifetimeMs, long patienceMs) {}
 
+    /** Reads the list of endpoints, from which the versions of the services follow. */
+    @FunctionalInterface
+    public interface ListRefresh {
+        /** Reads the list anew; completes with whether it was read, on any thread. */
+        CompletableFuture<Boolean> read();
+    }
+
     /** A question to other boxes, asked again while links are being opened. */
     private static final class Search {
         private final Query query;
@@ -96,6 +108,7 @@
      * @param holders chooses the boxes to tell and to ask
      * @param links sends messages to other boxes
      * @param endpoints tells which versions the services have had
+     * @param list reads the list of endpoints
      * @param metrics counts resumed streams
      */
     public StreamOrigins(
@@ -105,6 +118,7 @@
             OriginHolders holders,
             StreamOriginLinks links,
             RelayEndpoints endpoints,
+            ListRefresh list,
             RelayMetrics metrics) {
         this.self = self;
         this.loop = loop;
@@ -112,6 +126,7 @@
         this.holders = holders;
         this.links = links;
         this.endpoints = endpoints;
+        this.list = list;
         this.metrics = metrics;
         this.table = new StreamOriginTable(clock, metrics::recordDroppedStreamOrigin);
     }
@@ -228,23 +243,48 @@
     }
 
     private void decide(Search search, Source source) {
-        StreamVersion result =
-                search.found.map(origin -> recorded(origin, source)).orElseGet(() -> withoutRecord(search));
+        if (search.found.isPresent()) {
+            finish(search, recorded(search.found.get(), source));
+        } else if (onlyVersion(search).isEmpty()) {
+            finish(search, unknown(search, true));
+        } else {
+            confirmOnlyVersion(search);
+        }
+    }
+
+    private void finish(Search search, StreamVersion result) {
         metrics.recordStreamResumed(result.source().code());
         search.listener.accept(result);
     }
 
+    /**
+     * Takes the only version that is known if a list that is read from now on shows no other: the stream may have begun on an
+     * endpoint that was listed since the last one.
+     */
+    private void confirmOnlyVersion(Search search) {
+        long waitMs = Math.max(MIN_CONFIRM_MS, search.patientUntilMs - clock.nowMs());
+        list.read()
+                .completeOnTimeout(false, waitMs, TimeUnit.MILLISECONDS)
+                .whenCompleteAsync((read, failure) -> finish(search, confirmed(search, failure == null && read)), loop);
+    }
+
+    private StreamVersion confirmed(Search search, boolean listRead) {
+        return (listRead ? onlyVersion(search) : Optional.<String>empty())
+                .map(version -> new StreamVersion(Source.SINGLE_VERSION, "", version, 0, false))
+                .orElseGet(() -> unknown(search, listRead));
+    }
+
+    private Optional<String> onlyVersion(Search search) {
+        return endpoints.onlyVersion(search.query.services(), search.query.lifetimeMs());
+    }
+
     private static StreamVersion recorded(StreamOrigin origin, Source source) {
         return new StreamVersion(source, origin.getService(), origin.getVersion(), origin.getAgeMs(), false);
     }
 
-    private StreamVersion withoutRecord(Search search) {
-        Query query = search.query;
+    private StreamVersion unknown(Search search, boolean listRead) {
         boolean othersMayKnow = !search.awaited.isEmpty() || !holders.allReachable() || !search.linksComplete;
-        return endpoints
-                .onlyVersion(query.services(), query.lifetimeMs())
-                .map(version -> new StreamVersion(Source.SINGLE_VERSION, "", version, 0, false))
-                .orElseGet(() -> new StreamVersion(Source.UNKNOWN, "", "", 0, othersMayKnow));
+        return new StreamVersion(Source.UNKNOWN, "", "", 0, othersMayKnow || !listRead);
     }
 
     @Override
--- a/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
+++ b/relay/src/main/java/org/wingstall/relay/stream/StreamVersion.java
@@ -9,7 +9,7 @@
  * @param service service that began the stream; empty if any will do
  * @param version the version; empty if any will do, or if it is not known
  * @param ageMs time since the stream was begun, in ms; 0 if not known
- * @param othersMayKnow whether boxes that gave no reply may know it
+ * @param othersMayKnow whether it may be learnt later: from boxes that gave no reply, or from a list that could not be read
  * @since 0.16
  */
 public record StreamVersion(Source source, String service, String version, long ageMs, boolean othersMayKnow) {
--- a/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
@@ -1,6 +1,7 @@
 package org.wingstall.relay.control;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
@@ -34,6 +35,7 @@
     private ListFollower follower;
     private volatile EndpointSource.Listing stored;
     private volatile boolean down;
+    private volatile CompletableFuture<EndpointSource.Listing> pending;
 
     /** Starts a box that relies on announced changes, after the first read that every box makes. */
     @BeforeMethod
@@ -58,6 +60,9 @@
 
     private CompletableFuture<EndpointSource.Listing> read() {
         reads.incrementAndGet();
+        if (pending != null) {
+            return pending;
+        }
         return down
                 ? CompletableFuture.failedFuture(new SourceException(SourceException.Kind.REFUSED, "down"))
                 : CompletableFuture.completedFuture(stored);
@@ -99,6 +104,25 @@
                         endpoint -> endpoint.id().equals(id) && endpoint.state().leaving());
     }
 
+    @Test
+    public void aReadThatIsInProgressDoesNotCountAsANewOne() throws Exception {
+        CompletableFuture<EndpointSource.Listing> inProgress = new CompletableFuture<>();
+        pending = inProgress;
+        follower.onPeerList(list(entry("b", false)).shortTag(), version(5));
+        settle();
+        CompletableFuture<Boolean> anew = follower.readAnew();
+        settle();
+        pending = null;
+        int before = reads.get();
+        assertFalse(anew.isDone());
+        stored = new EndpointSource.Listing(List.of(entry("a", true)), version(7));
+        inProgress.complete(new EndpointSource.Listing(List.of(entry("a", false)), version(6)));
+        settle();
+        assertEquals(reads.get(), before + 1);
+        assertTrue(anew.isDone() && anew.join());
+        assertTrue(leaves("a"));
+    }
+
     @Test
     public void aListThatAPeerHasAndThisBoxHasNotIsRead() throws Exception {
         stored = new EndpointSource.Listing(List.of(entry("a", true)), version(7));
--- a/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
+++ b/relay/src/test/java/org/wingstall/relay/stream/StreamOriginsTest.java
@@ -6,12 +6,14 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +48,7 @@
     private StreamOrigins origins;
     private List<String> linked;
     private volatile boolean complete;
+    private volatile StreamOrigins.ListRefresh list;
 
     @BeforeMethod
     public void create() {
@@ -55,11 +58,12 @@
         nowMs.set(1_000_000);
         linked = new ArrayList<>(List.of("b", "c"));
         complete = true;
+        list = () -> CompletableFuture.completedFuture(true);
         loop = new DefaultEventLoop();
         MonotonicClock clock = () -> TimeUnit.MILLISECONDS.toNanos(nowMs.get());
         endpoints = new RelayEndpoints(clock);
         endpoints.applyList(List.of(engine("e1", "v1"), engine("e2", "v2")));
-        origins = new StreamOrigins("a", loop, clock, this, this, endpoints, new RelayMetrics());
+        origins = new StreamOrigins("a", loop, clock, this, this, endpoints, () -> list.read(), new RelayMetrics());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -243,11 +247,66 @@
             nowMs.addAndGet(1000);
             endpoints.markListCurrent();
         }
+        int before = results.size();
         find("s", "canteen");
+        Awaitility.await().until(() -> results.size() > before);
         assertEquals(results.get(results.size() - 1).source(), Source.SINGLE_VERSION);
         assertEquals(results.get(results.size() - 1).version(), "v1");
     }
 
+    private void followOneVersion() {
+        linked.clear();
+        endpoints.applyList(List.of(engine("e1", "v1")));
+        for (long followedMs = 0; followedMs <= 2 * LIFETIME_MS; followedMs += 1000) {
+            nowMs.addAndGet(1000);
+            endpoints.markListCurrent();
+        }
+    }
+
+    @Test
+    public void aVersionThatHasJoinedSinceTheLastListIsNotOverlooked() {
+        followOneVersion();
+        list = () -> {
+            endpoints.applyList(List.of(engine("e1", "v1"), engine("e2", "v2")));
+            return CompletableFuture.completedFuture(true);
+        };
+        find("s", "canteen");
+        Awaitility.await().until(() -> results.size() == 1);
+        assertFalse(result().known());
+    }
+
+    @DataProvider
+    Object[][] unreadLists() {
+        return new Object[][] {
+            {CompletableFuture.completedFuture(false)},
+            {CompletableFuture.failedFuture(new IOException("closed"))},
+            {new CompletableFuture<Boolean>()},
+        };
+    }
+
+    @Test(dataProvider = "unreadLists")
+    public void anOnlyVersionThatNoListConfirmsIsNotTaken(CompletableFuture<Boolean> unread) {
+        followOneVersion();
+        list = () -> unread;
+        find("s", "canteen");
+        Awaitility.await().until(() -> results.size() == 1);
+        assertFalse(result().known());
+        assertTrue(result().othersMayKnow());
+    }
+
+    /** An answer that waited while the box stood still showed an old list as a new one. */
+    @Test
+    public void aListCountsFromTheTimeAtWhichItWasAskedFor() {
+        followOneVersion();
+        assertTrue(endpoints.onlyVersion(Set.of("llm"), LIFETIME_MS).isPresent());
+        long askedMs = nowMs.get();
+        nowMs.addAndGet(1900);
+        endpoints.applyList(List.of(engine("e1", "v1")), askedMs);
+        nowMs.addAndGet(1900);
+        endpoints.applyList(List.of(engine("e1", "v1")), nowMs.get());
+        assertTrue(endpoints.onlyVersion(Set.of("llm"), LIFETIME_MS).isEmpty());
+    }
+
     /** Versions may have come and gone while the list was not read. */
     @Test
     public void aGapInTheListLeavesTheOnlyVersionUnknown() {
