Answer the requests that wait on a connection before it ends, and handle none after

Cause: the end of a connection was announced by the next answer whatever waited behind it, and the dispatcher began the next request also after the last answer. Change: no end is announced while requests wait; after an announced end none is handled.

--- a/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
+++ b/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
@@ -1,11 +1,15 @@
 package org.wingstall.net.http;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayDeque;
 
-/** Hands the requests of a connection to the handler one after another. */
+/**
+ * Hands the requests of a connection to the handler one after another. A connection that is to end does so with the answer to
+ * the last request that came before its end was announced; later ones are not handled.
+ */
 final class CallDispatcher extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final int MOST_PIPELINED = 16;
 
@@ -14,11 +18,22 @@
     private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private final HttpCall.ConnectionEnd connectionEnd;
     private HttpCall current;
+    private boolean ended;
 
-    CallDispatcher(HttpHandler handler, Rejection.Body rejections, HttpCall.ConnectionEnd connectionEnd) {
+    CallDispatcher(HttpHandler handler, Rejection.Body rejections, HttpCall.ConnectionEnd ofServer) {
         this.handler = handler;
         this.rejections = rejections;
-        this.connectionEnd = connectionEnd;
+        this.connectionEnd = new HttpCall.ConnectionEnd() {
+            @Override
+            public boolean wanted() {
+                return pipelined.isEmpty() && ofServer.wanted();
+            }
+
+            @Override
+            public boolean required() {
+                return pipelined.isEmpty() && ofServer.required();
+            }
+        };
     }
 
     /** Returns whether no call is being answered on the connection. */
@@ -28,6 +43,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        if (ended) {
+            return;
+        }
         if (!request.decoderResult().isSuccess()) {
             RequestGuard.reject(ctx, Rejection.BAD_HTTP, rejections);
             return;
@@ -42,13 +60,23 @@
     }
 
     private void dispatch(ChannelHandlerContext ctx, FullHttpRequest request) {
-        HttpCall call = new HttpCall(ctx.channel(), request, () -> next(ctx), connectionEnd);
+        HttpCall call =
+                new HttpCall(ctx.channel(), request, (written, last) -> answered(ctx, written, last), connectionEnd);
         current = call;
         handler.handle(call);
     }
 
-    private void next(ChannelHandlerContext ctx) {
+    private void answered(ChannelHandlerContext ctx, ChannelFuture written, boolean last) {
         current = null;
+        if (last) {
+            ended = true;
+            dropPipelined();
+        } else {
+            dispatchNext(ctx);
+        }
+    }
+
+    private void dispatchNext(ChannelHandlerContext ctx) {
         FullHttpRequest request = pipelined.poll();
         if (request == null) {
             return;
@@ -60,6 +88,11 @@
         }
     }
 
+    private void dropPipelined() {
+        pipelined.forEach(FullHttpRequest::release);
+        pipelined.clear();
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (current != null) {
@@ -70,8 +103,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        pipelined.forEach(FullHttpRequest::release);
-        pipelined.clear();
+        dropPipelined();
         if (current != null) {
             current.disconnected();
         }
--- a/net/src/main/java/org/wingstall/net/http/HttpCall.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpCall.java
@@ -49,7 +49,7 @@
     private final byte[] body;
     private final boolean keepAlive;
     private final boolean chunks;
-    private final Runnable whenAnswered;
+    private final Answered answeredListener;
     private final ConnectionEnd connectionEnd;
     private Runnable onDisconnect = () -> {};
     private Runnable onWritable = () -> {};
@@ -57,6 +57,17 @@
     private boolean answered;
     private boolean endAnnounced;
 
+    /** Told when an answer is given whole. */
+    interface Answered {
+        /**
+         * The answer was handed to the connection.
+         *
+         * @param written completes when its last byte was written
+         * @param last whether the connection ends with it
+         */
+        void answered(ChannelFuture written, boolean last);
+    }
+
     /** Tells whether connections end with their answers. */
     interface ConnectionEnd {
         /** Returns whether an answer that begins should be the last one. */
@@ -66,7 +77,7 @@
         boolean required();
     }
 
-    HttpCall(Channel channel, FullHttpRequest request, Runnable whenAnswered, ConnectionEnd connectionEnd) {
+    HttpCall(Channel channel, FullHttpRequest request, Answered answeredListener, ConnectionEnd connectionEnd) {
         this.channel = channel;
         this.method = request.method().name();
         this.target = request.uri();
@@ -76,7 +87,7 @@
         this.connectionEnd = connectionEnd;
         this.keepAlive = HttpUtil.isKeepAlive(request);
         this.chunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
-        this.whenAnswered = whenAnswered;
+        this.answeredListener = answeredListener;
     }
 
     /** Returns the method in capitals. */
@@ -299,10 +310,11 @@
     private ChannelFuture finish(Object last) {
         answered = true;
         ChannelFuture written = channel.writeAndFlush(last);
-        if (endAnnounced || !keepsConnection()) {
+        boolean ends = endAnnounced || !keepsConnection();
+        if (ends) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        whenAnswered.run();
+        answeredListener.answered(written, ends);
         return written;
     }
 }
