Keep a connection until the answers on it were written, and their reader reads

Beside no stop, a client that read an answer for longer than the idle time was cut, too. Cause: a connection counted as idle once its answer was handed to the channel. Change: a drained connection is closed once its answers were written; the idle time of a connection begins anew while its client reads parts of an answer.

--- a/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
+++ b/net/src/main/java/org/wingstall/net/http/CallDispatcher.java
@@ -18,7 +18,9 @@
     private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private final HttpCall.ConnectionEnd connectionEnd;
     private HttpCall current;
+    private int unwrittenAnswers;
     private boolean ended;
+    private boolean closesWhenIdle;
 
     CallDispatcher(HttpHandler handler, Rejection.Body rejections, HttpCall.ConnectionEnd ofServer) {
         this.handler = handler;
@@ -36,9 +38,16 @@
         };
     }
 
-    /** Returns whether no call is being answered on the connection. */
-    boolean idle() {
-        return current == null;
+    /** Closes the connection as soon as no call is being answered and all answers were written. */
+    void closeWhenIdle(ChannelHandlerContext ctx) {
+        closesWhenIdle = true;
+        closeIfIdle(ctx);
+    }
+
+    private void closeIfIdle(ChannelHandlerContext ctx) {
+        if (closesWhenIdle && current == null && pipelined.isEmpty() && unwrittenAnswers == 0) {
+            ctx.close();
+        }
     }
 
     @Override
@@ -68,6 +77,11 @@
 
     private void answered(ChannelHandlerContext ctx, ChannelFuture written, boolean last) {
         current = null;
+        unwrittenAnswers++;
+        written.addListener(done -> {
+            unwrittenAnswers--;
+            closeIfIdle(ctx);
+        });
         if (last) {
             ended = true;
             dropPipelined();
--- a/net/src/main/java/org/wingstall/net/http/HttpServer.java
+++ b/net/src/main/java/org/wingstall/net/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.wingstall.net.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
@@ -151,16 +152,16 @@
         draining.set(true);
     }
 
-    /** Closes idle connections now and the others after their next answer. */
+    /** Closes idle connections now, and the others when the answers that are due on them were written. */
     public void drain() {
         draining.set(true);
-        open.forEach(channel -> channel.eventLoop().execute(() -> closeIfIdle(channel)));
+        open.forEach(channel -> channel.eventLoop().execute(() -> closeWhenIdle(channel)));
     }
 
-    private static void closeIfIdle(Channel channel) {
-        CallDispatcher dispatcher = channel.pipeline().get(CallDispatcher.class);
-        if (dispatcher != null && dispatcher.idle()) {
-            channel.close();
+    private static void closeWhenIdle(Channel channel) {
+        ChannelHandlerContext dispatcher = channel.pipeline().context(CallDispatcher.class);
+        if (dispatcher != null) {
+            ((CallDispatcher) dispatcher.handler()).closeWhenIdle(dispatcher);
         }
     }
 
--- a/net/src/main/java/org/wingstall/net/http/RequestGuard.java
+++ b/net/src/main/java/org/wingstall/net/http/RequestGuard.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -33,6 +34,7 @@
     private boolean rejected;
     private FullHttpResponse heldRejection;
     private boolean reading;
+    private long unreadBytes;
 
     RequestGuard(Supplier<HttpLimits> limits, Rejection.Body rejections, AtomicInteger connections) {
         this.limits = limits;
@@ -143,6 +145,14 @@
         timer = ctx.executor().schedule(() -> expire(ctx, rejection), afterMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether the client has read parts of an answer, and not all of it, since this was asked before. */
+    private boolean clientReads(ChannelHandlerContext ctx) {
+        ChannelOutboundBuffer outgoing = ctx.channel().unsafe().outboundBuffer();
+        long before = unreadBytes;
+        unreadBytes = outgoing == null ? 0 : outgoing.totalPendingWriteBytes() - outgoing.currentProgress();
+        return unreadBytes > 0 && unreadBytes != before;
+    }
+
     private void disarm() {
         if (timer != null) {
             timer.cancel(false);
@@ -151,7 +161,9 @@
     }
 
     private void expire(ChannelHandlerContext ctx, Rejection rejection) {
-        if (rejection == null) {
+        if (rejection == null && clientReads(ctx)) {
+            arm(ctx, limits.get().idleMs(), null);
+        } else if (rejection == null) {
             ctx.close();
         } else {
             reject(ctx, rejection, rejections);
--- a/net/src/test/java/org/wingstall/net/http/ServerDrainTest.java
+++ b/net/src/test/java/org/wingstall/net/http/ServerDrainTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -15,6 +16,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -22,7 +24,7 @@
 import org.testng.annotations.Test;
 import org.wingstall.net.EventLoops;
 
-/** A server that drained its connections handled requests that it did not answer. */
+/** A server that drained its connections handled requests that it did not answer, and dropped the end of answers. */
 public class ServerDrainTest {
     private static final int IDLE_MS = 400;
     private static final HttpLimits LIMITS = new HttpLimits(1000, 10, 5000, IDLE_MS);
@@ -30,6 +32,9 @@
     private static final int WAIT_MS = 5000;
     private static final int NONE_WITHIN_MS = 300;
 
+    /** More than the buffers of a connection take, in bytes. */
+    private static final int LONG_BODY = 24 << 20;
+
     private final EventLoopGroup group = EventLoops.group("drain-test", 1);
     private final BlockingQueue<HttpCall> calls = new LinkedBlockingQueue<>();
     private HttpServer server;
@@ -121,4 +126,47 @@
             assertNull(calls.poll(NONE_WITHIN_MS, TimeUnit.MILLISECONDS));
         }
     }
+
+    private static int readSlowly(Socket socket, int steps) throws IOException {
+        InputStream in = socket.getInputStream();
+        int length = 0;
+        for (int i = 0; i < steps; i++) {
+            length += in.readNBytes(500_000).length;
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        }
+        return length + in.readAllBytes().length;
+    }
+
+    @Test(dataProvider = "ends")
+    public void anAnswerThatIsReadSlowlyIsSentWhole(End end) throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, 1);
+            answer(next(), new byte[LONG_BODY]);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+            end.action.accept(server);
+            // A server that only stops taking requests keeps the connection until it is idle.
+            int length = readSlowly(socket, 5);
+            assertTrue(length > LONG_BODY, length + " bytes");
+        }
+    }
+
+    @Test
+    public void aClientThatReadsForLongerThanTheIdleTimeGetsItsAnswer() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, 1);
+            answer(next(), new byte[LONG_BODY]);
+            int length = readSlowly(socket, 3 * IDLE_MS / 100);
+            assertTrue(length > LONG_BODY, length + " bytes");
+        }
+    }
+
+    @Test
+    public void aClientThatReadsNothingIsGivenUp() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, 1);
+            answer(next(), new byte[LONG_BODY]);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(4 * IDLE_MS));
+            assertEquals(server.connections(), 0);
+        }
+    }
 }
