Read the list for a take-up only while the store answers

What callers would see: nothing; found in reading the change. Cause: each take-up without a record asked a store that refuses calls once more, which adds calls that are priced and fail. Change: ListFollower.readAnew fails at once while the source does not answer, as for news of peers. The decoder of answers looks for their ends without a stream of its own at each part. Result: ListFollowerTest (one case more), StreamOriginsTest, MalformedAnswerHeadTest, CutAnswerHeadTest and ServerDrainTest pass.

--- a/net/src/main/java/org/wingstall/net/http/AnswerDecoder.java
+++ b/net/src/main/java/org/wingstall/net/http/AnswerDecoder.java
@@ -45,8 +45,10 @@
                 heads.readLines(buffer);
                 int before = out.size();
                 super.decode(ctx, buffer, out);
-                if (out.subList(before, out.size()).stream().anyMatch(LastHttpContent.class::isInstance)) {
-                    heads.expectHead();
+                for (int i = before; i < out.size(); i++) {
+                    if (out.get(i) instanceof LastHttpContent) {
+                        heads.expectHead();
+                    }
                 }
             }
         } catch (MalformedHeadException e) {
--- a/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
+++ b/relay/src/main/java/org/wingstall/relay/control/ListFollower.java
@@ -200,15 +200,20 @@
     }
 
     /**
-     * Reads the list; a read that is in progress does not count. For use on any thread.
+     * Reads the list; a read that is in progress does not count. A source that does not answer is retried by the poll only.
+     * For use on any thread.
      *
      * @return completes with whether the list was read
      */
     public CompletableFuture<Boolean> readAnew() {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         loop.execute(() -> {
-            awaitNextRead.add(done);
-            startReadIfIdle();
+            if (health.available()) {
+                awaitNextRead.add(done);
+                startReadIfIdle();
+            } else {
+                done.complete(false);
+            }
         });
         return done;
     }
--- a/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
+++ b/relay/src/test/java/org/wingstall/relay/control/ListFollowerTest.java
@@ -104,6 +104,15 @@
                         endpoint -> endpoint.id().equals(id) && endpoint.state().leaving());
     }
 
+    @Test
+    public void aSourceThatDoesNotAnswerIsNotReadAnew() throws Exception {
+        down = true;
+        assertFalse(follower.readAnew().get());
+        int before = reads.get();
+        assertFalse(follower.readAnew().get());
+        assertEquals(reads.get(), before);
+    }
+
     @Test
     public void aReadThatIsInProgressDoesNotCountAsANewOne() throws Exception {
         CompletableFuture<EndpointSource.Listing> inProgress = new CompletableFuture<>();
